--- /dev/null
+++ b/core/shard/shard.go
@@ -0,0 +1,16 @@
+// Package shard maps keys to shards, the unit of ownership.
+package shard
+
+import "github.com/cespare/xxhash/v2"
+
+// ID is the number of a shard within its service, from zero.
+type ID uint32
+
+// Of returns the shard of key among count shards. It returns zero if count is
+// zero.
+func Of(key string, count uint32) ID {
+	if count == 0 {
+		return 0
+	}
+	return ID(xxhash.Sum64String(key) % uint64(count))
+}
--- /dev/null
+++ b/core/template/rules.go
@@ -0,0 +1,153 @@
+// Package template holds the templates of organisations, their parameters, and
+// the service rules that daemons render from them.
+package template
+
+import (
+	"strings"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/upstream"
+)
+
+// Priority orders requests in admission; a higher value goes first.
+type Priority int
+
+// Priorities in ascending order. Sign-offs are critical.
+const (
+	PriorityLow Priority = iota
+	PriorityNormal
+	PriorityHigh
+	PriorityCritical
+)
+
+// RouteRules are the rules of the requests with a method and path prefix.
+type RouteRules struct {
+	method     string
+	pathSuffix string
+	idempotent bool
+	priority   Priority
+	timeout    clock.Millis
+}
+
+// NewRouteRules returns rules for requests whose method is method ("" for any)
+// and whose path ends with pathSuffix ("" for any).
+func NewRouteRules(method, pathSuffix string, idempotent bool, priority Priority, timeout clock.Millis) RouteRules {
+	return RouteRules{method: method, pathSuffix: pathSuffix, idempotent: idempotent, priority: priority, timeout: timeout}
+}
+
+// Method returns the method, "" for any.
+func (r RouteRules) Method() string { return r.method }
+
+// PathSuffix returns the suffix, "" for any.
+func (r RouteRules) PathSuffix() string { return r.pathSuffix }
+
+// Idempotent tells whether a request may be run more than once.
+func (r RouteRules) Idempotent() bool { return r.idempotent }
+
+// Priority returns the admission priority.
+func (r RouteRules) Priority() Priority { return r.priority }
+
+// Timeout returns the longest time of a request in milliseconds.
+func (r RouteRules) Timeout() clock.Millis { return r.timeout }
+
+func (r RouteRules) matches(method, path string) bool {
+	if r.method != "" && r.method != method {
+		return false
+	}
+	return strings.HasSuffix(path, r.pathSuffix)
+}
+
+// ServiceRules are the rules of one service of one organisation.
+type ServiceRules struct {
+	name         string
+	keyed        bool
+	shards       uint32
+	fencing      upstream.Fencing
+	settleMillis clock.Millis
+	queueLimit   int
+	routes       []RouteRules
+}
+
+// ServiceOption sets an optional part of ServiceRules.
+type ServiceOption func(*ServiceRules)
+
+// Keyed makes the service divided by key into shards.
+func Keyed(shards uint32) ServiceOption {
+	return func(s *ServiceRules) { s.keyed, s.shards = true, shards }
+}
+
+// Fenced sets what the upstreams check, and how long an order may lie in the
+// buffers of an upstream that checks nothing.
+func Fenced(fencing upstream.Fencing, settle clock.Millis) ServiceOption {
+	return func(s *ServiceRules) { s.fencing, s.settleMillis = fencing, settle }
+}
+
+// QueueLimit bounds the requests that wait for a slot of one upstream.
+func QueueLimit(limit int) ServiceOption {
+	return func(s *ServiceRules) { s.queueLimit = limit }
+}
+
+// NewServiceRules returns the rules of a service. Routes are matched in order.
+func NewServiceRules(name string, routes []RouteRules, options ...ServiceOption) ServiceRules {
+	rules := ServiceRules{name: name, routes: routes, fencing: upstream.FencingNone}
+	for _, option := range options {
+		option(&rules)
+	}
+	return rules
+}
+
+// Name returns the service's name.
+func (s ServiceRules) Name() string { return s.name }
+
+// IsKeyed tells whether the service is divided by key.
+func (s ServiceRules) IsKeyed() bool { return s.keyed }
+
+// Shards returns the number of shards, 0 for an unkeyed service.
+func (s ServiceRules) Shards() uint32 { return s.shards }
+
+// Fencing returns what the service's upstreams check.
+func (s ServiceRules) Fencing() upstream.Fencing { return s.fencing }
+
+// Settle returns how long a new owner waits after a replacement, beyond the
+// lease, if the upstreams check nothing.
+func (s ServiceRules) Settle() clock.Millis { return s.settleMillis }
+
+// QueueLimit returns how many requests may wait for a slot of one upstream.
+func (s ServiceRules) QueueLimit() int { return s.queueLimit }
+
+// Routes returns the routes in matching order; callers must not change them.
+func (s ServiceRules) Routes() []RouteRules { return s.routes }
+
+// Route returns the first matching route, or false.
+func (s ServiceRules) Route(method, path string) (RouteRules, bool) {
+	for _, route := range s.routes {
+		if route.matches(method, path) {
+			return route, true
+		}
+	}
+	return RouteRules{}, false
+}
+
+// Catalog holds the rendered rules of all organisations at one version.
+type Catalog struct {
+	version  uint64
+	services map[string]ServiceRules
+}
+
+// NewCatalog returns a catalog. The keys are "organisation/service".
+func NewCatalog(version uint64, services map[string]ServiceRules) Catalog {
+	return Catalog{version: version, services: services}
+}
+
+// Version returns the configuration version.
+func (c Catalog) Version() uint64 { return c.version }
+
+// Service returns the rules of "organisation/service", or false.
+func (c Catalog) Service(name string) (ServiceRules, bool) {
+	rules, ok := c.services[name]
+	return rules, ok
+}
+
+// Services returns all rules by "organisation/service"; callers must not
+// change the map.
+func (c Catalog) Services() map[string]ServiceRules { return c.services }
