--- a/core/clock/system/system.go
+++ b/core/clock/system/system.go
@@ -1,22 +1,27 @@
-// Package system reads the monotonic clock of the operating system.
+// Package system reads the clocks of the operating system.
 package system
 
 import (
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"briarwell.dev/core/clock"
 )
 
-// processStart anchors the monotonic readings of this process.
-var processStart = time.Now() //nolint:gochecknoglobals // Monotonic readings need one fixed origin for the process.
-
-// Clock is a monotonic clock that starts near zero with the process. The zero
-// value works.
+// Clock is the boot-time clock. It goes on while the instance is suspended, as
+// CLOCK_MONOTONIC does not: a suspended lease holder must see on resume that
+// its lease has expired. The zero value works.
 type Clock struct{}
 
-// Now returns the milliseconds since the process started.
+// Now returns the milliseconds since the instance was booted.
 func (Clock) Now() clock.Millis {
-	return clock.FromDuration(time.Since(processStart))
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		// The call fails only for an unknown clock, which is a build fault.
+		panic("boot-time clock is not available: " + err.Error())
+	}
+	return clock.FromDuration(time.Duration(now.Nano()))
 }
 
 // UnixMillis returns the wall-clock time in milliseconds since the Unix epoch.
