--- /dev/null
+++ b/core/placement/placement.go
@@ -0,0 +1,118 @@
+// Package placement decides which member owns which shard. The folders below
+// hold the policies.
+package placement
+
+import (
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/ownership"
+)
+
+// Candidate is a member that may own units.
+type Candidate struct {
+	incarnation identity.Incarnation
+	location    identity.Location
+	slots       int
+	busy        clock.Millis
+}
+
+// NewCandidate returns a candidate with its upstream's slots and the
+// slot-milliseconds used in the input's interval.
+func NewCandidate(incarnation identity.Incarnation, location identity.Location, slots int, busy clock.Millis) Candidate {
+	return Candidate{incarnation: incarnation, location: location, slots: slots, busy: busy}
+}
+
+// Incarnation returns the member's incarnation.
+func (c Candidate) Incarnation() identity.Incarnation { return c.incarnation }
+
+// Location returns the member's location.
+func (c Candidate) Location() identity.Location { return c.location }
+
+// Slots returns the slots of the member's upstream.
+func (c Candidate) Slots() int { return c.slots }
+
+// Busy returns the slot-milliseconds used in the interval.
+func (c Candidate) Busy() clock.Millis { return c.busy }
+
+// Placed is a unit with its owner and load.
+type Placed struct {
+	unit  ownership.Unit
+	owner identity.Incarnation
+	busy  clock.Millis
+}
+
+// NewPlaced returns a unit with its owner, 0 if none, and the slot-milliseconds
+// that it used in the input's interval.
+func NewPlaced(unit ownership.Unit, owner identity.Incarnation, busy clock.Millis) Placed {
+	return Placed{unit: unit, owner: owner, busy: busy}
+}
+
+// Unit returns the unit.
+func (p Placed) Unit() ownership.Unit { return p.unit }
+
+// Owner returns the owner, 0 if there is none.
+func (p Placed) Owner() identity.Incarnation { return p.owner }
+
+// Busy returns the slot-milliseconds used in the interval.
+func (p Placed) Busy() clock.Millis { return p.busy }
+
+// Input is what a Policy decides on.
+type Input struct {
+	service    identity.Service
+	now        clock.Millis
+	interval   clock.Millis
+	candidates []Candidate
+	units      []Placed
+}
+
+// NewInput returns the input for a service: candidates by ascending incarnation
+// and units by ascending shard. The interval is that of the loads, 0 if no load
+// is known. Hot keys without an entry of their own are units with the owner of
+// their shard.
+func NewInput(service identity.Service, now, interval clock.Millis, candidates []Candidate, units []Placed) Input {
+	return Input{service: service, now: now, interval: interval, candidates: candidates, units: units}
+}
+
+// Service returns the service.
+func (i Input) Service() identity.Service { return i.service }
+
+// Now returns the time of the decision.
+func (i Input) Now() clock.Millis { return i.now }
+
+// Interval returns the length in milliseconds of the measured interval, 0 if no
+// load is known.
+func (i Input) Interval() clock.Millis { return i.interval }
+
+// Candidates returns the candidates; callers must not change them.
+func (i Input) Candidates() []Candidate { return i.candidates }
+
+// Units returns the units; callers must not change them.
+func (i Input) Units() []Placed { return i.units }
+
+// Move gives a unit to a member.
+type Move struct {
+	unit ownership.Unit
+	from identity.Incarnation
+	to   identity.Incarnation
+}
+
+// NewMove returns a move; from is 0 if the unit has no owner.
+func NewMove(unit ownership.Unit, from, to identity.Incarnation) Move {
+	return Move{unit: unit, from: from, to: to}
+}
+
+// Unit returns the unit.
+func (m Move) Unit() ownership.Unit { return m.unit }
+
+// From returns the present owner, 0 if there is none.
+func (m Move) From() identity.Incarnation { return m.from }
+
+// To returns the next owner.
+func (m Move) To() identity.Incarnation { return m.to }
+
+// Policy decides on moves. An implementation may keep state between calls.
+type Policy interface {
+	// Plan returns the moves to make now. Units without an owner or whose owner
+	// is no candidate get one if there is any candidate.
+	Plan(input Input) []Move
+}
