--- a/core/membership/member.go
+++ b/core/membership/member.go
@@ -110,6 +110,11 @@
 	return Member{incarnation: incarnation, instance: instance, state: StateJoining}
 }
 
+// Pending returns a member that is not registered yet; its state is "".
+func Pending(incarnation identity.Incarnation, instance Instance) Member {
+	return Member{incarnation: incarnation, instance: instance}
+}
+
 // WithAnnouncement returns a copy with what its upstream announced.
 func (m Member) WithAnnouncement(a Announcement) Member {
 	m.announcement = a
--- /dev/null
+++ b/core/membership/witnesses.go
@@ -0,0 +1,122 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"briarwell.dev/core/identity"
+)
+
+// Distances of a witness from its holder, in the order in which they are chosen.
+const (
+	sameDomain = iota
+	sameRegion
+	otherRegion
+	distances
+)
+
+func distance(a, b identity.Location) int {
+	switch {
+	case a.Region() != b.Region():
+		return otherRegion
+	case a.FailureDomain() != b.FailureDomain():
+		return sameRegion
+	default:
+		return sameDomain
+	}
+}
+
+// ChooseWitnesses returns up to count witnesses for self among the candidates:
+// one of the same failure domain, one of another failure domain of the region,
+// one of another region, then the best spread that is left. Active members go
+// before joining ones. Equal candidates are ordered by a hash of both
+// incarnations, so that the members are chosen about equally often. Members that
+// are neither active nor joining, self, and members at self's address are left
+// out.
+func ChooseWitnesses(self Member, candidates []Member, count int) []Witness {
+	var ranked [distances][]Member
+	for _, m := range candidates {
+		if !eligible(self, m) {
+			continue
+		}
+		d := distance(self.instance.location, m.instance.location)
+		ranked[d] = append(ranked[d], m)
+	}
+	for d := range ranked {
+		slices.SortFunc(ranked[d], func(a, b Member) int { return compareRank(self, a, b) })
+	}
+	return pick(ranked, count)
+}
+
+func eligible(self, m Member) bool {
+	if m.state != StateActive && m.state != StateJoining {
+		return false
+	}
+	return m.incarnation != self.incarnation && m.instance.peerAddress != self.instance.peerAddress
+}
+
+func compareRank(self, a, b Member) int {
+	if a.state != b.state {
+		if a.state == StateActive {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(pairHash(self.incarnation, a.incarnation), pairHash(self.incarnation, b.incarnation)),
+		cmp.Compare(a.incarnation, b.incarnation),
+	)
+}
+
+func pairHash(a, b identity.Incarnation) uint64 {
+	var buffer [16]byte
+	binary.BigEndian.PutUint64(buffer[:8], uint64(a))
+	binary.BigEndian.PutUint64(buffer[8:], uint64(b))
+	return xxhash.Sum64(buffer[:])
+}
+
+// pick takes one member of each distance in turn, avoiding a failure domain
+// that was already taken while another one is left.
+func pick(ranked [distances][]Member, count int) []Witness {
+	var chosen []Witness
+	taken := make(map[string]bool)
+	for len(chosen) < count {
+		before := len(chosen)
+		for d := range ranked {
+			if len(ranked[d]) == 0 || len(chosen) == count {
+				continue
+			}
+			index := max(0, slices.IndexFunc(ranked[d], func(m Member) bool {
+				return !taken[m.instance.location.FailureDomain()]
+			}))
+			m := ranked[d][index]
+			ranked[d] = slices.Delete(ranked[d], index, index+1)
+			taken[m.instance.location.FailureDomain()] = true
+			chosen = append(chosen, NewWitness(m.incarnation, m.instance.peerAddress))
+		}
+		if len(chosen) == before {
+			return chosen
+		}
+	}
+	return chosen
+}
+
+// Spread returns how many of the three distances a witness set covers.
+func Spread(self Member, witnesses []Witness, view View) int {
+	var covered [distances]bool
+	for _, w := range witnesses {
+		if m, ok := view.Member(w.incarnation); ok {
+			covered[distance(self.instance.location, m.instance.location)] = true
+		}
+	}
+	sum := 0
+	for _, c := range covered {
+		if c {
+			sum++
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/core/node/apply.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"maps"
+	"math"
+	"strings"
+
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/ownership"
+	"briarwell.dev/core/table"
+	"briarwell.dev/core/template"
+)
+
+// ConfigPrefix is the prefix of the keys of configuration rows.
+const ConfigPrefix = "config/"
+
+// configHeadKey is the key of the row that numbers the configuration versions.
+const configHeadKey = ConfigPrefix + "head"
+
+type groupChange struct {
+	service identity.Service
+	number  int
+}
+
+// applyRows takes rows that are newer than those in the copy and draws the
+// conclusions.
+func (n *Node) applyRows(rows []table.Row) {
+	var members []membership.Member
+	var groups []groupChange
+	var config []table.Row
+	for _, row := range rows {
+		if !n.copy.put(row) {
+			continue
+		}
+		n.sync.announce = true
+		n.published.dirty = true
+		switch {
+		case membership.IsKey(row.Key()):
+			members = n.decodeMember(members, row)
+		case ownership.IsKey(row.Key()):
+			groups = n.decodeGroup(groups, row)
+		case strings.HasPrefix(row.Key(), ConfigPrefix):
+			config = append(config, row)
+		}
+	}
+	n.applyConfig(config)
+	n.applyMembers(members)
+	for _, g := range groups {
+		n.groupChanged(g)
+	}
+}
+
+func (n *Node) decodeMember(members []membership.Member, row table.Row) []membership.Member {
+	m, err := membership.Decode(row.Key(), row.Value())
+	if err != nil {
+		n.note("rowInvalid", "error", err.Error())
+		return members
+	}
+	return append(members, m)
+}
+
+func (n *Node) decodeGroup(groups []groupChange, row table.Row) []groupChange {
+	service, number, err := ownership.ParseKey(row.Key())
+	if err != nil {
+		n.note("rowInvalid", "error", err.Error())
+		return groups
+	}
+	group, err := ownership.Decode(row.Key(), row.Value())
+	if err != nil {
+		n.note("rowInvalid", "error", err.Error())
+		return groups
+	}
+	n.owners = n.owners.With(service, number, row.Version(), group)
+	n.planner.dirty = true
+	return append(groups, groupChange{service: service, number: number})
+}
+
+func (n *Node) applyConfig(rows []table.Row) {
+	if len(rows) == 0 {
+		return
+	}
+	config := maps.Clone(n.config)
+	if config == nil {
+		config = make(map[string]table.Row)
+	}
+	for _, row := range rows {
+		config[row.Key()] = row
+	}
+	n.config = config
+}
+
+func (n *Node) applyMembers(members []membership.Member) {
+	if len(members) == 0 {
+		return
+	}
+	n.view = n.view.With(members...)
+	n.poll.pollers = nil
+	n.planner.dirty = true
+	n.self.witnessesDirty = true
+	n.losses.orphansDirty = true
+	for _, m := range members {
+		n.memberChanged(m)
+	}
+}
+
+func (n *Node) memberChanged(m membership.Member) {
+	if m.Incarnation() == n.incarnation {
+		n.ownRowChanged(m)
+		return
+	}
+	if !m.Alive() {
+		n.losses.sawDead(m.Incarnation(), n.now)
+		n.replacer.Unwatch(m.Incarnation())
+		n.witness.Forget(m.Incarnation(), math.MaxUint64)
+		return
+	}
+	n.witness.Forget(m.Incarnation(), m.Generation())
+	if index, ok := isWitness(m, n.incarnation); ok {
+		n.replacer.Watch(n.now, m, index)
+	} else {
+		n.replacer.Unwatch(m.Incarnation())
+	}
+}
+
+// ownRowChanged takes the node's own row. Only the node itself writes it, except
+// that a replacer may mark it dead.
+func (n *Node) ownRowChanged(m membership.Member) {
+	previous := n.row
+	n.row = m
+	switch {
+	case !m.Alive() && n.self.draining:
+		n.leave()
+	case !m.Alive():
+		n.reincarnate()
+	case m.Generation() != previous.Generation():
+		n.holder.Install(m.Generation(), m.Witnesses())
+	}
+}
+
+func (n *Node) catalogChanged(catalog template.Catalog) {
+	n.catalog = catalog
+	n.planner.dirty = true
+	for _, service := range n.owners.Services() {
+		for number := range n.owners.Groups(service) {
+			n.groupChanged(groupChange{service: service, number: number})
+		}
+	}
+}
--- /dev/null
+++ b/core/node/losses.go
@@ -0,0 +1,267 @@
+package node
+
+import (
+	"strconv"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/lease"
+	"briarwell.dev/core/lease/replacer"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/ownership"
+	"briarwell.dev/core/peer"
+	"briarwell.dev/core/table"
+)
+
+const (
+	// suspicionTime is the time in milliseconds for which a failure domain is
+	// avoided after an expiry was seen there.
+	suspicionTime clock.Millis = 3000
+	// conflictLimit is the number of conflicts after which a replacement only
+	// marks the member dead and leaves its units to the planner: when many members
+	// are lost at once, their replacers compete for the same group rows.
+	conflictLimit = 2
+	// orphanInterval is the time in milliseconds between two searches for rows
+	// that no witness will ever replace.
+	orphanInterval clock.Millis = 1000
+	// orphanAge is the time in milliseconds after which a member without
+	// witnesses is marked dead.
+	orphanAge = lease.BootstrapWindow
+)
+
+// deadPromiseTime returns how long after a member was first seen dead its
+// promises may last. The bootstrap window runs on the witness's clock, which may
+// be slower than this one.
+func deadPromiseTime() clock.Millis {
+	return lease.BootstrapWindow + lease.BootstrapWindow*lease.DriftPercent/100 + lease.WitnessLength()
+}
+
+// lossState is what the node knows of lost members.
+type lossState struct {
+	deadSince    map[identity.Incarnation]clock.Millis
+	otherSince   map[identity.Incarnation]clock.Millis
+	expiries     map[string]clock.Millis
+	conflicts    map[identity.Incarnation]int
+	orphanSince  map[identity.Incarnation]clock.Millis
+	orphansDirty bool
+	nextOrphans  clock.Millis
+}
+
+func newLossState() lossState {
+	return lossState{
+		deadSince:   make(map[identity.Incarnation]clock.Millis),
+		otherSince:  make(map[identity.Incarnation]clock.Millis),
+		expiries:    make(map[string]clock.Millis),
+		conflicts:   make(map[identity.Incarnation]int),
+		orphanSince: make(map[identity.Incarnation]clock.Millis),
+	}
+}
+
+func (s *lossState) sawDead(incarnation identity.Incarnation, now clock.Millis) {
+	if _, ok := s.deadSince[incarnation]; !ok {
+		s.deadSince[incarnation] = now
+	}
+	delete(s.conflicts, incarnation)
+	delete(s.orphanSince, incarnation)
+}
+
+func (s *lossState) sawOther(incarnation identity.Incarnation, now clock.Millis) {
+	if _, ok := s.otherSince[incarnation]; !ok {
+		s.otherSince[incarnation] = now
+	}
+}
+
+// other tells whether the process of an incarnation is known to be gone.
+func (s *lossState) other(incarnation identity.Incarnation) bool {
+	_, ok := s.otherSince[incarnation]
+	return ok
+}
+
+// gone tells whether all promises of a witness have certainly expired.
+func (s *lossState) gone(incarnation identity.Incarnation, now clock.Millis) bool {
+	if since, ok := s.deadSince[incarnation]; ok && now-since >= deadPromiseTime() {
+		return true
+	}
+	since, ok := s.otherSince[incarnation]
+	return ok && now-since >= lease.WitnessLength()
+}
+
+func (s *lossState) suspect(failureDomain string, now clock.Millis) bool {
+	at, ok := s.expiries[failureDomain]
+	return ok && now-at < suspicionTime
+}
+
+// watchAll returns a replacer that follows the holders that name the node's
+// present incarnation.
+func (n *Node) watchAll() replacer.Replacer {
+	var r replacer.Replacer
+	for _, m := range n.view.Alive() {
+		if index, ok := isWitness(m, n.incarnation); ok {
+			r.Watch(n.now, m, index)
+		}
+	}
+	return r
+}
+
+// stepReplace replaces holders whose promises have expired.
+func (n *Node) stepReplace() {
+	if !n.registered() || n.self.closing || !n.contact.mayJudge(n.now) {
+		return
+	}
+	for _, m := range n.replacer.Expired(n.now, n.witness) {
+		n.losses.expiries[m.Instance().Location().FailureDomain()] = n.now
+	}
+	gone := func(i identity.Incarnation) bool { return n.losses.gone(i, n.now) }
+	queries, ready := n.replacer.Check(n.now, n.incarnation, n.witness, gone)
+	for _, q := range queries {
+		n.send(q.To().PeerAddress(), q.To().Incarnation(), peer.NewLapseQuery(q.Holder(), q.Generation()))
+	}
+	if len(ready) == 0 || !n.sharedLane.free() {
+		return
+	}
+	n.replace(ready)
+}
+
+// replace marks all ready holders dead in one transaction and gives their units
+// to live members. Each is conditional on the version of the row whose witness
+// generation was queried.
+func (n *Node) replace(ready []membership.Member) {
+	var lost []membership.Member
+	for _, m := range ready {
+		if n.witness.Report(n.now, m.Incarnation(), m.Generation()) {
+			lost = append(lost, m)
+		}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	n.markDead(lost, "replacement")
+}
+
+// markDead sends the transaction that marks members dead whose leases have
+// certainly ended.
+func (n *Node) markDead(lost []membership.Member, name string) {
+	change := ownership.NewChange(n.owners)
+	var conditions []table.Condition
+	var mutations []table.Mutation
+	var takers []identity.Incarnation
+	for _, m := range lost {
+		key := membership.Key(m.Incarnation())
+		conditions = append(conditions, n.copy.condition(key))
+		mutations = append(mutations, table.NewPut(key, membership.Encode(m.WithState(membership.StateDead))))
+		given := 0
+		if n.losses.conflicts[m.Incarnation()] < conflictLimit {
+			before := len(takers)
+			takers = n.reassign(change, m, lost, takers)
+			given = len(takers) - before
+		}
+		n.note(name, "holder", m.Incarnation().String(), "instance", m.Instance().Name(), "units", strconv.Itoa(given))
+	}
+	groupConditions, groupMutations := change.Build()
+	conditions = append(conditions, groupConditions...)
+	mutations = append(mutations, groupMutations...)
+	n.commit(&n.sharedLane, conditions, mutations, func(committed bool) {
+		if committed {
+			n.sync.extra = append(n.sync.extra, takers...)
+			n.note(name+"Done", "members", strconv.Itoa(len(lost)), "units", strconv.Itoa(len(takers)))
+			return
+		}
+		for _, m := range lost {
+			n.losses.conflicts[m.Incarnation()]++
+		}
+	})
+}
+
+// reassign gives the units of a lost member to live members of its service and
+// appends their incarnations to takers.
+func (n *Node) reassign(change *ownership.Change, m membership.Member, lost []membership.Member, takers []identity.Incarnation) []identity.Incarnation {
+	chooser := make(map[identity.Service]*replacer.Takers)
+	for _, service := range n.owners.Services() {
+		for _, owned := range n.owners.OwnedBy(service, m.Incarnation()) {
+			if chooser[service] == nil {
+				chooser[service] = n.takers(service, lost)
+			}
+			taker, ok := chooser[service].Next(m.Instance().Location())
+			if !ok {
+				break
+			}
+			change.Set(service, owned.Unit(), owned.Entry().Next(taker.Incarnation(), true))
+			takers = append(takers, taker.Incarnation())
+		}
+	}
+	return takers
+}
+
+// takers returns the members that may take units of a service: active, not lost,
+// and not known to have an expired promise.
+func (n *Node) takers(service identity.Service, lost []membership.Member) *replacer.Takers {
+	excluded := make(map[identity.Incarnation]bool)
+	for _, m := range lost {
+		excluded[m.Incarnation()] = true
+	}
+	for _, m := range n.replacer.Expired(n.now, n.witness) {
+		excluded[m.Incarnation()] = true
+	}
+	var candidates []membership.Member
+	for _, m := range n.view.Active(service) {
+		if !excluded[m.Incarnation()] && !n.losses.other(m.Incarnation()) {
+			candidates = append(candidates, m)
+		}
+	}
+	suspect := func(failureDomain string) bool { return n.losses.suspect(failureDomain, n.now) }
+	return replacer.NewTakers(candidates, n.owners.Counts(service), suspect)
+}
+
+// stepOrphans marks members dead whose leases have certainly ended without a
+// lapse quorum: earlier processes at this address, and members that never had a
+// witness.
+func (n *Node) stepOrphans() {
+	if n.now < n.losses.nextOrphans || !n.registered() || !n.sharedLane.free() {
+		return
+	}
+	if !n.losses.orphansDirty && len(n.losses.orphanSince) == 0 {
+		return
+	}
+	n.losses.nextOrphans = n.now + orphanInterval
+	n.losses.orphansDirty = n.now < n.started+lease.WitnessLength()+orphanInterval
+	var lost []membership.Member
+	for _, m := range n.view.Alive() {
+		if m.Incarnation() != n.incarnation && (n.predecessor(m) || n.orphan(m)) {
+			lost = append(lost, m)
+		}
+	}
+	if len(lost) > 0 {
+		n.markDead(lost, "orphan")
+	}
+}
+
+// predecessor tells whether m is the row of an earlier process at this address.
+// That process has ended before this one started, and the deadlines of its
+// orders have passed WitnessLength after that.
+func (n *Node) predecessor(m membership.Member) bool {
+	return m.Instance().PeerAddress() == n.settings.instance.PeerAddress() && n.now >= n.started+lease.WitnessLength()
+}
+
+// orphan tells whether m has had no witness for long. It can't have a lease with
+// that row. Only the active member with the smallest incarnation looks.
+func (n *Node) orphan(m membership.Member) bool {
+	if len(m.Witnesses()) > 0 {
+		delete(n.losses.orphanSince, m.Incarnation())
+		return false
+	}
+	since, ok := n.losses.orphanSince[m.Incarnation()]
+	if !ok {
+		n.losses.orphanSince[m.Incarnation()] = n.now
+		return false
+	}
+	return n.leaseValid() && n.firstActive() && n.now-since >= orphanAge
+}
+
+func (n *Node) firstActive() bool {
+	for _, m := range n.view.Alive() {
+		if m.State() == membership.StateActive {
+			return m.Incarnation() == n.incarnation
+		}
+	}
+	return false
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -4,12 +4,20 @@
 package node
 
 import (
+	"math/rand/v2"
+
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/identity"
+	"briarwell.dev/core/lease/holder"
+	"briarwell.dev/core/lease/replacer"
+	"briarwell.dev/core/lease/witness"
 	"briarwell.dev/core/membership"
+	"briarwell.dev/core/ownership"
+	"briarwell.dev/core/peer"
 	"briarwell.dev/core/placement"
-	"briarwell.dev/core/shard"
+	"briarwell.dev/core/placement/rendezvous"
 	"briarwell.dev/core/table"
+	"briarwell.dev/core/template"
 )
 
 // TickInterval is the longest time in milliseconds between two Ticks.
@@ -31,7 +39,7 @@
 
 // NewSettings returns settings for the daemon of an instance.
 func NewSettings(instance membership.Instance, options ...Option) Settings {
-	settings := Settings{instance: instance}
+	settings := Settings{instance: instance, policy: rendezvous.Policy{}}
 	for _, option := range options {
 		option(&settings)
 	}
@@ -42,14 +50,72 @@
 // concurrent use; a Snapshot is.
 type Node struct {
 	settings Settings
-	snapshot *Snapshot
+	random   *rand.Rand
+	now      clock.Millis
+	started  clock.Millis
+	actions  []Action
+
+	incarnation identity.Incarnation
+	row         membership.Member
+	holder      holder.Holder
+	witness     *witness.Witness
+	replacer    replacer.Replacer
+
+	copy    tableCopy
+	view    membership.View
+	owners  ownership.Table
+	config  map[string]table.Row
+	catalog template.Catalog
+
+	lastCommit CommitID
+	selfLane   lane
+	sharedLane lane
+
+	contact   contact
+	sync      syncState
+	poll      pollState
+	self      selfState
+	losses    lossState
+	handovers handoverState
+	planner   plannerState
+
+	published published
+	snapshot  *Snapshot
 }
 
 // New returns a node that starts at now. The seed determines all its random
-// choices, among them its incarnations, and must differ between starts.
+// choices, among them its incarnations, and must differ between starts. The
+// driver must hold the instance's peer address before it calls New: the node
+// relies on that no earlier process serves there any more.
 func New(settings Settings, now clock.Millis, seed uint64) *Node {
-	_, _ = now, seed
-	return &Node{settings: settings, snapshot: &Snapshot{}}
+	n := &Node{
+		settings: settings,
+		random:   rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // Choices must repeat for a seed.
+		now:      now,
+		started:  now,
+	}
+	n.contact.quietUntil = now + settleIn
+	n.poll.next = now
+	n.losses = newLossState()
+	n.planner.loads = make(map[identity.Incarnation]loadReport)
+	n.begin()
+	n.publish()
+	return n
+}
+
+// begin takes a new incarnation without a row, a lease or promises.
+func (n *Node) begin() {
+	n.incarnation = 0
+	for n.incarnation == 0 {
+		n.incarnation = identity.Incarnation(n.random.Uint64())
+	}
+	n.row = membership.Member{}
+	n.holder = holder.Holder{}
+	n.witness = witness.New()
+	n.replacer = replacer.Replacer{}
+	n.handovers = newHandoverState()
+	n.self.reset()
+	n.published.dirty = true
 }
 
 // Snapshot returns the current view for the request path.
@@ -58,18 +124,91 @@
 // Step takes an event at now, which must not go back, and returns the actions
 // to carry out in order.
 func (n *Node) Step(now clock.Millis, event Event) []Action {
-	_, _ = now, event
-	return nil
+	if n.self.left {
+		return nil
+	}
+	n.contact.step(now)
+	n.now = now
+	if n.handle(event) {
+		n.advance()
+	}
+	n.noteLease()
+	n.announceRevision()
+	n.publish()
+	actions := n.actions
+	n.actions = nil
+	return actions
 }
 
-type tables struct{}
+// handle takes the event and tells whether further decisions may follow from it
+// at once. Renewals wait for the next Tick, since they are by far the most
+// frequent events.
+func (n *Node) handle(event Event) bool {
+	switch e := event.(type) {
+	case Received:
+		return n.received(e.envelope)
+	case SendFailed:
+		return false
+	case Scanned:
+		n.scanned(e)
+	case ScanFailed:
+		n.scanFailed()
+	case Committed:
+		n.committed(e)
+	case Conflicted:
+		n.conflicted(e)
+	case CatalogChanged:
+		n.catalogChanged(e.catalog)
+	case UpstreamAnnounced:
+		n.self.announcement, n.self.announced, n.self.upstreamUp = e.announcement, true, true
+	case UpstreamDown:
+		n.self.upstreamUp = false
+	case UpstreamUp:
+		n.self.upstreamUp = n.self.announced
+	case DrainRequested:
+		n.drainRequested()
+	case ShardDrained:
+		n.shardDrained(e)
+	case LoadMeasured:
+		n.loadMeasured(e)
+	}
+	return true
+}
 
-func (t *tables) owner(identity.Service, shard.ID, string) (Owner, bool) { return Owner{}, false }
+// advance makes the decisions that time or an event made due.
+func (n *Node) advance() {
+	n.stepWitnesses()
+	n.stepSelf()
+	if n.self.left {
+		return
+	}
+	n.stepRenew()
+	n.stepReplace()
+	n.stepOrphans()
+	n.stepEvacuate()
+	n.stepHandover()
+	n.stepPlanner()
+	n.stepPoll()
+}
 
-func (t *tables) members(identity.Service) []membership.Member { return nil }
+func (n *Node) emit(action Action) { n.actions = append(n.actions, action) }
 
-func (t *tables) allMembers() []membership.Member { return nil }
+// note emits a Note with the keys and values in turn.
+func (n *Node) note(name string, pairs ...string) {
+	fields := make([]Field, 0, len(pairs)/2+1)
+	fields = append(fields, Field{key: "incarnation", value: n.incarnation.String()})
+	for i := 0; i+1 < len(pairs); i += 2 {
+		fields = append(fields, Field{key: pairs[i], value: pairs[i+1]})
+	}
+	n.emit(Note{name: name, fields: fields})
+}
+
+func (n *Node) send(address string, to identity.Incarnation, message peer.Message) {
+	envelope := peer.NewEnvelope(n.incarnation, to, n.settings.instance.PeerAddress(), message)
+	n.emit(Send{address: address, envelope: envelope})
+}
 
-func (t *tables) config(string) (table.Row, bool) { return table.Row{}, false }
+// registered tells whether the node has a row that is not dead.
+func (n *Node) registered() bool { return n.row.Alive() }
 
-func (t *tables) configRows() []table.Row { return nil }
+func (n *Node) leaseValid() bool { return n.now < n.holder.End() }
--- /dev/null
+++ b/core/node/planner.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"strconv"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/ownership"
+	"briarwell.dev/core/peer"
+	"briarwell.dev/core/placement"
+	"briarwell.dev/core/shard"
+)
+
+const (
+	// planInterval is the time in milliseconds between two plans that may move
+	// owned units.
+	planInterval clock.Millis = 5000
+	// firstAssignment is the time in milliseconds without a change of the members
+	// before the first units of a service are assigned, so that the first member
+	// does not get all of them.
+	firstAssignment clock.Millis = 500
+	// loadAge is the time in milliseconds after which a load report is ignored.
+	loadAge = 3 * planInterval
+	// groupsPerCommit bounds the group rows of one assignment.
+	groupsPerCommit = 64
+)
+
+type loadReport struct {
+	at     clock.Millis
+	report peer.LoadReport
+}
+
+type plannerState struct {
+	// dirty is set when units may have lost their owners.
+	dirty       bool
+	lastChange  clock.Millis
+	memberCount int
+	nextPlan    clock.Millis
+	loads       map[identity.Incarnation]loadReport
+}
+
+func (n *Node) loadMeasured(e LoadMeasured) {
+	service := n.self.announcement.Service()
+	report := peer.NewLoadReport(service, e.interval, e.busy, n.self.announcement.Slots(), e.units)
+	planner, ok := n.view.FirstActive(service)
+	switch {
+	case !ok || !n.registered():
+	case planner.Incarnation() == n.incarnation:
+		n.loadReported(n.incarnation, report)
+	default:
+		n.send(planner.Instance().PeerAddress(), planner.Incarnation(), report)
+	}
+}
+
+func (n *Node) loadReported(from identity.Incarnation, report peer.LoadReport) {
+	if report.Service() == n.row.Announcement().Service() {
+		n.planner.loads[from] = loadReport{at: n.now, report: report}
+	}
+}
+
+// stepPlanner assigns unowned units of the node's service and asks owners to
+// move others, if the node is the planner. Two planners at once are harmless: an
+// assignment is conditional on the row, and only the owner carries out a move.
+func (n *Node) stepPlanner() {
+	service := n.row.Announcement().Service()
+	periodic := n.now >= n.planner.nextPlan
+	if !n.planner.dirty && !periodic {
+		return
+	}
+	rules, ok := n.catalog.Service(service.String())
+	planner, active := n.view.FirstActive(service)
+	if !ok || !rules.IsKeyed() || !active || planner.Incarnation() != n.incarnation || !n.leaseValid() {
+		n.planner.dirty = false
+		n.planner.nextPlan = max(n.planner.nextPlan, n.now+TickInterval)
+		return
+	}
+	if !n.sharedLane.free() {
+		return
+	}
+	members := n.view.Active(service)
+	if len(members) != n.planner.memberCount {
+		n.planner.memberCount, n.planner.lastChange = len(members), n.now
+	}
+	units, owned := n.units(service, rules.Shards())
+	if owned == 0 && n.now-n.planner.lastChange < firstAssignment {
+		n.planner.dirty = true
+		return
+	}
+	n.planner.dirty = false
+	if periodic {
+		n.planner.nextPlan = n.now + planInterval
+	}
+	n.plan(service, n.input(service, members, units), periodic)
+}
+
+// units returns the units of a service, with owner 0 for those whose owner is
+// dead, and the number of owned ones.
+func (n *Node) units(service identity.Service, shards uint32) ([]placement.Placed, int) {
+	busy := n.unitLoads()
+	units := make([]placement.Placed, 0, shards)
+	owned := 0
+	add := func(unit ownership.Unit, entry ownership.Entry) {
+		owner := entry.Owner()
+		if m, ok := n.view.Member(owner); ok && !m.Alive() {
+			owner = 0
+		}
+		if owner != 0 {
+			owned++
+		}
+		units = append(units, placement.NewPlaced(unit, owner, busy[unit]))
+	}
+	for id := range shards {
+		unit := ownership.NewUnit(shard.ID(id), "")
+		add(unit, n.owners.Entry(service, unit))
+	}
+	for _, u := range n.owners.Units(service) {
+		if u.Unit().HotKey() != "" {
+			add(u.Unit(), u.Entry())
+		}
+	}
+	return units, owned
+}
+
+// unitLoads returns the slot-milliseconds of each unit that the fresh reports
+// name.
+func (n *Node) unitLoads() map[ownership.Unit]clock.Millis {
+	busy := make(map[ownership.Unit]clock.Millis)
+	for _, load := range n.planner.loads {
+		if n.now-load.at > loadAge {
+			continue
+		}
+		for _, u := range load.report.Units() {
+			busy[ownership.NewUnit(u.Shard(), u.HotKey())] += u.Busy()
+		}
+	}
+	return busy
+}
+
+func (n *Node) input(service identity.Service, members []membership.Member, units []placement.Placed) placement.Input {
+	var interval clock.Millis
+	candidates := make([]placement.Candidate, 0, len(members))
+	for _, m := range members {
+		load, ok := n.planner.loads[m.Incarnation()]
+		if !ok || n.now-load.at > loadAge {
+			load = loadReport{}
+		}
+		interval = max(interval, load.report.Interval())
+		candidates = append(candidates, placement.NewCandidate(m.Incarnation(), m.Instance().Location(), m.Announcement().Slots(), load.report.Busy()))
+	}
+	return placement.NewInput(service, n.now, interval, candidates, units)
+}
+
+// plan carries out the policy's moves: assignments at once, moves of owned units
+// only if the plan is a periodic one.
+func (n *Node) plan(service identity.Service, input placement.Input, periodic bool) {
+	change := ownership.NewChange(n.owners)
+	var takers []identity.Incarnation
+	requests := make(map[identity.Incarnation][]peer.Target)
+	for _, move := range n.settings.policy.Plan(input) {
+		switch {
+		case move.From() == 0 && change.Groups() < groupsPerCommit:
+			entry := n.owners.Entry(service, move.Unit())
+			change.Set(service, move.Unit(), entry.Next(move.To(), entry.Owner() != 0))
+			takers = append(takers, move.To())
+		case move.From() == 0:
+			n.planner.dirty = true
+		case periodic:
+			target := peer.NewTarget(move.Unit().Shard(), move.Unit().HotKey(), move.To())
+			requests[move.From()] = append(requests[move.From()], target)
+		}
+	}
+	n.assign(service, change, takers)
+	for _, c := range input.Candidates() {
+		n.requestMoves(service, c.Incarnation(), requests[c.Incarnation()])
+	}
+}
+
+func (n *Node) assign(service identity.Service, change *ownership.Change, takers []identity.Incarnation) {
+	if len(takers) == 0 {
+		return
+	}
+	n.note("assignment", "service", service.String(), "units", strconv.Itoa(len(takers)))
+	conditions, mutations := change.Build()
+	n.commit(&n.sharedLane, conditions, mutations, func(committed bool) {
+		n.planner.dirty = true
+		if committed {
+			n.sync.extra = append(n.sync.extra, takers...)
+			n.note("assignmentDone", "service", service.String(), "units", strconv.Itoa(len(takers)))
+		}
+	})
+}
+
+func (n *Node) requestMoves(service identity.Service, owner identity.Incarnation, targets []peer.Target) {
+	if len(targets) == 0 {
+		return
+	}
+	n.note("move", "service", service.String(), "owner", owner.String(), "units", strconv.Itoa(len(targets)))
+	request := peer.NewHandover(service, targets)
+	if owner == n.incarnation {
+		n.handoverRequested(request)
+		return
+	}
+	if address, ok := n.address(owner); ok {
+		n.send(address, owner, request)
+	}
+}
--- a/core/node/snapshot.go
+++ b/core/node/snapshot.go
@@ -1,9 +1,14 @@
 package node
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/membership"
+	"briarwell.dev/core/ownership"
 	"briarwell.dev/core/shard"
 	"briarwell.dev/core/table"
 )
@@ -76,8 +81,103 @@
 func (s *Snapshot) AllMembers() []membership.Member { return s.tables.allMembers() }
 
 // Config returns the row with a key below "config/", or false.
-func (s *Snapshot) Config(key string) (table.Row, bool) { return s.tables.config(key) }
+func (s *Snapshot) Config(key string) (table.Row, bool) { return s.tables.configRow(key) }
 
 // ConfigRows returns all rows below "config/" by ascending key; callers must not
 // change them.
 func (s *Snapshot) ConfigRows() []table.Row { return s.tables.configRows() }
+
+// published is what the last snapshot was made from.
+type published struct {
+	// dirty is set when the table copy or the own row changed, localDirty when
+	// the units of this node changed.
+	dirty      bool
+	localDirty bool
+	leaseEnd   clock.Millis
+	leaseValid bool
+}
+
+// tables is the part of a Snapshot that changes only with the table copy.
+type tables struct {
+	self   identity.Incarnation
+	view   membership.View
+	owners ownership.Table
+	config map[string]table.Row
+	local  map[localKey]localUnit
+}
+
+// publish makes a new snapshot if anything in it changed.
+func (n *Node) publish() {
+	old := n.snapshot
+	if old == nil {
+		old = &Snapshot{tables: &tables{}}
+	}
+	next := Snapshot{
+		leaseEnd: n.holder.End(),
+		self:     n.row,
+		revision: n.copy.revision,
+		tables:   old.tables,
+	}
+	if n.row.State() == "" {
+		next.self = membership.Pending(n.incarnation, n.settings.instance)
+	}
+	if n.self.left {
+		next.leaseEnd = 0
+	}
+	changed := n.published.dirty || n.published.localDirty
+	if n.snapshot != nil && !changed && next.leaseEnd == old.leaseEnd && next.revision == old.revision {
+		return
+	}
+	if changed {
+		next.tables = n.newTables(old.tables)
+	}
+	n.published.dirty, n.published.localDirty = false, false
+	n.snapshot = &next
+}
+
+func (n *Node) newTables(old *tables) *tables {
+	next := &tables{self: n.incarnation, view: n.view, owners: n.owners, config: n.config, local: old.local}
+	if n.published.localDirty || old.self != n.incarnation {
+		next.local = maps.Clone(n.handovers.local)
+	}
+	return next
+}
+
+func (t *tables) owner(service identity.Service, id shard.ID, key string) (Owner, bool) {
+	unit, entry := t.owners.Find(service, id, key)
+	m, ok := t.view.Member(entry.Owner())
+	if !ok || !m.Alive() {
+		return Owner{}, false
+	}
+	owner := Owner{incarnation: entry.Owner(), instance: m.Instance(), epoch: entry.Epoch()}
+	if entry.Owner() != t.self {
+		return owner, true
+	}
+	owner.local = true
+	local, ok := t.local[localKey{service: service, unit: unit}]
+	owner.serveFrom = local.serveFrom
+	owner.serving = ok && local.epoch == entry.Epoch() && local.phase == phaseServing
+	if key != "" && unit.HotKey() == "" {
+		if _, splitting := t.local[localKey{service: service, unit: ownership.NewUnit(id, key)}]; splitting {
+			owner.serving = false
+		}
+	}
+	return owner, true
+}
+
+func (t *tables) members(service identity.Service) []membership.Member {
+	return t.view.OfService(service)
+}
+
+func (t *tables) allMembers() []membership.Member { return t.view.Alive() }
+
+func (t *tables) configRow(key string) (table.Row, bool) {
+	row, ok := t.config[key]
+	return row, ok
+}
+
+func (t *tables) configRows() []table.Row {
+	rows := slices.Collect(maps.Values(t.config))
+	slices.SortFunc(rows, func(a, b table.Row) int { return cmp.Compare(a.Key(), b.Key()) })
+	return rows
+}
--- /dev/null
+++ b/core/node/witnesses.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"slices"
+	"strconv"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/lease"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/peer"
+)
+
+const (
+	// silenceLimit is the time in milliseconds without a grant after which a
+	// witness counts as silent: three renewals, so that a holder can still change
+	// its witnesses before its lease ends.
+	silenceLimit = 3 * lease.RenewInterval
+	// proposalPatience is the time in milliseconds for a proposed set to promise.
+	proposalPatience clock.Millis = 900
+	// avoidTime is the time in milliseconds for which a silent witness is not
+	// chosen again: longer than its replacement takes.
+	avoidTime clock.Millis = 5000
+	// choiceInterval is the shortest time in milliseconds between two choices.
+	choiceInterval clock.Millis = 300
+	// spreadInterval is the shortest time in milliseconds between two changes that
+	// only improve the spread over failure domains.
+	spreadInterval clock.Millis = 5000
+)
+
+// stepRenew sends the renewals that are due.
+func (n *Node) stepRenew() {
+	if !n.registered() {
+		return
+	}
+	for _, r := range n.holder.Due(n.now) {
+		message := peer.NewRenew(r.Generation(), r.Sequence(), n.copy.revision)
+		n.send(r.Witness().PeerAddress(), r.Witness().Incarnation(), message)
+	}
+}
+
+// stepWitnesses decides on a change of the witness set. While the lease is valid
+// the new set is asked to promise before the transaction is sent, since the lease
+// needs both sets from then on.
+func (n *Node) stepWitnesses() {
+	if !n.registered() || n.selfLane.busy || n.self.closing {
+		return
+	}
+	if n.holder.Proposed() != 0 {
+		n.stepProposal()
+		return
+	}
+	if n.now < n.self.nextChoice {
+		return
+	}
+	if n.now >= n.self.nextReview {
+		n.self.nextReview = n.now + spreadInterval
+		n.self.witnessesDirty = true
+	}
+	n.avoidSilent()
+	reason := n.witnessFault()
+	if reason == "" && n.self.witnessesDirty {
+		reason = n.witnessImprovement()
+	}
+	n.self.witnessesDirty = false
+	if reason == "" {
+		return
+	}
+	n.self.nextChoice = n.now + choiceInterval
+	chosen := n.chooseWitnesses(n.row)
+	if len(chosen) == 0 || (sameWitnesses(chosen, n.row.Witnesses()) && !n.holder.Fenced()) {
+		return
+	}
+	n.self.proposal, n.self.proposedAt, n.self.proposalReason = chosen, n.now, reason
+	n.holder.Propose(n.row.Generation()+1, chosen)
+	n.note("witnessChange", "reason", reason, "generation", strconv.FormatUint(n.row.Generation()+1, 10), "witnesses", witnessList(chosen))
+	n.stepProposal()
+}
+
+func (n *Node) stepProposal() {
+	// Orders in flight carry deadlines up to the end of the lease. Once the table
+	// names the new set, only its promises hold a replacement back, so they must
+	// last as long.
+	if !n.leaseValid() || n.holder.ProposedEnd() >= n.holder.End() {
+		n.self.proposalReady = true
+		return
+	}
+	if n.now-n.self.proposedAt >= proposalPatience {
+		n.avoidSilent()
+		n.holder.Abandon()
+		n.self.proposal, n.self.proposalReady = nil, false
+		n.self.witnessesDirty = true
+	}
+}
+
+func (n *Node) avoidSilent() {
+	if n.now < n.contact.quietUntil {
+		return
+	}
+	for _, w := range n.holder.Silent(n.now, silenceLimit) {
+		n.self.avoid[w] = n.now + avoidTime
+	}
+}
+
+// witnessFault returns why the present set must change, or "".
+func (n *Node) witnessFault() string {
+	for _, w := range n.row.Witnesses() {
+		m, known := n.view.Member(w.Incarnation())
+		if known && (!m.Alive() || m.State() == membership.StateDraining) || n.losses.other(w.Incarnation()) {
+			return "witnessGone"
+		}
+	}
+	switch {
+	case n.holder.Fenced():
+		return "witnessFenced"
+	case n.now >= n.contact.quietUntil && n.holder.AtRisk(n.now, silenceLimit):
+		return "witnessSilent"
+	default:
+		return ""
+	}
+}
+
+// witnessImprovement returns why another set would be better, or "". It costs
+// time proportional to the number of members.
+func (n *Node) witnessImprovement() string {
+	chosen := n.chooseWitnesses(n.row)
+	if len(chosen) > len(n.row.Witnesses()) {
+		return "moreWitnesses"
+	}
+	better := membership.Spread(n.row, chosen, n.view) > membership.Spread(n.row, n.row.Witnesses(), n.view)
+	if better && n.now >= n.self.nextSpread {
+		n.self.nextSpread = n.now + spreadInterval + clock.Millis(n.random.Int64N(int64(spreadInterval)))
+		return "betterSpread"
+	}
+	return ""
+}
+
+func (n *Node) chooseWitnesses(self membership.Member) []membership.Witness {
+	var candidates []membership.Member
+	for _, m := range n.view.Alive() {
+		if n.now >= n.self.avoid[m.Incarnation()] && !n.losses.other(m.Incarnation()) {
+			candidates = append(candidates, m)
+		}
+	}
+	return membership.ChooseWitnesses(self, candidates, lease.WitnessCount)
+}
+
+func sameWitnesses(a, b []membership.Witness) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	return !slices.ContainsFunc(a, func(w membership.Witness) bool { return !slices.Contains(b, w) })
+}
+
+func witnessList(witnesses []membership.Witness) string {
+	list := ""
+	for i, w := range witnesses {
+		if i > 0 {
+			list += ","
+		}
+		list += w.Incarnation().String()
+	}
+	return list
+}
+
+// isWitness tells whether a member names an incarnation as its witness.
+func isWitness(m membership.Member, incarnation identity.Incarnation) (int, bool) {
+	index := slices.IndexFunc(m.Witnesses(), func(w membership.Witness) bool { return w.Incarnation() == incarnation })
+	return index, index >= 0
+}
--- /dev/null
+++ b/core/ownership/codec.go
@@ -0,0 +1,113 @@
+package ownership
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/shard"
+)
+
+// KeyPrefix is the prefix of the keys of group rows.
+const KeyPrefix = "shards/"
+
+// Key returns the table key of a group of a service.
+func Key(service identity.Service, group int) string {
+	return KeyPrefix + service.String() + "/" + strconv.Itoa(group)
+}
+
+// IsKey tells whether key is the key of a group row.
+func IsKey(key string) bool { return strings.HasPrefix(key, KeyPrefix) }
+
+// ParseKey returns the service and group number of a key that Key returned. It
+// returns a *RowError for any other key.
+func ParseKey(key string) (identity.Service, int, error) {
+	parts := strings.Split(strings.TrimPrefix(key, KeyPrefix), "/")
+	if !IsKey(key) || len(parts) != 3 {
+		return identity.Service{}, 0, &RowError{key: key, cause: fmt.Errorf("key has not the form shards/ORGANISATION/SERVICE/GROUP")}
+	}
+	group, err := strconv.ParseUint(parts[2], 10, 31)
+	if err != nil {
+		return identity.Service{}, 0, &RowError{key: key, cause: err}
+	}
+	return identity.NewService(parts[0], parts[1]), int(group), nil
+}
+
+type entryJSON struct {
+	Owner  identity.Incarnation `json:"owner"`
+	Epoch  identity.Epoch       `json:"epoch"`
+	Lapsed bool                 `json:"lapsed,omitempty"`
+}
+
+type hotEntryJSON struct {
+	Shard shard.ID `json:"shard"`
+	entryJSON
+}
+
+type groupJSON struct {
+	Shards  []entryJSON             `json:"shards"`
+	HotKeys map[string]hotEntryJSON `json:"hotKeys,omitempty"`
+}
+
+func toJSON(e Entry) entryJSON { return entryJSON{Owner: e.owner, Epoch: e.epoch, Lapsed: e.lapsed} }
+
+func (e entryJSON) entry() Entry { return NewEntry(e.Owner, e.Epoch, e.Lapsed) }
+
+// Encode returns the row value of g.
+func Encode(g Group) []byte {
+	row := groupJSON{Shards: make([]entryJSON, 0, len(g.shards))}
+	for _, e := range g.shards {
+		row.Shards = append(row.Shards, toJSON(e))
+	}
+	if len(g.hotKeys) > 0 {
+		row.HotKeys = make(map[string]hotEntryJSON, len(g.hotKeys))
+	}
+	for key, hot := range g.hotKeys {
+		row.HotKeys[key] = hotEntryJSON{Shard: hot.shard, entryJSON: toJSON(hot.entry)}
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		// A groupJSON holds only strings and integers, which always encode.
+		panic(err)
+	}
+	return value
+}
+
+// Decode parses the row value that Encode returns. It returns a *RowError if the
+// value is no group row.
+func Decode(key string, value []byte) (Group, error) {
+	var row groupJSON
+	if err := json.Unmarshal(value, &row); err != nil {
+		return Group{}, &RowError{key: key, cause: err}
+	}
+	if len(row.Shards) > GroupSize {
+		return Group{}, &RowError{key: key, cause: fmt.Errorf("row has %d shards, more than %d", len(row.Shards), GroupSize)}
+	}
+	group := Group{shards: make([]Entry, 0, len(row.Shards))}
+	for _, e := range row.Shards {
+		group.shards = append(group.shards, e.entry())
+	}
+	if len(row.HotKeys) > 0 {
+		group.hotKeys = make(map[string]hotEntry, len(row.HotKeys))
+	}
+	for hotKey, hot := range row.HotKeys {
+		group.hotKeys[hotKey] = hotEntry{shard: hot.Shard, entry: hot.entry()}
+	}
+	return group, nil
+}
+
+// RowError reports a row that can't be decoded.
+type RowError struct {
+	key   string
+	cause error
+}
+
+// Key returns the key of the row.
+func (e *RowError) Key() string { return e.key }
+
+func (e *RowError) Error() string { return fmt.Sprintf("group row %q: %v", e.key, e.cause) }
+
+// Unwrap returns the cause.
+func (e *RowError) Unwrap() error { return e.cause }
--- /dev/null
+++ b/core/ownership/group.go
@@ -0,0 +1,76 @@
+package ownership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"briarwell.dev/core/shard"
+)
+
+// Group holds the entries of one row: GroupSize consecutive shards and the hot
+// keys among them. It is immutable. The zero value has no owners.
+type Group struct {
+	shards  []Entry
+	hotKeys map[string]hotEntry
+}
+
+type hotEntry struct {
+	shard shard.ID
+	entry Entry
+}
+
+// Entry returns the entry of a unit. A hot key without an entry of its own has
+// the zero value.
+func (g Group) Entry(unit Unit) Entry {
+	if unit.hotKey != "" {
+		return g.hotKeys[unit.hotKey].entry
+	}
+	if index := int(unit.shard % GroupSize); index < len(g.shards) {
+		return g.shards[index]
+	}
+	return Entry{}
+}
+
+// With returns a group in which the unit has the given entry.
+func (g Group) With(unit Unit, entry Entry) Group {
+	if unit.hotKey != "" {
+		hotKeys := maps.Clone(g.hotKeys)
+		if hotKeys == nil {
+			hotKeys = make(map[string]hotEntry)
+		}
+		hotKeys[unit.hotKey] = hotEntry{shard: unit.shard, entry: entry}
+		return Group{shards: g.shards, hotKeys: hotKeys}
+	}
+	index := int(unit.shard % GroupSize)
+	shards := make([]Entry, max(len(g.shards), index+1))
+	copy(shards, g.shards)
+	shards[index] = entry
+	return Group{shards: shards, hotKeys: g.hotKeys}
+}
+
+// Owned is a unit and its entry.
+type Owned struct {
+	unit  Unit
+	entry Entry
+}
+
+// Unit returns the unit.
+func (o Owned) Unit() Unit { return o.unit }
+
+// Entry returns the unit's entry.
+func (o Owned) Entry() Entry { return o.entry }
+
+// Units returns the units of the group with the given number and their entries:
+// shards in order, then hot keys in order.
+func (g Group) Units(number int) []Owned {
+	units := make([]Owned, 0, len(g.shards)+len(g.hotKeys))
+	for index, entry := range g.shards {
+		units = append(units, Owned{unit: NewUnit(shard.ID(number*GroupSize+index), ""), entry: entry})
+	}
+	for key, hot := range g.hotKeys {
+		units = append(units, Owned{unit: NewUnit(hot.shard, key), entry: hot.entry})
+	}
+	slices.SortFunc(units[len(g.shards):], func(a, b Owned) int { return cmp.Compare(a.unit.hotKey, b.unit.hotKey) })
+	return units
+}
--- /dev/null
+++ b/core/ownership/table.go
@@ -0,0 +1,149 @@
+package ownership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/shard"
+	"briarwell.dev/core/table"
+)
+
+// Table holds the groups of all services. It is immutable. The zero value is
+// empty.
+type Table struct {
+	services map[identity.Service][]versioned
+}
+
+type versioned struct {
+	version table.Revision
+	group   Group
+}
+
+// With returns a table in which a group has the given version and contents.
+func (t Table) With(service identity.Service, number int, version table.Revision, group Group) Table {
+	services := maps.Clone(t.services)
+	if services == nil {
+		services = make(map[identity.Service][]versioned)
+	}
+	old := services[service]
+	groups := make([]versioned, max(len(old), number+1))
+	copy(groups, old)
+	groups[number] = versioned{version: version, group: group}
+	services[service] = groups
+	return Table{services: services}
+}
+
+// Group returns a group of a service and the version of its row, 0 if the row
+// does not exist.
+func (t Table) Group(service identity.Service, number int) (Group, table.Revision) {
+	groups := t.services[service]
+	if number >= len(groups) {
+		return Group{}, 0
+	}
+	return groups[number].group, groups[number].version
+}
+
+// Groups returns the number of groups of a service that may have a row.
+func (t Table) Groups(service identity.Service) int { return len(t.services[service]) }
+
+// Entry returns the entry of a unit.
+func (t Table) Entry(service identity.Service, unit Unit) Entry {
+	group, _ := t.Group(service, int(unit.shard/GroupSize))
+	return group.Entry(unit)
+}
+
+// Find returns the unit and entry under which key is owned: the hot key's own,
+// or else that of its shard. With key "" it is that of the shard.
+func (t Table) Find(service identity.Service, id shard.ID, key string) (Unit, Entry) {
+	group, _ := t.Group(service, int(id/GroupSize))
+	if key != "" && group.hotKeys != nil {
+		if hot, ok := group.hotKeys[key]; ok {
+			return NewUnit(id, key), hot.entry
+		}
+	}
+	unit := NewUnit(id, "")
+	return unit, group.Entry(unit)
+}
+
+// Services returns the services that have rows, in order of their names.
+func (t Table) Services() []identity.Service {
+	services := slices.Collect(maps.Keys(t.services))
+	slices.SortFunc(services, func(a, b identity.Service) int { return cmp.Compare(a.String(), b.String()) })
+	return services
+}
+
+// Units returns the units of a service that have an entry.
+func (t Table) Units(service identity.Service) []Owned {
+	var units []Owned
+	for number, g := range t.services[service] {
+		units = append(units, g.group.Units(number)...)
+	}
+	return units
+}
+
+// OwnedBy returns the units of a service that a member owns.
+func (t Table) OwnedBy(service identity.Service, owner identity.Incarnation) []Owned {
+	var owned []Owned
+	for _, u := range t.Units(service) {
+		if u.entry.owner == owner {
+			owned = append(owned, u)
+		}
+	}
+	return owned
+}
+
+// Counts returns the number of units of a service by owner.
+func (t Table) Counts(service identity.Service) map[identity.Incarnation]int {
+	counts := make(map[identity.Incarnation]int)
+	for _, u := range t.Units(service) {
+		counts[u.entry.owner]++
+	}
+	return counts
+}
+
+// Change collects changes of entries into the conditions and mutations of a
+// transaction: each group that changes is conditional on its version.
+type Change struct {
+	table  Table
+	groups map[groupID]versioned
+}
+
+type groupID struct {
+	service identity.Service
+	number  int
+}
+
+// NewChange returns an empty change of a table.
+func NewChange(t Table) *Change {
+	return &Change{table: t, groups: make(map[groupID]versioned)}
+}
+
+// Set gives a unit an entry.
+func (c *Change) Set(service identity.Service, unit Unit, entry Entry) {
+	id := groupID{service: service, number: int(unit.shard / GroupSize)}
+	current, ok := c.groups[id]
+	if !ok {
+		current.group, current.version = c.table.Group(service, id.number)
+	}
+	current.group = current.group.With(unit, entry)
+	c.groups[id] = current
+}
+
+// Groups returns the number of groups that change.
+func (c *Change) Groups() int { return len(c.groups) }
+
+// Build returns the conditions and mutations by ascending key.
+func (c *Change) Build() ([]table.Condition, []table.Mutation) {
+	conditions := make([]table.Condition, 0, len(c.groups))
+	mutations := make([]table.Mutation, 0, len(c.groups))
+	for id, g := range c.groups {
+		key := Key(id.service, id.number)
+		conditions = append(conditions, table.NewCondition(key, g.version))
+		mutations = append(mutations, table.NewPut(key, Encode(g.group)))
+	}
+	slices.SortFunc(conditions, func(a, b table.Condition) int { return cmp.Compare(a.Key(), b.Key()) })
+	slices.SortFunc(mutations, func(a, b table.Mutation) int { return cmp.Compare(a.Key(), b.Key()) })
+	return conditions, mutations
+}
--- /dev/null
+++ b/core/placement/rendezvous/rendezvous.go
@@ -0,0 +1,61 @@
+// Package rendezvous places units by rendezvous hashing, without regard to load.
+// It is the baseline with which other policies are compared.
+package rendezvous
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/ownership"
+	"briarwell.dev/core/placement"
+)
+
+// defaultMoves bounds the moves of owned units in one plan, so that few units
+// are unavailable at once.
+const defaultMoves = 16
+
+// Policy is the rendezvous hashing policy. The zero value works.
+type Policy struct{}
+
+// Plan gives each unowned unit to the candidate with the highest hash, and moves
+// a bounded number of owned units to theirs.
+func (Policy) Plan(input placement.Input) []placement.Move {
+	if len(input.Candidates()) == 0 {
+		return nil
+	}
+	var moves []placement.Move
+	moved := 0
+	for _, unit := range input.Units() {
+		target := owner(input.Candidates(), unit.Unit())
+		switch {
+		case unit.Owner() == target:
+		case unit.Owner() == 0:
+			moves = append(moves, placement.NewMove(unit.Unit(), 0, target))
+		case moved < defaultMoves:
+			moved++
+			moves = append(moves, placement.NewMove(unit.Unit(), unit.Owner(), target))
+		}
+	}
+	return moves
+}
+
+func owner(candidates []placement.Candidate, unit ownership.Unit) identity.Incarnation {
+	var best identity.Incarnation
+	var bestHash uint64
+	for _, c := range candidates {
+		if h := hash(c.Incarnation(), unit); best == 0 || h > bestHash {
+			best, bestHash = c.Incarnation(), h
+		}
+	}
+	return best
+}
+
+func hash(incarnation identity.Incarnation, unit ownership.Unit) uint64 {
+	buffer := make([]byte, 0, 16+len(unit.HotKey()))
+	buffer = binary.BigEndian.AppendUint64(buffer, uint64(incarnation))
+	buffer = binary.BigEndian.AppendUint32(buffer, uint32(unit.Shard()))
+	buffer = append(buffer, unit.HotKey()...)
+	return xxhash.Sum64(buffer)
+}
