Add table clients, upstream adapter and first stand-ins

Cause: the request path and the control machines need a table, an upstream and the adapters that reach them before they can run as processes.

Ruled out: fasthttp's own HostClient.Do for orders. It has no cancellation, resends idempotent methods, and reports a failed dial and a failed write the same way; the adapter uses its pool of connections only and runs the exchange itself. A log of all writes in the memory table was ruled out for scans, since a scan of member/ would walk the writes of shards/.

--- /dev/null
+++ b/core/table/httptable/httptable.go
@@ -0,0 +1,203 @@
+// Package httptable is a client of the table service over HTTP and JSON.
+package httptable
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"briarwell.dev/core/table"
+	"briarwell.dev/core/table/wire"
+)
+
+const (
+	// defaultCallTimeout bounds calls whose context has no deadline.
+	defaultCallTimeout = 2 * time.Second
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = time.Second
+	// defaultConnections bounds the connections of one daemon.
+	defaultConnections = 16
+	// idleConnection is how long an unused connection is kept.
+	idleConnection = 5 * time.Second
+	// maxResponseBytes bounds a response. A scan of all rows of 670 daemons
+	// and their shards takes a few megabytes.
+	maxResponseBytes = 256 << 20
+	// maxErrorText bounds the part of an unexpected response kept in an error.
+	maxErrorText = 200
+)
+
+// Table is a client of the table service. It is safe for concurrent use.
+type Table struct {
+	client      *fasthttp.HostClient
+	base        string
+	callTimeout time.Duration
+}
+
+// Option changes a Table.
+type Option func(*options)
+
+type options struct {
+	callTimeout time.Duration
+	connections int
+	localIP     net.IP
+}
+
+// CallTimeout bounds each call in addition to its context.
+func CallTimeout(timeout time.Duration) Option {
+	return func(o *options) { o.callTimeout = timeout }
+}
+
+// Connections bounds the number of connections.
+func Connections(count int) Option {
+	return func(o *options) { o.connections = count }
+}
+
+// LocalIP binds outgoing connections to an address of this instance.
+func LocalIP(ip net.IP) Option {
+	return func(o *options) { o.localIP = ip }
+}
+
+// AddressError reports a base URL that is not of the form http://HOST:PORT.
+type AddressError struct {
+	address string
+}
+
+// Address returns the rejected text.
+func (e *AddressError) Address() string { return e.address }
+
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("table URL %q is not of the form http://HOST:PORT", e.address)
+}
+
+// New returns a client of the service at base, which has the form
+// http://HOST:PORT. It returns an *AddressError for any other text.
+func New(base string, changes ...Option) (*Table, error) {
+	parsed, err := url.Parse(base)
+	if err != nil || parsed.Scheme != "http" || parsed.Port() == "" || (parsed.Path != "" && parsed.Path != "/") {
+		return nil, &AddressError{address: base}
+	}
+	set := options{callTimeout: defaultCallTimeout, connections: defaultConnections}
+	for _, change := range changes {
+		change(&set)
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if set.localIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: set.localIP}
+	}
+	client := &fasthttp.HostClient{
+		Addr:                      parsed.Host,
+		Dial:                      func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) },
+		MaxConns:                  set.connections,
+		MaxConnWaitTimeout:        set.callTimeout,
+		MaxIdleConnDuration:       idleConnection,
+		MaxIdemponentCallAttempts: 1, // A resent commit would be applied twice.
+		MaxResponseBodySize:       maxResponseBytes,
+	}
+	return &Table{client: client, base: "http://" + parsed.Host, callTimeout: set.callTimeout}, nil
+}
+
+// Read returns the rows at the keys, in order.
+func (t *Table) Read(ctx context.Context, keys []string) ([]table.Row, error) {
+	var response wire.ReadResponse
+	if err := t.call(ctx, wire.PathRead, wire.ReadRequest{Keys: keys}, &response); err != nil {
+		return nil, err
+	}
+	if len(response.Rows) != len(keys) {
+		cause := fmt.Errorf("%d rows in the response, %d asked for", len(response.Rows), len(keys))
+		return nil, table.NewOutageError("read", cause)
+	}
+	return wire.ToRows(response.Rows), nil
+}
+
+// Scan returns the rows under prefix written after since, by ascending version,
+// and the table's revision.
+func (t *Table) Scan(ctx context.Context, prefix string, since table.Revision) ([]table.Row, table.Revision, error) {
+	var response wire.ScanResponse
+	if err := t.call(ctx, wire.PathScan, wire.ScanRequest{Prefix: prefix, Since: since}, &response); err != nil {
+		return nil, 0, err
+	}
+	return wire.ToRows(response.Rows), response.Revision, nil
+}
+
+// Commit applies the transaction. After an *table.OutageError it may have taken
+// effect; package token finds out.
+func (t *Table) Commit(ctx context.Context, transaction table.Transaction) (table.Revision, error) {
+	var response wire.CommitResponse
+	if err := t.call(ctx, wire.PathCommit, wire.FromTransaction(transaction), &response); err != nil {
+		return 0, err
+	}
+	return response.Revision, nil
+}
+
+// CloseIdleConnections closes the connections that are not in use.
+func (t *Table) CloseIdleConnections() { t.client.CloseIdleConnections() }
+
+// call posts request as JSON and decodes the response. It does not return
+// before the deadline of ctx when ctx is cancelled earlier, as fasthttp takes
+// only deadlines.
+func (t *Table) call(ctx context.Context, path string, request, response any) error {
+	operation := path[1:]
+	if err := ctx.Err(); err != nil {
+		return table.NewOutageError(operation, err)
+	}
+	body, err := json.Marshal(request)
+	if err != nil {
+		return table.NewOutageError(operation, err)
+	}
+	deadline := time.Now().Add(t.callTimeout)
+	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
+		deadline = limit
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetRequestURI(t.base + path)
+	req.SetBodyRaw(body)
+	if err := t.client.DoDeadline(req, resp, deadline); err != nil {
+		return table.NewOutageError(operation, err)
+	}
+	return decode(operation, resp, response)
+}
+
+func decode(operation string, resp *fasthttp.Response, response any) error {
+	switch resp.StatusCode() {
+	case fasthttp.StatusOK:
+		if err := json.Unmarshal(resp.Body(), response); err != nil {
+			return table.NewOutageError(operation, err)
+		}
+		return nil
+	case fasthttp.StatusConflict:
+		var conflict wire.Conflict
+		if err := json.Unmarshal(resp.Body(), &conflict); err != nil || conflict.Key == "" {
+			return table.NewOutageError(operation, newStatusError(resp))
+		}
+		return table.NewConflictError(conflict.Key, conflict.Expected, conflict.Actual)
+	default:
+		return table.NewOutageError(operation, newStatusError(resp))
+	}
+}
+
+// StatusError reports a response with an unexpected status.
+type StatusError struct {
+	status int
+	body   string
+}
+
+func newStatusError(resp *fasthttp.Response) *StatusError {
+	body := resp.Body()
+	return &StatusError{status: resp.StatusCode(), body: string(body[:min(len(body), maxErrorText)])}
+}
+
+// Status returns the HTTP status.
+func (e *StatusError) Status() int { return e.status }
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d: %s", e.status, e.body)
+}
--- /dev/null
+++ b/core/table/memory/memory.go
@@ -0,0 +1,167 @@
+// Package memory holds a table in memory.
+package memory
+
+import (
+	"bytes"
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"briarwell.dev/core/table"
+)
+
+// compactionMinimum is the number of log entries below which superseded ones
+// are kept.
+const compactionMinimum = 64
+
+// Table is a table.Table in memory. The zero value is empty and ready for use.
+// It is safe for concurrent use.
+type Table struct {
+	mutex    sync.RWMutex
+	revision table.Revision
+	rows     map[string]table.Row
+	// logs lists the writes by ascending revision, for each first path segment
+	// of the keys, so that a scan reads only the writes after its revision.
+	logs map[string]*writeLog
+}
+
+// writeLog holds writes by ascending revision. Entries whose row was written
+// again or removed are superseded.
+type writeLog struct {
+	entries []logEntry
+	live    int
+}
+
+type logEntry struct {
+	revision table.Revision
+	key      string
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{} }
+
+// Read returns the rows at the keys, in order.
+func (t *Table) Read(ctx context.Context, keys []string) ([]table.Row, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, table.NewOutageError("read", err)
+	}
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	rows := make([]table.Row, 0, len(keys))
+	for _, key := range keys {
+		row, ok := t.rows[key]
+		if !ok {
+			row = table.NewRow(key, 0, nil)
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+// Scan returns the rows under prefix written after since, by ascending version.
+// Its cost is that of the writes after since whose keys share the prefix's
+// first path segment.
+func (t *Table) Scan(ctx context.Context, prefix string, since table.Revision) ([]table.Row, table.Revision, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, 0, table.NewOutageError("scan", err)
+	}
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	if name, _, ok := strings.Cut(prefix, "/"); ok {
+		return t.collect(nil, t.logs[name], prefix, since), t.revision, nil
+	}
+	var rows []table.Row
+	for name, log := range t.logs {
+		if strings.HasPrefix(name, prefix) {
+			rows = t.collect(rows, log, prefix, since)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Version() < rows[j].Version() })
+	return rows, t.revision, nil
+}
+
+// collect appends the live rows of log under prefix written after since.
+func (t *Table) collect(rows []table.Row, log *writeLog, prefix string, since table.Revision) []table.Row {
+	if log == nil {
+		return rows
+	}
+	first := sort.Search(len(log.entries), func(i int) bool { return log.entries[i].revision > since })
+	for _, entry := range log.entries[first:] {
+		if !strings.HasPrefix(entry.key, prefix) {
+			continue
+		}
+		if row, ok := t.rows[entry.key]; ok && row.Version() == entry.revision {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// Commit applies the transaction. Of several mutations of one row the last
+// counts.
+func (t *Table) Commit(ctx context.Context, transaction table.Transaction) (table.Revision, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, table.NewOutageError("commit", err)
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, condition := range transaction.Conditions() {
+		actual := t.rows[condition.Key()].Version()
+		if actual != condition.Version() {
+			return 0, table.NewConflictError(condition.Key(), condition.Version(), actual)
+		}
+	}
+	t.revision++
+	for _, mutation := range transaction.Mutations() {
+		t.apply(mutation)
+	}
+	return t.revision, nil
+}
+
+func (t *Table) apply(mutation table.Mutation) {
+	if t.rows == nil {
+		t.rows = make(map[string]table.Row)
+		t.logs = make(map[string]*writeLog)
+	}
+	key := mutation.Key()
+	name, _, _ := strings.Cut(key, "/")
+	log := t.logs[name]
+	if log == nil {
+		log = &writeLog{}
+		t.logs[name] = log
+	}
+	previous, existed := t.rows[key]
+	if existed {
+		log.live--
+	}
+	switch mutation := mutation.(type) {
+	case table.Put:
+		t.rows[key] = table.NewRow(key, t.revision, bytes.Clone(mutation.Value()))
+		if previous.Version() != t.revision {
+			log.entries = append(log.entries, logEntry{revision: t.revision, key: key})
+		}
+		log.live++
+	case table.Delete:
+		delete(t.rows, key)
+	}
+	t.compact(name, log)
+}
+
+// compact removes superseded entries when they outnumber the live ones, so that
+// a log is at most twice as long as its rows.
+func (t *Table) compact(name string, log *writeLog) {
+	if len(log.entries) < compactionMinimum || len(log.entries) < 2*log.live {
+		return
+	}
+	kept := make([]logEntry, 0, log.live)
+	for _, entry := range log.entries {
+		if row, ok := t.rows[entry.key]; ok && row.Version() == entry.revision {
+			kept = append(kept, entry)
+		}
+	}
+	log.entries = kept
+	if len(kept) == 0 {
+		delete(t.logs, name)
+	}
+}
--- /dev/null
+++ b/core/upstream/announce/announce.go
@@ -0,0 +1,187 @@
+// Package announce holds the JSON bodies with which an upstream announces
+// itself to the daemon of its instance, and their strict parsing.
+package announce
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"sort"
+	"strings"
+
+	"briarwell.dev/core/upstream"
+)
+
+// Paths at the daemon's local address; both take POST.
+const (
+	PathAnnounce = "/briarwell/announce"
+	PathDrain    = "/briarwell/drain"
+)
+
+// Announcement is the body of PathAnnounce.
+type Announcement struct {
+	Service      string `json:"service"`
+	Organisation string `json:"organisation"`
+	// Address is the IP:PORT at which the upstream takes orders.
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	// Fencing is epoch, deadline or none.
+	Fencing         upstream.Fencing `json:"fencing"`
+	ColdStartMillis int64            `json:"coldStartMillis"`
+}
+
+// Drain is the body of PathDrain: the upstream at Address is leaving.
+type Drain struct {
+	Service      string `json:"service"`
+	Organisation string `json:"organisation"`
+	Address      string `json:"address"`
+}
+
+// Accepted is the body of status 200 to both.
+type Accepted struct {
+	Instance string `json:"instance"`
+}
+
+// Rejected is the body of status 400 and 409 to both.
+type Rejected struct {
+	Problems []string `json:"problems"`
+}
+
+// Error lists everything that is wrong with a body.
+type Error struct {
+	problems []string
+}
+
+// Problems returns one text for each problem, each starting with the field's
+// name; callers must not change them.
+func (e *Error) Problems() []string { return e.problems }
+
+func (e *Error) Error() string {
+	return "invalid body: " + strings.Join(e.problems, "; ")
+}
+
+// ParseAnnouncement parses body. It returns an *Error with all problems if a
+// field is missing, unknown, repeated in another case or out of range.
+func ParseAnnouncement(body []byte) (Announcement, error) {
+	var parsed Announcement
+	fields := []field{
+		{name: "service", target: &parsed.Service, required: true},
+		{name: "organisation", target: &parsed.Organisation, required: true},
+		{name: "address", target: &parsed.Address, required: true},
+		{name: "slots", target: &parsed.Slots, required: true},
+		{name: "connections", target: &parsed.Connections, required: true},
+		{name: "fencing", target: &parsed.Fencing, required: true},
+		{name: "coldStartMillis", target: &parsed.ColdStartMillis},
+	}
+	problems, bad := parseObject(body, fields)
+	check := func(name string, ok bool, found any, allowed string) {
+		if !ok && !bad[name] {
+			problems = append(problems, fmt.Sprintf("%s: found %v, allowed %s", name, found, allowed))
+		}
+	}
+	checkPlace(check, parsed.Service, parsed.Organisation, parsed.Address)
+	check("slots", parsed.Slots >= 1, parsed.Slots, "1 or more")
+	check("connections", parsed.Connections >= 1, parsed.Connections, "1 or more")
+	check("fencing", knownFencing(parsed.Fencing), fmt.Sprintf("%q", parsed.Fencing), "epoch, deadline or none")
+	check("coldStartMillis", parsed.ColdStartMillis >= 0, parsed.ColdStartMillis, "0 or more")
+	if len(problems) > 0 {
+		return Announcement{}, &Error{problems: problems}
+	}
+	return parsed, nil
+}
+
+// ParseDrain parses body. It returns an *Error with all problems.
+func ParseDrain(body []byte) (Drain, error) {
+	var parsed Drain
+	fields := []field{
+		{name: "service", target: &parsed.Service, required: true},
+		{name: "organisation", target: &parsed.Organisation, required: true},
+		{name: "address", target: &parsed.Address, required: true},
+	}
+	problems, bad := parseObject(body, fields)
+	check := func(name string, ok bool, found any, allowed string) {
+		if !ok && !bad[name] {
+			problems = append(problems, fmt.Sprintf("%s: found %v, allowed %s", name, found, allowed))
+		}
+	}
+	checkPlace(check, parsed.Service, parsed.Organisation, parsed.Address)
+	if len(problems) > 0 {
+		return Drain{}, &Error{problems: problems}
+	}
+	return parsed, nil
+}
+
+func checkPlace(check func(name string, ok bool, found any, allowed string), service, organisation, address string) {
+	const nameAllowed = "a name without slash"
+	check("service", validName(service), fmt.Sprintf("%q", service), nameAllowed)
+	check("organisation", validName(organisation), fmt.Sprintf("%q", organisation), nameAllowed)
+	parsed, err := netip.ParseAddrPort(address)
+	check("address", err == nil && parsed.Port() != 0, fmt.Sprintf("%q", address), "IP:PORT")
+}
+
+func validName(name string) bool {
+	return name != "" && !strings.ContainsAny(name, "/ \t\r\n")
+}
+
+func knownFencing(fencing upstream.Fencing) bool {
+	switch fencing {
+	case upstream.FencingEpoch, upstream.FencingDeadline, upstream.FencingNone:
+		return true
+	default:
+		return false
+	}
+}
+
+type field struct {
+	name     string
+	target   any
+	required bool
+}
+
+// parseObject decodes each field of a JSON object on its own, so that one
+// problem doesn't hide another. It returns the problems and the names of the
+// fields that have one.
+func parseObject(body []byte, fields []field) ([]string, map[string]bool) {
+	bad := make(map[string]bool)
+	var raw map[string]json.RawMessage
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if err := decoder.Decode(&raw); err != nil || raw == nil {
+		return rejectAll(fields, bad, "body: not a JSON object")
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return rejectAll(fields, bad, "body: text after the JSON object")
+	}
+	var problems []string
+	for _, f := range fields {
+		value, ok := raw[f.name]
+		delete(raw, f.name)
+		if !ok {
+			if f.required {
+				bad[f.name] = true
+				problems = append(problems, f.name+": missing")
+			}
+			continue
+		}
+		if err := json.Unmarshal(value, f.target); err != nil || string(value) == "null" {
+			bad[f.name] = true
+			problems = append(problems, fmt.Sprintf("%s: found %s, of the wrong type", f.name, value))
+		}
+	}
+	unknown := make([]string, 0, len(raw))
+	for name := range raw {
+		unknown = append(unknown, name+": unknown field")
+	}
+	sort.Strings(unknown)
+	return append(problems, unknown...), bad
+}
+
+func rejectAll(fields []field, bad map[string]bool, problem string) ([]string, map[string]bool) {
+	for _, f := range fields {
+		bad[f.name] = true
+	}
+	return []string{problem}, bad
+}
--- /dev/null
+++ b/core/upstream/httpupstream/conn.go
@@ -0,0 +1,73 @@
+package httpupstream
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// trackedConn counts the bytes that were given to the kernel for an order, and
+// ends reads and writes after a time without progress. The counters are reset
+// by begin, before each order.
+type trackedConn struct {
+	*net.TCPConn
+
+	inactivity time.Duration
+	sent       atomic.Int64
+	orders     int
+}
+
+// begin prepares the connection for an order.
+func (c *trackedConn) begin(inactivity time.Duration) {
+	c.inactivity = inactivity
+	c.sent.Store(0)
+	c.orders++
+	c.progress()
+}
+
+// reused tells whether the connection carried an order before.
+func (c *trackedConn) reused() bool { return c.orders > 0 }
+
+// progress moves the end of the inactivity timeout, for both directions: while
+// a request body is still going out, its answer is not late.
+func (c *trackedConn) progress() {
+	if c.inactivity > 0 {
+		_ = c.SetDeadline(time.Now().Add(c.inactivity))
+	}
+}
+
+// Read reads and notes progress.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.progress()
+	}
+	return n, err
+}
+
+// Write writes and counts what the kernel took.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	if n > 0 {
+		c.sent.Add(int64(n))
+		c.progress()
+	}
+	return n, err
+}
+
+// usable tells whether an idle connection is still open and has no unexpected
+// byte waiting. It looks at the next byte without taking it or waiting for it.
+func (c *trackedConn) usable() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		var next [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = err == syscall.EAGAIN
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/core/upstream/httpupstream/exchange.go
@@ -0,0 +1,258 @@
+package httpupstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/upstream"
+)
+
+// pooledConn is a connection of fasthttp's pool.
+type pooledConn interface {
+	Conn() net.Conn
+}
+
+// exchange is one order on one connection.
+type exchange struct {
+	conn     *trackedConn
+	release  func()
+	discard  func()
+	client   *fasthttp.HostClient
+	request  *fasthttp.Request
+	response *fasthttp.Response
+	reader   *bufio.Reader
+	// stopCancel ends the watch on the order's context. It returns false if the
+	// connection was or is being interrupted.
+	stopCancel func() bool
+	// written is closed when the request was sent whole or failed.
+	written  chan struct{}
+	writeErr error
+	finished atomic.Bool
+}
+
+// open takes a connection from the pool. Errors mean that nothing was sent.
+func (u *Upstream) open(ctx context.Context) (*exchange, error) {
+	for {
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		pooled, err := u.orders.AcquireConn(remaining(ctx), false)
+		if err != nil {
+			return nil, err
+		}
+		conn := pooledConn(pooled).Conn().(*trackedConn) //nolint:forcetypeassert // The pool dials trackedConns only.
+		if conn.reused() && !conn.usable() {
+			u.orders.CloseConn(pooled)
+			continue
+		}
+		conn.begin(u.inactivity)
+		return &exchange{
+			conn:    conn,
+			client:  u.orders,
+			release: func() { u.orders.ReleaseConn(pooled) },
+			discard: func() { u.orders.CloseConn(pooled) },
+			written: make(chan struct{}),
+		}, nil
+	}
+}
+
+// remaining returns the time until the deadline of ctx, 0 if it has none.
+func remaining(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(time.Until(deadline), time.Nanosecond)
+}
+
+// send writes the request and reads the head of the answer. The two run at the
+// same time if there is a body, as an upstream may answer before the body's end.
+func (e *exchange) send(ctx context.Context, request *fasthttp.Request) error {
+	e.request = request
+	e.response = fasthttp.AcquireResponse()
+	e.response.StreamBody = true
+	e.response.SkipBody = request.Header.IsHead()
+	e.stopCancel = context.AfterFunc(ctx, e.interrupt)
+	if request.IsBodyStream() {
+		go e.write()
+	} else {
+		e.write()
+		if e.writeErr != nil {
+			return e.writeErr
+		}
+	}
+	e.reader = e.client.AcquireReader(e.conn)
+	if err := e.response.ReadLimitBody(e.reader, 0); err != nil {
+		return e.headError(err)
+	}
+	return nil
+}
+
+func (e *exchange) write() {
+	defer close(e.written)
+	writer := e.client.AcquireWriter(e.conn)
+	defer e.client.ReleaseWriter(writer)
+	err := e.request.Write(writer)
+	if err == nil {
+		err = writer.Flush()
+	}
+	if err != nil {
+		e.writeErr = err
+		// Nothing more comes after a failed body. The answer that the upstream
+		// may have sent before is still read.
+		_ = e.conn.CloseWrite()
+	}
+}
+
+// headError prefers the failure of the request to the missing answer that
+// follows from it.
+func (e *exchange) headError(err error) error {
+	select {
+	case <-e.written:
+		if e.writeErr != nil {
+			return e.writeErr
+		}
+	default:
+	}
+	return err
+}
+
+// interrupt ends all reads and writes of the order.
+func (e *exchange) interrupt() { _ = e.conn.Close() }
+
+// end gives the connection back if the order left it clean, or closes it. It
+// waits for the last read of the order's body.
+func (e *exchange) end(clean bool) {
+	if !e.finished.CompareAndSwap(false, true) {
+		return
+	}
+	undisturbed := e.stopCancel == nil || e.stopCancel()
+	sent := false
+	select {
+	case <-e.written:
+		sent = e.writeErr == nil
+	default:
+	}
+	reusable := clean && undisturbed && sent
+	if !reusable {
+		e.interrupt()
+	}
+	if e.request != nil {
+		<-e.written
+		fasthttp.ReleaseRequest(e.request)
+	}
+	if e.response != nil {
+		reusable = reusable && !e.response.ConnectionClose()
+		_ = e.response.CloseBodyStream()
+		fasthttp.ReleaseResponse(e.response)
+	}
+	if e.reader != nil {
+		reusable = reusable && e.reader.Buffered() == 0
+		e.client.ReleaseReader(e.reader)
+	}
+	if reusable {
+		e.release()
+		return
+	}
+	e.discard()
+}
+
+// failure classifies the error of an order that got no answer.
+func (e *exchange) failure(ctx context.Context, err error) *upstream.SendError {
+	if e.conn.sent.Load() == 0 {
+		return upstream.NewSendError(outcome.NewNotRun(notRunReason(ctx, outcome.ReasonUnreachable)), err)
+	}
+	switch {
+	case ctx.Err() != nil:
+		return upstream.NewSendError(outcome.NewUnknown(outcome.ReasonTimeout), ctx.Err())
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return upstream.NewSendError(outcome.NewUnknown(outcome.ReasonTimeout), errInactive)
+	case errors.Is(err, io.EOF):
+		err = fmt.Errorf("connection closed before an answer: %w", err)
+	}
+	return upstream.NewSendError(outcome.NewUnknown(outcome.ReasonConnectionLost), err)
+}
+
+func notRunReason(ctx context.Context, reason outcome.Reason) outcome.Reason {
+	if ctx.Err() != nil {
+		return outcome.ReasonDeadlineExceeded
+	}
+	return reason
+}
+
+// openFailure classifies an error of open.
+func openFailure(ctx context.Context, err error) *upstream.SendError {
+	reason := outcome.ReasonUnreachable
+	if errors.Is(err, fasthttp.ErrNoFreeConns) {
+		reason = outcome.ReasonOverloaded
+	}
+	return upstream.NewSendError(outcome.NewNotRun(notRunReason(ctx, reason)), err)
+}
+
+// body is the streamed body of an answer.
+type body struct {
+	exchange *exchange
+	ctx      context.Context //nolint:containedctx // It ends the reads of this body.
+	whole    bool
+	failed   error
+}
+
+// Read reads the next part. An answer that ends early gives an error other than
+// io.EOF.
+func (b *body) Read(p []byte) (int, error) {
+	if b.failed != nil {
+		return 0, b.failed
+	}
+	if b.whole {
+		return 0, io.EOF
+	}
+	n, err := b.exchange.response.BodyStream().Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		b.whole = true
+		b.exchange.end(true)
+		return n, io.EOF
+	case b.ctx.Err() != nil:
+		err = b.ctx.Err()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = errInactive
+	}
+	b.failed = &TruncatedError{cause: err}
+	b.exchange.end(false)
+	return n, b.failed
+}
+
+// Close ends the order. A body that was not read whole closes the connection.
+func (b *body) Close() error {
+	if !b.whole && b.failed == nil {
+		b.failed = errClosed
+	}
+	b.exchange.end(b.whole)
+	return nil
+}
+
+var errClosed = errors.New("answer body is closed")
+
+// TruncatedError reports that the body of an answer ended early.
+type TruncatedError struct {
+	cause error
+}
+
+func (e *TruncatedError) Error() string {
+	return "answer of the upstream ended early: " + e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *TruncatedError) Unwrap() error { return e.cause }
--- /dev/null
+++ b/core/upstream/httpupstream/httpupstream.go
@@ -0,0 +1,237 @@
+package httpupstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/upstream"
+	"briarwell.dev/core/upstream/wire"
+)
+
+// Do sends the order and returns the head of the answer; the bodies of both are
+// streamed. Until Do fails or the answer's body is closed, order.Body is read;
+// its reads must end soon after ctx does.
+func (u *Upstream) Do(ctx context.Context, order upstream.Order) (upstream.Answer, error) {
+	e, err := u.open(ctx)
+	if err != nil {
+		return upstream.Answer{}, openFailure(ctx, err)
+	}
+	if err := e.send(ctx, u.newRequest(order)); err != nil {
+		// The order is stopped first: what is counted as sent is then final.
+		e.end(false)
+		return upstream.Answer{}, e.failure(ctx, err)
+	}
+	if reason := e.response.Header.Peek(outcome.HeaderRefused); len(reason) > 0 {
+		refused := &RefusedError{reason: string(reason), status: e.response.StatusCode()}
+		e.end(e.drain())
+		return upstream.Answer{}, upstream.NewSendError(outcome.NewNotRun(outcome.ReasonUpstreamRefused), refused)
+	}
+	answer := upstream.Answer{
+		Status:        e.response.StatusCode(),
+		Headers:       answerHeaders(&e.response.Header),
+		ContentLength: max(int64(e.response.Header.ContentLength()), -1),
+	}
+	if e.response.BodyStream() == nil {
+		if order.Method != fasthttp.MethodHead {
+			answer.ContentLength = 0
+		}
+		e.end(true)
+		answer.Body = http.NoBody
+		return answer, nil
+	}
+	answer.Body = &body{exchange: e, ctx: ctx}
+	return answer, nil
+}
+
+// maxRefusalBytes bounds the body of a refusal that is read so that the
+// connection can be used again.
+const maxRefusalBytes = 4 << 10
+
+// drain reads the body of a refusal. It returns false if that is too long.
+func (e *exchange) drain() bool {
+	stream := e.response.BodyStream()
+	if stream == nil {
+		return true
+	}
+	length := e.response.Header.ContentLength()
+	if length < 0 || length > maxRefusalBytes {
+		return false
+	}
+	buffer := make([]byte, length)
+	for read := 0; read < length; {
+		n, err := stream.Read(buffer[read:])
+		read += n
+		if err != nil && read < length {
+			return false
+		}
+	}
+	return true
+}
+
+// RefusedError reports that the upstream refused an order before running any
+// part of it.
+type RefusedError struct {
+	reason string
+	status int
+}
+
+// Reason returns the value of the upstream's Briarwell-Refused header.
+func (e *RefusedError) Reason() string { return e.reason }
+
+// Status returns the HTTP status of the refusal.
+func (e *RefusedError) Status() int { return e.status }
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("upstream refused with status %d: %s", e.status, e.reason)
+}
+
+func (u *Upstream) newRequest(order upstream.Order) *fasthttp.Request {
+	request := fasthttp.AcquireRequest()
+	header := &request.Header
+	header.SetMethod(order.Method)
+	header.SetNoDefaultContentType(true)
+	header.SetHost(u.address)
+	for _, field := range order.Headers {
+		if forwarded(field.Name()) {
+			header.Add(field.Name(), field.Value())
+		}
+	}
+	path := order.Path
+	if !strings.HasPrefix(path, "/") {
+		path = "/" + path
+	}
+	// The path is sent as it came: the upstream sees the caller's own escapes.
+	header.SetRequestURI(path)
+	setOrderHeaders(header, order)
+	if order.Body != nil && order.ContentLength != 0 {
+		request.SetBodyStream(order.Body, int(order.ContentLength))
+	}
+	return request
+}
+
+func setOrderHeaders(header *fasthttp.RequestHeader, order upstream.Order) {
+	if order.Key != "" {
+		header.Set(outcome.HeaderKey, order.Key)
+		header.Set(outcome.HeaderShard, strconv.FormatUint(uint64(order.Shard), 10))
+		header.Set(outcome.HeaderEpoch, strconv.FormatUint(uint64(order.Epoch), 10))
+	}
+	if order.RequestID != "" {
+		header.Set(outcome.HeaderRequestID, order.RequestID)
+	}
+	if order.DeadlineUnixMillis != 0 {
+		left := max(order.DeadlineUnixMillis-time.Now().UnixMilli(), 0)
+		header.Set(outcome.HeaderDeadline, strconv.FormatInt(order.DeadlineUnixMillis, 10))
+		header.Set(outcome.HeaderTimeout, strconv.FormatInt(left, 10))
+	}
+	header.Set(outcome.HeaderAttempts, strconv.Itoa(order.Attempt))
+}
+
+// forwarded tells whether a header field of one hop goes on to the next. The
+// fields of the connection and of the body's framing belong to one hop, and
+// those of briarwell are set from the order alone.
+func forwarded(name string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+		"content-length", "host", "expect":
+		return false
+	default:
+		return !strings.HasPrefix(strings.ToLower(name), "briarwell-")
+	}
+}
+
+func answerHeaders(header *fasthttp.ResponseHeader) []upstream.Header {
+	var fields []upstream.Header
+	for name, value := range header.All() {
+		if forwarded(string(name)) {
+			fields = append(fields, upstream.NewHeader(string(name), string(value)))
+		}
+	}
+	return fields
+}
+
+// Grant replaces the grants of one service.
+func (u *Upstream) Grant(ctx context.Context, grant upstream.Grant) error {
+	message := wire.Grants{
+		Organisation:      grant.Service.Organisation(),
+		Service:           grant.Service.Name(),
+		Shards:            make([]wire.Shard, 0, len(grant.Shards)),
+		ExpiresUnixMillis: grant.ExpiresUnixMillis,
+	}
+	for _, granted := range grant.Shards {
+		message.Shards = append(message.Shards, wire.Shard{Shard: granted.Shard, Epoch: granted.Epoch})
+	}
+	body, err := json.Marshal(message)
+	if err != nil {
+		return &ControlError{operation: "grant", cause: err}
+	}
+	_, err = u.call(ctx, "grant", fasthttp.MethodPost, wire.PathGrants, body)
+	return err
+}
+
+// Load reads the upstream's own load report.
+func (u *Upstream) Load(ctx context.Context) (upstream.Load, error) {
+	body, err := u.call(ctx, "load", fasthttp.MethodGet, wire.PathLoad, nil)
+	if err != nil {
+		return upstream.Load{}, err
+	}
+	var report wire.Load
+	if err := json.Unmarshal(body, &report); err != nil {
+		return upstream.Load{}, &ControlError{operation: "load", cause: err}
+	}
+	return upstream.Load{InFlight: report.InFlight, Slots: report.Slots, Draining: report.Draining}, nil
+}
+
+// ControlError reports a failed grant or load report.
+type ControlError struct {
+	operation string
+	status    int
+	cause     error
+}
+
+// Operation returns grant or load.
+func (e *ControlError) Operation() string { return e.operation }
+
+// Status returns the HTTP status, 0 if there was no answer.
+func (e *ControlError) Status() int { return e.status }
+
+func (e *ControlError) Error() string {
+	return fmt.Sprintf("%s at upstream failed with status %d: %v", e.operation, e.status, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *ControlError) Unwrap() error { return e.cause }
+
+func (u *Upstream) call(ctx context.Context, operation, method, path string, body []byte) ([]byte, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &ControlError{operation: operation, cause: err}
+	}
+	deadline := time.Now().Add(controlTimeout)
+	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
+		deadline = limit
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + u.address + path)
+	if body != nil {
+		request.Header.SetContentType("application/json")
+		request.SetBodyRaw(body)
+	}
+	if err := u.control.DoDeadline(request, response, deadline); err != nil {
+		return nil, &ControlError{operation: operation, cause: err}
+	}
+	if status := response.StatusCode(); status < 200 || status > 299 {
+		cause := fmt.Errorf("answer %q", response.Body())
+		return nil, &ControlError{operation: operation, status: status, cause: cause}
+	}
+	return append([]byte(nil), response.Body()...), nil
+}
--- /dev/null
+++ b/core/upstream/wire/wire.go
@@ -0,0 +1,38 @@
+// Package wire holds the JSON bodies that a daemon sends to its upstream and
+// reads from it.
+package wire
+
+import (
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/shard"
+)
+
+// Paths at the upstream.
+const (
+	// PathGrants takes a POST of Grants.
+	PathGrants = "/briarwell/grants"
+	// PathLoad answers a GET with Load.
+	PathLoad = "/briarwell/load"
+)
+
+// Grants replaces the grants of one service. The upstream may act on the
+// shards, under the epochs, until the given time.
+type Grants struct {
+	Organisation      string  `json:"organisation"`
+	Service           string  `json:"service"`
+	Shards            []Shard `json:"shards"`
+	ExpiresUnixMillis int64   `json:"expiresUnixMillis"`
+}
+
+// Shard is a shard and its epoch within Grants.
+type Shard struct {
+	Shard shard.ID       `json:"shard"`
+	Epoch identity.Epoch `json:"epoch"`
+}
+
+// Load is what the upstream says of itself.
+type Load struct {
+	InFlight int  `json:"inFlight"`
+	Slots    int  `json:"slots"`
+	Draining bool `json:"draining"`
+}
--- /dev/null
+++ b/standin/server/server.go
@@ -0,0 +1,138 @@
+// Package server holds what the HTTP stand-ins have in common: listening,
+// graceful stop, and JSON bodies.
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// stopTimeout bounds the wait for requests in flight at a stop.
+	stopTimeout = 10 * time.Second
+	// idleTimeout is how long a stand-in keeps an idle connection. Clients keep
+	// theirs shorter, so that they seldom write to a closing connection.
+	idleTimeout = 60 * time.Second
+	// maxBodyBytes bounds request bodies that are held whole.
+	maxBodyBytes = 64 << 20
+	// maxHeaderBytes bounds the request head.
+	maxHeaderBytes = 64 << 10
+)
+
+// ListenError reports an address on which the program can't listen.
+type ListenError struct {
+	address string
+	cause   error
+}
+
+// Address returns the address.
+func (e *ListenError) Address() string { return e.address }
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("can't listen on %s: %v", e.address, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.cause }
+
+// Listen listens on a TCP address. It returns a *ListenError if that fails.
+func Listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &ListenError{address: address, cause: err}
+	}
+	return listener, nil
+}
+
+// New returns a server for handler with the settings of the stand-ins.
+func New(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               handler,
+		Name:                  "briarwell-standin",
+		IdleTimeout:           idleTimeout,
+		ReadBufferSize:        maxHeaderBytes,
+		MaxRequestBodySize:    maxBodyBytes,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Logger:                silent{},
+	}
+}
+
+// silent drops fasthttp's own log lines, which report each connection that a
+// fault test cuts.
+type silent struct{}
+
+// Printf drops the line.
+func (silent) Printf(string, ...any) {}
+
+// Serve serves until ctx ends, then finishes the requests in flight.
+func Serve(ctx context.Context, listener net.Listener, s *fasthttp.Server) error {
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(listener) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	if err := s.ShutdownWithContext(limit); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return nil
+}
+
+// Failure is the JSON body of an error response.
+type Failure struct {
+	Error string `json:"error"`
+}
+
+// Fail answers with an error status and a JSON body.
+func Fail(ctx *fasthttp.RequestCtx, status int, text string) {
+	ctx.Response.Reset()
+	Respond(ctx, status, Failure{Error: text})
+}
+
+// Respond answers with a status and a JSON body.
+func Respond(ctx *fasthttp.RequestCtx, status int, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(encoded)
+}
+
+// Decode parses the request body strictly into target. It answers with status
+// 400 and returns false if that fails.
+func Decode(ctx *fasthttp.RequestCtx, target any) bool {
+	if err := DecodeStrict(ctx.PostBody(), target); err != nil {
+		Fail(ctx, fasthttp.StatusBadRequest, err.Error())
+		return false
+	}
+	return true
+}
+
+// DecodeStrict parses one JSON value without unknown fields and without
+// trailing text.
+func DecodeStrict(body []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return fmt.Errorf("malformed JSON body: %w", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("malformed JSON body: text after the value")
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/tableserver/tableserver.go
@@ -0,0 +1,180 @@
+// Package tableserver is the stand-in for the platform's table service, with
+// faults that tests set at run time.
+package tableserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"briarwell.dev/core/table"
+	"briarwell.dev/core/table/memory"
+	"briarwell.dev/core/table/wire"
+	"briarwell.dev/standin/server"
+)
+
+const pathFaults = "/admin/faults"
+
+// Server answers the table protocol from memory. The zero value has no rows and
+// no faults.
+type Server struct {
+	rows   memory.Table
+	faults faultState
+	reads  limiter
+	writes limiter
+
+	readCount    atomic.Uint64
+	commitCount  atomic.Uint64
+	lostCount    atomic.Uint64
+	refusedCount atomic.Uint64
+}
+
+// Counters is the body of GET /admin/counters: calls since the start.
+type Counters struct {
+	Reads   uint64 `json:"reads"`
+	Commits uint64 `json:"commits"`
+	// LostAnswers counts calls that took effect and were not answered.
+	LostAnswers uint64 `json:"lostAnswers"`
+	// Refused counts calls over the rate limits.
+	Refused uint64 `json:"refused"`
+}
+
+// Handle answers one request.
+func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if strings.HasPrefix(path, "/admin/") {
+		s.handleAdmin(ctx, path)
+		return
+	}
+	if !ctx.IsPost() {
+		server.Fail(ctx, fasthttp.StatusMethodNotAllowed, "the table protocol uses POST")
+		return
+	}
+	switch path {
+	case wire.PathRead:
+		s.handleRead(ctx)
+	case wire.PathScan:
+		s.handleScan(ctx)
+	case wire.PathCommit:
+		s.handleCommit(ctx)
+	default:
+		server.Fail(ctx, fasthttp.StatusNotFound, "unknown path")
+	}
+}
+
+func (s *Server) handleAdmin(ctx *fasthttp.RequestCtx, path string) {
+	switch {
+	case path == "/admin/counters" && ctx.IsGet():
+		server.Respond(ctx, fasthttp.StatusOK, Counters{
+			Reads: s.readCount.Load(), Commits: s.commitCount.Load(),
+			LostAnswers: s.lostCount.Load(), Refused: s.refusedCount.Load(),
+		})
+	case path == pathFaults && ctx.IsGet():
+		server.Respond(ctx, fasthttp.StatusOK, s.faults.get())
+	case path == pathFaults && ctx.IsPost():
+		var settings Faults
+		if !server.Decode(ctx, &settings) {
+			return
+		}
+		if problems := settings.problems(); len(problems) > 0 {
+			server.Fail(ctx, fasthttp.StatusBadRequest, strings.Join(problems, "; "))
+			return
+		}
+		s.faults.set(settings)
+		server.Respond(ctx, fasthttp.StatusOK, settings)
+	default:
+		server.Fail(ctx, fasthttp.StatusNotFound, "unknown path")
+	}
+}
+
+// admit applies outage, rate limit and delay. It answers and returns false if
+// the call must not take effect.
+func (s *Server) admit(ctx *fasthttp.RequestCtx, turns *limiter, limit func(Faults) int) bool {
+	settings := s.faults.get()
+	if settings.Outage {
+		server.Fail(ctx, fasthttp.StatusServiceUnavailable, "outage")
+		return false
+	}
+	wait, ok := turns.reserve(time.Now(), limit(settings))
+	if !ok {
+		s.refusedCount.Add(1)
+		server.Fail(ctx, fasthttp.StatusTooManyRequests, "rate limit")
+		return false
+	}
+	wait += time.Duration(settings.DelayMillis) * time.Millisecond
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+	if s.faults.get().Outage {
+		server.Fail(ctx, fasthttp.StatusServiceUnavailable, "outage")
+		return false
+	}
+	return true
+}
+
+func readLimit(f Faults) int  { return limitOr(f.ReadLimit, DefaultReadLimit) }
+func writeLimit(f Faults) int { return limitOr(f.WriteLimit, DefaultWriteLimit) }
+
+func (s *Server) handleRead(ctx *fasthttp.RequestCtx) {
+	var request wire.ReadRequest
+	if !server.Decode(ctx, &request) || !s.admit(ctx, &s.reads, readLimit) {
+		return
+	}
+	s.readCount.Add(1)
+	rows, err := s.rows.Read(context.Background(), request.Keys)
+	if err != nil {
+		server.Fail(ctx, fasthttp.StatusInternalServerError, err.Error())
+		return
+	}
+	server.Respond(ctx, fasthttp.StatusOK, wire.ReadResponse{Rows: wire.FromRows(rows)})
+}
+
+func (s *Server) handleScan(ctx *fasthttp.RequestCtx) {
+	var request wire.ScanRequest
+	if !server.Decode(ctx, &request) || !s.admit(ctx, &s.reads, readLimit) {
+		return
+	}
+	s.readCount.Add(1)
+	rows, revision, err := s.rows.Scan(context.Background(), request.Prefix, request.Since)
+	if err != nil {
+		server.Fail(ctx, fasthttp.StatusInternalServerError, err.Error())
+		return
+	}
+	server.Respond(ctx, fasthttp.StatusOK, wire.ScanResponse{Rows: wire.FromRows(rows), Revision: revision})
+}
+
+func (s *Server) handleCommit(ctx *fasthttp.RequestCtx) {
+	var request wire.CommitRequest
+	if !server.Decode(ctx, &request) || !s.admit(ctx, &s.writes, writeLimit) {
+		return
+	}
+	s.commitCount.Add(1)
+	revision, err := s.rows.Commit(context.Background(), wire.ToTransaction(request))
+	if s.faults.losesAnswer() {
+		s.lostCount.Add(1)
+		loseAnswer(ctx)
+		return
+	}
+	var conflict *table.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		server.Respond(ctx, fasthttp.StatusConflict, wire.Conflict{
+			Key: conflict.Key(), Expected: conflict.Expected(), Actual: conflict.Actual(),
+		})
+	case err != nil:
+		server.Fail(ctx, fasthttp.StatusInternalServerError, err.Error())
+	default:
+		server.Respond(ctx, fasthttp.StatusOK, wire.CommitResponse{Revision: revision})
+	}
+}
+
+// loseAnswer closes the connection without an answer.
+func loseAnswer(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(net.Conn) {})
+}
--- /dev/null
+++ b/standin/upstreamserver/announcer.go
@@ -0,0 +1,99 @@
+package upstreamserver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/valyala/fasthttp"
+
+	"briarwell.dev/core/upstream/announce"
+)
+
+const (
+	// announceRetry is the time between two announcements until one is accepted.
+	announceRetry = 100 * time.Millisecond
+	// announceRepeat is the time between two announcements afterwards, so that
+	// a restarted daemon learns of its upstream.
+	announceRepeat = time.Second
+	// announceTimeout bounds one announcement.
+	announceTimeout = time.Second
+)
+
+// Announce announces the upstream to its daemon until ctx ends.
+func (s *Server) Announce(ctx context.Context, logger *log.Logger) {
+	if s.settings.Daemon == "" {
+		return
+	}
+	service := s.settings.Service
+	message := announce.Announcement{
+		Service:         service.Name(),
+		Organisation:    service.Organisation(),
+		Address:         s.settings.Address,
+		Slots:           s.settings.Slots,
+		Connections:     s.settings.Connections,
+		Fencing:         s.settings.Fencing,
+		ColdStartMillis: s.settings.ColdStart.Milliseconds(),
+	}
+	last := "none"
+	for ctx.Err() == nil {
+		s.gate.wait()
+		pause, result := announceRetry, "accepted"
+		if err := s.post(announce.PathAnnounce, message); err != nil {
+			result = err.Error()
+		} else {
+			pause = announceRepeat
+		}
+		if result != last {
+			logger.Info().Str("event", "announce").Str("daemon", s.settings.Daemon).Str("result", result).Msg("")
+			last = result
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// AnnounceDrain tells the daemon that the upstream is leaving.
+func (s *Server) AnnounceDrain() error {
+	s.draining.Store(true)
+	if s.settings.Daemon == "" {
+		return nil
+	}
+	service := s.settings.Service
+	return s.post(announce.PathDrain, announce.Drain{
+		Service: service.Name(), Organisation: service.Organisation(), Address: s.settings.Address,
+	})
+}
+
+// AwaitIdle waits until no order has been in flight for quiet, or ctx ends.
+func (s *Server) AwaitIdle(ctx context.Context, quiet time.Duration) {
+	since := time.Now()
+	for ctx.Err() == nil && time.Since(since) < quiet {
+		if s.inFlight.Load() > 0 {
+			since = time.Now()
+		}
+		sleep(ctx, gatePoll)
+	}
+}
+
+func (s *Server) post(path string, message any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetRequestURI(s.settings.Daemon + path)
+	req.SetBodyRaw(body)
+	if err := fasthttp.DoTimeout(req, resp, announceTimeout); err != nil {
+		return err
+	}
+	if status := resp.StatusCode(); status < 200 || status > 299 {
+		return fmt.Errorf("status %d: %s", status, resp.Body())
+	}
+	return nil
+}
