Add settings, template rendering and rollout.Render

Cause: the daemon needs its settings and the rendered catalog before the other parts can be joined. Ruled out: encoding/json into structs. It stops at the first error, accepts duplicate fields and can't tell an absent field from a zero one.

--- /dev/null
+++ b/core/rollout/render.go
@@ -0,0 +1,55 @@
+package rollout
+
+import (
+	"briarwell.dev/core/table"
+	"briarwell.dev/core/template"
+)
+
+// Render returns the catalog of configuration rows, as Read or Scan return
+// them; other rows are ignored. Without a head it is empty and has version 0.
+// The error is a *RowError or a *template.RenderError.
+func Render(rows []table.Row) (template.Catalog, error) {
+	decoded, err := decodeRows(rows)
+	if err != nil {
+		return template.Catalog{}, err
+	}
+	return decoded.render(decoded.head.version)
+}
+
+func (s snapshot) render(version uint64) (template.Catalog, error) {
+	var templates []template.Template
+	var organisations []template.Organisation
+	for _, item := range s.entries {
+		switch document := item.document.(type) {
+		case template.Template:
+			templates = append(templates, document)
+		case template.Organisation:
+			organisations = append(organisations, document)
+		}
+	}
+	return template.RenderCatalog(version, templates, organisations)
+}
+
+// InForce holds the catalog that a daemon has in force. The zero value has
+// none, at version 0. It is not safe for concurrent use.
+type InForce struct {
+	catalog template.Catalog
+}
+
+// Catalog returns the catalog in force.
+func (f *InForce) Catalog() template.Catalog { return f.catalog }
+
+// Update puts the rows in force if they render to a newer version, and tells
+// whether it did. Rows of an older version change nothing. If the rows can't be
+// rendered, the former catalog stays in force and the error says why.
+func (f *InForce) Update(rows []table.Row) (bool, error) {
+	catalog, err := Render(rows)
+	if err != nil {
+		return false, err
+	}
+	if catalog.Version() <= f.catalog.Version() {
+		return false, nil
+	}
+	f.catalog = catalog
+	return true, nil
+}
--- /dev/null
+++ b/core/rollout/render_test.go
@@ -0,0 +1,76 @@
+package rollout_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/core/rollout"
+	"briarwell.dev/core/table"
+	"briarwell.dev/core/template"
+)
+
+const smallTemplate = `{"kind": "k", "parameters": [{"name": "t", "type": "integer", "default": 5}],
+	"services": [{"name": "s", "keyed": true, "shards": 8, "fencing": "epoch", "routes": [{"idempotent": true, "timeoutMillis": {"parameter": "t"}}]}]}`
+
+func configRow(key string, version uint64, body string) table.Row {
+	return table.NewRow(key, table.Revision(version), fmt.Appendf(nil, `{"version": %d, "author": "ada", "body": %s}`, version, body))
+}
+
+func configRows(version uint64, timeout string) []table.Row {
+	return []table.Row{
+		configRow(rollout.KeyHead, version, `{}`),
+		configRow(rollout.TemplateKey("k"), 1, smallTemplate),
+		configRow(rollout.OrganisationKey("o"), version, `{"name": "o", "kind": "k", "parameters": {"t": `+timeout+`}}`),
+		table.NewRow("member/1", 9, []byte("not JSON")),
+	}
+}
+
+// Guards against a daemon that goes back to an older version, or that stops
+// serving or skips the report when a body can't be rendered.
+func TestInForce(t *testing.T) {
+	is := is.New(t)
+	var force rollout.InForce
+	timeout := func() int {
+		rules, _ := force.Catalog().Service("o/s")
+		return int(rules.Routes()[0].Timeout())
+	}
+	changed, err := force.Update(nil)
+	is.NoErr(err)
+	is.True(!changed)
+	changed, err = force.Update(configRows(4, "40"))
+	is.NoErr(err)
+	is.True(changed)
+	is.Equal(force.Catalog().Version(), uint64(4))
+	changed, err = force.Update(configRows(3, "30"))
+	is.NoErr(err)
+	is.True(!changed)
+	is.Equal(timeout(), 40)
+	var failed *template.RenderError
+	changed, err = force.Update(configRows(5, `"long"`))
+	is.True(errors.As(err, &failed))
+	is.Equal(failed.Organisation(), "o")
+	is.True(!changed)
+	is.Equal(force.Catalog().Version(), uint64(4))
+	is.Equal(timeout(), 40)
+	var unread *rollout.RowError
+	_, err = force.Update(configRows(6, `}`))
+	is.True(errors.As(err, &unread))
+	is.Equal(unread.Key(), rollout.OrganisationKey("o"))
+	changed, err = force.Update(configRows(7, "70"))
+	is.NoErr(err)
+	is.True(changed)
+	is.Equal(timeout(), 70)
+}
+
+// Guards against a copy that holds a newer body than its head: its version
+// would be reported for a body that another version changed.
+func TestRenderRejectsMixedCopy(t *testing.T) {
+	rows := configRows(4, "40")
+	rows[0] = configRow(rollout.KeyHead, 3, `{}`)
+	_, err := rollout.Render(rows)
+	var unread *rollout.RowError
+	is.New(t).True(errors.As(err, &unread))
+}
--- /dev/null
+++ b/core/rollout/rows.go
@@ -0,0 +1,199 @@
+// Package rollout stores configuration versions in the table, renders them for
+// daemons, and follows a version until every member has it in force.
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"briarwell.dev/core/table"
+	"briarwell.dev/core/template"
+)
+
+// Keys and key prefixes of the configuration rows.
+const (
+	// Prefix is the prefix of all configuration rows.
+	Prefix = "config/"
+	// KeyHead is the row with the newest version.
+	KeyHead = Prefix + "head"
+	// KeyAccepted is the row with the newest accepted version.
+	KeyAccepted = Prefix + "accepted"
+	// PrefixTemplate is the prefix of the rows of templates.
+	PrefixTemplate = Prefix + "template/"
+	// PrefixOrganisation is the prefix of the rows of organisations.
+	PrefixOrganisation = Prefix + "organisation/"
+	// PrefixHistory is the prefix of the rows of edits. Daemons copy none.
+	PrefixHistory = Prefix + "history/"
+)
+
+// TemplateKey returns the key of the template for a kind of organisation.
+func TemplateKey(kind string) string { return PrefixTemplate + kind }
+
+// OrganisationKey returns the key of an organisation.
+func OrganisationKey(name string) string { return PrefixOrganisation + name }
+
+// HistoryKey returns the key of the edit that made a version.
+func HistoryKey(version uint64) string {
+	return PrefixHistory + strconv.FormatUint(version, 10)
+}
+
+// Stamp says who made a version and when.
+type Stamp struct {
+	version    uint64
+	author     string
+	unixMillis int64
+	edit       string
+}
+
+// Version returns the configuration version, from 1; 0 means none.
+func (s Stamp) Version() uint64 { return s.version }
+
+// Author returns the name of the operator who made the version.
+func (s Stamp) Author() string { return s.author }
+
+// UnixMillis returns the operator's wall-clock time in milliseconds.
+func (s Stamp) UnixMillis() int64 { return s.unixMillis }
+
+type stampJSON struct {
+	Version    uint64 `json:"version"`
+	Author     string `json:"author"`
+	UnixMillis int64  `json:"unixMillis"`
+	Edit       string `json:"edit"`
+}
+
+func (s stampJSON) decode() Stamp {
+	return Stamp{version: s.Version, author: s.Author, unixMillis: s.UnixMillis, edit: s.Edit}
+}
+
+// headJSON is the value of KeyHead. Shards holds the number of shards of every
+// keyed service that ever was in force, since ownership rows outlive the
+// service's removal from a template.
+type headJSON struct {
+	stampJSON
+	Shards map[string]uint32 `json:"shards"`
+}
+
+// bodyJSON is the value of a template or organisation row.
+type bodyJSON struct {
+	stampJSON
+	Body json.RawMessage `json:"body"`
+}
+
+type acceptedJSON struct {
+	Version    uint64 `json:"version"`
+	UnixMillis int64  `json:"unixMillis"`
+}
+
+// RowError reports a row that can't be read.
+type RowError struct {
+	key   string
+	cause error
+}
+
+// NewRowError returns an error for the row at key.
+func NewRowError(key string, cause error) *RowError {
+	return &RowError{key: key, cause: cause}
+}
+
+// Key returns the row's key.
+func (e *RowError) Key() string { return e.key }
+
+func (e *RowError) Error() string {
+	return fmt.Sprintf("row %s can't be read: %v", e.key, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *RowError) Unwrap() error { return e.cause }
+
+// entry is a stored template or organisation.
+type entry struct {
+	row      table.Row
+	stamp    Stamp
+	document template.Document
+}
+
+// snapshot is the decoded content of configuration rows.
+type snapshot struct {
+	headRow  table.Row
+	head     Stamp
+	shards   map[string]uint32
+	accepted uint64
+	entries  []entry
+}
+
+func decodeRows(rows []table.Row) (snapshot, error) {
+	result := snapshot{shards: map[string]uint32{}}
+	for _, row := range rows {
+		if row.Version() == 0 {
+			continue
+		}
+		if err := result.add(row); err != nil {
+			return snapshot{}, err
+		}
+	}
+	for _, item := range result.entries {
+		if item.stamp.version > result.head.version {
+			cause := fmt.Errorf("it has configuration version %d, but %s has %d", item.stamp.version, KeyHead, result.head.version)
+			return snapshot{}, NewRowError(item.row.Key(), cause)
+		}
+	}
+	return result, nil
+}
+
+func (s *snapshot) add(row table.Row) error {
+	key := row.Key()
+	switch {
+	case key == KeyHead:
+		return s.addHead(row)
+	case key == KeyAccepted:
+		version, err := decodeAccepted(row)
+		s.accepted = version
+		return err
+	case strings.HasPrefix(key, PrefixTemplate), strings.HasPrefix(key, PrefixOrganisation):
+		return s.addEntry(row)
+	default:
+		return nil
+	}
+}
+
+func (s *snapshot) addHead(row table.Row) error {
+	var head headJSON
+	if err := json.Unmarshal(row.Value(), &head); err != nil {
+		return NewRowError(row.Key(), err)
+	}
+	s.headRow, s.head = row, head.decode()
+	for service, shards := range head.Shards {
+		s.shards[service] = shards
+	}
+	return nil
+}
+
+func decodeAccepted(row table.Row) (uint64, error) {
+	var accepted acceptedJSON
+	if err := json.Unmarshal(row.Value(), &accepted); err != nil {
+		return 0, NewRowError(row.Key(), err)
+	}
+	return accepted.Version, nil
+}
+
+func (s *snapshot) addEntry(row table.Row) error {
+	var body bodyJSON
+	if err := json.Unmarshal(row.Value(), &body); err != nil {
+		return NewRowError(row.Key(), err)
+	}
+	document, err := parseBody(row.Key(), body.Body)
+	if err != nil {
+		return NewRowError(row.Key(), err)
+	}
+	s.entries = append(s.entries, entry{row: row, stamp: body.decode(), document: document})
+	return nil
+}
+
+func parseBody(key string, body []byte) (template.Document, error) {
+	if strings.HasPrefix(key, PrefixTemplate) {
+		return template.ParseTemplate(body)
+	}
+	return template.ParseOrganisation(body)
+}
--- /dev/null
+++ b/core/settings/daemon_test.go
@@ -0,0 +1,70 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+
+	"briarwell.dev/core/settings"
+)
+
+// Guards against a change of names or defaults that breaks existing files.
+func TestDaemonExample(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("../../examples/daemon.json")
+	is.NoErr(err)
+	daemon, err := settings.ParseDaemon(data)
+	is.NoErr(err)
+	is.Equal(daemon.Instance(), "lagos-a-1")
+	is.Equal(daemon.Region(), "lagos")
+	is.Equal(daemon.FailureDomain(), "lagos-a")
+	is.Equal(daemon.AdvertiseHTTPAddress(), daemon.HTTPAddress())
+	is.Equal(daemon.AdvertisePeerAddress(), "127.0.1.1:9090")
+	is.Equal(daemon.LocalAddress(), "127.0.0.1:9191")
+	is.Equal(daemon.TableURL(), "http://127.0.0.1:7100")
+	is.Equal(daemon.ObjectURL(), "http://127.0.0.1:7200")
+	is.Equal(daemon.LogLevel(), "info")
+	is.Equal(daemon.MaxHeaderBytes(), 16384)
+	is.Equal(daemon.StopTimeout().Duration().Seconds(), 30.0)
+}
+
+// Guards against errors that are reported one by one, or without the path, the
+// found value or the allowed values.
+func TestDaemonErrors(t *testing.T) {
+	cases := map[string]string{
+		"empty":     ``,
+		"truncated": "{\n  \"instance\": \"a\",\n",
+		"twoDocs":   `{} {}`,
+		"missing":   `{}`,
+		"wrong": `{"instance": "", "region": 5, "failureDomain": null, "httpAddress": "8080", "peerAddress": "host:9090",
+			"localAddress": "127.0.0.1:0", "tableUrl": "ftp://x", "objectUrl": "http://u@x/?q", "logLevel": "loud",
+			"maxHeaderBytes": 1.5, "stopTimeoutMillis": 600001, "logLevle": "info", "region": {}}`,
+		"unspecified": `{"instance": "a", "region": "r", "failureDomain": "f", "httpAddress": "0.0.0.0:80", "peerAddress": "[::]:9090",
+			"localAddress": "127.0.0.1:1", "tableUrl": "http://t", "objectUrl": "http://o"}`,
+	}
+	for name, document := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := settings.ParseDaemon([]byte(document))
+			var list *settings.ListError
+			is.New(t).True(errors.As(err, &list))
+			goldie.New(t).Assert(t, "daemon-"+name, []byte(list.Error()+"\n"))
+		})
+	}
+}
+
+// Guards against a panic or an unexplained error for any text.
+func TestDaemonAnyText(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOf(rapid.SampledFrom([]string{"{", "}", "[", "]", ",", ":", `"instance"`, `"region"`, "null", "1e99", "-", " ", "\x00"}))
+		_, err := settings.ParseDaemon([]byte(strings.Join(parts.Draw(t, "parts"), "")))
+		var list *settings.ListError
+		if !errors.As(err, &list) || len(list.Fields()) == 0 || list.Fields()[0].Allowed() == "" {
+			t.Fatalf("no list of errors but %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/core/template/parameter.go
@@ -0,0 +1,210 @@
+package template
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+	"strings"
+
+	"briarwell.dev/core/settings"
+)
+
+// maxNameBytes bounds names, since they are part of row keys and URL paths.
+const maxNameBytes = 63
+
+func nameRule() settings.TextRule {
+	expression := regexp.MustCompile(fmt.Sprintf("^[A-Za-z][A-Za-z0-9-]{0,%d}$", maxNameBytes-1))
+	return settings.Pattern(expression, fmt.Sprintf("a letter, then up to %d letters, digits and hyphens", maxNameBytes-1))
+}
+
+// Parameter is a value that a template leaves to each organisation.
+type Parameter struct {
+	name         string
+	kind         settings.Kind
+	unit         string
+	defaultValue any
+	minimum      int64
+	maximum      int64
+	allowed      []any
+	required     bool
+}
+
+// Name returns the parameter's name.
+func (p Parameter) Name() string { return p.name }
+
+// Kind returns the type of the value.
+func (p Parameter) Kind() settings.Kind { return p.kind }
+
+// Unit returns the unit of an integer, which may be "".
+func (p Parameter) Unit() string { return p.unit }
+
+// Default returns a string, int64 or bool, or nil if the parameter is required.
+func (p Parameter) Default() any { return p.defaultValue }
+
+// Required tells whether each organisation must set the parameter.
+func (p Parameter) Required() bool { return p.required }
+
+// read returns the value in the field if the parameter allows it, else nil.
+func (p Parameter) read(field settings.Value) any {
+	before := field.Errors().Len()
+	value := p.readKind(field)
+	if field.Errors().Len() > before || !field.Present() {
+		return nil
+	}
+	if len(p.allowed) > 0 && !slices.Contains(p.allowed, value) {
+		field.Reject("one of " + joinValues(p.allowed))
+		return nil
+	}
+	return value
+}
+
+func (p Parameter) readKind(field settings.Value) any {
+	switch p.kind {
+	case settings.KindInteger:
+		return field.Int(settings.NewRange(p.minimum, p.maximum, p.unit))
+	case settings.KindBoolean:
+		return field.Bool()
+	default:
+		return field.Text(settings.TextRule{})
+	}
+}
+
+func joinValues(values []any) string {
+	texts := make([]string, 0, len(values))
+	for _, value := range values {
+		texts = append(texts, fmt.Sprint(value))
+	}
+	return strings.Join(texts, ", ")
+}
+
+func readParameters(field settings.Value) []Parameter {
+	items := field.Items()
+	parameters := make([]Parameter, 0, len(items))
+	for _, item := range items {
+		parameter := readParameter(item)
+		if _, twice := findParameter(parameters, parameter.name); twice {
+			item.Errors().Add(item.Path()+".name", "the name "+parameter.name+" again", "a name that no earlier parameter has")
+		}
+		parameters = append(parameters, parameter)
+	}
+	return parameters
+}
+
+func findParameter(parameters []Parameter, name string) (Parameter, bool) {
+	for _, parameter := range parameters {
+		if parameter.name == name && name != "" {
+			return parameter, true
+		}
+	}
+	return Parameter{}, false
+}
+
+func readParameter(item settings.Value) Parameter {
+	object := item.Object()
+	defer object.Close()
+	kinds := settings.OneOf(string(settings.KindInteger), string(settings.KindText), string(settings.KindBoolean))
+	parameter := Parameter{
+		name:    object.Required("name").Text(nameRule()),
+		kind:    settings.Kind(object.Required("type").Text(kinds)),
+		unit:    object.Optional("unit").Text(settings.NonEmpty()),
+		minimum: math.MinInt64,
+		maximum: math.MaxInt64,
+	}
+	parameter.required = object.Optional("required").Bool()
+	minimum, maximum := object.Optional("minimum"), object.Optional("maximum")
+	allowed, fallback := object.Optional("allowed"), object.Optional("default")
+	if parameter.kind == "" {
+		return parameter
+	}
+	parameter.readLimits(minimum, maximum)
+	if allowed.Present() {
+		parameter.allowed = parameter.readAllowed(allowed)
+	}
+	switch {
+	case parameter.required && fallback.Present():
+		fallback.Reject("no default for a required parameter")
+	case fallback.Present():
+		parameter.defaultValue = parameter.read(fallback)
+	case !parameter.required:
+		item.Errors().Add(item.Path()+".default", "nothing", "a default, or required true")
+	}
+	return parameter
+}
+
+func (p *Parameter) readLimits(minimum, maximum settings.Value) {
+	if p.kind != settings.KindInteger {
+		for _, limit := range []settings.Value{minimum, maximum} {
+			if limit.Present() {
+				limit.Reject("limits for an integer only")
+			}
+		}
+		return
+	}
+	p.minimum = minimum.IntOr(p.minimum, settings.NewRange(math.MinInt64, math.MaxInt64, p.unit))
+	p.maximum = maximum.IntOr(p.maximum, settings.NewRange(p.minimum, math.MaxInt64, p.unit))
+}
+
+func (p *Parameter) readAllowed(field settings.Value) []any {
+	items := field.Items()
+	if len(items) == 0 && field.Present() {
+		field.Reject("at least one value")
+	}
+	allowed := make([]any, 0, len(items))
+	for _, item := range items {
+		allowed = append(allowed, p.readKind(item))
+	}
+	return allowed
+}
+
+// resolver replaces references to parameters by the values of an organisation,
+// or by the defaults if there is no organisation yet.
+func resolver(parameters []Parameter, values map[string]any) settings.Resolver {
+	return func(value settings.Value, collector *settings.Collector) (settings.Replacement, bool) {
+		name, ok := referenceName(value.Raw())
+		if !ok {
+			return settings.Replacement{}, false
+		}
+		parameter, ok := findParameter(parameters, name)
+		if !ok {
+			collector.Add(value.Path(), fmt.Sprintf("a reference to %q", name), "a parameter of the template: "+parameterNames(parameters))
+			return settings.Replacement{Source: "an unknown parameter"}, true
+		}
+		resolved, set := values[name]
+		if !set {
+			resolved = parameter.defaultValue
+		}
+		return settings.Replacement{Value: resolved, Kind: parameter.kind, Source: "parameter " + name}, true
+	}
+}
+
+func referenceName(raw any) (string, bool) {
+	object, ok := raw.(map[string]any)
+	if !ok || len(object) != 1 {
+		return "", false
+	}
+	name, ok := object["parameter"].(string)
+	return name, ok
+}
+
+func parameterNames(parameters []Parameter) string {
+	if len(parameters) == 0 {
+		return "none is declared"
+	}
+	names := make([]string, 0, len(parameters))
+	for _, parameter := range parameters {
+		names = append(names, parameter.name)
+	}
+	return strings.Join(names, ", ")
+}
+
+// plain converts a decoded scalar to string, int64 or bool.
+func plain(raw any) any {
+	if number, ok := raw.(json.Number); ok {
+		if value, err := number.Int64(); err == nil {
+			return value
+		}
+	}
+	return raw
+}
--- /dev/null
+++ b/core/template/render.go
@@ -0,0 +1,98 @@
+package template
+
+import (
+	"strings"
+
+	"briarwell.dev/core/settings"
+)
+
+// Render returns the rules of the organisation's services. It returns a
+// *settings.ListError with all errors; paths that start with "parameters" are
+// those of the organisation, the others are those of the template.
+func Render(template Template, organisation Organisation) ([]ServiceRules, error) {
+	collector := &settings.Collector{}
+	if template.kind != organisation.kind {
+		collector.Add("kind", `"`+organisation.kind+`"`, `the template's kind "`+template.kind+`"`)
+		return nil, collector.Err()
+	}
+	values := readValues(template.parameters, organisation, collector)
+	if err := collector.Err(); err != nil {
+		return nil, err
+	}
+	_, services := readTemplate(template.source, values, collector)
+	if err := collector.Err(); err != nil {
+		return nil, err
+	}
+	return services, nil
+}
+
+// readValues returns the value of each parameter by name.
+func readValues(parameters []Parameter, organisation Organisation, collector *settings.Collector) map[string]any {
+	root := settings.Read(organisation.source, collector).Object()
+	field := root.Optional("parameters")
+	if !field.Present() {
+		field = settings.Empty("parameters", collector)
+	}
+	object := field.Object()
+	defer object.Close()
+	values := make(map[string]any, len(parameters))
+	for _, parameter := range parameters {
+		item := object.Optional(parameter.name)
+		if parameter.required {
+			item = object.Required(parameter.name)
+		}
+		value := parameter.read(item)
+		if value == nil {
+			value = parameter.defaultValue
+		}
+		values[parameter.name] = value
+	}
+	return values
+}
+
+// RenderCatalog renders all organisations at a version. It returns a
+// *RenderError for the first organisation, by order, that can't be rendered.
+func RenderCatalog(version uint64, templates []Template, organisations []Organisation) (Catalog, error) {
+	byKind := make(map[string]Template, len(templates))
+	for _, template := range templates {
+		byKind[template.kind] = template
+	}
+	services := make(map[string]ServiceRules)
+	for _, organisation := range organisations {
+		template, ok := byKind[organisation.kind]
+		if !ok {
+			collector := &settings.Collector{}
+			collector.Add("kind", `"`+organisation.kind+`"`, "the kind of a stored template")
+			return Catalog{}, NewRenderError(organisation.name, collector.Err())
+		}
+		rendered, err := Render(template, organisation)
+		if err != nil {
+			return Catalog{}, NewRenderError(organisation.name, err)
+		}
+		for _, rules := range rendered {
+			services[organisation.name+"/"+rules.name] = rules
+		}
+	}
+	return NewCatalog(version, services), nil
+}
+
+// RenderError reports an organisation that can't be rendered.
+type RenderError struct {
+	organisation string
+	cause        error
+}
+
+// NewRenderError returns an error for the organisation.
+func NewRenderError(organisation string, cause error) *RenderError {
+	return &RenderError{organisation: organisation, cause: cause}
+}
+
+// Organisation returns the organisation's name.
+func (e *RenderError) Organisation() string { return e.organisation }
+
+func (e *RenderError) Error() string {
+	return "organisation " + e.organisation + " can't be rendered:\n  " + strings.ReplaceAll(e.cause.Error(), "\n", "\n  ")
+}
+
+// Unwrap returns the cause.
+func (e *RenderError) Unwrap() error { return e.cause }
--- a/core/template/rules.go
+++ b/core/template/rules.go
@@ -3,6 +3,8 @@
 package template
 
 import (
+	"slices"
+	"strconv"
 	"strings"
 
 	"briarwell.dev/core/clock"
@@ -20,6 +22,25 @@
 	PriorityCritical
 )
 
+// String returns "low", "normal", "high" or "critical".
+func (p Priority) String() string {
+	names := priorityNames()
+	if p < 0 || int(p) >= len(names) {
+		return strconv.Itoa(int(p))
+	}
+	return names[p]
+}
+
+// ParsePriority returns the priority that String names, or false.
+func ParsePriority(name string) (Priority, bool) {
+	i := slices.Index(priorityNames(), name)
+	return Priority(max(i, 0)), i >= 0
+}
+
+func priorityNames() []string {
+	return []string{"low", "normal", "high", "critical"}
+}
+
 // RouteRules are the rules of the requests with a method and path prefix.
 type RouteRules struct {
 	method     string
--- /dev/null
+++ b/core/template/template.go
@@ -0,0 +1,218 @@
+package template
+
+import (
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/settings"
+	"briarwell.dev/core/upstream"
+)
+
+const (
+	// DefaultQueueLimit bounds the queue of an upstream. At 12 slots and 20 ms
+	// for each request, 64 requests wait about 100 ms.
+	DefaultQueueLimit = 64
+	// DefaultTimeoutMillis bounds a request on a route that sets no timeout.
+	DefaultTimeoutMillis = 10_000
+	// maxShards keeps the ownership rows of a service below 2,048 groups of 32.
+	maxShards = 65_536
+	// maxQueue bounds the memory of a queue.
+	maxQueue = 10_000
+	// maxMillis bounds timeouts and settle times to the retention of request
+	// IDs, 10 minutes: a longer request would outlive its own record.
+	maxMillis = 600_000
+)
+
+// Document is a Template or an Organisation.
+type Document interface {
+	isDocument()
+	// Source returns the JSON text; callers must not change it.
+	Source() []byte
+}
+
+// Template describes the services of one kind of organisation.
+type Template struct {
+	kind       string
+	parameters []Parameter
+	source     []byte
+}
+
+// Organisation sets the parameters of a template for one organisation.
+type Organisation struct {
+	name   string
+	kind   string
+	source []byte
+}
+
+func (Template) isDocument()     {}
+func (Organisation) isDocument() {}
+
+// Kind returns the kind of organisation.
+func (t Template) Kind() string { return t.kind }
+
+// Parameters returns the declared parameters; callers must not change them.
+func (t Template) Parameters() []Parameter { return t.parameters }
+
+// Source returns the JSON text; callers must not change it.
+func (t Template) Source() []byte { return t.source }
+
+// Name returns the organisation's name.
+func (o Organisation) Name() string { return o.name }
+
+// Kind returns the kind of the organisation's template.
+func (o Organisation) Kind() string { return o.kind }
+
+// Source returns the JSON text; callers must not change it.
+func (o Organisation) Source() []byte { return o.source }
+
+// Parse reads a template, which has services, or an organisation. It returns a
+// *settings.ListError with all errors.
+func Parse(data []byte) (Document, error) {
+	object := settings.Read(data, &settings.Collector{}).Object()
+	if object.Optional("services").Present() {
+		return ParseTemplate(data)
+	}
+	return ParseOrganisation(data)
+}
+
+// ParseTemplate reads a template and checks it with the defaults of its
+// parameters. It returns a *settings.ListError with all errors.
+func ParseTemplate(data []byte) (Template, error) {
+	collector := &settings.Collector{}
+	template, _ := readTemplate(data, nil, collector)
+	if err := collector.Err(); err != nil {
+		return Template{}, err
+	}
+	return template, nil
+}
+
+// ParseOrganisation reads an organisation. The values of its parameters are
+// checked by Render. It returns a *settings.ListError with all errors.
+func ParseOrganisation(data []byte) (Organisation, error) {
+	collector := &settings.Collector{}
+	object := settings.Read(data, collector).Object()
+	organisation := Organisation{
+		name:   object.Required("name").Text(nameRule()),
+		kind:   object.Required("kind").Text(nameRule()),
+		source: data,
+	}
+	parameters := object.Optional("parameters")
+	if parameters.Present() {
+		readScalars(parameters)
+	}
+	object.Close()
+	if err := collector.Err(); err != nil {
+		return Organisation{}, err
+	}
+	return organisation, nil
+}
+
+func readScalars(field settings.Value) {
+	object := field.Object()
+	for _, name := range object.Names() {
+		value := object.Required(name)
+		switch plain(value.Raw()).(type) {
+		case string, int64, bool:
+		default:
+			value.Reject("a string, an integer or a boolean")
+		}
+	}
+}
+
+// readTemplate reads a template with the values of an organisation; nil values
+// mean the defaults.
+func readTemplate(data []byte, values map[string]any, collector *settings.Collector) (Template, []ServiceRules) {
+	object := settings.Read(data, collector).Object()
+	defer object.Close()
+	template := Template{kind: object.Required("kind").Text(nameRule()), source: data}
+	if parameters := object.Optional("parameters"); parameters.Present() {
+		template.parameters = readParameters(parameters)
+	}
+	services := object.Required("services")
+	return template, readServices(services.Resolve(resolver(template.parameters, values)))
+}
+
+func readServices(field settings.Value) []ServiceRules {
+	items := field.Items()
+	if field.Present() && len(items) == 0 {
+		field.Reject("at least one service")
+	}
+	services := make([]ServiceRules, 0, len(items))
+	for _, item := range items {
+		service := readService(item)
+		for _, earlier := range services {
+			if earlier.name == service.name && service.name != "" {
+				item.Errors().Add(item.Path()+".name", "the name "+service.name+" again", "a name that no earlier service has")
+			}
+		}
+		services = append(services, service)
+	}
+	return services
+}
+
+func readService(item settings.Value) ServiceRules {
+	object := item.Object()
+	defer object.Close()
+	rules := ServiceRules{name: object.Required("name").Text(nameRule())}
+	keyed := object.Required("keyed")
+	rules.keyed = keyed.Bool()
+	rules.shards = readShards(object, keyed, rules.keyed)
+	rules.fencing, rules.settleMillis = readFencing(object, keyed, rules.keyed)
+	rules.queueLimit = int(object.Optional("queueLimit").IntOr(DefaultQueueLimit, settings.NewRange(0, maxQueue, "requests")))
+	routes := object.Required("routes")
+	for _, route := range routes.Items() {
+		rules.routes = append(rules.routes, readRoute(route))
+	}
+	if _, isArray := routes.Raw().([]any); isArray && len(rules.routes) == 0 {
+		routes.Reject("at least one route")
+	}
+	return rules
+}
+
+func readShards(object *settings.Object, keyed settings.Value, isKeyed bool) uint32 {
+	limits := settings.NewRange(1, maxShards, "shards")
+	if isKeyed {
+		return uint32(object.Required("shards").Int(limits))
+	}
+	shards := object.Optional("shards")
+	if shards.Present() && keyed.Present() && keyed.Known() {
+		shards.Reject("no shards for a service without keys")
+	}
+	return 0
+}
+
+func readFencing(object *settings.Object, keyed settings.Value, isKeyed bool) (upstream.Fencing, clock.Millis) {
+	field := object.Optional("fencing")
+	if isKeyed {
+		field = object.Required("fencing")
+	}
+	none := string(upstream.FencingNone)
+	rule := settings.OneOf(string(upstream.FencingEpoch), string(upstream.FencingDeadline), none)
+	if !isKeyed && keyed.Known() {
+		// Without keys there is no owner, and so no epoch to check.
+		rule = settings.OneOf(string(upstream.FencingDeadline), none)
+	}
+	fencing := field.Text(rule)
+	settle := object.Optional("settleMillis")
+	if isKeyed && fencing == none {
+		// A new owner can't know how long old orders lie in the buffers.
+		settle = object.Required("settleMillis")
+	}
+	if fencing == "" {
+		fencing = none
+	}
+	return upstream.Fencing(fencing), clock.Millis(settle.Int(settings.NewRange(0, maxMillis, "ms")))
+}
+
+func readRoute(item settings.Value) RouteRules {
+	object := item.Object()
+	defer object.Close()
+	methods := settings.OneOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+	route := RouteRules{
+		method:     object.Optional("method").Text(methods),
+		pathSuffix: object.Optional("pathSuffix").Text(settings.NonEmpty()),
+		idempotent: object.Required("idempotent").Bool(),
+	}
+	priority := object.Optional("priority").TextOr(PriorityNormal.String(), settings.OneOf(priorityNames()...))
+	route.priority, _ = ParsePriority(priority)
+	route.timeout = clock.Millis(object.Optional("timeoutMillis").IntOr(DefaultTimeoutMillis, settings.NewRange(1, maxMillis, "ms")))
+	return route
+}
