Check acceptance and caller records against the invariants

Ruled out: checking overlaps by shard alone, since a hot key has an owner of its own; taking any not-run answer of a repeated request ID as a violation, since a later attempt may have run.

Change: core/audit reports typed findings over JSON line records (core/audit/record). A read in flight during a handover may end later. Two orders in one epoch under two upstreams are always reported. core/measure computes peak-to-mean load, ownership changes for each key and the gaps between done answers of each shard.

--- /dev/null
+++ b/core/audit/audit.go
@@ -0,0 +1,197 @@
+// Package audit checks a history of acceptances at upstreams and calls of
+// callers against the invariants of briarwell.
+//
+// All records must come from one wall clock. Two overlaps are allowed: reads
+// (GET and HEAD) that an upstream accepted before the next owner accepted its
+// first order may end later, and orders of one upstream may overlap whatever
+// their epochs. Idempotent requests may run several times.
+package audit
+
+import (
+	"cmp"
+	"slices"
+
+	"briarwell.dev/core/audit/record"
+)
+
+// History is what a run left behind. The zero value is an empty history.
+type History struct {
+	acceptances []record.Acceptance
+	calls       []record.Call
+	effects     map[keyName]map[string]bool
+	hotKeys     map[keyName]bool
+}
+
+type keyName struct{ service, key string }
+
+// Accept adds acceptances.
+func (h *History) Accept(acceptances ...record.Acceptance) {
+	h.acceptances = append(h.acceptances, acceptances...)
+}
+
+// Call adds calls.
+func (h *History) Call(calls ...record.Call) {
+	h.calls = append(h.calls, calls...)
+}
+
+// Effects adds request IDs whose effects are present at a key at the end. Lost
+// effects are reported only for keys that were given, even with no IDs.
+func (h *History) Effects(service, key string, requestIDs ...string) {
+	if h.effects == nil {
+		h.effects = make(map[keyName]map[string]bool)
+	}
+	name := keyName{service: service, key: key}
+	if h.effects[name] == nil {
+		h.effects[name] = make(map[string]bool)
+	}
+	for _, id := range requestIDs {
+		h.effects[name][id] = true
+	}
+}
+
+// HotKey names a key that had an ownership entry of its own at some time. It
+// is checked as a key, and not as a part of its shard.
+func (h *History) HotKey(service, key string) {
+	if h.hotKeys == nil {
+		h.hotKeys = make(map[keyName]bool)
+	}
+	h.hotKeys[keyName{service: service, key: key}] = true
+}
+
+// Check returns all findings, those on ownership first.
+func (h *History) Check() []Finding {
+	runs := h.runsByID()
+	findings := h.checkOwners()
+	findings = append(findings, h.checkDuplicates(runs)...)
+	findings = append(findings, h.checkNotRun(runs)...)
+	findings = append(findings, h.checkDone(runs)...)
+	findings = append(findings, h.checkBodies()...)
+	findings = append(findings, h.checkVersions()...)
+	return findings
+}
+
+type requestName struct{ service, id string }
+
+func (h *History) runsByID() map[requestName][]record.Acceptance {
+	runs := make(map[requestName][]record.Acceptance)
+	for _, a := range h.acceptances {
+		if a.RequestID != "" {
+			name := requestName{service: a.Service, id: a.RequestID}
+			runs[name] = append(runs[name], a)
+		}
+	}
+	return runs
+}
+
+// checkDuplicates takes a request as idempotent if its caller says so or, when
+// no caller recorded it, if HTTP defines its method as idempotent.
+func (h *History) checkDuplicates(runs map[requestName][]record.Acceptance) []Finding {
+	known := make(map[requestName]bool)
+	for _, c := range h.calls {
+		known[requestName{service: c.Service, id: c.RequestID}] = c.Idempotent
+	}
+	var findings []Finding
+	for name, accepted := range runs {
+		idempotent, called := known[name]
+		if !called {
+			idempotent = accepted[0].Method != "POST" && accepted[0].Method != "PATCH"
+		}
+		if len(accepted) > 1 && !idempotent {
+			findings = append(findings, DuplicateRun{runs: accepted})
+		}
+	}
+	return findings
+}
+
+// checkNotRun reports runs that began before any attempt was sent that may have
+// caused them: each attempt that was sent by then was answered as not run.
+func (h *History) checkNotRun(runs map[requestName][]record.Acceptance) []Finding {
+	attempts := make(map[requestName][]record.Call)
+	for _, c := range h.calls {
+		name := requestName{service: c.Service, id: c.RequestID}
+		if c.RequestID != "" {
+			attempts[name] = append(attempts[name], c)
+		}
+	}
+	var findings []Finding
+	for name, calls := range attempts {
+		for _, run := range runs[name] {
+			sentBefore := func(c record.Call) bool { return c.SentUnixMicros <= run.StartUnixMicros }
+			mayHaveRun := func(c record.Call) bool { return sentBefore(c) && c.Outcome != "not-run" }
+			refused := slices.IndexFunc(calls, func(c record.Call) bool { return sentBefore(c) && c.Outcome == "not-run" })
+			if refused >= 0 && !slices.ContainsFunc(calls, mayHaveRun) {
+				findings = append(findings, NotRunRan{call: calls[refused], run: run})
+			}
+		}
+	}
+	return findings
+}
+
+func (h *History) checkDone(runs map[requestName][]record.Acceptance) []Finding {
+	var findings []Finding
+	for _, c := range h.calls {
+		if c.Outcome != "done" || c.RequestID == "" {
+			continue
+		}
+		if len(runs[requestName{service: c.Service, id: c.RequestID}]) == 0 {
+			findings = append(findings, DoneNeverRan{call: c})
+			continue
+		}
+		present, listed := h.effects[keyName{service: c.Service, key: c.Key}]
+		if listed && !c.Idempotent && succeeded(c) && !present[c.RequestID] {
+			findings = append(findings, LostEffect{call: c})
+		}
+	}
+	return findings
+}
+
+func succeeded(c record.Call) bool { return c.Status >= 200 && c.Status < 300 }
+
+func (h *History) checkBodies() []Finding {
+	var findings []Finding
+	for _, c := range h.calls {
+		if c.AnsweredID != "" && c.AnsweredID != c.RequestID {
+			findings = append(findings, ForeignAnswer{call: c})
+			continue
+		}
+		if !c.Complete || c.ExpectedDigest == "" || c.Digest == c.ExpectedDigest {
+			continue
+		}
+		if c.Bytes < c.ExpectedBytes {
+			findings = append(findings, TruncatedAsComplete{call: c})
+		} else {
+			findings = append(findings, ForeignAnswer{call: c})
+		}
+	}
+	return findings
+}
+
+// checkVersions compares only calls that did not overlap, since answers of
+// overlapping calls may arrive in any order.
+func (h *History) checkVersions() []Finding {
+	byDaemon := make(map[string][]record.Call)
+	for _, c := range h.calls {
+		if c.ConfigVersion > 0 {
+			byDaemon[c.Daemon] = append(byDaemon[c.Daemon], c)
+		}
+	}
+	var findings []Finding
+	for _, bySent := range byDaemon {
+		byReceived := slices.Clone(bySent)
+		slices.SortFunc(bySent, func(a, b record.Call) int { return cmp.Compare(a.SentUnixMicros, b.SentUnixMicros) })
+		slices.SortFunc(byReceived, func(a, b record.Call) int { return cmp.Compare(a.ReceivedUnixMicros, b.ReceivedUnixMicros) })
+		var newest record.Call
+		next := 0
+		for _, c := range bySent {
+			for ; next < len(byReceived) && byReceived[next].ReceivedUnixMicros < c.SentUnixMicros; next++ {
+				if byReceived[next].ConfigVersion > newest.ConfigVersion {
+					newest = byReceived[next]
+				}
+			}
+			if c.ConfigVersion < newest.ConfigVersion {
+				findings = append(findings, ConfigurationBack{before: newest, after: c})
+			}
+		}
+	}
+	return findings
+}
--- /dev/null
+++ b/core/audit/record/record.go
@@ -0,0 +1,109 @@
+// Package record holds the JSON line formats that the audit reads: acceptances
+// written by upstream stand-ins and calls written by callers.
+package record
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+)
+
+// Acceptance is one order that an upstream accepted and ran.
+type Acceptance struct {
+	Upstream        string `json:"upstream"`
+	Service         string `json:"service"`
+	Key             string `json:"key"`
+	Shard           uint32 `json:"shard"`
+	Epoch           uint64 `json:"epoch"`
+	RequestID       string `json:"requestId"`
+	Method          string `json:"method"`
+	StartUnixMicros int64  `json:"startUnixMicros"`
+	EndUnixMicros   int64  `json:"endUnixMicros"`
+}
+
+// Call is one attempt of a request as its caller saw it. Attempts of the same
+// request share the request ID.
+type Call struct {
+	RequestID  string `json:"requestId"`
+	Attempt    int    `json:"attempt"`
+	Service    string `json:"service"`
+	Route      string `json:"route"`
+	Method     string `json:"method"`
+	Key        string `json:"key,omitempty"`
+	Shard      uint32 `json:"shard"`
+	Idempotent bool   `json:"idempotent"`
+	// Daemon is the address that the caller sent to.
+	Daemon string `json:"daemon"`
+	// ServedBy is the instance that answered.
+	ServedBy string `json:"servedBy,omitempty"`
+	Epoch    uint64 `json:"epoch,omitempty"`
+	// Outcome is "done", "not-run", "unknown", or "" if no answer arrived.
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason,omitempty"`
+	Status  int    `json:"status"`
+	// Complete tells whether the body ended as HTTP/1.1 says it must.
+	Complete       bool   `json:"complete"`
+	Bytes          int64  `json:"bytes"`
+	ExpectedBytes  int64  `json:"expectedBytes,omitempty"`
+	Digest         string `json:"digest,omitempty"`
+	ExpectedDigest string `json:"expectedDigest,omitempty"`
+	// AnsweredID is the request ID that the answer itself names, if any.
+	AnsweredID string `json:"answeredId,omitempty"`
+	// ConfigVersion is the version that the daemon reported, 0 if none.
+	ConfigVersion      uint64 `json:"configVersion,omitempty"`
+	IntendedUnixMicros int64  `json:"intendedUnixMicros"`
+	SentUnixMicros     int64  `json:"sentUnixMicros"`
+	ReceivedUnixMicros int64  `json:"receivedUnixMicros"`
+}
+
+// LineError reports a line that isn't a record.
+type LineError struct {
+	line  int
+	cause error
+}
+
+// Line returns the line number, from 1.
+func (e *LineError) Line() int { return e.line }
+
+func (e *LineError) Error() string { return fmt.Sprintf("record in line %d: %v", e.line, e.cause) }
+
+// Unwrap returns the cause.
+func (e *LineError) Unwrap() error { return e.cause }
+
+// Read reads JSON lines. A last line without a line feed is ignored, since its
+// writer may have been killed. Any other malformed line gives a *LineError.
+func Read[T any](source io.Reader) ([]T, error) {
+	var records []T
+	reader := bufio.NewReader(source)
+	for line := 1; ; line++ {
+		text, err := reader.ReadBytes('\n')
+		if errors.Is(err, io.EOF) {
+			return records, nil
+		}
+		if err != nil {
+			return nil, &LineError{line: line, cause: err}
+		}
+		if len(bytes.TrimSpace(text)) == 0 {
+			continue
+		}
+		var parsed T
+		if err := json.Unmarshal(text, &parsed); err != nil {
+			return nil, &LineError{line: line, cause: err}
+		}
+		records = append(records, parsed)
+	}
+}
+
+// ReadFile reads the JSON lines of a file.
+func ReadFile[T any](path string) ([]T, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	return Read[T](file)
+}
--- /dev/null
+++ b/core/measure/measure_test.go
@@ -0,0 +1,52 @@
+package measure_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/core/audit/record"
+	"briarwell.dev/core/measure"
+)
+
+// TestImbalanceAndChurn guards against loads or owner changes that are counted
+// per order instead of per upstream and key.
+func TestImbalanceAndChurn(t *testing.T) {
+	is := is.New(t)
+	order := func(upstream, key string, start, end int64) record.Acceptance {
+		return record.Acceptance{Service: "s", Upstream: upstream, Key: key, Epoch: 1, StartUnixMicros: start, EndUnixMicros: end}
+	}
+	records := []record.Acceptance{order("a", "x", 0, 30), order("b", "x", 40, 50), order("a", "x", 60, 60), order("a", "y", 5, 5)}
+	imbalance := measure.Imbalances(records)
+	is.Equal(len(imbalance), 1)
+	is.Equal(imbalance[0].Upstreams(), 2)
+	is.Equal(imbalance[0].PeakToMean(), 1.5)
+	churn := measure.Churn(records)
+	is.Equal(churn.Count(), 2)
+	is.Equal(churn.Quantile(0.5), 0.0)
+	is.Equal(churn.Max(), 2.0)
+}
+
+// TestGaps guards against counting idle time as time without service, and
+// against missing a gap at either end of a run.
+func TestGaps(t *testing.T) {
+	is := is.New(t)
+	call := func(shard uint32, outcome string, sent, received int64) record.Call {
+		return record.Call{Service: "s", Key: "k", Shard: shard, Outcome: outcome, SentUnixMicros: sent, ReceivedUnixMicros: received}
+	}
+	gaps := measure.Gaps([]record.Call{
+		call(1, "done", 0, 1000), call(1, "done", 90_000, 91_000), // idle
+		call(2, "not-run", 0, 500), call(2, "done", 4000, 6000),
+		call(3, "done", 0, 1000), call(3, "unknown", 2000, 9000), call(3, "", 9100, 9200),
+	})
+	is.Equal(len(gaps), 2)
+	is.Equal(gaps[0].Shard(), measure.NewShard("s", 2))
+	is.Equal(gaps[0].Millis(), 6.0)
+	is.Equal(gaps[1].Millis(), 8.2)
+	longest, ok := measure.Longest(gaps, 7000, 8000)
+	is.True(ok)
+	is.Equal(longest.Shard().Number(), uint32(3))
+	_, ok = measure.Longest(gaps, 10_000, 20_000)
+	is.True(!ok)
+	is.Equal(measure.Lengths(gaps).Max(), 8.2)
+}
