Send open-loop loads and compare the paths to an upstream

Cause: the release needs goodput, latency and records of what callers see, and the cost of one and two daemons against a direct call.

Ruled out: a closed loop, whose latencies hide the requests that were not sent during a stall; client retries inside fasthttp, which would hide duplicate sends from the records.

Change: bwload reads a strictly checked workload file, sends each request at its intended time and counts latency from there. A repeat keeps the request ID, and keeps the stamp once an attempt may have run. bench alternates direct, one daemon and two daemons within each round and reads CPU time from /proc.

Conclusion: ready for the first daemon; the header names of the stand-in's digest are still assumed.

--- /dev/null
+++ b/load/bench/cpu.go
@@ -0,0 +1,52 @@
+package bench
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+)
+
+const (
+	// tick is the unit of CPU times in /proc; Linux reports 100 ticks a second to
+	// programs on all platforms that Go supports.
+	tick = 10 * time.Millisecond
+	// userField and systemField are the positions of utime and stime after the
+	// command's closing parenthesis, see proc(5).
+	userField   = 11
+	systemField = 12
+)
+
+// cpuTime returns the user and system time that a process used.
+func cpuTime(pid int) (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	fields := bytes.Fields(text[bytes.LastIndexByte(text, ')')+1:])
+	if len(fields) <= systemField {
+		return 0, fmt.Errorf("/proc/%d/stat has %d fields", pid, len(fields))
+	}
+	var sum time.Duration
+	for _, index := range []int{userField, systemField} {
+		ticks, err := strconv.ParseInt(string(fields[index]), 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("parse /proc/%d/stat: %w", pid, err)
+		}
+		sum += time.Duration(ticks) * tick
+	}
+	return sum, nil
+}
+
+func cpuTimes(pids []int) (time.Duration, error) {
+	var sum time.Duration
+	for _, pid := range pids {
+		used, err := cpuTime(pid)
+		if err != nil {
+			return 0, err
+		}
+		sum += used
+	}
+	return sum, nil
+}
--- /dev/null
+++ b/load/main.go
@@ -0,0 +1,175 @@
+// Command bwload sends an open-loop load to daemons and reports what callers
+// see.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+
+	"briarwell.dev/core/audit/record"
+	"briarwell.dev/load/bench"
+	"briarwell.dev/load/report"
+	"briarwell.dev/load/runner"
+	"briarwell.dev/load/workload"
+)
+
+// runOptions are the options of a load run.
+type runOptions struct {
+	workload    string
+	targets     []string
+	records     string
+	acceptances []string
+	json        string
+	idPrefix    string
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := run(ctx)
+	stop()
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "bwload:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context) error {
+	options := runOptions{idPrefix: fmt.Sprintf("%x", time.Now().UnixNano())}
+	settings := bench.Settings{Rate: 3500, Rounds: 5, Round: 5 * time.Second}
+	flaggy.SetName("bwload")
+	flaggy.SetDescription("Sends an open-loop load to daemons and reports what callers see.")
+	flaggy.DisableCompletion()
+	flaggy.String(&options.workload, "w", "workload", "workload file")
+	flaggy.StringSlice(&options.targets, "t", "targets", "REGION=ADDRESS of a daemon; may be given several times")
+	flaggy.String(&options.records, "r", "records", "file that receives one JSON line for each attempt")
+	flaggy.StringSlice(&options.acceptances, "a", "acceptances", "acceptance file of an upstream, read after the run")
+	flaggy.String(&options.json, "j", "json", "file that receives the report as JSON")
+	flaggy.String(&options.idPrefix, "", "id-prefix", "prefix of the request IDs, unique for each run")
+	comparison := benchCommand(&settings)
+	flaggy.AttachSubcommand(comparison, 1)
+	flaggy.Parse()
+	if comparison.Used {
+		results, err := bench.Run(ctx, settings)
+		if err != nil {
+			return err
+		}
+		return bench.Print(os.Stdout, results)
+	}
+	return options.run(ctx)
+}
+
+func benchCommand(s *bench.Settings) *flaggy.Subcommand {
+	c := flaggy.NewSubcommand("bench")
+	c.Description = "Compares direct calls with calls through one and two daemons."
+	c.String(&s.Upstream, "", "upstream", "address of the upstream")
+	c.String(&s.Local, "", "local", "address of the upstream's daemon")
+	c.String(&s.Remote, "", "remote", "address of another daemon")
+	c.String(&s.Owner, "", "owner", "name of the upstream's instance")
+	c.Int(&s.UpstreamPID, "", "upstream-pid", "process ID of the upstream")
+	c.Int(&s.LocalPID, "", "local-pid", "process ID of the upstream's daemon")
+	c.Int(&s.RemotePID, "", "remote-pid", "process ID of the other daemon")
+	c.String(&s.Service, "", "service", "organisation/service")
+	c.String(&s.Path, "", "path", "path after the key")
+	c.Float64(&s.Rate, "", "rate", "requests a second")
+	c.Int(&s.Rounds, "", "rounds", "number of rounds")
+	c.Duration(&s.Round, "", "round", "measured time of each path in a round")
+	return c
+}
+
+func (o runOptions) run(ctx context.Context) error {
+	file, err := workload.ReadFile(o.workload)
+	if err != nil {
+		return eris.Wrap(err, "read workload")
+	}
+	results, err := o.send(ctx, file)
+	if err != nil {
+		return err
+	}
+	calls, acceptances, err := o.readRecords()
+	if err != nil {
+		return err
+	}
+	summary := report.New(results, calls, acceptances)
+	if err := writeJSON(o.json, summary); err != nil {
+		return eris.Wrap(err, "write report")
+	}
+	return summary.Print(os.Stdout)
+}
+
+func (o runOptions) send(ctx context.Context, file workload.File) (*runner.Results, error) {
+	targets, err := parseTargets(o.targets)
+	if err != nil {
+		return nil, err
+	}
+	if o.records == "" {
+		load, err := runner.New(file, targets, o.idPrefix, nil)
+		if err != nil {
+			return nil, err
+		}
+		return load.Run(ctx), nil
+	}
+	records, err := os.Create(o.records)
+	if err != nil {
+		return nil, eris.Wrap(err, "create record file")
+	}
+	load, err := runner.New(file, targets, o.idPrefix, records)
+	if err != nil {
+		return nil, err
+	}
+	results := load.Run(ctx)
+	if err := records.Close(); err != nil {
+		return nil, eris.Wrap(err, "close record file")
+	}
+	return results, results.Err()
+}
+
+func (o runOptions) readRecords() ([]record.Call, []record.Acceptance, error) {
+	if o.records == "" {
+		return nil, nil, nil
+	}
+	calls, err := record.ReadFile[record.Call](o.records)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "read records")
+	}
+	var acceptances []record.Acceptance
+	for _, path := range o.acceptances {
+		accepted, err := record.ReadFile[record.Acceptance](path)
+		if err != nil {
+			return nil, nil, eris.Wrapf(err, "read acceptances of %s", path)
+		}
+		acceptances = append(acceptances, accepted...)
+	}
+	return calls, acceptances, nil
+}
+
+func parseTargets(texts []string) (runner.Targets, error) {
+	targets := make(runner.Targets)
+	for _, text := range texts {
+		region, address, found := strings.Cut(text, "=")
+		if !found || region == "" || address == "" {
+			return nil, fmt.Errorf("target %q is not REGION=ADDRESS", text)
+		}
+		targets[region] = append(targets[region], address)
+	}
+	return targets, nil
+}
+
+func writeJSON(path string, value any) error {
+	if path == "" {
+		return nil
+	}
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
--- /dev/null
+++ b/load/workload/workload_test.go
@@ -0,0 +1,66 @@
+package workload_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/load/workload"
+)
+
+const valid = `{"rate": 10, "durationSeconds": 1, "timeoutMillis": 1000, "seed": 7,
+"regions": [{"name": "lagos", "weight": 1, "clientDelayMillis": 8}],
+"services": [{"name": "attire/bookings", "weight": 1, "keys": 1000, "shards": 64, "zipf": 1.2,
+"festival": {"hotKeys": 61, "share": 1, "changeSeconds": 60},
+"routes": [{"name": "deposit", "weight": 1, "method": "POST", "path": "/deposits"}]}]}`
+
+// TestProblems guards against a wrong workload file that starts a run, and
+// against errors that don't name their field.
+func TestProblems(t *testing.T) {
+	cases := []struct{ old, changed, path string }{
+		{`"rate": 10`, `"rate": 0`, "rate"},
+		{`"weight": 1, "clientDelayMillis": 8`, `"weight": 1, "clientDelayMillis": -8`, "regions[0].clientDelayMillis"},
+		{`attire/bookings`, `bookings`, "services[0].name"},
+		{`"shards": 64`, `"shards": 0`, "services[0].shards"},
+		{`"zipf": 1.2`, `"zipf": 0.9`, "services[0].zipf"},
+		{`"hotKeys": 61`, `"hotKeys": 1001`, "services[0].festival.hotKeys"},
+		{`"POST"`, `"FETCH"`, "services[0].routes[0].method"},
+		{`"/deposits"`, `"deposits"`, "services[0].routes[0].path"},
+	}
+	for _, c := range cases {
+		t.Run(c.path, func(t *testing.T) {
+			is := is.New(t)
+			_, err := workload.Parse([]byte(strings.Replace(valid, c.old, c.changed, 1)))
+			var invalid *workload.InvalidError
+			is.True(errors.As(err, &invalid))
+			is.Equal(len(invalid.Problems()), 1)
+			is.Equal(invalid.Problems()[0].Path(), c.path)
+		})
+	}
+	for _, text := range []string{strings.Replace(valid, "rate", "rates", 1), valid + "{}", valid[:20]} {
+		_, err := workload.Parse([]byte(text))
+		is.New(t).True(err != nil)
+	}
+}
+
+// TestDraw guards against runs that can't be repeated by their seed, and hot
+// keys that are too many or never change.
+func TestDraw(t *testing.T) {
+	is := is.New(t)
+	file, err := workload.Parse([]byte(valid))
+	is.NoErr(err)
+	first, second := workload.NewDrawer(file), workload.NewDrawer(file)
+	hot := make(map[string]bool)
+	for range 5000 {
+		r := first.Next(time.Second)
+		is.Equal(r, second.Next(time.Second))
+		hot[r.Key()] = true
+	}
+	is.Equal(len(hot), 61)
+	for range 100 {
+		is.True(!hot[first.Next(90*time.Second).Key()])
+	}
+}
