Read the stand-in's acceptance log and check its answers

Cause: the upstream stand-in logs organisation and service apart and says whether an order had an effect; its answers name the key and the request IDs.

Ruled out: counting an order without effect as run, since the upstream refused or stopped it at its second check.

Conclusion: the audit takes the stand-in's log as it is.

--- a/core/audit/record/record.go
+++ b/core/audit/record/record.go
@@ -12,9 +12,10 @@
 	"os"
 )
 
-// Acceptance is one order that an upstream accepted and ran.
+// Acceptance is one order that passed the checks of an upstream.
 type Acceptance struct {
 	Upstream        string `json:"upstream"`
+	Organisation    string `json:"organisation"`
 	Service         string `json:"service"`
 	Key             string `json:"key"`
 	Shard           uint32 `json:"shard"`
@@ -23,13 +24,20 @@
 	Method          string `json:"method"`
 	StartUnixMicros int64  `json:"startUnixMicros"`
 	EndUnixMicros   int64  `json:"endUnixMicros"`
+	// Effect tells whether the order ran to its end. It is false for an order
+	// that was cancelled, or refused at a later check before its effect.
+	Effect bool `json:"effect"`
 }
 
+// ServiceName returns "organisation/service".
+func (a Acceptance) ServiceName() string { return a.Organisation + "/" + a.Service }
+
 // Call is one attempt of a request as its caller saw it. Attempts of the same
 // request share the request ID.
 type Call struct {
-	RequestID  string `json:"requestId"`
-	Attempt    int    `json:"attempt"`
+	RequestID string `json:"requestId"`
+	Attempt   int    `json:"attempt"`
+	// Service is "organisation/service".
 	Service    string `json:"service"`
 	Route      string `json:"route"`
 	Method     string `json:"method"`
--- a/load/runner/attempt.go
+++ b/load/runner/attempt.go
@@ -1,11 +1,8 @@
 package runner
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"hash"
+	"io"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -19,15 +16,6 @@
 	// statusOlderEpoch answers a repeat whose first attempt belongs to an older
 	// epoch; further repeats get the same answer.
 	statusOlderEpoch = fasthttp.StatusConflict
-	// digestHeader carries the SHA-256 digest of the body that the upstream sent,
-	// or of the body that it received.
-	digestHeader = "Standin-Digest"
-	// lengthHeader carries the length of that body.
-	lengthHeader = "Standin-Length"
-	// answeredHeader carries the request ID that the upstream answered.
-	answeredHeader = "Standin-Request-Id"
-	// versionHeader carries the configuration version of the daemon.
-	versionHeader = "Briarwell-Config-Version"
 )
 
 // call identifies one attempt.
@@ -85,34 +73,22 @@
 		outgoing.Header.Set(outcome.HeaderStamp, c.stamp)
 	}
 	if route.BodyBytes > 0 {
-		outgoing.SetBodyRaw(body(c.id, route.BodyBytes))
+		outgoing.SetBodyRaw(requestBody(c.id, route.BodyBytes))
 	}
 }
 
-// body returns the bytes of a request body: the ID, repeated.
-func body(id string, length int) []byte {
-	return []byte(strings.Repeat(id+"\n", length/(len(id)+1)+1)[:length])
-}
-
 func (r *Runner) read(result *record.Call, request workload.Request, response *fasthttp.Response) {
 	header := func(name string) string { return string(response.Header.Peek(name)) }
 	result.Outcome = header(outcome.HeaderOutcome)
 	result.Reason = header(outcome.HeaderReason)
 	result.ServedBy = header(outcome.HeaderServedBy)
-	result.AnsweredID = header(answeredHeader)
 	result.Status = response.StatusCode()
 	result.Epoch, _ = strconv.ParseUint(header(outcome.HeaderEpoch), 10, 64)
-	result.ConfigVersion, _ = strconv.ParseUint(header(versionHeader), 10, 64)
 	r.stamps.learn(request, result.Epoch, header(outcome.HeaderStamp))
 
-	digest := sha256.New()
-	result.Bytes, result.Complete = readBody(response, digest)
-	result.ExpectedDigest = header(digestHeader)
-	result.ExpectedBytes, _ = strconv.ParseInt(header(lengthHeader), 10, 64)
-	result.Digest = hexDigest(digest)
-	if request.Route().Method == fasthttp.MethodHead {
-		result.ExpectedDigest = ""
+	if result.Outcome != (outcome.Done{}).String() || result.Status != fasthttp.StatusOK {
+		result.Bytes, result.Complete = readBody(response, io.Discard)
+		return
 	}
+	r.checkAnswer(result, request, response)
 }
-
-func hexDigest(digest hash.Hash) string { return hex.EncodeToString(digest.Sum(nil)) }
--- a/load/runner/runner.go
+++ b/load/runner/runner.go
@@ -48,18 +48,29 @@
 	file     workload.File
 	idPrefix string
 	regions  [][]*target
-	stamps   *stamps
-	results  *Results
-	sequence atomic.Uint64
-	records  *json.Encoder
-	lock     sync.Mutex
+	// downloads holds the expected answers of pattern routes.
+	downloads map[*workload.Route]download
+	stamps    *stamps
+	results   *Results
+	sequence  atomic.Uint64
+	records   *json.Encoder
+	lock      sync.Mutex
 }
 
 // New returns a runner of a checked workload. The ID prefix keeps the request
 // IDs of runs apart. Records receives one JSON line for each attempt; nil means
 // none. It returns a *MissingTargetsError.
 func New(file workload.File, targets Targets, idPrefix string, records io.Writer) (*Runner, error) {
-	r := &Runner{file: file, idPrefix: idPrefix, stamps: newStamps(), results: newResults()}
+	r := &Runner{
+		file: file, idPrefix: idPrefix, stamps: newStamps(), results: newResults(),
+		downloads: make(map[*workload.Route]download),
+	}
+	for i := range file.Services {
+		for j := range file.Services[i].Routes {
+			route := &file.Services[i].Routes[j]
+			r.downloads[route] = expectDownload(route)
+		}
+	}
 	if records != nil {
 		r.records = json.NewEncoder(records)
 	}
--- a/load/runner/runner_test.go
+++ b/load/runner/runner_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"briarwell.dev/core/audit"
 	"briarwell.dev/core/audit/record"
 	"briarwell.dev/load/runner"
 	"briarwell.dev/load/workload"
@@ -54,6 +55,42 @@
 	is.Equal(results.Routes()[0].Outcomes(), map[string]int64{"done": 1})
 }
 
+// TestAnswers guards against an answer of another request, key or body that is
+// recorded as the right one.
+func TestAnswers(t *testing.T) {
+	get := `{"name": "g", "weight": 1, "method": "GET", "path": "", "idempotent": true}`
+	post := `{"name": "p", "weight": 1, "method": "POST", "path": "/deposit"}`
+	put := `{"name": "u", "weight": 1, "method": "PUT", "path": "", "bodyBytes": 3}`
+	download := `{"name": "d", "weight": 1, "method": "GET", "path": "/pattern?bytes=3", "stream": true}`
+	cases := []struct {
+		route, body string
+		findings    int
+	}{
+		{get, `{"key":"k0000000"}`, 0},
+		{get, `{"key":"other"}`, 1},
+		{post, `{"key":"k0000000","requests":["t-0","t-1"]}`, 0},
+		{post, `{"key":"k0000000","requests":["t-0"]}`, 1},
+		{post, ``, 0},
+		{put, `{"bytes":3,"sha256":"98bb5b6f9bd1a5d1c25ccb21eb9a4ee4c9aef13f6ee14dd8f9dd1c3c1d7d0a2c"}`, 1},
+		{download, "\x00\x1f\x3e", 0},
+		{download, "\x00\x1f\x3f", 1},
+		{download, "\x00\x1f", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.route+c.body, func(t *testing.T) {
+			is := is.New(t)
+			_, calls := runOne(is, c.route, 1, func(ctx *fasthttp.RequestCtx) {
+				ctx.Response.Header.Set("Briarwell-Outcome", "done")
+				ctx.SetBodyString(c.body)
+			})
+			var h audit.History
+			h.Accept(record.Acceptance{Organisation: "o", Service: "s", RequestID: "t-1", Effect: true})
+			h.Call(calls...)
+			is.Equal(len(h.Check()), c.findings)
+		})
+	}
+}
+
 // TestTruncated guards against counting a response that ends early as good.
 func TestTruncated(t *testing.T) {
 	for _, stream := range []string{"true", "false"} {
