Start the processes of the main job on loopback addresses

Cause: the README's main job and the fault tests need real processes.

Ruled out: the death signal of the parent thread, which Go may end before the process does; process groups with a kill on every exit path are used instead.

Conclusion: not run as a whole yet.

--- /dev/null
+++ b/demo/harness/cluster.go
@@ -0,0 +1,201 @@
+package harness
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"briarwell.dev/core/audit/record"
+)
+
+const (
+	// stopTimeoutMillis bounds a graceful stop of a daemon.
+	stopTimeoutMillis = 10000
+	// platformIP holds table, objects and relays; regions start at 127.0.1.0.
+	platformIP = "127.0.0.1"
+	// firstHost is the first host number of a region's network.
+	firstHost = 11
+)
+
+// Options describes a cluster.
+type Options struct {
+	Programs Programs
+	// Folder receives logs, settings and records.
+	Folder string
+	// Root is the folder of the workspace.
+	Root string
+	// Regions names the regions; instances are spread over them in turn.
+	Regions []string
+	// Instances gives the number of instances of each service.
+	Instances []ServiceCount
+	LogLevel  string
+}
+
+// ServiceCount is a service and the number of its instances.
+type ServiceCount struct {
+	Service Service
+	Count   int
+}
+
+// Cluster is the set of processes of one run.
+type Cluster struct {
+	options      Options
+	group        *Group
+	tableAddress string
+	objectAddr   string
+	table        *Process
+	instances    []*Instance
+}
+
+// NewCluster prepares a cluster and starts nothing yet.
+func NewCluster(options Options) (*Cluster, error) {
+	group, err := NewGroup(options.Folder)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{options: options, group: group}
+	if c.tableAddress, err = FreeAddress(platformIP); err != nil {
+		return nil, err
+	}
+	if c.objectAddr, err = FreeAddress(platformIP); err != nil {
+		return nil, err
+	}
+	hosts := make([]int, len(options.Regions))
+	for _, s := range options.Instances {
+		for n := range s.Count {
+			region := n % len(options.Regions)
+			if err := c.addInstance(s.Service, region, hosts[region]); err != nil {
+				return nil, err
+			}
+			hosts[region]++
+		}
+	}
+	return c, nil
+}
+
+func (c *Cluster) addInstance(service Service, region, host int) error {
+	name := c.options.Regions[region]
+	domain := fmt.Sprintf("%s-%c", name, 'a'+rune(host%2))
+	i := &Instance{
+		cluster: c, region: name, failureDomain: domain, service: service,
+		name: fmt.Sprintf("%s-%d", domain, host+1),
+		ip:   fmt.Sprintf("127.0.%d.%d", region+1, firstHost+host),
+	}
+	for _, address := range []*string{&i.addresses.HTTP, &i.addresses.Peer, &i.addresses.Local, &i.addresses.Upstream} {
+		free, err := FreeAddress(i.ip)
+		if err != nil {
+			return err
+		}
+		*address = free
+	}
+	c.instances = append(c.instances, i)
+	return nil
+}
+
+// Group returns the process group with the folder of the run.
+func (c *Cluster) Group() *Group { return c.group }
+
+// Instances returns all instances.
+func (c *Cluster) Instances() []*Instance { return c.instances }
+
+// TableURL returns the address of the table itself.
+func (c *Cluster) TableURL() string { return "http://" + c.tableAddress }
+
+func (c *Cluster) objectURL() string { return "http://" + c.objectAddr }
+
+// StartPlatform starts the table and the object store.
+func (c *Cluster) StartPlatform(ctx context.Context) error {
+	standIn := c.options.Programs.StandIn()
+	table, err := c.group.Start("table", standIn, "table", "--address", c.tableAddress)
+	if err != nil {
+		return err
+	}
+	c.table = table
+	objects, err := c.group.Start("objects", standIn, "objects", "--address", c.objectAddr)
+	if err != nil {
+		return err
+	}
+	if err := WaitListening(ctx, table, c.tableAddress); err != nil {
+		return err
+	}
+	return WaitListening(ctx, objects, c.objectAddr)
+}
+
+// Control runs the operator's command line and returns its output.
+func (c *Cluster) Control(ctx context.Context, arguments ...string) (string, error) {
+	arguments = append(arguments, "--table", c.TableURL(), "--objects", c.objectURL())
+	command := exec.CommandContext(ctx, c.options.Programs.Control(), arguments...)
+	text, err := command.CombinedOutput()
+	if err != nil {
+		return string(text), fmt.Errorf("%s: %w\n%s", command, err, text)
+	}
+	return string(text), nil
+}
+
+// TableFaults are the settings of POST /admin/faults of the table stand-in.
+type TableFaults struct {
+	Outage          bool    `json:"outage"`
+	DelayMillis     int     `json:"delayMillis"`
+	LoseCommitShare float64 `json:"loseCommitShare"`
+	Seed            uint64  `json:"seed"`
+}
+
+// SetTableFaults replaces the faults of the table.
+func (c *Cluster) SetTableFaults(faults TableFaults) error {
+	return post(c.TableURL()+"/admin/faults", faults)
+}
+
+// Apply applies the example configuration.
+func (c *Cluster) Apply(ctx context.Context) error {
+	for _, name := range []string{"lending-service", "onboarding", "lagos", "primeiro-dia"} {
+		path := filepath.Join(c.options.Root, "examples", name+".json")
+		if _, err := c.Control(ctx, "apply", path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartInstances starts all instances and waits until they are ready.
+func (c *Cluster) StartInstances(ctx context.Context) error {
+	for _, i := range c.instances {
+		if err := i.Start(); err != nil {
+			return err
+		}
+	}
+	group := pool.New().WithErrors()
+	for _, i := range c.instances {
+		group.Go(func() error { return i.WaitReady(ctx) })
+	}
+	return group.Wait()
+}
+
+// Acceptances reads the acceptance files of all upstreams.
+func (c *Cluster) Acceptances() ([]record.Acceptance, error) {
+	paths, err := filepath.Glob(c.group.File("*.acceptances"))
+	if err != nil {
+		return nil, err
+	}
+	var all []record.Acceptance
+	for _, path := range paths {
+		records, err := record.ReadFile[record.Acceptance](path)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		all = append(all, records...)
+	}
+	return all, nil
+}
+
+// Close stops all processes.
+func (c *Cluster) Close() error {
+	if err := c.group.Close(); err != nil {
+		return errors.Join(fmt.Errorf("stop processes of %s", strings.TrimSpace(c.options.Folder)), err)
+	}
+	return nil
+}
--- /dev/null
+++ b/demo/harness/instance.go
@@ -0,0 +1,141 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Instance is an upstream and the daemon beside it.
+type Instance struct {
+	cluster       *Cluster
+	name          string
+	region        string
+	failureDomain string
+	service       Service
+	ip            string
+	addresses     Addresses
+	daemon        atomic.Pointer[Process]
+	upstream      atomic.Pointer[Process]
+	starts        atomic.Int32
+}
+
+// Addresses holds the addresses on which an instance listens.
+type Addresses struct {
+	HTTP     string
+	Peer     string
+	Local    string
+	Upstream string
+	// AdvertisedPeer is the address of the relay before Peer, "" without one.
+	AdvertisedPeer string
+}
+
+// Service describes the upstreams of one service.
+type Service struct {
+	// Name is "organisation/service".
+	Name        string
+	Fencing     string
+	Slots       int
+	Connections int
+	Unkeyed     bool
+	// Time is the time that an order takes at an upstream.
+	Time time.Duration
+}
+
+// daemonSettings is the settings file of briarwelld.
+type daemonSettings struct {
+	Instance             string `json:"instance"`
+	Region               string `json:"region"`
+	FailureDomain        string `json:"failureDomain"`
+	HTTPAddress          string `json:"httpAddress"`
+	PeerAddress          string `json:"peerAddress"`
+	LocalAddress         string `json:"localAddress"`
+	AdvertisePeerAddress string `json:"advertisePeerAddress,omitempty"`
+	TableURL             string `json:"tableUrl"`
+	ObjectURL            string `json:"objectUrl"`
+	LogLevel             string `json:"logLevel"`
+	StopTimeoutMillis    int    `json:"stopTimeoutMillis"`
+}
+
+// Name returns the name of the instance.
+func (i *Instance) Name() string { return i.name }
+
+// Region returns the region.
+func (i *Instance) Region() string { return i.region }
+
+// Service returns the service of the upstream.
+func (i *Instance) Service() Service { return i.service }
+
+// Addresses returns the addresses.
+func (i *Instance) Addresses() Addresses { return i.addresses }
+
+// Daemon returns the newest process of the daemon.
+func (i *Instance) Daemon() *Process { return i.daemon.Load() }
+
+// Upstream returns the newest process of the upstream.
+func (i *Instance) Upstream() *Process { return i.upstream.Load() }
+
+// StartDaemon starts the daemon.
+func (i *Instance) StartDaemon() error {
+	c := i.cluster
+	text, err := json.MarshalIndent(daemonSettings{
+		Instance: i.name, Region: i.region, FailureDomain: i.failureDomain,
+		HTTPAddress: i.addresses.HTTP, PeerAddress: i.addresses.Peer, LocalAddress: i.addresses.Local,
+		AdvertisePeerAddress: i.addresses.AdvertisedPeer,
+		TableURL:             c.TableURL(), ObjectURL: c.objectURL(),
+		LogLevel: c.options.LogLevel, StopTimeoutMillis: stopTimeoutMillis,
+	}, "", "  ")
+	if err != nil {
+		return err
+	}
+	path := c.group.File(i.name + ".json")
+	if err := os.WriteFile(path, append(text, '\n'), 0o644); err != nil {
+		return err
+	}
+	p, err := c.group.Start(i.name+"-daemon", c.options.Programs.Daemon(), "--settings", path)
+	if err != nil {
+		return err
+	}
+	i.daemon.Store(p)
+	return nil
+}
+
+// StartUpstream starts the upstream. Each start has an acceptance file of its
+// own.
+func (i *Instance) StartUpstream() error {
+	c := i.cluster
+	acceptances := c.group.File(fmt.Sprintf("%s-%d.acceptances", i.name, i.starts.Add(1)))
+	arguments := []string{
+		"upstream",
+		"--address", i.addresses.Upstream, "--daemon", "http://" + i.addresses.Local, "--service", i.service.Name,
+		"--slots", strconv.Itoa(i.service.Slots), "--connections", strconv.Itoa(i.service.Connections),
+		"--fencing", i.service.Fencing, "--name", i.name, "--acceptance-log", acceptances,
+		"--service-time", i.service.Time.String(),
+	}
+	if i.service.Unkeyed {
+		arguments = append(arguments, "--unkeyed")
+	}
+	p, err := c.group.Start(i.name+"-upstream", c.options.Programs.StandIn(), arguments...)
+	if err != nil {
+		return err
+	}
+	i.upstream.Store(p)
+	return nil
+}
+
+// Start starts daemon and upstream.
+func (i *Instance) Start() error {
+	if err := i.StartDaemon(); err != nil {
+		return err
+	}
+	return i.StartUpstream()
+}
+
+// WaitReady waits until the daemon reports that it is ready.
+func (i *Instance) WaitReady(ctx context.Context) error {
+	return WaitReady(ctx, i.Daemon(), "http://"+i.addresses.Local+"/readyz")
+}
--- /dev/null
+++ b/demo/harness/wait.go
@@ -0,0 +1,91 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// pollInterval separates two checks for readiness.
+	pollInterval = 50 * time.Millisecond
+	// callTimeout bounds one check.
+	callTimeout = time.Second
+)
+
+// FreeAddress returns an address with a port that was free a moment ago.
+func FreeAddress(ip string) (string, error) {
+	listener, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+// WaitListening waits until the process accepts connections at address.
+func WaitListening(ctx context.Context, p *Process, address string) error {
+	return poll(ctx, p, func() error {
+		connection, err := net.DialTimeout("tcp4", address, callTimeout)
+		if err != nil {
+			return err
+		}
+		return connection.Close()
+	})
+}
+
+// WaitReady waits until a GET of the URL is answered with status 200.
+func WaitReady(ctx context.Context, p *Process, url string) error {
+	return poll(ctx, p, func() error {
+		status, body, err := fasthttp.GetTimeout(nil, url, callTimeout)
+		if err != nil {
+			return err
+		}
+		if status != fasthttp.StatusOK {
+			return fmt.Errorf("GET %s: status %d: %.200s", url, status, body)
+		}
+		return nil
+	})
+}
+
+// post sends a JSON body to an administration path of a stand-in.
+func post(url string, body any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(url)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetBody(text)
+	if err := fasthttp.DoTimeout(request, response, callTimeout); err != nil {
+		return fmt.Errorf("POST %s: %w", url, err)
+	}
+	if response.StatusCode() >= fasthttp.StatusBadRequest {
+		return fmt.Errorf("POST %s: status %d: %.200s", url, response.StatusCode(), response.Body())
+	}
+	return nil
+}
+
+func poll(ctx context.Context, p *Process, check func() error) error {
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(fmt.Errorf("%s isn't ready: %w", p.Name(), ctx.Err()), err)
+		case <-p.Done():
+			return fmt.Errorf("%s ended before it was ready: %w", p.Name(), errors.Join(p.Err(), err))
+		case <-time.After(pollInterval):
+		}
+	}
+}
