--- /dev/null
+++ b/core/audit/owners.go
@@ -0,0 +1,105 @@
+package audit
+
+import (
+	"cmp"
+	"slices"
+
+	"briarwell.dev/core/audit/record"
+)
+
+// unit is what has one owner: a shard, or a hot key.
+type unit struct {
+	service string
+	shard   uint32
+	key     string
+}
+
+// checkOwners checks each shard and each hot key on its own. Orders without an
+// epoch belong to services without keys and have no owner.
+func (h *History) checkOwners() []Finding {
+	units := make(map[unit][]record.Acceptance)
+	for _, a := range h.acceptances {
+		if a.Epoch == 0 {
+			continue
+		}
+		u := unit{service: a.ServiceName(), shard: a.Shard}
+		if h.hotKeys[keyName{service: u.service, key: a.Key}] {
+			u.key = a.Key
+		}
+		units[u] = append(units[u], a)
+	}
+	findings := make([]Finding, 0, len(units))
+	for u, orders := range units {
+		findings = append(findings, checkUnit(orders, h.lenient[u.service])...)
+	}
+	return findings
+}
+
+// pair bounds the findings to one for each pair of conflicting ownerships.
+type pair struct {
+	firstUpstream, secondUpstream string
+	firstEpoch, secondEpoch       uint64
+}
+
+func checkUnit(orders []record.Acceptance, lenient bool) []Finding {
+	slices.SortStableFunc(orders, func(a, b record.Acceptance) int {
+		return cmp.Or(cmp.Compare(a.StartUnixMicros, b.StartUnixMicros), cmp.Compare(a.Epoch, b.Epoch))
+	})
+	var findings []Finding
+	var running []record.Acceptance
+	var newest record.Acceptance
+	owners := make(map[uint64]record.Acceptance)
+	reported := make(map[pair]bool)
+	report := func(first, second record.Acceptance, finding Finding) {
+		p := pair{first.Upstream, second.Upstream, first.Epoch, second.Epoch}
+		if !reported[p] {
+			reported[p] = true
+			findings = append(findings, finding)
+		}
+	}
+	for _, order := range orders {
+		running = slices.DeleteFunc(running, func(r record.Acceptance) bool { return r.EndUnixMicros <= order.StartUnixMicros })
+		if owner, ok := owners[order.Epoch]; !ok {
+			owners[order.Epoch] = order
+		} else if owner.Upstream != order.Upstream {
+			report(owner, order, TwoOwners{first: owner, second: order})
+		}
+		late := lenient && isIdempotent(order.Method)
+		if order.Epoch < newest.Epoch && !late {
+			report(newest, order, EpochBack{first: newest, second: order})
+		}
+		for _, earlier := range running {
+			if conflict(earlier, order, lenient) {
+				report(earlier, order, TwoOwners{first: earlier, second: order})
+			}
+		}
+		if order.Epoch >= newest.Epoch {
+			newest = order
+		}
+		running = append(running, order)
+	}
+	return findings
+}
+
+// conflict tells whether an order may not start while an earlier one runs at
+// another upstream.
+func conflict(earlier, order record.Acceptance, lenient bool) bool {
+	if earlier.Upstream == order.Upstream {
+		return false
+	}
+	older, newer := earlier, order
+	if order.Epoch < earlier.Epoch {
+		older, newer = order, earlier
+	}
+	if older.Epoch == newer.Epoch {
+		return true
+	}
+	endsLater := older.StartUnixMicros <= newer.StartUnixMicros && (isRead(older.Method) || !older.Effect)
+	late := lenient && isIdempotent(older.Method)
+	return !endsLater && !late
+}
+
+func isRead(method string) bool { return method == "GET" || method == "HEAD" }
+
+// isIdempotent tells whether HTTP defines the method as idempotent.
+func isIdempotent(method string) bool { return method != "POST" && method != "PATCH" }
