--- /dev/null
+++ b/daemon/app/app.go
@@ -0,0 +1,287 @@
+// Package app wires the parts of the daemon together.
+package app
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"briarwell.dev/core/clock/system"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/metrics"
+	"briarwell.dev/core/node"
+	"briarwell.dev/core/peer/grpcpeer"
+	"briarwell.dev/core/peer/peerpb"
+	"briarwell.dev/core/placement/rendezvous"
+	"briarwell.dev/core/router"
+	"briarwell.dev/core/settings"
+	"briarwell.dev/core/table/httptable"
+	"briarwell.dev/core/table/token"
+	"briarwell.dev/daemon/backend"
+	"briarwell.dev/daemon/control"
+	"briarwell.dev/daemon/edge"
+	"briarwell.dev/daemon/local"
+	"briarwell.dev/daemon/logs"
+)
+
+// tableTimeout bounds one call to the table service.
+const tableTimeout = 2 * time.Second
+
+// App is one daemon. Use New.
+type App struct {
+	settings  settings.Daemon
+	clock     system.Clock
+	log       *log.Logger
+	logCloser io.Closer
+	scope     tally.Scope
+	collector *metrics.Collector
+	reporting io.Closer
+	listeners listeners
+
+	loop    *control.Loop
+	backend *backend.Upstream
+	grants  *backend.Grants
+	load    *loadMeter
+	owner   *router.Owner
+	pool    *grpcpeer.Pool
+	server  *grpcpeer.Server
+	callers *fiber.App
+	local   *fiber.App
+}
+
+// New binds the addresses of a daemon and prepares its parts. The error says
+// which address can't be bound.
+func New(s settings.Daemon, out io.Writer) (*App, error) {
+	bound, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	a := &App{settings: s, listeners: bound}
+	a.log, a.logCloser = logs.New(out, s.LogLevel())
+	a.scope, a.collector, a.reporting = metrics.New()
+	seed, err := randomSeed()
+	if err != nil {
+		return nil, err
+	}
+	instance := membership.NewInstance(s.Instance(), s.AdvertiseHTTPAddress(), s.AdvertisePeerAddress(), s.Location())
+	a.loop = control.New(instance, rendezvous.Policy{}, a.clock.Now(), seed)
+	a.connect(seed)
+	return a, nil
+}
+
+// connect builds the parts that meet at the loop.
+func (a *App) connect(seed uint64) {
+	localIP := peerIP(a.settings)
+	a.pool = grpcpeer.NewPool(grpcpeer.PoolSettings{LocalIP: localIP.String(), Clock: a.clock})
+	a.backend = backend.New(a.clock, localIP, a.loop, a.loop, a.log)
+	a.grants = backend.NewGrants(a.backend, a.clock)
+	a.load = newLoadMeter()
+	a.owner = router.NewOwner(router.OwnerPorts{
+		Views:         a.loop,
+		Backends:      a.backend,
+		Clock:         a.clock,
+		UnixMillis:    system.UnixMillis,
+		Configuration: awaiter{catalogs: a.loop},
+		Forwarder:     a.pool,
+		Measured:      a.load.measured,
+	})
+	entry := router.NewEntry(router.EntryPorts{
+		Views:     a.loop,
+		Forwarder: a.pool,
+		Owner:     a.owner,
+		Clock:     a.clock,
+		Random:    router.NewRandom(seed),
+	})
+	a.server = grpcpeer.NewServer(grpcpeer.ServerSettings{
+		Clock:   a.clock,
+		Handler: loggedHandler{owner: a.owner, log: a.log},
+		Control: a.loop.Receive,
+		Status:  a.status,
+	})
+	a.callers = edge.New(edge.Settings{
+		Entry: entry, Views: a.loop, Log: a.log, Scope: a.scope, MaxHeaderBytes: a.settings.MaxHeaderBytes(),
+	})
+	a.local = local.New(a, a.collector)
+}
+
+// Run serves until ctx ends, then leaves gracefully.
+func (a *App) Run(ctx context.Context) error {
+	table, err := httptable.New(a.settings.TableURL(), httptable.CallTimeout(tableTimeout), httptable.LocalIP(net.IP(peerIP(a.settings).AsSlice())))
+	if err != nil {
+		return eris.Wrap(err, "table service")
+	}
+	background, cancel := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	tasks.Go(func() {
+		a.loop.Run(background, control.Ports{
+			Clock: a.clock, Table: token.New(table), Peers: a.pool, Orders: a.owner,
+			Grants: a.grants, Log: a.log, Scope: a.scope,
+		})
+	})
+	tasks.Go(func() { a.backend.Probe(background) })
+	tasks.Go(func() { a.grants.Run(background, a.loop) })
+	tasks.Go(func() { a.load.run(background, a.loop, a.backend) })
+	tasks.Go(func() { a.gauge(background) })
+	a.serve(&tasks)
+	a.log.Info().Str("instance", a.settings.Instance()).Str("httpAddress", a.settings.HTTPAddress()).
+		Str("peerAddress", a.settings.PeerAddress()).Msg("started")
+	select {
+	case <-ctx.Done():
+	case <-a.loop.Left():
+	}
+	a.stop()
+	cancel()
+	tasks.Wait()
+	a.close()
+	return nil
+}
+
+func (a *App) serve(tasks *conc.WaitGroup) {
+	tasks.Go(func() { a.report("callers", a.callers.Listener(a.listeners.callers, quiet())) })
+	tasks.Go(func() { a.report("local", a.local.Listener(a.listeners.local, quiet())) })
+	tasks.Go(func() { a.report("peers", a.server.Serve(a.listeners.peers)) })
+}
+
+func quiet() fiber.ListenConfig {
+	return fiber.ListenConfig{DisableStartupMessage: true}
+}
+
+func (a *App) report(name string, err error) {
+	if err != nil {
+		a.log.Error().Err(err).Str("listener", name).Msg("listenerFailed")
+	}
+}
+
+// stop hands over the shards, waits for the requests in flight and closes the
+// addresses, all within the stop timeout.
+func (a *App) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), a.settings.StopTimeout().Duration())
+	defer cancel()
+	a.log.Info().Msg("stopping")
+	a.loop.Post(node.DrainRequested{})
+	select {
+	case <-a.loop.Left():
+	case <-ctx.Done():
+		a.log.Warn().Msg("stopTimeoutBeforeHandover")
+	}
+	if err := a.owner.Stop(ctx); err != nil {
+		a.log.Warn().Err(err).Int("inFlight", a.owner.InFlight()).Msg("stopTimeoutWithRequestsInFlight")
+	}
+	a.report("callers", a.callers.ShutdownWithContext(ctx))
+	a.server.Stop(ctx)
+	a.report("local", a.local.ShutdownWithContext(ctx))
+}
+
+func (a *App) close() {
+	a.pool.Close()
+	a.log.Info().Msg("stopped")
+	_ = a.reporting.Close()
+	_ = a.logCloser.Close()
+}
+
+// Ready tells whether the daemon may answer callers, and why not.
+func (a *App) Ready() (bool, string) {
+	snapshot := a.loop.Snapshot()
+	switch {
+	case snapshot.Self().State() != membership.StateActive:
+		return false, "not active: state " + string(snapshot.Self().State())
+	case !snapshot.LeaseValid(a.clock.Now()):
+		return false, "no valid lease"
+	case a.loop.Catalog().Version() == 0:
+		return false, "no configuration"
+	default:
+		return true, ""
+	}
+}
+
+// Announce takes an announcement of the upstream.
+func (a *App) Announce(body []byte) error { return a.backend.Announce(body) }
+
+// Drain starts a graceful leave.
+func (a *App) Drain() { a.loop.Post(node.DrainRequested{}) }
+
+func peerIP(s settings.Daemon) netip.Addr {
+	// The settings are checked: the address is IP:PORT.
+	return netip.MustParseAddrPort(s.PeerAddress()).Addr()
+}
+
+func randomSeed() (uint64, error) {
+	var seed [8]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return 0, eris.Wrap(err, "random seed")
+	}
+	return binary.LittleEndian.Uint64(seed[:]), nil
+}
+
+// loggedHandler writes one line for each request that another daemon sent.
+type loggedHandler struct {
+	owner *router.Owner
+	log   *log.Logger
+}
+
+// Serve runs a request of another daemon.
+func (h loggedHandler) Serve(ctx context.Context, request *router.Request) *router.Response {
+	response := h.owner.Serve(ctx, request)
+	h.log.Info().Str("service", request.Service.String()).Str("key", request.Key).
+		Uint32("shard", uint32(request.Shard)).Uint64("epoch", uint64(request.Epoch)).Int("attempt", request.Attempt).
+		Str("outcome", response.Outcome.String()).Str("reason", reasonOf(response)).Msg("serveForwarded")
+	return response
+}
+
+// status answers an operator's Status call.
+func (a *App) status() *peerpb.StatusResponse {
+	snapshot := a.loop.Snapshot()
+	self := snapshot.Self()
+	response := &peerpb.StatusResponse{
+		Incarnation:   uint64(self.Incarnation()),
+		Instance:      a.settings.Instance(),
+		Region:        a.settings.Region(),
+		FailureDomain: a.settings.FailureDomain(),
+		State:         a.state(),
+		ConfigVersion: a.loop.Catalog().Version(),
+		Revision:      uint64(snapshot.Revision()),
+		LeaseMillis:   max(0, int64(snapshot.LeaseEnd()-a.clock.Now())),
+		HttpAddress:   a.settings.AdvertiseHTTPAddress(),
+	}
+	if service, ok := a.backend.Service(); ok {
+		response.Services = []*peerpb.OwnedService{a.ownedService(service)}
+	}
+	return response
+}
+
+func (a *App) state() string {
+	snapshot := a.loop.Snapshot()
+	state := string(snapshot.Self().State())
+	if state == string(membership.StateActive) && !snapshot.LeaseValid(a.clock.Now()) {
+		return "expired"
+	}
+	return state
+}
+
+func (a *App) ownedService(service identity.Service) *peerpb.OwnedService {
+	inFlight, queued := a.backend.InFlight()
+	owned := a.loop.OwnedShards(service)
+	shards := make([]uint32, 0, len(owned))
+	for _, id := range owned {
+		shards = append(shards, uint32(id))
+	}
+	return &peerpb.OwnedService{
+		Organisation: service.Organisation(),
+		Service:      service.Name(),
+		Shards:       uint32(len(shards)),
+		ShardIds:     shards,
+		InFlight:     uint32(inFlight),
+		Queued:       uint32(queued),
+	}
+}
--- /dev/null
+++ b/daemon/app/load.go
@@ -0,0 +1,130 @@
+package app
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/node"
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/peer"
+	"briarwell.dev/core/router"
+	"briarwell.dev/core/shard"
+	"briarwell.dev/daemon/backend"
+	"briarwell.dev/daemon/control"
+)
+
+const (
+	// loadInterval is the time between two load measurements for the planner.
+	loadInterval = time.Second
+	// awaitPoll is the time between two looks at the configuration in force.
+	awaitPoll = 5 * time.Millisecond
+)
+
+// unitUse is what the orders of one shard used in the current interval.
+type unitUse struct {
+	busy     clock.Millis
+	requests uint64
+}
+
+// loadMeter adds up the slot time of orders by shard.
+type loadMeter struct {
+	mutex sync.Mutex
+	use   map[shard.ID]unitUse
+}
+
+func newLoadMeter() *loadMeter {
+	return &loadMeter{use: map[shard.ID]unitUse{}}
+}
+
+// measured takes an order that ended. Orders that were not run used nothing.
+func (m *loadMeter) measured(order router.Measurement) {
+	if _, notRun := order.Outcome.(outcome.NotRun); notRun {
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	use := m.use[order.Shard]
+	use.busy += order.Held
+	use.requests++
+	m.use[order.Shard] = use
+}
+
+// take returns the use since the last call.
+func (m *loadMeter) take() []peer.UnitLoad {
+	m.mutex.Lock()
+	use := m.use
+	m.use = make(map[shard.ID]unitUse, len(use))
+	m.mutex.Unlock()
+	loads := make([]peer.UnitLoad, 0, len(use))
+	for id, each := range use {
+		loads = append(loads, peer.NewUnitLoad(id, "", each.busy, each.requests))
+	}
+	return loads
+}
+
+// run tells the node the load of each interval until ctx ends.
+func (m *loadMeter) run(ctx context.Context, loop *control.Loop, upstream *backend.Upstream) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	last := upstream.BusySlotMillis()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		busy := upstream.BusySlotMillis()
+		// A newly announced upstream counts from zero.
+		used := clock.Millis(busy - min(busy, last))
+		last = busy
+		loop.Post(node.NewLoadMeasured(clock.FromDuration(loadInterval), used, m.take()))
+	}
+}
+
+// awaiter waits until a configuration version is in force.
+type awaiter struct {
+	catalogs backend.Catalogs
+}
+
+// Await returns when the version, or a newer one, is in force, or the error of
+// ctx.
+func (a awaiter) Await(ctx context.Context, version uint64) error {
+	for a.catalogs.Catalog().Version() < version {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(awaitPoll):
+		}
+	}
+	return nil
+}
+
+func reasonOf(response *router.Response) string {
+	return string(outcome.ReasonOf(response.Outcome))
+}
+
+// gauge exports the state of the daemon as metrics until ctx ends.
+func (a *App) gauge(ctx context.Context) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		snapshot := a.loop.Snapshot()
+		inFlight, queued := a.backend.InFlight()
+		a.scope.Gauge("lease_remaining_millis").Update(max(0, float64(snapshot.LeaseEnd()-a.clock.Now())))
+		a.scope.Gauge("config_version").Update(float64(a.loop.Catalog().Version()))
+		a.scope.Gauge("table_revision").Update(float64(snapshot.Revision()))
+		a.scope.Gauge("orders_in_flight").Update(float64(inFlight))
+		a.scope.Gauge("requests_queued").Update(float64(queued))
+		a.scope.Gauge("members").Update(float64(len(snapshot.AllMembers())))
+		if service, ok := a.backend.Service(); ok {
+			a.scope.Gauge("owned_shards").Update(float64(len(a.loop.OwnedShards(service))))
+		}
+	}
+}
--- /dev/null
+++ b/daemon/backend/backend.go
@@ -0,0 +1,269 @@
+// Package backend holds the upstream of the daemon's instance: its
+// announcement, its admission gate, its grants and its probes.
+package backend
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"briarwell.dev/core/admission"
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/node"
+	"briarwell.dev/core/router"
+	"briarwell.dev/core/template"
+	"briarwell.dev/core/upstream"
+	"briarwell.dev/core/upstream/announce"
+	"briarwell.dev/core/upstream/httpupstream"
+)
+
+const (
+	// probeInterval is the time between two reads of the upstream's load report.
+	probeInterval = 250 * time.Millisecond
+	// silenceLimit is how long an upstream may leave a probe unanswered before
+	// the daemon hands over its shards.
+	silenceLimit = 1000 * time.Millisecond
+	// refusedLimit is how many probes in a row may fail at once, as when the
+	// upstream restarts, before it counts as down.
+	refusedLimit = 2
+)
+
+// Events takes events for the node.
+type Events interface {
+	Post(event node.Event)
+}
+
+// Catalogs returns the configuration in force.
+type Catalogs interface {
+	Catalog() template.Catalog
+}
+
+// Upstream is the upstream of this instance. The zero value has none. It is
+// safe for concurrent use.
+type Upstream struct {
+	clock    clock.Clock
+	localIP  net.IP
+	events   Events
+	catalogs Catalogs
+	log      *log.Logger
+
+	mutex    sync.Mutex
+	current  *attached
+	announce announce.Announcement
+	up       bool
+}
+
+// attached is an announced upstream.
+type attached struct {
+	service identity.Service
+	client  *httpupstream.Upstream
+	gate    *admission.Gate
+}
+
+// New returns the holder of an upstream whose connections bind to localIP.
+func New(c clock.Clock, localIP net.IP, events Events, catalogs Catalogs, logger *log.Logger) *Upstream {
+	return &Upstream{clock: c, localIP: localIP, events: events, catalogs: catalogs, log: logger}
+}
+
+// Backend returns the upstream of a service, or false if none is announced.
+func (u *Upstream) Backend(service identity.Service) (router.Backend, bool) {
+	current := u.attached()
+	if current == nil || current.service != service {
+		return router.Backend{}, false
+	}
+	return router.Backend{Upstream: current.client, Gate: current.gate}, true
+}
+
+// InFlight returns the orders in flight and the requests that wait.
+func (u *Upstream) InFlight() (inFlight, queued int) {
+	current := u.attached()
+	if current == nil {
+		return 0, 0
+	}
+	return current.gate.InFlight(), current.gate.Queued()
+}
+
+// BusySlotMillis returns the slot-milliseconds used so far.
+func (u *Upstream) BusySlotMillis() uint64 {
+	current := u.attached()
+	if current == nil {
+		return 0
+	}
+	return current.gate.BusySlotMillis()
+}
+
+// Service returns the announced service, or false.
+func (u *Upstream) Service() (identity.Service, bool) {
+	current := u.attached()
+	if current == nil {
+		return identity.Service{}, false
+	}
+	return current.service, true
+}
+
+func (u *Upstream) attached() *attached {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.current
+}
+
+// Announce takes an announcement. It returns an *announce.Error or a
+// *FencingError if the announcement is not accepted.
+func (u *Upstream) Announce(body []byte) error {
+	next, err := announce.ParseAnnouncement(body)
+	if err != nil {
+		return err
+	}
+	service := identity.NewService(next.Organisation, next.Service)
+	rules, _ := u.catalogs.Catalog().Service(service.String())
+	if weaker(next.Fencing, rules.Fencing()) {
+		return &FencingError{service: service, announced: next.Fencing, required: rules.Fencing()}
+	}
+	if err := u.attach(next, service, rules); err != nil {
+		return err
+	}
+	u.events.Post(node.NewUpstreamAnnounced(membership.NewAnnouncement(
+		service, next.Slots, next.Connections, next.Fencing, clock.Millis(next.ColdStartMillis))))
+	u.markUp()
+	return nil
+}
+
+// attach makes a client for a new announcement, or leaves the current one if
+// the announcement repeats it.
+func (u *Upstream) attach(next announce.Announcement, service identity.Service, rules template.ServiceRules) error {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	settings := admission.Settings{
+		Slots:      next.Slots,
+		QueueLimit: rules.QueueLimit(),
+		ColdStart:  clock.Millis(next.ColdStartMillis),
+	}
+	if u.current != nil && u.announce == next {
+		if !u.up {
+			u.current.gate.Announce(settings)
+		}
+		return nil
+	}
+	client, err := httpupstream.New(next.Address, httpupstream.Connections(next.Connections), httpupstream.LocalIP(u.localIP))
+	if err != nil {
+		return err
+	}
+	if u.current != nil {
+		u.current.client.Close()
+	}
+	u.current = &attached{service: service, client: client, gate: admission.NewGate(u.clock, settings)}
+	u.announce = next
+	u.log.Info().Str("service", service.String()).Str("address", next.Address).Int("slots", next.Slots).
+		Str("fencing", string(next.Fencing)).Msg("upstreamAnnounced")
+	return nil
+}
+
+// Probe reads the upstream's load report until ctx ends, and tells the node
+// when the upstream goes down or comes back.
+func (u *Upstream) Probe(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	failures := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		current := u.attached()
+		if current == nil {
+			continue
+		}
+		failures = u.probe(ctx, current, failures)
+	}
+}
+
+// probe reads one report and returns the number of failures in a row.
+func (u *Upstream) probe(ctx context.Context, current *attached, failures int) int {
+	probeContext, cancel := context.WithTimeout(ctx, silenceLimit)
+	defer cancel()
+	load, err := current.client.Load(probeContext)
+	if err == nil {
+		current.gate.Report(load)
+		u.markUp()
+		return 0
+	}
+	if ctx.Err() != nil {
+		return failures
+	}
+	failures++
+	silent := errors.Is(probeContext.Err(), context.DeadlineExceeded)
+	if silent || failures >= refusedLimit {
+		u.markDown(err)
+	}
+	return failures
+}
+
+func (u *Upstream) markUp() {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.up {
+		return
+	}
+	u.up = true
+	u.events.Post(node.UpstreamUp{})
+	u.log.Info().Msg("upstreamUp")
+}
+
+func (u *Upstream) markDown(cause error) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if !u.up {
+		return
+	}
+	u.up = false
+	u.events.Post(node.UpstreamDown{})
+	u.log.Warn().Err(cause).Msg("upstreamDown")
+}
+
+// isUp tells whether the upstream answered its last probe.
+func (u *Upstream) isUp() bool {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.up
+}
+
+// weaker tells whether an upstream checks less than required.
+func weaker(announced, required upstream.Fencing) bool {
+	return strength(announced) < strength(required)
+}
+
+func strength(f upstream.Fencing) int {
+	switch f {
+	case upstream.FencingEpoch:
+		return 2
+	case upstream.FencingDeadline:
+		return 1
+	case upstream.FencingNone:
+		return 0
+	default:
+		return 0
+	}
+}
+
+// FencingError reports an upstream that checks less than its service's
+// template requires.
+type FencingError struct {
+	service   identity.Service
+	announced upstream.Fencing
+	required  upstream.Fencing
+}
+
+// Service returns the announced service.
+func (e *FencingError) Service() identity.Service { return e.service }
+
+func (e *FencingError) Error() string {
+	return "upstream of " + e.service.String() + " announces fencing " + string(e.announced) +
+		", its template requires " + string(e.required)
+}
--- /dev/null
+++ b/daemon/backend/grants.go
@@ -0,0 +1,115 @@
+package backend
+
+import (
+	"context"
+	"time"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/clock/system"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/upstream"
+	"briarwell.dev/daemon/control"
+)
+
+const (
+	// grantTimeout bounds one message to the upstream.
+	grantTimeout = 500 * time.Millisecond
+	// grantRetry is the pause after a message that failed.
+	grantRetry = 50 * time.Millisecond
+)
+
+// Taken is told which units the upstream holds grants for.
+type Taken interface {
+	GrantTaken(units []control.GrantedUnit)
+}
+
+// Grants passes the newest units and lease end to the upstream, one message at
+// a time. Use NewGrants.
+type Grants struct {
+	upstream *Upstream
+	clock    clock.Clock
+	newest   chan update
+}
+
+type update struct {
+	units    []control.GrantedUnit
+	leaseEnd clock.Millis
+}
+
+// NewGrants returns the sender of grants for an upstream.
+func NewGrants(u *Upstream, c clock.Clock) *Grants {
+	return &Grants{upstream: u, clock: c, newest: make(chan update, 1)}
+}
+
+// Update replaces the units that are to be granted. It never blocks: an update
+// that was not sent yet is replaced. It must be called from one goroutine.
+func (g *Grants) Update(units []control.GrantedUnit, leaseEnd clock.Millis) {
+	select {
+	case <-g.newest:
+	default:
+	}
+	g.newest <- update{units: units, leaseEnd: leaseEnd}
+}
+
+// Run sends grants until ctx ends and reports to taken what the upstream took.
+func (g *Grants) Run(ctx context.Context, taken Taken) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-g.newest:
+			g.deliver(ctx, next, taken)
+		}
+	}
+}
+
+// deliver repeats one update until the upstream takes it or a newer one waits.
+func (g *Grants) deliver(ctx context.Context, next update, taken Taken) {
+	for {
+		if g.send(ctx, next) {
+			taken.GrantTaken(next.units)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case newer := <-g.newest:
+			next = newer
+		case <-time.After(grantRetry):
+		}
+	}
+}
+
+// send passes the units to the upstream, and tells whether it took them. An
+// upstream that is down gets none, so that its grants end with the lease.
+func (g *Grants) send(ctx context.Context, next update) bool {
+	current := g.upstream.attached()
+	if current == nil || !g.upstream.isUp() {
+		return len(next.units) == 0
+	}
+	// The wall clock is read first: a pause between the two reads then shortens
+	// the grant and never extends it past the lease.
+	unixMillis := system.UnixMillis()
+	remaining := next.leaseEnd - g.clock.Now()
+	if remaining <= 0 {
+		return true
+	}
+	sendContext, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	err := current.client.Grant(sendContext, upstream.Grant{
+		Service:           current.service,
+		Shards:            grantedShards(current.service, next.units),
+		ExpiresUnixMillis: unixMillis + int64(remaining),
+	})
+	return err == nil
+}
+
+func grantedShards(service identity.Service, units []control.GrantedUnit) []upstream.GrantedShard {
+	shards := make([]upstream.GrantedShard, 0, len(units))
+	for _, unit := range units {
+		if unit.Service() == service {
+			shards = append(shards, upstream.GrantedShard{Shard: unit.Shard(), Epoch: unit.Epoch()})
+		}
+	}
+	return shards
+}
--- /dev/null
+++ b/daemon/command/command.go
@@ -0,0 +1,88 @@
+// Package command is the command line of briarwelld.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"briarwell.dev/core/settings"
+	"briarwell.dev/daemon/app"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitBadInput = 2
+)
+
+const version = "0.1"
+
+// Run runs the daemon with the given arguments and returns the exit code: 2 for
+// wrong arguments or settings, 1 if an address can't be bound.
+func Run(arguments []string, out io.Writer) int {
+	parser := flaggy.NewParser("briarwelld")
+	parser.Description = "Routes requests to the upstream that owns the key of each request."
+	parser.Version = version
+	parser.ShowHelpOnUnexpected = false
+	var path string
+	var checkOnly bool
+	parser.String(&path, "s", "settings", "path of the JSON settings file")
+	parser.Bool(&checkOnly, "c", "check", "check the settings and exit")
+	if err := parser.ParseArgs(arguments); err != nil {
+		return fail(out, exitBadInput, err)
+	}
+	daemon, err := read(path)
+	if err != nil {
+		return fail(out, exitBadInput, err)
+	}
+	if checkOnly {
+		return exitOK
+	}
+	return serve(daemon, out)
+}
+
+func read(path string) (settings.Daemon, error) {
+	if path == "" {
+		return settings.Daemon{}, &MissingFlagError{flag: "settings"}
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return settings.Daemon{}, err
+	}
+	return settings.ParseDaemon(data)
+}
+
+func serve(daemon settings.Daemon, out io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	a, err := app.New(daemon, out)
+	if err != nil {
+		return fail(out, exitFailed, err)
+	}
+	if err := a.Run(ctx); err != nil {
+		return fail(out, exitFailed, err)
+	}
+	return exitOK
+}
+
+func fail(out io.Writer, code int, err error) int {
+	_, _ = fmt.Fprintln(out, "briarwelld:", err)
+	return code
+}
+
+// MissingFlagError reports a required flag that was not given.
+type MissingFlagError struct {
+	flag string
+}
+
+// Flag returns the flag's name.
+func (e *MissingFlagError) Flag() string { return e.flag }
+
+func (e *MissingFlagError) Error() string { return "flag --" + e.flag + " is required" }
