Check the control plane against seeded fault schedules

Cause: the lease and ownership decisions had not run against faults.

Adds a simulation of three to seven nodes with a message bus (delay, loss, one-way cuts, partitions), a table with outages, lost answers and late writes, clocks that differ by up to 1%, pauses, kills, restarts, leaves and moves. After each step it checks for two owners of a key, where an order in flight counts as running up to the largest deadline it can have, for falling epochs, for reverted configuration and for lost entries.

Found and fixed by it: a request to move a hot key that has an owner of its own rewrote that entry without raising its epoch (seed 79).

--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -141,7 +141,7 @@
 // follows when the driver reports ShardDrained. Target 0 means any.
 func (n *Node) startHandover(key localKey, target identity.Incarnation) {
 	local, ok := n.handovers.local[key]
-	if !ok && key.unit.HotKey() != "" {
+	if !ok && key.unit.HotKey() != "" && n.owners.Entry(key.service, key.unit) == (ownership.Entry{}) {
 		shardKey := localKey{service: key.service, unit: ownership.NewUnit(key.unit.Shard(), "")}
 		local, ok = n.handovers.local[shardKey]
 		local.split = true
@@ -238,7 +238,7 @@
 func (n *Node) handOver(change *ownership.Change, key localKey) (identity.Incarnation, bool) {
 	local := n.handovers.local[key]
 	entry := n.owners.Entry(key.service, key.unit)
-	if local.split {
+	if local.split && entry == (ownership.Entry{}) {
 		entry = n.owners.Entry(key.service, ownership.NewUnit(key.unit.Shard(), ""))
 	}
 	if entry.Owner() != n.incarnation {
--- a/core/node/losses.go
+++ b/core/node/losses.go
@@ -142,8 +142,8 @@
 // certainly ended.
 func (n *Node) markDead(lost []membership.Member, name string) {
 	change := ownership.NewChange(n.owners)
-	var conditions []table.Condition
-	var mutations []table.Mutation
+	conditions := make([]table.Condition, 0, len(lost))
+	mutations := make([]table.Mutation, 0, len(lost))
 	var takers []identity.Incarnation
 	for _, m := range lost {
 		key := membership.Key(m.Incarnation())
--- /dev/null
+++ b/core/node/table_test.go
@@ -0,0 +1,177 @@
+package node_test
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/node"
+	"briarwell.dev/core/ownership"
+	"briarwell.dev/core/table"
+)
+
+// fakeTable is the table service with the driver's resolution of lost answers:
+// the result of a commit is reported only when it is certain.
+type fakeTable struct {
+	s           *sim
+	rows        map[string]table.Row
+	revision    table.Revision
+	outage      bool
+	lostAnswers float64
+}
+
+func newFakeTable(s *sim) *fakeTable {
+	f := &fakeTable{s: s, rows: map[string]table.Row{}}
+	f.put("config/head", []byte("1"))
+	return f
+}
+
+func (f *fakeTable) put(key string, value []byte) {
+	f.revision++
+	f.rows[key] = table.NewRow(key, f.revision, value)
+}
+
+func (f *fakeTable) delay() int64 { return 2 + f.s.rng.Int64N(20) + f.s.slow }
+
+func (f *fakeTable) reachable(p *proc) bool { return !f.outage && !p.cutTable }
+
+func (f *fakeTable) scan(p *proc, a node.Scan) {
+	failed := func() { f.s.after(500, func() { p.deliver(node.ScanFailed{}) }) }
+	f.s.after(f.delay(), func() {
+		if !f.reachable(p) {
+			failed()
+			return
+		}
+		var rows []table.Row
+		for _, row := range f.rows {
+			if row.Version() > a.Since() && !strings.HasPrefix(row.Key(), "txn/") {
+				rows = append(rows, row)
+			}
+		}
+		slices.SortFunc(rows, func(x, y table.Row) int { return cmp.Compare(x.Version(), y.Version()) })
+		result := node.NewScanned(a.Since(), f.revision, rows)
+		f.s.after(f.delay(), func() {
+			if !f.reachable(p) || f.s.rng.Float64() < f.lostAnswers {
+				failed()
+				return
+			}
+			p.deliver(result)
+		})
+	})
+}
+
+// commit carries a transaction out at some time, or never if the driver could
+// write its token as abandoned before.
+func (f *fakeTable) commit(p *proc, a node.Commit) {
+	var result node.Event
+	reported, abandoned := false, false
+	report := func() {
+		if !reported {
+			reported = true
+			p.deliver(result)
+		}
+	}
+	arrive := func() {
+		if abandoned {
+			return
+		}
+		result = f.apply(p, a)
+		f.s.after(f.delay(), func() {
+			if f.reachable(p) && f.s.rng.Float64() >= f.lostAnswers {
+				report()
+			}
+		})
+	}
+	f.s.after(f.delay(), func() {
+		switch {
+		case f.reachable(p):
+			arrive()
+		case f.s.rng.IntN(2) == 0:
+			f.s.after(f.s.rng.Int64N(3000), arrive)
+		}
+	})
+	var resolve func()
+	resolve = func() {
+		switch {
+		case reported:
+		case !f.reachable(p):
+			f.s.after(300, resolve)
+		default:
+			if result == nil {
+				abandoned, result = true, node.NewConflicted(a.ID())
+			}
+			f.s.after(f.delay(), report)
+		}
+	}
+	f.s.after(600+f.s.slow*2, resolve)
+}
+
+func (f *fakeTable) apply(p *proc, a node.Commit) node.Event {
+	for _, c := range a.Transaction().Conditions() {
+		if f.rows[c.Key()].Version() != c.Version() {
+			return node.NewConflicted(a.ID())
+		}
+	}
+	f.revision++
+	for _, m := range a.Transaction().Mutations() {
+		put, ok := m.(table.Put)
+		if !ok {
+			continue
+		}
+		old := f.rows[put.Key()]
+		f.rows[put.Key()] = table.NewRow(put.Key(), f.revision, put.Value())
+		switch {
+		case membership.IsKey(put.Key()):
+			f.checkMember(p, old, put)
+		case ownership.IsKey(put.Key()):
+			f.checkGroup(old, put)
+		}
+	}
+	return node.NewCommitted(a.ID(), f.revision)
+}
+
+// checkMember requires that a dead row stays dead, that a witness generation
+// does not go back, and that a member registers with the newest configuration.
+func (f *fakeTable) checkMember(p *proc, old table.Row, put table.Put) {
+	next, err := membership.Decode(put.Key(), put.Value())
+	if err != nil {
+		f.s.fail("%v", err)
+		return
+	}
+	if old.Version() == 0 {
+		if head, _ := p.node.Snapshot().Config("config/head"); head.Version() != f.rows["config/head"].Version() {
+			f.s.fail("i%d registered with configuration %d of %d", p.index, head.Version(), f.rows["config/head"].Version())
+		}
+		return
+	}
+	before, _ := membership.Decode(old.Key(), old.Value())
+	if !before.Alive() || next.Generation() < before.Generation() {
+		f.s.fail("row %s changed from %s %d to %s %d", put.Key(), before.State(), before.Generation(), next.State(), next.Generation())
+	}
+}
+
+// checkGroup requires that the epoch of a unit rises by one with each change of
+// its owner and not otherwise, and that no entry is lost.
+func (f *fakeTable) checkGroup(old table.Row, put table.Put) {
+	next, err := ownership.Decode(put.Key(), put.Value())
+	if err != nil {
+		f.s.fail("%v", err)
+		return
+	}
+	if old.Version() == 0 {
+		return
+	}
+	before, _ := ownership.Decode(old.Key(), old.Value())
+	for _, u := range before.Units(0) {
+		now := next.Entry(u.Unit())
+		step := identity.Epoch(0)
+		if now.Owner() != u.Entry().Owner() {
+			step = 1
+		}
+		if now.Epoch() != u.Entry().Epoch()+step {
+			f.s.fail("unit %v of %s changed from %v to %v", u.Unit(), put.Key(), u.Entry(), now)
+		}
+	}
+}
--- a/core/ownership/table.go
+++ b/core/ownership/table.go
@@ -76,7 +76,7 @@
 
 // Units returns the units of a service that have an entry.
 func (t Table) Units(service identity.Service) []Owned {
-	var units []Owned
+	units := make([]Owned, 0, len(t.services[service])*GroupSize)
 	for number, g := range t.services[service] {
 		units = append(units, g.group.Units(number)...)
 	}
