--- /dev/null
+++ b/core/rollout/history.go
@@ -0,0 +1,178 @@
+package rollout
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"briarwell.dev/core/table"
+)
+
+// maxInlineBytes bounds the bodies that a history row holds itself. Larger ones
+// go to the object store, so that a row stays within a few KB.
+const maxInlineBytes = 2048
+
+// Store keeps immutable objects by the digest of their content.
+type Store interface {
+	// Put stores data and returns its digest.
+	Put(ctx context.Context, data []byte) (string, error)
+	// Get returns the object with the digest.
+	Get(ctx context.Context, digest string) ([]byte, error)
+}
+
+// bodyRefJSON refers to the content of a row in the history.
+type bodyRefJSON struct {
+	Digest string `json:"digest"`
+	// Inline is the body itself; absent if it is in the object store.
+	Inline json.RawMessage `json:"inline,omitempty"`
+}
+
+type rowChangeJSON struct {
+	Key    string       `json:"key"`
+	Before *bodyRefJSON `json:"before,omitempty"`
+	After  *bodyRefJSON `json:"after,omitempty"`
+}
+
+type historyJSON struct {
+	stampJSON
+	Changes []rowChangeJSON `json:"changes"`
+}
+
+// HistoryEntry is one edit as recorded.
+type HistoryEntry struct {
+	stamp   Stamp
+	changes []RowChange
+}
+
+// Stamp returns the version, the author and the time.
+func (h HistoryEntry) Stamp() Stamp { return h.stamp }
+
+// Changes returns the changed rows; callers must not change them.
+func (h HistoryEntry) Changes() []RowChange { return h.changes }
+
+// RowChange is the change of one configuration row.
+type RowChange struct {
+	key    string
+	before *bodyRefJSON
+	after  *bodyRefJSON
+}
+
+// Key returns the key of the row.
+func (c RowChange) Key() string { return c.key }
+
+// BeforeDigest returns the digest of the former body, "" if there was none.
+func (c RowChange) BeforeDigest() string { return c.before.digest() }
+
+// AfterDigest returns the digest of the new body.
+func (c RowChange) AfterDigest() string { return c.after.digest() }
+
+func (b *bodyRefJSON) digest() string {
+	if b == nil {
+		return ""
+	}
+	return b.Digest
+}
+
+// Bodies returns the former body, nil if there was none, and the new one. The
+// store may be nil if both are in the row.
+func (c RowChange) Bodies(ctx context.Context, store Store) (before, after []byte, err error) {
+	if before, err = c.before.load(ctx, store); err != nil {
+		return nil, nil, err
+	}
+	after, err = c.after.load(ctx, store)
+	return before, after, err
+}
+
+func (b *bodyRefJSON) load(ctx context.Context, store Store) ([]byte, error) {
+	if b == nil || b.Inline != nil {
+		return b.inline(), nil
+	}
+	return store.Get(ctx, b.Digest)
+}
+
+func (b *bodyRefJSON) inline() []byte {
+	if b == nil {
+		return nil
+	}
+	return b.Inline
+}
+
+// encodeHistory returns the value of the plan's history row after it stored
+// the large bodies.
+func (p Plan) encodeHistory(ctx context.Context, store Store) ([]byte, error) {
+	record := historyJSON{stampJSON: p.stamp.encode()}
+	for _, changed := range p.changed {
+		before, err := reference(ctx, store, changed.before)
+		if err != nil {
+			return nil, err
+		}
+		after, err := reference(ctx, store, changed.after)
+		if err != nil {
+			return nil, err
+		}
+		record.Changes = append(record.Changes, rowChangeJSON{Key: changed.key, Before: before, After: after})
+	}
+	return json.Marshal(record)
+}
+
+func reference(ctx context.Context, store Store, body []byte) (*bodyRefJSON, error) {
+	if body == nil {
+		return nil, nil
+	}
+	if len(body) <= maxInlineBytes {
+		sum := sha256.Sum256(body)
+		return &bodyRefJSON{Digest: hex.EncodeToString(sum[:]), Inline: body}, nil
+	}
+	digest, err := store.Put(ctx, body)
+	if err != nil {
+		return nil, err
+	}
+	return &bodyRefJSON{Digest: digest}, nil
+}
+
+func decodeHistory(row table.Row) (HistoryEntry, error) {
+	var record historyJSON
+	if err := json.Unmarshal(row.Value(), &record); err != nil {
+		return HistoryEntry{}, NewRowError(row.Key(), err)
+	}
+	result := HistoryEntry{stamp: record.decode()}
+	for _, changed := range record.Changes {
+		result.changes = append(result.changes, RowChange{key: changed.Key, before: changed.Before, after: changed.After})
+	}
+	return result, nil
+}
+
+// History returns the newest count edits, newest first.
+func History(ctx context.Context, source table.Table, count int) ([]HistoryEntry, error) {
+	rows, err := source.Read(ctx, []string{KeyHead})
+	if err != nil {
+		return nil, err
+	}
+	stored, err := decodeRows(rows)
+	if err != nil {
+		return nil, err
+	}
+	keys := make([]string, 0, count)
+	for version := stored.head.version; version > 0 && len(keys) < count; version-- {
+		keys = append(keys, HistoryKey(version))
+	}
+	if len(keys) == 0 {
+		return nil, nil
+	}
+	if rows, err = source.Read(ctx, keys); err != nil {
+		return nil, err
+	}
+	entries := make([]HistoryEntry, 0, len(rows))
+	for _, row := range rows {
+		if row.Version() == 0 {
+			continue
+		}
+		item, err := decodeHistory(row)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, item)
+	}
+	return entries, nil
+}
--- a/core/rollout/rows.go
+++ b/core/rollout/rows.go
@@ -63,6 +63,10 @@
 	Edit       string `json:"edit"`
 }
 
+func (s Stamp) encode() stampJSON {
+	return stampJSON{Version: s.version, Author: s.author, UnixMillis: s.unixMillis, Edit: s.edit}
+}
+
 func (s stampJSON) decode() Stamp {
 	return Stamp{version: s.Version, author: s.Author, unixMillis: s.UnixMillis, edit: s.Edit}
 }
@@ -197,3 +201,26 @@
 	}
 	return template.ParseOrganisation(body)
 }
+
+// documentKey returns the key of the document's row.
+func documentKey(document template.Document) string {
+	switch document := document.(type) {
+	case template.Template:
+		return TemplateKey(document.Kind())
+	case template.Organisation:
+		return OrganisationKey(document.Name())
+	default:
+		return ""
+	}
+}
+
+func documentKind(document template.Document) string {
+	switch document := document.(type) {
+	case template.Template:
+		return document.Kind()
+	case template.Organisation:
+		return document.Kind()
+	default:
+		return ""
+	}
+}
--- a/core/template/parameter.go
+++ b/core/template/parameter.go
@@ -11,12 +11,12 @@
 	"briarwell.dev/core/settings"
 )
 
-// maxNameBytes bounds names, since they are part of row keys and URL paths.
-const maxNameBytes = 63
+// namePattern bounds names to 63 bytes, since they are part of row keys and
+// URL paths.
+var namePattern = regexp.MustCompile("^[A-Za-z][A-Za-z0-9-]{0,62}$")
 
 func nameRule() settings.TextRule {
-	expression := regexp.MustCompile(fmt.Sprintf("^[A-Za-z][A-Za-z0-9-]{0,%d}$", maxNameBytes-1))
-	return settings.Pattern(expression, fmt.Sprintf("a letter, then up to %d letters, digits and hyphens", maxNameBytes-1))
+	return settings.Pattern(namePattern, "a letter, then up to 62 letters, digits and hyphens")
 }
 
 // Parameter is a value that a template leaves to each organisation.
