--- /dev/null
+++ b/core/node/snapshot.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/ownership"
+	"briarwell.dev/core/shard"
+	"briarwell.dev/core/table"
+)
+
+// Owner describes the owner of a unit as the node knows it.
+type Owner struct {
+	incarnation identity.Incarnation
+	instance    membership.Instance
+	epoch       identity.Epoch
+	local       bool
+	serving     bool
+	serveFrom   clock.Millis
+}
+
+// Incarnation returns the owner's incarnation.
+func (o Owner) Incarnation() identity.Incarnation { return o.incarnation }
+
+// Instance returns the owner's name, addresses and location.
+func (o Owner) Instance() membership.Instance { return o.instance }
+
+// Epoch returns the epoch of the ownership.
+func (o Owner) Epoch() identity.Epoch { return o.epoch }
+
+// Local tells whether the owner is this node.
+func (o Owner) Local() bool { return o.local }
+
+// Admits tells whether this node may admit an order for the unit at now, given
+// that its lease is valid: it owns the unit, no handover has begun and the
+// serve-from point has come.
+func (o Owner) Admits(now clock.Millis) bool { return o.serving && now >= o.serveFrom }
+
+// Snapshot is an immutable view of a Node for the request path. It may be read
+// by other goroutines.
+type Snapshot struct {
+	leaseEnd clock.Millis
+	self     membership.Member
+	revision table.Revision
+	tables   *tables
+}
+
+// LeaseEnd returns the end of the lease; the lease is not valid at the end.
+func (s *Snapshot) LeaseEnd() clock.Millis { return s.leaseEnd }
+
+// LeaseValid tells whether the lease is valid at now.
+func (s *Snapshot) LeaseValid(now clock.Millis) bool { return now < s.leaseEnd }
+
+// Self returns the node's own row; its state is "" before registration.
+func (s *Snapshot) Self() membership.Member { return s.self }
+
+// Incarnation returns the node's incarnation.
+func (s *Snapshot) Incarnation() identity.Incarnation { return s.self.Incarnation() }
+
+// Revision returns the table revision up to which the node's copy is complete.
+func (s *Snapshot) Revision() table.Revision { return s.revision }
+
+// Owner returns the owner of key, whose shard is id, or false if there is none.
+// With key "" it is the owner of the shard.
+func (s *Snapshot) Owner(service identity.Service, id shard.ID, key string) (Owner, bool) {
+	return s.tables.owner(service, id, key)
+}
+
+// Members returns the members of a service that are not dead, by ascending
+// incarnation; callers must not change them.
+func (s *Snapshot) Members(service identity.Service) []membership.Member {
+	return s.tables.members(service)
+}
+
+// AllMembers returns all members that are not dead, by ascending incarnation;
+// callers must not change them.
+func (s *Snapshot) AllMembers() []membership.Member { return s.tables.allMembers() }
+
+// Config returns the row with a key below "config/", or false.
+func (s *Snapshot) Config(key string) (table.Row, bool) { return s.tables.configRow(key) }
+
+// ConfigRows returns all rows below "config/" by ascending key; callers must not
+// change them.
+func (s *Snapshot) ConfigRows() []table.Row { return s.tables.configRows() }
+
+// published is what the last snapshot was made from.
+type published struct {
+	// dirty is set when the table copy or the own row changed, localDirty when
+	// the units of this node changed.
+	dirty      bool
+	localDirty bool
+	leaseEnd   clock.Millis
+	leaseValid bool
+}
+
+// tables is the part of a Snapshot that changes only with the table copy.
+type tables struct {
+	self   identity.Incarnation
+	view   membership.View
+	owners ownership.Table
+	config map[string]table.Row
+	local  map[localKey]localUnit
+}
+
+// publish makes a new snapshot if anything in it changed.
+func (n *Node) publish() {
+	old := n.snapshot
+	if old == nil {
+		old = &Snapshot{tables: &tables{}}
+	}
+	next := Snapshot{
+		leaseEnd: n.holder.End(),
+		self:     n.row,
+		revision: n.copy.revision,
+		tables:   old.tables,
+	}
+	if n.row.State() == "" {
+		next.self = membership.Pending(n.incarnation, n.settings.instance)
+	}
+	if n.self.left {
+		next.leaseEnd = 0
+	}
+	changed := n.published.dirty || n.published.localDirty
+	if n.snapshot != nil && !changed && next.leaseEnd == old.leaseEnd && next.revision == old.revision {
+		return
+	}
+	if changed {
+		next.tables = n.newTables(old.tables)
+	}
+	n.published.dirty, n.published.localDirty = false, false
+	n.snapshot = &next
+}
+
+func (n *Node) newTables(old *tables) *tables {
+	next := &tables{self: n.incarnation, view: n.view, owners: n.owners, config: n.config, local: old.local}
+	if n.published.localDirty || old.self != n.incarnation {
+		next.local = maps.Clone(n.handovers.local)
+	}
+	return next
+}
+
+func (t *tables) owner(service identity.Service, id shard.ID, key string) (Owner, bool) {
+	unit, entry := t.owners.Find(service, id, key)
+	m, ok := t.view.Member(entry.Owner())
+	if !ok || !m.Alive() {
+		return Owner{}, false
+	}
+	owner := Owner{incarnation: entry.Owner(), instance: m.Instance(), epoch: entry.Epoch()}
+	if entry.Owner() != t.self {
+		return owner, true
+	}
+	owner.local = true
+	local, ok := t.local[localKey{service: service, unit: unit}]
+	owner.serveFrom = local.serveFrom
+	owner.serving = ok && local.epoch == entry.Epoch() && local.phase == phaseServing
+	if key != "" && unit.HotKey() == "" {
+		if _, splitting := t.local[localKey{service: service, unit: ownership.NewUnit(id, key)}]; splitting {
+			owner.serving = false
+		}
+	}
+	return owner, true
+}
+
+func (t *tables) members(service identity.Service) []membership.Member {
+	return t.view.OfService(service)
+}
+
+func (t *tables) allMembers() []membership.Member { return t.view.Alive() }
+
+func (t *tables) configRow(key string) (table.Row, bool) {
+	row, ok := t.config[key]
+	return row, ok
+}
+
+func (t *tables) configRows() []table.Row {
+	rows := slices.Collect(maps.Values(t.config))
+	slices.SortFunc(rows, func(a, b table.Row) int { return cmp.Compare(a.Key(), b.Key()) })
+	return rows
+}
