Add briarwell, the operator's command line

Cause: operators need to check, store and follow configuration and to see and remove members. Ruled out: setting the owner of a retired member's shards to none. The planner would then not see that the last owner did not hand over, and skip settleMillis; a dead member row alone frees the shards. Ruled out: an apply that ends in success when its wait does. It ends with exit code 4 and says that the version stays pending. The object store client isn't connected yet, so documents over 2,048 bytes are refused outside tests.

--- a/core/rollout/errors.go
+++ b/core/rollout/errors.go
@@ -31,6 +31,9 @@
 func (e *ConflictError) Author() string { return e.author }
 
 func (e *ConflictError) Error() string {
+	if e.actual < e.expected {
+		return fmt.Sprintf("conflict at %s: the edit expects version %d, but the newest is version %d", e.key, e.expected, e.actual)
+	}
 	return fmt.Sprintf("conflict at %s: the edit expects version %d, but %s made version %d", e.key, e.expected, e.author, e.actual)
 }
 
@@ -96,3 +99,21 @@
 
 // Unwrap returns the cause.
 func (e *UncertainError) Unwrap() error { return e.cause }
+
+// StoreMissingError reports a body that is in the object store, or must go
+// there, while no store is known.
+type StoreMissingError struct {
+	bytes int
+}
+
+// NewStoreMissingError returns an error for a body of a length, 0 if unknown.
+func NewStoreMissingError(bytes int) *StoreMissingError {
+	return &StoreMissingError{bytes: bytes}
+}
+
+// Bytes returns the length of the body, 0 if unknown.
+func (e *StoreMissingError) Bytes() int { return e.bytes }
+
+func (e *StoreMissingError) Error() string {
+	return fmt.Sprintf("a body is longer than %d bytes, so that it is kept in the object store, but no object store is given", maxInlineBytes)
+}
--- a/core/rollout/history.go
+++ b/core/rollout/history.go
@@ -88,6 +88,9 @@
 	if b == nil || b.Inline != nil {
 		return b.inline(), nil
 	}
+	if store == nil {
+		return nil, NewStoreMissingError(0)
+	}
 	return store.Get(ctx, b.Digest)
 }
 
@@ -124,6 +127,9 @@
 		sum := sha256.Sum256(body)
 		return &bodyRefJSON{Digest: hex.EncodeToString(sum[:]), Inline: body}, nil
 	}
+	if store == nil {
+		return nil, NewStoreMissingError(len(body))
+	}
 	digest, err := store.Put(ctx, body)
 	if err != nil {
 		return nil, err
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -108,7 +108,7 @@
 // since the operator has not seen the combination.
 func (s snapshot) findConflicts(edit Edit) error {
 	if edit.expect > s.head.version {
-		return NewConflictError(KeyHead, edit.expect, s.head.version, s.head.authorOrNobody())
+		return NewConflictError(KeyHead, edit.expect, s.head.version, s.head.author)
 	}
 	var errs []error
 	for _, item := range s.entries {
@@ -119,13 +119,6 @@
 	return errors.Join(errs...)
 }
 
-func (s Stamp) authorOrNobody() string {
-	if s.version == 0 {
-		return "nobody"
-	}
-	return s.author
-}
-
 func (e Edit) concerns(item entry) bool {
 	_, itemIsTemplate := item.document.(template.Template)
 	for _, document := range e.documents {
--- a/core/rollout/render.go
+++ b/core/rollout/render.go
@@ -53,3 +53,22 @@
 	f.catalog = catalog
 	return true, nil
 }
+
+// Versions holds the stored and the accepted version.
+type Versions struct {
+	head     Stamp
+	accepted uint64
+}
+
+// Head returns the newest stored version, the zero Stamp if there is none.
+func (v Versions) Head() Stamp { return v.head }
+
+// Accepted returns the newest accepted version, 0 if there is none.
+func (v Versions) Accepted() uint64 { return v.accepted }
+
+// ReadVersions returns the versions that configuration rows tell. The error is
+// a *RowError.
+func ReadVersions(rows []table.Row) (Versions, error) {
+	decoded, err := decodeRows(rows)
+	return Versions{head: decoded.head, accepted: decoded.accepted}, err
+}
--- a/core/template/render.go
+++ b/core/template/render.go
@@ -62,7 +62,7 @@
 		template, ok := byKind[organisation.kind]
 		if !ok {
 			collector := &settings.Collector{}
-			collector.Add("kind", `"`+organisation.kind+`"`, "the kind of a stored template")
+			collector.Add("kind", `"`+organisation.kind+`"`, "the kind of a known template")
 			return Catalog{}, NewRenderError(organisation.name, collector.Err())
 		}
 		rendered, err := Render(template, organisation)
--- /dev/null
+++ b/ctl/command/program_test.go
@@ -0,0 +1,87 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+	"google.golang.org/grpc"
+
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/peer/peerpb"
+	"briarwell.dev/core/rollout"
+	"briarwell.dev/core/table"
+	"briarwell.dev/core/table/memory"
+	"briarwell.dev/ctl/command"
+)
+
+// Guards against a command without help, and against unknown words or flags
+// with another exit code than 2.
+func TestHelp(t *testing.T) {
+	var log bytes.Buffer
+	lines := []string{
+		"--help", "", "unknown", "status --unknown", "apply", "status extra", "apply f --timeout soon",
+		"validate --help", "diff --help", "apply --help", "status --help", "history --help", "explain --help", "drain --help", "retire --help",
+	}
+	for _, line := range lines {
+		program := exec.Command(os.Args[0], strings.Fields(line)...)
+		program.Env = append(os.Environ(), "BRIARWELL_TEST_PROGRAM=1")
+		output, err := program.CombinedOutput()
+		var exit *exec.ExitError
+		is.New(t).True(err == nil || errors.As(err, &exit))
+		fmt.Fprintf(&log, "$ briarwell %s\n%s[exit %d]\n\n", line, output, program.ProcessState.ExitCode())
+	}
+	goldie.New(t).Assert(t, "help", log.Bytes())
+}
+
+type daemon struct {
+	peerpb.UnimplementedPeerServer
+	drained chan uint64
+}
+
+func (d *daemon) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
+	return &peerpb.StatusResponse{Incarnation: 7, State: "active", ConfigVersion: 3, LeaseMillis: 900}, nil
+}
+
+func (d *daemon) Drain(_ context.Context, request *peerpb.DrainRequest) (*peerpb.DrainResponse, error) {
+	d.drained <- request.GetIncarnation()
+	return &peerpb.DrainResponse{Incarnation: 7, Accepted: true, State: "draining"}, nil
+}
+
+// Guards against questions that don't reach a daemon over gRPC.
+func TestDaemonOverGRPC(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server, served := grpc.NewServer(), &daemon{drained: make(chan uint64, 1)}
+	peerpb.RegisterPeerServer(server, served)
+	go func() { _ = server.Serve(listener) }()
+	defer server.Stop()
+	target := memory.New()
+	instance := membership.NewInstance("lagos-7", "127.0.0.1:8080", listener.Addr().String(), identity.NewLocation("lagos", "lagos-a"))
+	_, err = target.Commit(t.Context(), table.NewTransaction(nil, []table.Mutation{table.NewPut(membership.Key(7), membership.Encode(membership.New(7, instance)))}))
+	is.NoErr(err)
+	run := func(words ...string) string {
+		var output bytes.Buffer
+		code := command.Run(t.Context(), command.System(command.Output(&output, &output), command.Platform(func(string, string) (table.Table, rollout.Store, error) {
+			return target, nil, nil
+		})), append(words, "--table", "http://t:1", "--json"))
+		return fmt.Sprintf("%d %s", code, output.String())
+	}
+	is.True(strings.Contains(run("status"), `"state":"active","configVersion":3,"leaseMillis":900`))
+	is.True(strings.HasPrefix(run("drain", "lagos-7"), "0 "))
+	is.Equal(<-served.drained, uint64(7))
+	is.True(strings.HasPrefix(run("retire", "lagos-7", "--confirm-stopped"), "2 "))
+	server.Stop()
+	is.True(strings.HasPrefix(run("drain", "lagos-7"), "5 "))
+	is.True(strings.HasPrefix(run("retire", "lagos-7", "--confirm-stopped"), "0 "))
+}
--- /dev/null
+++ b/ctl/command/session_test.go
@@ -0,0 +1,283 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/ownership"
+	"briarwell.dev/core/peer/peerpb"
+	"briarwell.dev/core/rollout"
+	"briarwell.dev/core/shard"
+	"briarwell.dev/core/table"
+	"briarwell.dev/core/table/memory"
+	"briarwell.dev/ctl/command"
+)
+
+// TestMain runs the program itself if it is started by TestHelp.
+func TestMain(m *testing.M) {
+	if os.Getenv("BRIARWELL_TEST_PROGRAM") != "" {
+		os.Exit(command.Run(context.Background(), command.System(), os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+type objects map[string][]byte
+
+func (o objects) Put(_ context.Context, data []byte) (string, error) {
+	digest := fmt.Sprintf("object-%d", len(o))
+	o[digest] = data
+	return digest, nil
+}
+
+func (o objects) Get(_ context.Context, digest string) ([]byte, error) { return o[digest], nil }
+
+// outageTable is a table whose calls get no answer while down is set.
+type outageTable struct {
+	*memory.Table
+	down bool
+}
+
+func (o *outageTable) Read(ctx context.Context, keys []string) ([]table.Row, error) {
+	if o.down {
+		return nil, table.NewOutageError("read", errors.New("connection refused"))
+	}
+	return o.Table.Read(ctx, keys)
+}
+
+func (o *outageTable) Scan(ctx context.Context, prefix string, since table.Revision) ([]table.Row, table.Revision, error) {
+	if o.down {
+		return nil, 0, table.NewOutageError("scan", errors.New("connection refused"))
+	}
+	return o.Table.Scan(ctx, prefix, since)
+}
+
+// session runs commands against one platform and records what they print.
+type session struct {
+	t       *testing.T
+	table   *outageTable
+	store   objects
+	daemons map[string]func() (*peerpb.StatusResponse, error)
+	started time.Time
+	edits   int
+	ctx     context.Context
+	// directory holds the session's files; the record leaves it out.
+	directory string
+	log       bytes.Buffer
+}
+
+// runSession runs steps under a fake clock, which starts in 2000, and compares
+// the record with a golden file.
+func runSession(t *testing.T, name string, steps func(*session)) {
+	t.Helper()
+	s := &session{table: &outageTable{Table: memory.New()}, store: objects{}, daemons: map[string]func() (*peerpb.StatusResponse, error){}}
+	synctest.Test(t, func(t *testing.T) {
+		s.t, s.started, s.ctx, s.directory = t, time.Now(), t.Context(), t.TempDir()
+		steps(s)
+	})
+	goldie.New(t).Assert(t, name, bytes.ReplaceAll(s.log.Bytes(), []byte(s.directory+"/"), nil))
+}
+
+func (s *session) Status(_ context.Context, address string) (*peerpb.StatusResponse, error) {
+	if answer, ok := s.daemons[address]; ok {
+		return answer()
+	}
+	return nil, errors.New("connection refused")
+}
+
+func (s *session) Drain(ctx context.Context, address string, incarnation identity.Incarnation) (*peerpb.DrainResponse, error) {
+	status, err := s.Status(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	accepted := status.GetIncarnation() == uint64(incarnation)
+	return &peerpb.DrainResponse{Incarnation: status.GetIncarnation(), Accepted: accepted, State: "draining"}, nil
+}
+
+// run runs a command line, whose words are separated by spaces.
+func (s *session) run(line string) {
+	fmt.Fprintf(&s.log, "$ briarwell %s\n", line)
+	began := time.Now()
+	code := command.Run(s.ctx, command.System(
+		command.Output(&s.log, &s.log), command.AskPeers(s), command.Author("ada"),
+		command.Platform(func(string, string) (table.Table, rollout.Store, error) { return s.table, s.store, nil }),
+		command.EditIDs(func() string { s.edits++; return fmt.Sprint("edit", s.edits) }),
+	), strings.Fields(strings.ReplaceAll(line, "EXAMPLES", "../../examples")))
+	fmt.Fprintf(&s.log, "[exit %d after %v]\n\n", code, time.Since(began))
+}
+
+func (s *session) note(text string) { fmt.Fprintf(&s.log, "# %s\n", text) }
+
+func (s *session) file(name, text string) string {
+	path := filepath.Join(s.directory, name)
+	is.New(s.t).NoErr(os.WriteFile(path, []byte(text), 0o600))
+	s.note(name + ": " + text)
+	return path
+}
+
+func (s *session) put(key string, value []byte) {
+	_, err := s.table.Commit(s.ctx, table.NewTransaction(nil, []table.Mutation{table.NewPut(key, value)}))
+	is.New(s.t).NoErr(err)
+}
+
+// member stores a member row. Its daemon answers with the versions, one second
+// each.
+func (s *session) member(incarnation identity.Incarnation, region string, service identity.Service, state membership.State, versions ...uint64) {
+	name := fmt.Sprintf("%s-%d", region, incarnation)
+	address := fmt.Sprintf("127.0.0.%d:9090", incarnation)
+	instance := membership.NewInstance(name, fmt.Sprintf("127.0.0.%d:8080", incarnation), address, identity.NewLocation(region, region+"-a"))
+	announcement := membership.NewAnnouncement(service, 12, 110, "epoch", 0)
+	s.put(membership.Key(incarnation), membership.Encode(membership.New(incarnation, instance).WithAnnouncement(announcement).WithState(state)))
+	if len(versions) == 0 {
+		return
+	}
+	s.daemons[address] = func() (*peerpb.StatusResponse, error) {
+		second := min(int(time.Since(s.started)/time.Second), len(versions)-1)
+		return &peerpb.StatusResponse{
+			Incarnation: uint64(incarnation), Instance: name, State: string(state), ConfigVersion: versions[second], LeaseMillis: 1200,
+			Services: []*peerpb.OwnedService{{Shards: 1, InFlight: uint32(incarnation), Queued: 1}},
+		}, nil
+	}
+}
+
+const lagos = `{"name":"lagos","kind":"lendingService","parameters":{"patternTimeoutMillis":90000}}`
+
+func bookings() identity.Service { return identity.NewService("lagos", "bookings") }
+
+// Guards against a change of what operators and their scripts see in the usual
+// sequence of an edit.
+func TestSessionEdit(t *testing.T) {
+	runSession(t, "edit", func(s *session) {
+		s.run("validate EXAMPLES/lending-service.json EXAMPLES/lagos.json EXAMPLES/onboarding.json EXAMPLES/primeiro-dia.json")
+		s.run("status --table http://t:1")
+		s.member(1, "lagos", bookings(), membership.StateActive, 1, 1, 2)
+		s.run("apply EXAMPLES/lending-service.json EXAMPLES/lagos.json --expect 0 --table http://t:1")
+		file := s.file("edited.json", lagos)
+		s.run("diff " + file + " --table http://t:1")
+		s.run("diff " + file + " --table http://t:1 --json")
+		s.run("apply " + file + " --expect 1 --table http://t:1")
+		s.run("apply " + file + " --expect 2 --table http://t:1")
+		s.note("another operator has read version 1")
+		s.run("apply EXAMPLES/lagos.json --expect 1 --author bisi --table http://t:1")
+		s.run("status --table http://t:1")
+		s.run("status --table http://t:1 --json")
+		s.run("history --table http://t:1 --count 1")
+		s.run("history --table http://t:1")
+		s.run("history --table http://t:1 --count 1 --json")
+	})
+}
+
+// Guards against accepted being told while a region has not confirmed, and
+// against a pending edit that is told as failed or without its region.
+func TestSessionPending(t *testing.T) {
+	runSession(t, "pending", func(s *session) {
+		s.run("apply EXAMPLES/lending-service.json EXAMPLES/lagos.json --expect 0 --table http://t:1")
+		s.member(1, "lagos", bookings(), membership.StateActive, 1, 2)
+		s.member(2, "kano", bookings(), membership.StateActive)
+		s.member(3, "enugu", bookings(), membership.StateActive, 1, 1, 1, 2)
+		s.member(4, "enugu", bookings(), membership.StateDead)
+		file := s.file("edited.json", lagos)
+		s.run("apply " + file + " --expect 1 --timeout 5s --table http://t:1")
+		s.run("status --table http://t:1")
+		s.note("interrupt after 1 s")
+		ctx, cancel := context.WithTimeout(s.ctx, time.Second)
+		whole := s.ctx
+		s.ctx = ctx
+		s.run("apply " + file + " --expect 2 --table http://t:1 --json")
+		cancel()
+		s.ctx = whole
+		s.note("kano-2 lost its lease and was marked dead")
+		s.member(2, "kano", bookings(), membership.StateDead)
+		s.run("apply " + file + " --expect 2 --table http://t:1")
+		s.run("status --table http://t:1")
+	})
+}
+
+// Guards against an explanation that names another owner than the table does,
+// or hides why a key is not served.
+func TestSessionExplain(t *testing.T) {
+	runSession(t, "explain", func(s *session) {
+		s.run("apply EXAMPLES/lending-service.json EXAMPLES/lagos.json --expect 0 --table http://t:1")
+		s.member(1, "lagos", bookings(), membership.StateActive, 1)
+		s.member(2, "kano", bookings(), membership.StateDead)
+		s.member(3, "enugu", identity.NewService("lagos", "catalogue"), membership.StateActive, 1)
+		groups := make(map[int]ownership.Group)
+		set := func(key, hot string, entry ownership.Entry) {
+			id := shard.Of(key, 256)
+			groups[int(id)/ownership.GroupSize] = groups[int(id)/ownership.GroupSize].With(ownership.NewUnit(id, hot), entry)
+		}
+		set("b-17", "", ownership.NewEntry(1, 4, true))
+		set("b-18", "", ownership.NewEntry(2, 3, false))
+		set("b-19", "b-19", ownership.NewEntry(1, 9, false))
+		for number, group := range groups {
+			s.put(ownership.Key(bookings(), number), ownership.Encode(group))
+		}
+		for _, words := range []string{
+			"bookings b-17 --method POST --path /b-17/deposit", "bookings b-18 --method GET --path /b-18", "bookings b-19 --method GET --path /b-19 --json",
+			"bookings b-20 --method GET --path /b-20", "catalogue", "patterns --method POST --path /p", "bookings", "catalogue uniform", "nothing k",
+		} {
+			s.run("explain lagos/" + words + " --table http://t:1")
+		}
+	})
+}
+
+// Guards against a daemon being retired that still runs, since its keys would
+// have two owners, and against a drain that reaches another process.
+func TestSessionLeave(t *testing.T) {
+	runSession(t, "leave", func(s *session) {
+		s.member(1, "lagos", bookings(), membership.StateActive, 1)
+		s.member(2, "kano", bookings(), membership.StateActive)
+		s.member(3, "kano", bookings(), membership.StateActive)
+		s.daemons["127.0.0.3:9090"] = func() (*peerpb.StatusResponse, error) { return &peerpb.StatusResponse{Incarnation: 9}, nil }
+		s.put(ownership.Key(bookings(), 0), ownership.Encode(ownership.Group{}.With(ownership.NewUnit(1, ""), ownership.NewEntry(2, 5, false)).With(ownership.NewUnit(0, ""), ownership.NewEntry(1, 2, false))))
+		for _, words := range []string{
+			"drain lagos-1", "drain lagos-1 --json", "drain kano-2", "drain kano-3", "drain nobody", "retire kano-2", "retire lagos-1 --confirm-stopped",
+			"retire kano-2 --confirm-stopped", "retire kano-2 --confirm-stopped", "retire 0000000000000003 --confirm-stopped --json", "status",
+		} {
+			s.run(words + " --table http://t:1")
+		}
+		rows, err := s.table.Read(s.ctx, []string{ownership.Key(bookings(), 0)})
+		is.New(s.t).NoErr(err)
+		s.note("shards/lagos/bookings/0: " + string(rows[0].Value()))
+	})
+}
+
+// Guards against bad input or an outage with another exit code, or a message
+// without what was found and what is allowed.
+func TestSessionErrors(t *testing.T) {
+	runSession(t, "errors", func(s *session) {
+		s.run("validate EXAMPLES/lagos.json EXAMPLES/missing.json")
+		s.run("validate EXAMPLES/lagos.json")
+		s.run("validate EXAMPLES/lending-service.json EXAMPLES/lagos.json EXAMPLES/lagos.json")
+		s.run("validate " + s.file("bad.json", `{"name":"lagos","kind":7,"parameter":{}}`))
+		s.run("validate EXAMPLES/lending-service.json " + s.file("parameters.json", `{"name":"lagos","kind":"lendingService","parameters":{"patternTimeoutMillis":1,"queueLimit":"5"}}`))
+		s.run("validate " + s.file("template.json", `{"kind":"k","services":[{"name":"s","keyed":true,"shards":8,"fencing":"none","settleMillis":40,"routes":[{"idempotent":false}]}]}`) +
+			" " + s.file("organisation.json", `{"name":"o","kind":"k"}`) + " --json")
+		s.run("status")
+		s.run("status --table t:1 --objects ftp://o")
+		s.run("apply EXAMPLES/lagos.json --table http://t:1")
+		s.run("apply EXAMPLES/lagos.json --expect 1.5 --table http://t:1")
+		s.run("apply EXAMPLES/lagos.json --expect 0 --table http://t:1")
+		s.run("apply EXAMPLES/lending-service.json EXAMPLES/lagos.json --expect 3 --table http://t:1")
+		s.run("history --count 0 --table http://t:1")
+		s.run("apply EXAMPLES/lending-service.json EXAMPLES/lagos.json --expect 0 --table http://t:1")
+		s.run("apply " + s.file("shards.json", `{"name":"lagos","kind":"lendingService","parameters":{"patternTimeoutMillis":90000,"bookingShards":512}}`) + " --expect 1 --table http://t:1")
+		s.note("the table gives no answer")
+		s.table.down = true
+		for _, words := range []string{"status", "apply EXAMPLES/lagos.json --expect 1", "explain lagos/bookings b-1", "history", "drain lagos-1"} {
+			s.run(words + " --table http://t:1")
+		}
+	})
+}
--- /dev/null
+++ b/ctl/main.go
@@ -0,0 +1,18 @@
+// Briarwell is the operator's command line.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"briarwell.dev/ctl/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Run(ctx, command.System(), os.Args[1:])
+	stop()
+	os.Exit(code)
+}
