Inject seeded faults under load and audit the run

Cause: recovery after each kind of fault has a target of 3,000 ms, and the invariants must hold in whole process runs.

Ruled out: random draws of kinds, which may leave a kind out of a short run; the plan deals each kind once before any comes again.

Change: bwdemo faults, outage and bench; reports as text and JSON; the keyed services get 32 shards in fault runs so that each shard is asked several times a second. Link faults are declared and do nothing until the relay exists.

--- /dev/null
+++ b/demo/commands.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strconv"
+	"time"
+
+	"briarwell.dev/demo/assess"
+	"briarwell.dev/demo/faults"
+	"briarwell.dev/demo/harness"
+	"briarwell.dev/demo/mainjob"
+)
+
+const (
+	// faultShards is the smallest number that the example templates allow, so
+	// that each shard gets several requests a second and gaps are measured well.
+	faultShards = 32
+	// warmUp is the time under load before the first fault.
+	warmUp = 5 * time.Second
+	// faultLoad is the workload of the fault tests.
+	faultLoad = "faults"
+	// faultRate is the usual rate in fault tests.
+	faultRate = 300
+	// outageLength is the usual length of a table outage.
+	outageLength = 5 * time.Minute
+	// benchRate is the rate of one daemon at the target scale.
+	benchRate = 3500
+	// benchRound is the usual measured time of each path in a round.
+	benchRound = 5 * time.Second
+	// benchOrderTime makes upstreams answer at once, so that only the cost of the
+	// paths is compared.
+	benchOrderTime = 0
+	// benchInstances is the number of daemons in a benchmark.
+	benchInstances = 3
+)
+
+// mainJob runs the main job within the time that the README promises.
+func (o *options) mainJob(ctx context.Context, programs harness.Programs) error {
+	ctx, cancel := context.WithTimeout(ctx, mainTime)
+	defer cancel()
+	instances := []harness.ServiceCount{
+		{Service: harness.Bookings(orderTime), Count: o.upstreams},
+		{Service: harness.SignOff(orderTime), Count: o.regions},
+	}
+	return o.with(programs, instances, 0, func(cluster *harness.Cluster) error {
+		return mainjob.Run(ctx, cluster, os.Stdout)
+	})
+}
+
+// with runs a function on a prepared cluster and stops all its processes.
+func (o *options) with(programs harness.Programs, instances []harness.ServiceCount, shards int, run func(*harness.Cluster) error) error {
+	cluster, err := harness.NewCluster(harness.Options{
+		Programs: programs, Folder: o.folder, Root: o.root, Regions: regionNames()[:o.regions], LogLevel: o.logLevel,
+		Instances: instances, Shards: shards, Linked: o.linked,
+	})
+	if err != nil {
+		return err
+	}
+	return errors.Join(run(cluster), cluster.Close())
+}
+
+// faultJob runs faults under load and audits the run.
+func (o *options) faultJob(ctx context.Context, programs harness.Programs) error {
+	o.linked = true
+	return o.underLoad(ctx, programs, func(cluster *harness.Cluster) ([]assess.Event, error) {
+		length := time.Duration(o.minutes * float64(time.Minute))
+		plan := faults.NewPlan(o.seed, len(cluster.Instances()), regionNames()[:o.regions])
+		return faults.Run(ctx, cluster, plan, length, os.Stdout)
+	})
+}
+
+// outageJob makes the table fail for a time under load and audits the run.
+func (o *options) outageJob(ctx context.Context, programs harness.Programs) error {
+	return o.underLoad(ctx, programs, func(cluster *harness.Cluster) ([]assess.Event, error) {
+		return faults.RunOutage(ctx, cluster, cmp.Or(o.length, outageLength), os.Stdout)
+	})
+}
+
+func (o *options) underLoad(ctx context.Context, programs harness.Programs, run func(*harness.Cluster) ([]assess.Event, error)) error {
+	instances := []harness.ServiceCount{
+		{Service: harness.Bookings(orderTime), Count: o.upstreams},
+		{Service: harness.SignOff(orderTime), Count: o.regions},
+		{Service: harness.Patterns(orderTime), Count: o.regions},
+	}
+	return o.with(programs, instances, faultShards, func(cluster *harness.Cluster) error {
+		if err := mainjob.Start(ctx, cluster, os.Stdout); err != nil {
+			return err
+		}
+		load, err := cluster.StartLoad(harness.LoadOptions{Workload: faultLoad, Rate: cmp.Or(o.rate, faultRate), Seed: o.seed})
+		if err != nil {
+			return err
+		}
+		time.Sleep(warmUp)
+		events, err := run(cluster)
+		return errors.Join(err, o.assess(cluster, load, events, os.Stdout))
+	})
+}
+
+// assess stops the load, audits the records and prints the report. A finding
+// or a missed target is an error.
+func (o *options) assess(cluster *harness.Cluster, load *harness.Load, events []assess.Event, out io.Writer) error {
+	calls, err := load.Stop()
+	if err != nil {
+		return err
+	}
+	acceptances, err := cluster.Acceptances()
+	if err != nil {
+		return err
+	}
+	report := assess.Run(acceptances, calls, events, harness.SignOff(0).Name)
+	if err := report.Print(out); err != nil {
+		return err
+	}
+	path := cluster.Group().File("report.json")
+	if err := report.WriteJSON(path); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(out, "seed %d, report in %s, load in %s\n", o.seed, path, cluster.Group().File("load.log"))
+	if report.Failed() {
+		return errors.New("the audit found violations, or a fault missed its target")
+	}
+	return nil
+}
+
+// benchJob compares the paths to one upstream.
+func (o *options) benchJob(ctx context.Context, programs harness.Programs) error {
+	o.regions = 1
+	instances := []harness.ServiceCount{{Service: harness.Bookings(benchOrderTime), Count: benchInstances}}
+	return o.with(programs, instances, 0, func(cluster *harness.Cluster) error {
+		if err := mainjob.Start(ctx, cluster, os.Stdout); err != nil {
+			return err
+		}
+		owner, other := cluster.Instances()[0], cluster.Instances()[1]
+		command := exec.CommandContext(ctx, programs.Load(), "bench",
+			"--upstream", owner.Addresses().Upstream, "--local", owner.Addresses().HTTP, "--remote", other.Addresses().HTTP,
+			"--owner", owner.Name(), "--service", owner.Service().Name,
+			"--upstream-pid", strconv.Itoa(owner.Upstream().PID()), "--local-pid", strconv.Itoa(owner.Daemon().PID()),
+			"--remote-pid", strconv.Itoa(other.Daemon().PID()),
+			"--rounds", strconv.Itoa(o.rounds), "--rate", fmt.Sprint(cmp.Or(o.rate, benchRate)), "--round", cmp.Or(o.length, benchRound).String())
+		command.Stdout, command.Stderr = os.Stdout, os.Stderr
+		return command.Run()
+	})
+}
--- /dev/null
+++ b/demo/faults/fault.go
@@ -0,0 +1,172 @@
+// Package faults injects a seeded sequence of faults into a cluster under load.
+package faults
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+	"time"
+
+	"briarwell.dev/demo/harness"
+)
+
+// stopTimeout bounds a graceful leave.
+const stopTimeout = 15 * time.Second
+
+// Fault is one of Kill, Freeze, Leave, Table, Cut and Pair.
+type Fault interface {
+	isFault()
+	fmt.Stringer
+	// targeted tells whether keys must be served again within the target.
+	targeted() bool
+	inject(c *harness.Cluster) error
+	heal(c *harness.Cluster) error
+}
+
+// Part says which processes of an instance a fault hits.
+type Part string
+
+// Parts of an instance.
+const (
+	PartDaemon   Part = "daemon"
+	PartUpstream Part = "upstream"
+	PartBoth     Part = "daemon and upstream"
+)
+
+func (p Part) processes(i *harness.Instance) []*harness.Process {
+	switch p {
+	case PartDaemon:
+		return []*harness.Process{i.Daemon()}
+	case PartUpstream:
+		return []*harness.Process{i.Upstream()}
+	default:
+		return []*harness.Process{i.Daemon(), i.Upstream()}
+	}
+}
+
+// Kill ends processes of an instance with SIGKILL; they are started again when
+// the fault heals.
+type Kill struct {
+	instance int
+	part     Part
+}
+
+// Freeze stops processes of an instance and resumes them when the fault heals.
+type Freeze struct {
+	instance int
+	part     Part
+	length   time.Duration
+}
+
+// Leave stops the daemon of an instance with SIGTERM and starts it again when
+// the fault heals.
+type Leave struct {
+	instance int
+	stopped  *time.Duration
+}
+
+// Table sets faults of the table service.
+type Table struct {
+	name   string
+	faults harness.TableFaults
+}
+
+// Cut changes the link between two regions, or from a region to the table.
+type Cut struct {
+	link harness.LinkFault
+}
+
+// Pair is two faults at once.
+type Pair struct{ first, second Fault }
+
+func (Kill) isFault()   {}
+func (Freeze) isFault() {}
+func (Leave) isFault()  {}
+func (Table) isFault()  {}
+func (Cut) isFault()    {}
+func (Pair) isFault()   {}
+
+func (f Kill) String() string { return fmt.Sprintf("kill %s of %d", f.part, f.instance) }
+
+func (f Freeze) String() string {
+	return fmt.Sprintf("freeze %s of %d for %v", f.part, f.instance, f.length)
+}
+func (f Leave) String() string { return fmt.Sprintf("graceful leave of %d", f.instance) }
+func (f Table) String() string { return f.name }
+func (f Cut) String() string   { return f.link.String() }
+func (f Pair) String() string  { return f.first.String() + " + " + f.second.String() }
+
+func (Kill) targeted() bool   { return true }
+func (Freeze) targeted() bool { return true }
+func (Leave) targeted() bool  { return true }
+func (Table) targeted() bool  { return true }
+func (Cut) targeted() bool    { return true }
+
+// targeted excludes pairs, as two losses at once may fall under cases 1 to 4 of
+// section 2.5 of the design page.
+func (Pair) targeted() bool { return false }
+
+// Part returns the processes that are killed.
+func (f Kill) Part() Part { return f.part }
+
+// Part returns the processes that are frozen.
+func (f Freeze) Part() Part { return f.part }
+
+// Kind returns the kind of link fault.
+func (f Cut) Kind() harness.LinkKind { return f.link.Kind() }
+
+func (f Kill) inject(c *harness.Cluster) error {
+	var err error
+	for _, p := range f.part.processes(c.Instances()[f.instance]) {
+		err = errors.Join(err, p.Signal(syscall.SIGKILL))
+	}
+	return err
+}
+
+func (f Kill) heal(c *harness.Cluster) error { return startEnded(c.Instances()[f.instance]) }
+
+func (f Freeze) inject(c *harness.Cluster) error { return f.signal(c, syscall.SIGSTOP) }
+func (f Freeze) heal(c *harness.Cluster) error   { return f.signal(c, syscall.SIGCONT) }
+
+func (f Freeze) signal(c *harness.Cluster, signal syscall.Signal) error {
+	var err error
+	for _, p := range f.part.processes(c.Instances()[f.instance]) {
+		err = errors.Join(err, p.Signal(signal))
+	}
+	return err
+}
+
+func (f Leave) inject(c *harness.Cluster) error {
+	length, err := c.Instances()[f.instance].Daemon().Stop(stopTimeout)
+	*f.stopped = length
+	return err
+}
+
+func (f Leave) heal(c *harness.Cluster) error { return startEnded(c.Instances()[f.instance]) }
+
+func (f Table) inject(c *harness.Cluster) error { return c.SetTableFaults(f.faults) }
+func (f Table) heal(c *harness.Cluster) error   { return c.SetTableFaults(harness.TableFaults{}) }
+
+func (f Cut) inject(c *harness.Cluster) error { return c.Links().Set(f.link) }
+func (f Cut) heal(c *harness.Cluster) error   { return c.Links().Clear() }
+
+func (f Pair) inject(c *harness.Cluster) error {
+	return errors.Join(f.first.inject(c), f.second.inject(c))
+}
+
+func (f Pair) heal(c *harness.Cluster) error {
+	return errors.Join(f.first.heal(c), f.second.heal(c))
+}
+
+// startEnded starts the processes of an instance that have ended.
+func startEnded(i *harness.Instance) error {
+	if !i.Daemon().Running() {
+		if err := i.StartDaemon(); err != nil {
+			return err
+		}
+	}
+	if !i.Upstream().Running() {
+		return i.StartUpstream()
+	}
+	return nil
+}
--- /dev/null
+++ b/demo/faults/plan_test.go
@@ -0,0 +1,41 @@
+package faults_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/demo/faults"
+)
+
+// TestPlan guards against runs that can't be repeated by their seed, kinds of
+// faults that never come, and freezes outside 0.5 s to 10 s.
+func TestPlan(t *testing.T) {
+	is := is.New(t)
+	regions := []string{"lagos", "kano", "enugu"}
+	first, second := faults.NewPlan(7, 6, regions), faults.NewPlan(7, 6, regions)
+	kinds := make(map[string]bool)
+	pairs := 0
+	for range 100 {
+		step := first.Next()
+		is.Equal(step.Fault().String(), second.Next().Fault().String())
+		switch f := step.Fault().(type) {
+		case faults.Pair:
+			pairs++
+		case faults.Kill:
+			kinds["kill "+string(f.Part())] = true
+		case faults.Freeze:
+			kinds["freeze "+string(f.Part())] = true
+			is.True(step.Hold() >= 500*time.Millisecond && step.Hold() <= 10*time.Second)
+		case faults.Leave:
+			kinds["leave"] = true
+		case faults.Table:
+			kinds[f.String()] = true
+		case faults.Cut:
+			kinds["cut "+string(f.Kind())] = true
+		}
+	}
+	is.Equal(pairs, 25)
+	is.Equal(len(kinds), 13)
+}
--- /dev/null
+++ b/demo/faults/run.go
@@ -0,0 +1,93 @@
+package faults
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"briarwell.dev/demo/assess"
+	"briarwell.dev/demo/harness"
+)
+
+const (
+	// settleTime follows each fault, so that the next one meets a whole cluster.
+	settleTime = 5 * time.Second
+	// readyTimeout bounds the wait for all daemons after a fault.
+	readyTimeout = 30 * time.Second
+)
+
+// Run takes steps of the plan until length has passed, and returns what it
+// injected. A cluster that isn't ready again in time ends the run with an error,
+// beside the events so far.
+func Run(ctx context.Context, cluster *harness.Cluster, plan *Plan, length time.Duration, out io.Writer) ([]assess.Event, error) {
+	var events []assess.Event
+	end := time.Now().Add(length)
+	for time.Now().Before(end) {
+		event, err := take(ctx, cluster, plan.Next(), out)
+		if err != nil {
+			return append(events, event), err
+		}
+		events = append(events, event)
+	}
+	return events, nil
+}
+
+// RunOutage makes the table fail for a time.
+func RunOutage(ctx context.Context, cluster *harness.Cluster, length time.Duration, out io.Writer) ([]assess.Event, error) {
+	fault := Table{name: fmt.Sprintf("table outage of %v", length), faults: harness.TableFaults{Outage: true}}
+	event, err := take(ctx, cluster, Step{fault: fault, hold: length}, out)
+	return []assess.Event{event}, err
+}
+
+func take(ctx context.Context, cluster *harness.Cluster, step Step, out io.Writer) (assess.Event, error) {
+	event := assess.Event{Name: step.fault.String(), Targeted: step.fault.targeted(), FromUnixMicros: time.Now().UnixMicro()}
+	_, _ = fmt.Fprintf(out, "%s %s\n", time.Now().Format(time.TimeOnly), event.Name)
+	err := step.fault.inject(cluster)
+	event.StopMillis = stopTime(step.fault).Milliseconds()
+	err = errors.Join(err, sleep(ctx, step.hold))
+	event.HealUnixMicros = time.Now().UnixMicro()
+	err = errors.Join(err, step.fault.heal(cluster))
+	if err == nil {
+		err = waitReady(ctx, cluster)
+	}
+	if err == nil {
+		err = sleep(ctx, settleTime)
+	}
+	event.UntilUnixMicros = time.Now().UnixMicro()
+	return event, err
+}
+
+// stopTime returns how long a graceful leave took, 0 for other faults.
+func stopTime(fault Fault) time.Duration {
+	switch f := fault.(type) {
+	case Leave:
+		return *f.stopped
+	case Pair:
+		return max(stopTime(f.first), stopTime(f.second))
+	default:
+		return 0
+	}
+}
+
+func waitReady(ctx context.Context, cluster *harness.Cluster) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	group := pool.New().WithErrors()
+	for _, i := range cluster.Instances() {
+		group.Go(func() error { return i.WaitReady(ctx) })
+	}
+	return group.Wait()
+}
+
+func sleep(ctx context.Context, length time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(length):
+		return nil
+	}
+}
--- a/demo/harness/cluster.go
+++ b/demo/harness/cluster.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -33,7 +35,12 @@
 	Regions []string
 	// Instances gives the number of instances of each service.
 	Instances []ServiceCount
-	LogLevel  string
+	// Linked puts a relay before the peer address of each daemon.
+	Linked   bool
+	LogLevel string
+	// Shards is the number of shards of each keyed service; 0 means that of the
+	// example configuration.
+	Shards int
 }
 
 // ServiceCount is a service and the number of its instances.
@@ -50,6 +57,7 @@
 	objectAddr   string
 	table        *Process
 	instances    []*Instance
+	links        *Links
 }
 
 // NewCluster prepares a cluster and starts nothing yet.
@@ -145,15 +153,27 @@
 	Seed            uint64  `json:"seed"`
 }
 
+// Links returns the relays, nil if there are none.
+func (c *Cluster) Links() *Links { return c.links }
+
 // SetTableFaults replaces the faults of the table.
 func (c *Cluster) SetTableFaults(faults TableFaults) error {
 	return post(c.TableURL()+"/admin/faults", faults)
 }
 
-// Apply applies the example configuration.
+// Apply applies the example configuration, with the number of shards of the
+// options.
 func (c *Cluster) Apply(ctx context.Context) error {
-	for _, name := range []string{"lending-service", "onboarding", "lagos", "primeiro-dia"} {
-		path := filepath.Join(c.options.Root, "examples", name+".json")
+	for _, name := range []string{"lending-service", "onboarding"} {
+		if _, err := c.Control(ctx, "apply", c.example(name)); err != nil {
+			return err
+		}
+	}
+	for name, parameter := range map[string]string{"lagos": "bookingShards", "primeiro-dia": "signOffShards"} {
+		path, err := c.organisation(name, parameter)
+		if err != nil {
+			return err
+		}
 		if _, err := c.Control(ctx, "apply", path); err != nil {
 			return err
 		}
@@ -161,6 +181,36 @@
 	return nil
 }
 
+func (c *Cluster) example(name string) string {
+	return filepath.Join(c.options.Root, "examples", name+".json")
+}
+
+// organisation returns the path of an organisation's file whose keyed service
+// has the number of shards of the options.
+func (c *Cluster) organisation(name, parameter string) (string, error) {
+	if c.options.Shards == 0 {
+		return c.example(name), nil
+	}
+	text, err := os.ReadFile(c.example(name))
+	if err != nil {
+		return "", err
+	}
+	var body struct {
+		Name       string         `json:"name"`
+		Kind       string         `json:"kind"`
+		Parameters map[string]any `json:"parameters"`
+	}
+	if err := json.Unmarshal(text, &body); err != nil {
+		return "", err
+	}
+	body.Parameters[parameter] = c.options.Shards
+	if text, err = json.Marshal(body); err != nil {
+		return "", err
+	}
+	path := c.group.File(name + ".organisation.json")
+	return path, os.WriteFile(path, text, 0o644)
+}
+
 // StartInstances starts all instances and waits until they are ready.
 func (c *Cluster) StartInstances(ctx context.Context) error {
 	for _, i := range c.instances {
--- a/demo/main.go
+++ b/demo/main.go
@@ -15,7 +15,6 @@
 	"github.com/integrii/flaggy"
 
 	"briarwell.dev/demo/harness"
-	"briarwell.dev/demo/mainjob"
 )
 
 const (
@@ -34,6 +33,18 @@
 	regions   int
 	upstreams int
 	logLevel  string
+	linked    bool
+	seed      uint64
+	minutes   float64
+	rate      float64
+	rounds    int
+	length    time.Duration
+}
+
+// job is a subcommand.
+type job struct {
+	command *flaggy.Subcommand
+	run     func(context.Context, harness.Programs) error
 }
 
 func main() {
@@ -47,7 +58,7 @@
 }
 
 func run(ctx context.Context) error {
-	o := options{root: ".", build: true, regions: 3, upstreams: 6, logLevel: "info"}
+	o := options{root: ".", build: true, regions: 3, upstreams: 6, logLevel: "info", seed: 1, minutes: 5, rounds: 5}
 	flaggy.SetName("bwdemo")
 	flaggy.SetDescription("Starts briarwell and its stand-ins as processes on loopback addresses.")
 	flaggy.DisableCompletion()
@@ -58,21 +69,47 @@
 	flaggy.Int(&o.regions, "", "regions", "number of regions, 1 to 3")
 	flaggy.Int(&o.upstreams, "", "upstreams", "number of upstreams of the bookings service")
 	flaggy.String(&o.logLevel, "", "log-level", "log level of the daemons")
-	mainCommand := flaggy.NewSubcommand("main")
-	mainCommand.Description = "Shows that every daemon sends each key to its owner."
-	flaggy.AttachSubcommand(mainCommand, 1)
+	jobs := o.jobs()
+	for _, j := range jobs {
+		flaggy.AttachSubcommand(j.command, 1)
+	}
 	flaggy.Parse()
-	programs, err := o.prepare(ctx)
-	if err != nil {
-		return err
+	for _, j := range jobs {
+		if !j.command.Used {
+			continue
+		}
+		programs, err := o.prepare(ctx)
+		if err != nil {
+			return err
+		}
+		return j.run(ctx, programs)
 	}
-	switch {
-	case mainCommand.Used:
-		return o.mainJob(ctx, programs)
-	default:
-		flaggy.ShowHelp("")
-		return errors.New("a subcommand is missing")
+	flaggy.ShowHelp("")
+	return errors.New("a subcommand is missing")
+}
+
+func (o *options) jobs() []job {
+	main := flaggy.NewSubcommand("main")
+	main.Description = "Shows that every daemon sends each key to its owner."
+
+	faults := flaggy.NewSubcommand("faults")
+	faults.Description = "Injects a seeded sequence of faults under load and audits the run."
+	faults.Float64(&o.minutes, "", "minutes", "length of the sequence")
+
+	outage := flaggy.NewSubcommand("outage")
+	outage.Description = "Makes the table fail for a time under load and audits the run."
+	outage.Duration(&o.length, "", "length", "length of the outage; 5m if 0")
+
+	bench := flaggy.NewSubcommand("bench")
+	bench.Description = "Compares direct calls with calls through one and two daemons."
+	bench.Duration(&o.length, "", "round", "measured time of each path in a round; 5s if 0")
+	bench.Int(&o.rounds, "", "rounds", "number of rounds")
+
+	for _, c := range []*flaggy.Subcommand{faults, outage, bench} {
+		c.Float64(&o.rate, "", "rate", "requests a second; 300 for faults and outage and 3500 for bench if 0")
+		c.UInt64(&o.seed, "", "seed", "seed of faults and requests")
 	}
+	return []job{{main, o.mainJob}, {faults, o.faultJob}, {outage, o.outageJob}, {bench, o.benchJob}}
 }
 
 // prepare builds the programs and fills in the folders.
@@ -98,20 +135,3 @@
 }
 
 func regionNames() []string { return []string{"lagos", "kano", "enugu"} }
-
-func (o *options) mainJob(ctx context.Context, programs harness.Programs) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, mainTime)
-	defer cancel()
-	cluster, err := harness.NewCluster(harness.Options{
-		Programs: programs, Folder: o.folder, Root: o.root, Regions: regionNames()[:o.regions], LogLevel: o.logLevel,
-		Instances: []harness.ServiceCount{
-			{Service: harness.Bookings(orderTime), Count: o.upstreams},
-			{Service: harness.SignOff(orderTime), Count: o.regions},
-		},
-	})
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.Join(err, cluster.Close()) }()
-	return mainjob.Run(ctx, cluster, os.Stdout)
-}
--- a/load/main.go
+++ b/load/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -30,6 +31,9 @@
 	acceptances []string
 	json        string
 	idPrefix    string
+	rate        float64
+	seconds     float64
+	seed        uint64
 }
 
 func main() {
@@ -54,6 +58,9 @@
 	flaggy.StringSlice(&options.acceptances, "a", "acceptances", "acceptance file of an upstream, read after the run")
 	flaggy.String(&options.json, "j", "json", "file that receives the report as JSON")
 	flaggy.String(&options.idPrefix, "", "id-prefix", "prefix of the request IDs, unique for each run")
+	flaggy.Float64(&options.rate, "", "rate", "requests a second, instead of the workload's")
+	flaggy.Float64(&options.seconds, "", "seconds", "duration, instead of the workload's")
+	flaggy.UInt64(&options.seed, "", "seed", "seed, instead of the workload's")
 	comparison := benchCommand(&settings)
 	flaggy.AttachSubcommand(comparison, 1)
 	flaggy.Parse()
@@ -90,6 +97,9 @@
 	if err != nil {
 		return eris.Wrap(err, "read workload")
 	}
+	file.Rate = cmp.Or(o.rate, file.Rate)
+	file.DurationSeconds = cmp.Or(o.seconds, file.DurationSeconds)
+	file.Seed = cmp.Or(o.seed, file.Seed)
 	results, err := o.send(ctx, file)
 	if err != nil {
 		return err
--- /dev/null
+++ b/load/workload/files_test.go
@@ -0,0 +1,22 @@
+package workload_test
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/load/workload"
+)
+
+// TestFiles guards against workload files in the tree that no longer parse.
+func TestFiles(t *testing.T) {
+	is := is.New(t)
+	paths, err := filepath.Glob("../workloads/*.json")
+	is.NoErr(err)
+	is.True(len(paths) > 0)
+	for _, path := range paths {
+		_, err := workload.ReadFile(path)
+		is.NoErr(err)
+	}
+}
