--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -84,7 +84,7 @@
 func (a *App) connect(seed uint64) {
 	localIP := peerIP(a.settings)
 	a.pool = grpcpeer.NewPool(grpcpeer.PoolSettings{LocalIP: localIP.String(), Clock: a.clock})
-	a.backend = backend.New(a.clock, localIP, a.loop, a.loop, a.log)
+	a.backend = backend.New(a.clock, net.IP(localIP.AsSlice()), a.loop, a.loop, a.log)
 	a.grants = backend.NewGrants(a.backend, a.clock)
 	a.load = newLoadMeter()
 	a.owner = router.NewOwner(router.OwnerPorts{
