--- a/core/table/memory/memory.go
+++ b/core/table/memory/memory.go
@@ -113,12 +113,26 @@
 		}
 	}
 	t.revision++
-	for _, mutation := range transaction.Mutations() {
-		t.apply(mutation)
+	mutations := transaction.Mutations()
+	for i, mutation := range mutations {
+		if !overridden(mutation.Key(), mutations[i+1:]) {
+			t.apply(mutation)
+		}
 	}
 	return t.revision, nil
 }
 
+// overridden tells whether a later mutation of the transaction changes the same
+// row. Transactions have few mutations.
+func overridden(key string, later []table.Mutation) bool {
+	for _, mutation := range later {
+		if mutation.Key() == key {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) apply(mutation table.Mutation) {
 	if t.rows == nil {
 		t.rows = make(map[string]table.Row)
@@ -131,16 +145,13 @@
 		log = &writeLog{}
 		t.logs[name] = log
 	}
-	previous, existed := t.rows[key]
-	if existed {
+	if _, existed := t.rows[key]; existed {
 		log.live--
 	}
 	switch mutation := mutation.(type) {
 	case table.Put:
 		t.rows[key] = table.NewRow(key, t.revision, bytes.Clone(mutation.Value()))
-		if previous.Version() != t.revision {
-			log.entries = append(log.entries, logEntry{revision: t.revision, key: key})
-		}
+		log.entries = append(log.entries, logEntry{revision: t.revision, key: key})
 		log.live++
 	case table.Delete:
 		delete(t.rows, key)
--- /dev/null
+++ b/core/table/token/token.go
@@ -0,0 +1,279 @@
+// Package token resolves lost answers of the table service. Each transaction
+// writes a row of its own, conditional on the row's absence, that tells
+// afterwards whether the transaction committed.
+package token
+
+import (
+	"context"
+	cryptorand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/table"
+)
+
+const (
+	// Prefix is the prefix of the token rows' keys.
+	Prefix = "txn/"
+	// RetentionMillis is how long abandoned rows must stay: a delayed request
+	// whose row was removed could commit after all.
+	RetentionMillis clock.Millis = 24 * 60 * 60 * 1000
+
+	// defaultBase and defaultCap bound the pause before a repeated call. The
+	// cap keeps 670 daemons that wait for the end of an outage below the reads
+	// that the service handles.
+	defaultBase clock.Millis = 25
+	defaultCap  clock.Millis = 1000
+	// maxDeletes bounds the token rows removed by one transaction.
+	maxDeletes = 64
+
+	valueCommitted = "committed"
+	valueAbandoned = "abandoned"
+)
+
+// Table wraps a table.Table so that the outcome of each Commit is known when it
+// returns, unless its context ends before. Use New. It is safe for concurrent
+// use.
+type Table struct {
+	inner table.Table
+	base  clock.Millis
+	cap   clock.Millis
+	now   func() time.Time
+
+	mutex  sync.Mutex
+	random *rand.Rand
+	// finished holds the keys of the token rows of committed transactions. Each
+	// transaction is sent once, so that nothing under these tokens is under way.
+	finished []string
+}
+
+// Option changes a Table.
+type Option func(*Table)
+
+// Backoff sets the bounds of the pause before a repeated call. Pauses are drawn
+// uniformly from zero to a bound that doubles from base up to limit.
+func Backoff(base, limit clock.Millis) Option {
+	return func(t *Table) { t.base, t.cap = base, limit }
+}
+
+// Seed makes tokens and pauses repeatable. Two clients of one table must not
+// share a seed.
+func Seed(seed uint64) Option {
+	return func(t *Table) { t.random = rand.New(rand.NewPCG(seed, 0)) }
+}
+
+// New returns a client of inner.
+func New(inner table.Table, options ...Option) *Table {
+	var seed [16]byte
+	// crypto/rand.Read never returns an error.
+	_, _ = cryptorand.Read(seed[:])
+	source := rand.NewPCG(binary.NativeEndian.Uint64(seed[:8]), binary.NativeEndian.Uint64(seed[8:]))
+	t := &Table{inner: inner, base: defaultBase, cap: defaultCap, random: rand.New(source), now: time.Now}
+	for _, option := range options {
+		option(t)
+	}
+	return t
+}
+
+// Read reads from the wrapped table.
+func (t *Table) Read(ctx context.Context, keys []string) ([]table.Row, error) {
+	return t.inner.Read(ctx, keys)
+}
+
+// Scan scans the wrapped table.
+func (t *Table) Scan(ctx context.Context, prefix string, since table.Revision) ([]table.Row, table.Revision, error) {
+	return t.inner.Scan(ctx, prefix, since)
+}
+
+// Commit applies the transaction once. It repeats calls until the outcome is
+// known or ctx ends. If ctx has ended before, nothing is sent. In the second case it returns a *table.OutageError that
+// wraps an *UnresolvedError if the transaction may have committed or may still
+// commit, or a *NotAppliedError if it never will.
+func (t *Table) Commit(ctx context.Context, transaction table.Transaction) (table.Revision, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, table.NewOutageError("commit", err)
+	}
+	pause := t.base
+	for {
+		revision, err := t.attempt(ctx, transaction, &pause)
+		var outage *table.OutageError
+		if !errors.As(err, &outage) || ctx.Err() != nil {
+			return revision, err
+		}
+		if !t.wait(ctx, &pause) {
+			return 0, err
+		}
+	}
+}
+
+// attempt sends the transaction once under a new token and resolves a lost
+// answer. It returns a *table.OutageError with a *NotAppliedError if the
+// transaction is known not to have committed and may be sent again.
+func (t *Table) attempt(ctx context.Context, transaction table.Transaction, pause *clock.Millis) (table.Revision, error) {
+	key := t.newKey()
+	removed := t.takeFinished()
+	revision, err := t.inner.Commit(ctx, withToken(transaction, key, removed))
+	var conflict *table.ConflictError
+	switch {
+	case err == nil:
+		t.addFinished(key)
+		return revision, nil
+	case errors.As(err, &conflict) && conflict.Key() != key:
+		t.addFinished(removed...)
+		return 0, err
+	}
+	// No answer, or a conflict on the token's own row: a transport below sent
+	// the transaction twice and the first one committed.
+	revision, err = t.resolve(ctx, key, pause)
+	if err != nil {
+		t.addFinished(removed...)
+		return 0, err
+	}
+	if conflict == nil {
+		// After a repeated send the row stays: a third one may be under way.
+		t.addFinished(key)
+	}
+	return revision, nil
+}
+
+// withToken adds the token row. Its condition is the first, so that it is the
+// one reported if the transaction has committed already and its other
+// conditions no longer hold either.
+func withToken(transaction table.Transaction, key string, removed []string) table.Transaction {
+	conditions := make([]table.Condition, 0, len(transaction.Conditions())+1)
+	conditions = append(conditions, table.NewCondition(key, 0))
+	conditions = append(conditions, transaction.Conditions()...)
+	mutations := make([]table.Mutation, 0, len(transaction.Mutations())+1+len(removed))
+	mutations = append(mutations, transaction.Mutations()...)
+	mutations = append(mutations, table.NewPut(key, []byte(valueCommitted)))
+	for _, old := range removed {
+		mutations = append(mutations, table.NewDelete(old))
+	}
+	return table.NewTransaction(conditions, mutations)
+}
+
+// resolve finds out whether the transaction with the token row at key
+// committed. If it has not, it makes sure that it never will.
+func (t *Table) resolve(ctx context.Context, key string, pause *clock.Millis) (table.Revision, error) {
+	for {
+		row, err := t.readOrAbandon(ctx, key)
+		if err == nil && string(row.Value()) == valueCommitted {
+			return row.Version(), nil
+		}
+		if err == nil && row.Version() != 0 {
+			return 0, table.NewOutageError("commit", &NotAppliedError{key: key})
+		}
+		if !t.wait(ctx, pause) {
+			return 0, table.NewOutageError("commit", &UnresolvedError{key: key, cause: err})
+		}
+	}
+}
+
+// readOrAbandon returns the token row. If it is absent, it tries to write it as
+// abandoned and returns what was written.
+func (t *Table) readOrAbandon(ctx context.Context, key string) (table.Row, error) {
+	rows, err := t.inner.Read(ctx, []string{key})
+	if err != nil {
+		return table.Row{}, err
+	}
+	if rows[0].Version() != 0 {
+		return rows[0], nil
+	}
+	value := fmt.Appendf(nil, "%s %d", valueAbandoned, t.now().UnixMilli())
+	abandon := table.NewTransaction(
+		[]table.Condition{table.NewCondition(key, 0)},
+		[]table.Mutation{table.NewPut(key, value)},
+	)
+	revision, err := t.inner.Commit(ctx, abandon)
+	if err != nil {
+		return table.Row{}, err
+	}
+	return table.NewRow(key, revision, value), nil
+}
+
+// wait pauses before a repeated call. It returns false if ctx ends first.
+func (t *Table) wait(ctx context.Context, bound *clock.Millis) bool {
+	t.mutex.Lock()
+	pause := time.Duration(t.random.Int64N(int64(max(*bound, 1).Duration())))
+	t.mutex.Unlock()
+	*bound = min(2**bound, t.cap)
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (t *Table) newKey() string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return fmt.Sprintf("%s%016x%016x", Prefix, t.random.Uint64(), t.random.Uint64())
+}
+
+func (t *Table) takeFinished() []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	count := min(len(t.finished), maxDeletes)
+	taken := append([]string(nil), t.finished[:count]...)
+	t.finished = append(t.finished[:0], t.finished[count:]...)
+	return taken
+}
+
+func (t *Table) addFinished(keys ...string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.finished = append(t.finished, keys...)
+}
+
+// AbandonedAt returns when a token row was abandoned, in milliseconds since the
+// Unix epoch. It returns false for the row of a committed transaction.
+func AbandonedAt(row table.Row) (int64, bool) {
+	var millis int64
+	text := string(row.Value())
+	if !strings.HasPrefix(text, valueAbandoned) {
+		return 0, false
+	}
+	if _, err := fmt.Sscanf(text, valueAbandoned+" %d", &millis); err != nil {
+		return 0, false
+	}
+	return millis, true
+}
+
+// UnresolvedError reports that the context ended before it was known whether a
+// transaction committed.
+type UnresolvedError struct {
+	key   string
+	cause error
+}
+
+// Key returns the key of the transaction's token row.
+func (e *UnresolvedError) Key() string { return e.key }
+
+func (e *UnresolvedError) Error() string {
+	return fmt.Sprintf("transaction %s may have committed: %v", e.key, e.cause)
+}
+
+// Unwrap returns the last failure of the table service.
+func (e *UnresolvedError) Unwrap() error { return e.cause }
+
+// NotAppliedError reports a transaction that got no answer, did not commit and
+// never will.
+type NotAppliedError struct {
+	key string
+}
+
+// Key returns the key of the transaction's token row.
+func (e *NotAppliedError) Key() string { return e.key }
+
+func (e *NotAppliedError) Error() string {
+	return fmt.Sprintf("transaction %s was abandoned and did not commit", e.key)
+}
--- /dev/null
+++ b/core/table/token/token_test.go
@@ -0,0 +1,240 @@
+package token_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"briarwell.dev/core/table"
+	"briarwell.dev/core/table/memory"
+	"briarwell.dev/core/table/token"
+)
+
+type fault int
+
+const (
+	none fault = iota
+	loseRequest
+	loseAnswer
+	delayRequest // The caller gets no answer; the call takes effect at flush.
+	sendTwice    // A transport below repeats the call after a lost answer.
+	faultCount
+)
+
+var errLost = errors.New("lost")
+
+// faulty applies one fault to each call of its table.
+type faulty struct {
+	table.Table
+	next    func() fault
+	delayed []table.Transaction
+}
+
+func (f *faulty) Read(ctx context.Context, keys []string) ([]table.Row, error) {
+	switch f.next() {
+	case loseAnswer:
+		return nil, table.NewOutageError("read", errLost)
+	case delayRequest: // What was delayed arrives right after this read.
+		defer f.flush()
+	default:
+	}
+	return f.Table.Read(ctx, keys)
+}
+
+func (f *faulty) Commit(ctx context.Context, transaction table.Transaction) (table.Revision, error) {
+	switch f.next() {
+	case loseRequest:
+		return 0, table.NewOutageError("commit", errLost)
+	case loseAnswer:
+		_, _ = f.Table.Commit(ctx, transaction)
+		return 0, table.NewOutageError("commit", errLost)
+	case delayRequest:
+		f.delayed = append(f.delayed, transaction)
+		return 0, table.NewOutageError("commit", errLost)
+	case sendTwice:
+		_, _ = f.Table.Commit(ctx, transaction)
+	default:
+	}
+	return f.Table.Commit(ctx, transaction)
+}
+
+func (f *faulty) flush() {
+	for _, transaction := range f.delayed {
+		_, _ = f.Table.Commit(context.Background(), transaction)
+	}
+	f.delayed = nil
+}
+
+// once gives the faults in order, then none.
+func once(faults ...fault) func() fault {
+	return func() fault {
+		if len(faults) == 0 {
+			return none
+		}
+		first := faults[0]
+		faults = faults[1:]
+		return first
+	}
+}
+
+// naive repeats a commit that got no answer.
+type naive struct{ table.Table }
+
+func (n naive) Commit(ctx context.Context, transaction table.Transaction) (table.Revision, error) {
+	for {
+		revision, err := n.Table.Commit(ctx, transaction)
+		var outage *table.OutageError
+		if !errors.As(err, &outage) {
+			return revision, err
+		}
+	}
+}
+
+func newClient(inner table.Table, seed uint64) *token.Table {
+	return token.New(inner, token.Seed(seed), token.Backoff(1, 2))
+}
+
+func put(key, value string, version table.Revision) table.Transaction {
+	return table.NewTransaction(
+		[]table.Condition{table.NewCondition(key, version)}, []table.Mutation{table.NewPut(key, []byte(value))})
+}
+
+func keysUnder(t interface{ Fatal(...any) }, rows table.Table, prefix string) int {
+	found, _, err := rows.Scan(context.Background(), prefix, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(found)
+}
+
+// Guards against a commit that is reported as a conflict, or run twice, after
+// its answer was lost. The naive client does both.
+func TestLostAnswerAgainstNaiveClient(t *testing.T) {
+	ctx := context.Background()
+	for _, lost := range []fault{loseAnswer, sendTwice} {
+		is := is.New(t)
+		client := newClient(&faulty{Table: memory.New(), next: once(lost)}, 1)
+		revision, err := client.Commit(ctx, put("a", "1", 0))
+		is.NoErr(err)
+		is.Equal(revision, table.Revision(1))
+
+		_, err = naive{&faulty{Table: memory.New(), next: once(lost)}}.Commit(ctx, put("a", "1", 0))
+		var conflict *table.ConflictError
+		is.True(errors.As(err, &conflict)) // the naive client reports a wrong conflict
+	}
+	is := is.New(t)
+	blind := table.NewTransaction(nil, []table.Mutation{table.NewPut("a", []byte("1"))})
+	rows := memory.New()
+	_, err := naive{&faulty{Table: rows, next: once(loseAnswer)}}.Commit(ctx, blind)
+	is.NoErr(err)
+	read, _ := rows.Read(ctx, []string{"a"})
+	is.Equal(read[0].Version(), table.Revision(2)) // the naive client wrote the row twice
+	rows = memory.New()
+	_, err = newClient(&faulty{Table: rows, next: once(loseAnswer)}, 1).Commit(ctx, blind)
+	is.NoErr(err)
+	read, _ = rows.Read(ctx, []string{"a"})
+	is.Equal(read[0].Version(), table.Revision(1))
+}
+
+// Guards against a real conflict that is taken for an own one, also after a
+// lost answer to the conflict.
+func TestRealConflict(t *testing.T) {
+	for _, lost := range []fault{none, loseRequest, loseAnswer, delayRequest, sendTwice} {
+		is := is.New(t)
+		rows := memory.New()
+		_, err := rows.Commit(context.Background(), put("a", "other", 0))
+		is.NoErr(err)
+		faults := &faulty{Table: rows, next: once(lost)}
+		_, err = newClient(faults, 1).Commit(context.Background(), put("a", "1", 0))
+		var conflict *table.ConflictError
+		is.True(errors.As(err, &conflict))
+		is.Equal(conflict.Key(), "a")
+		is.Equal(conflict.Actual(), table.Revision(1))
+		faults.flush()
+		read, _ := rows.Read(context.Background(), []string{"a"})
+		is.Equal(string(read[0].Value()), "other")
+	}
+}
+
+// Guards against an error that doesn't say whether the transaction may still
+// commit when the context ends.
+func TestContextEnds(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	client := newClient(&faulty{Table: memory.New(), next: func() fault { return loseAnswer }}, 1)
+	_, err := client.Commit(ctx, put("a", "1", 0))
+	var outage *table.OutageError
+	var unresolved *token.UnresolvedError
+	is.True(errors.As(err, &outage) && errors.As(err, &unresolved))
+}
+
+// Guards against token rows that pile up, and abandoned ones that are removed
+// while a delayed request could still come.
+func TestTokenRows(t *testing.T) {
+	is := is.New(t)
+	rows := memory.New()
+	client := newClient(&faulty{Table: rows, next: once(loseRequest)}, 1)
+	for i := range 200 {
+		_, err := client.Commit(context.Background(), put("k"+strconv.Itoa(i), "1", 0))
+		is.NoErr(err)
+	}
+	found, _, err := rows.Scan(context.Background(), token.Prefix, 0)
+	is.NoErr(err)
+	is.Equal(len(found), 2) // the abandoned one and the last one
+	_, abandoned := token.AbandonedAt(found[0])
+	is.True(abandoned)
+	_, abandoned = token.AbandonedAt(found[1])
+	is.True(!abandoned)
+}
+
+// Guards against lost, doubled or wrongly reported commits: clients raise a
+// counter under random faults; it must end at the number of reported successes,
+// and each conflict must be explained by another client's write.
+func TestCounterUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		rows := memory.New()
+		faults := &faulty{Table: rows, next: func() fault {
+			return fault(rapid.IntRange(0, int(faultCount)-1).Draw(t, "fault"))
+		}}
+		clients := []*token.Table{newClient(faults, 1), newClient(faults, 2)}
+		wrote := 0
+		stale, _ := rows.Read(ctx, []string{"n"})
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			client := clients[rapid.IntRange(0, 1).Draw(t, "client")]
+			fresh, _ := rows.Read(ctx, []string{"n"})
+			base := fresh[0]
+			if rapid.Bool().Draw(t, "stale") {
+				base = stale[0]
+			}
+			stale = fresh
+			_, err := client.Commit(ctx, put("n", strconv.Itoa(wrote+1), base.Version()))
+			var conflict *table.ConflictError
+			switch {
+			case err == nil:
+				wrote++
+			case !errors.As(err, &conflict) || base.Version() == fresh[0].Version():
+				t.Fatal("unexplained error", err)
+			}
+			if rapid.Bool().Draw(t, "flush") {
+				faults.flush()
+			}
+		}
+		faults.flush()
+		final, _ := rows.Read(ctx, []string{"n"})
+		found := string(final[0].Value())
+		if want := strconv.Itoa(wrote); found != want && (found != "" || wrote != 0) {
+			t.Fatal(fmt.Sprintf("counter is %q after %s reported commits", found, want))
+		}
+		if count := keysUnder(t, rows, "n"); count > 1 {
+			t.Fatal("extra rows", count)
+		}
+	})
+}
--- a/core/upstream/httpupstream/exchange.go
+++ b/core/upstream/httpupstream/exchange.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +80,7 @@
 	e.request = request
 	e.response = fasthttp.AcquireResponse()
 	e.response.StreamBody = true
+	e.response.Header.SetNoDefaultContentType(true)
 	e.response.SkipBody = request.Header.IsHead()
 	e.stopCancel = context.AfterFunc(ctx, e.interrupt)
 	if request.IsBodyStream() {
@@ -175,7 +175,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return upstream.NewSendError(outcome.NewUnknown(outcome.ReasonTimeout), ctx.Err())
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case isTimeout(err):
 		return upstream.NewSendError(outcome.NewUnknown(outcome.ReasonTimeout), errInactive)
 	case errors.Is(err, io.EOF):
 		err = fmt.Errorf("connection closed before an answer: %w", err)
@@ -183,6 +183,13 @@
 	return upstream.NewSendError(outcome.NewUnknown(outcome.ReasonConnectionLost), err)
 }
 
+// isTimeout tells whether the inactivity timeout passed. fasthttp wraps the
+// network's error in some places and replaces it in others.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 func notRunReason(ctx context.Context, reason outcome.Reason) outcome.Reason {
 	if ctx.Err() != nil {
 		return outcome.ReasonDeadlineExceeded
@@ -226,7 +233,7 @@
 		return n, io.EOF
 	case b.ctx.Err() != nil:
 		err = b.ctx.Err()
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case isTimeout(err):
 		err = errInactive
 	}
 	b.failed = &TruncatedError{cause: err}
