Serve requests through entry, owner and peer transport

Cause: the daemon program needs a working request path. Change: parsing, routing, lease and owner checks, deduplication, admission, retries and the gRPC transport with probes for silent connections. Ruled out: a replay buffer for request bodies, because bodies are never buffered; a former owner passes such requests on instead.

--- /dev/null
+++ b/core/admission/machine.go
@@ -0,0 +1,301 @@
+// Package admission decides which requests the upstream of this instance gets,
+// in which order, and which are refused.
+package admission
+
+import (
+	"math"
+	"slices"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/template"
+	"briarwell.dev/core/upstream"
+)
+
+const (
+	// defaultQueuePerSlot bounds the queue of a service without its own limit.
+	defaultQueuePerSlot = 4
+	// coldShare is the share of the slots at the start of a cold start.
+	coldShare = 0.25
+	// decrease is the factor of the limit after a refusal by the upstream.
+	decrease = 0.7
+	// decreaseInterval merges the refusals of one overload into one decrease, in
+	// milliseconds; no increase happens within it.
+	decreaseInterval clock.Millis = 200
+	// reportLife is the age in milliseconds at which a load report is dropped.
+	reportLife clock.Millis = 2000
+	// serviceWeight is the weight of the newest sample in the service time.
+	serviceWeight = 0.1
+)
+
+// Settings are those of one upstream.
+type Settings struct {
+	// Slots is the announced number of orders that the upstream runs at once;
+	// less than 1 means 1.
+	Slots int
+	// QueueLimit bounds the waiting requests; zero means 4 for each slot.
+	QueueLimit int
+	// ColdStart is the time in milliseconds in which the limit rises to Slots.
+	ColdStart clock.Millis
+}
+
+// Ticket is a request in a Machine. A Ticket is used once.
+type Ticket struct {
+	priority template.Priority
+	deadline clock.Millis
+	sequence uint64
+	admitted clock.Millis
+	// wake tells the waiting goroutine of a Gate the verdict.
+	wake chan outcome.Reason
+}
+
+// NewTicket returns a ticket for a request.
+func NewTicket(priority template.Priority, deadline clock.Millis) *Ticket {
+	return &Ticket{priority: priority, deadline: deadline}
+}
+
+// Deadline returns the request's deadline.
+func (t *Ticket) Deadline() clock.Millis { return t.deadline }
+
+// Priority returns the request's priority.
+func (t *Ticket) Priority() template.Priority { return t.priority }
+
+// Action is Admit or Refuse.
+type Action interface {
+	isAction()
+	// Ticket returns the ticket that the action is about.
+	Ticket() *Ticket
+}
+
+// Admit means that the request may be sent now.
+type Admit struct{ ticket *Ticket }
+
+// Refuse means that the request will not be sent.
+type Refuse struct {
+	ticket *Ticket
+	reason outcome.Reason
+}
+
+func (Admit) isAction()  {}
+func (Refuse) isAction() {}
+
+// Ticket returns the admitted ticket.
+func (a Admit) Ticket() *Ticket { return a.ticket }
+
+// Ticket returns the refused ticket.
+func (r Refuse) Ticket() *Ticket { return r.ticket }
+
+// Reason returns overloaded or queue-timeout.
+func (r Refuse) Reason() outcome.Reason { return r.reason }
+
+// Machine is the state of admission to one upstream. It has no clock and is
+// not safe for concurrent use. The zero value has one slot.
+type Machine struct {
+	settings  Settings
+	announced clock.Millis
+	// queue is ordered by descending priority, then deadline, then arrival.
+	queue    []*Ticket
+	sequence uint64
+	inFlight int
+	// reduction is how far the limit stands below the slots since refusals.
+	reduction float64
+	reduced   clock.Millis
+	// service is the measured time for which an order holds its slot.
+	service float64
+	// excess is what a report names beyond the orders that this daemon sent.
+	excess        int
+	reportedSlots int
+	reported      clock.Millis
+	busyMillis    uint64
+}
+
+// NewMachine returns a machine whose cold start begins at now.
+func NewMachine(now clock.Millis, settings Settings) *Machine {
+	machine := &Machine{}
+	machine.Announce(now, settings)
+	return machine
+}
+
+// Announce replaces the settings and restarts the cold start, as the upstream
+// announced itself.
+func (m *Machine) Announce(now clock.Millis, settings Settings) {
+	m.settings, m.announced = settings, now
+	m.reduction, m.excess, m.reportedSlots = 0, 0, 0
+}
+
+// InFlight returns the admitted requests that have not released their slot.
+func (m *Machine) InFlight() int { return m.inFlight }
+
+// Queued returns the waiting requests.
+func (m *Machine) Queued() int { return len(m.queue) }
+
+// BusyMillis returns the slot-milliseconds of all released requests.
+func (m *Machine) BusyMillis() uint64 { return m.busyMillis }
+
+// Limit returns how many requests may be in flight at now, at least 1.
+func (m *Machine) Limit(now clock.Millis) int {
+	slots := max(m.settings.Slots, 1)
+	limit := slots - int(math.Ceil(m.reduction))
+	limit = min(limit, m.coldLimit(now, slots))
+	if now-m.reported <= reportLife {
+		limit = min(limit-min(m.excess, slots/2), m.reportLimit(slots))
+	}
+	return max(limit, 1)
+}
+
+func (m *Machine) coldLimit(now clock.Millis, slots int) int {
+	elapsed := now - m.announced
+	if elapsed >= m.settings.ColdStart {
+		return slots
+	}
+	share := max(coldShare, float64(elapsed)/float64(m.settings.ColdStart))
+	return int(math.Ceil(share * float64(slots)))
+}
+
+func (m *Machine) reportLimit(slots int) int {
+	if m.reportedSlots <= 0 {
+		return slots
+	}
+	return m.reportedSlots
+}
+
+// Submit takes a new request. It appends to actions those that follow, which
+// may refuse other requests; a request without an action waits.
+func (m *Machine) Submit(now clock.Millis, ticket *Ticket, actions []Action) []Action {
+	if ticket.deadline <= now {
+		return append(actions, Refuse{ticket: ticket, reason: outcome.ReasonQueueTimeout})
+	}
+	actions = m.dispatch(now, actions)
+	if len(m.queue) == 0 && m.inFlight < m.Limit(now) {
+		return append(actions, m.admit(now, ticket))
+	}
+	m.sequence++
+	ticket.sequence = m.sequence
+	index, _ := slices.BinarySearchFunc(m.queue, ticket, compare)
+	m.queue = slices.Insert(m.queue, index, ticket)
+	return m.shed(now, index, actions)
+}
+
+// Release takes the end of an admitted request that the upstream took.
+func (m *Machine) Release(now clock.Millis, ticket *Ticket, actions []Action) []Action {
+	m.leave(now, ticket)
+	held := float64(max(now-ticket.admitted, 0))
+	if m.service == 0 {
+		m.service = held
+	} else {
+		m.service += serviceWeight * (held - m.service)
+	}
+	if m.reduction > 0 && now-m.reduced > decreaseInterval {
+		m.reduction = max(0, m.reduction-1/float64(m.Limit(now)))
+	}
+	return m.dispatch(now, actions)
+}
+
+// Refused takes the end of an admitted request that the upstream refused.
+func (m *Machine) Refused(now clock.Millis, ticket *Ticket, actions []Action) []Action {
+	m.leave(now, ticket)
+	slots := float64(max(m.settings.Slots, 1))
+	if m.reduction == 0 || now-m.reduced > decreaseInterval {
+		m.reduction = slots - max(1, math.Floor((slots-m.reduction)*decrease))
+		m.reduced = now
+	}
+	return m.dispatch(now, actions)
+}
+
+// Unsent takes the end of an admitted request that was not sent: its time says
+// nothing of the upstream.
+func (m *Machine) Unsent(now clock.Millis, ticket *Ticket, actions []Action) []Action {
+	m.leave(now, ticket)
+	return m.dispatch(now, actions)
+}
+
+// Cancel removes a waiting request. It returns false if it is not waiting.
+func (m *Machine) Cancel(ticket *Ticket) bool {
+	index := slices.Index(m.queue, ticket)
+	if index < 0 {
+		return false
+	}
+	m.queue = slices.Delete(m.queue, index, index+1)
+	return true
+}
+
+// Report takes the upstream's own load report. Only what it names beyond the
+// orders of this daemon counts, for at most half of the slots and until the
+// report is old: the daemon knows its own orders better.
+func (m *Machine) Report(now clock.Millis, load upstream.Load, actions []Action) []Action {
+	m.excess = max(load.InFlight-m.inFlight, 0)
+	m.reportedSlots, m.reported = load.Slots, now
+	return m.dispatch(now, actions)
+}
+
+func (m *Machine) admit(now clock.Millis, ticket *Ticket) Action {
+	ticket.admitted = now
+	m.inFlight++
+	return Admit{ticket: ticket}
+}
+
+func (m *Machine) leave(now clock.Millis, ticket *Ticket) {
+	m.inFlight--
+	m.busyMillis += uint64(max(now-ticket.admitted, 0))
+}
+
+// dispatch admits waiting requests to free slots, and refuses those that can't
+// be answered in time any more.
+func (m *Machine) dispatch(now clock.Millis, actions []Action) []Action {
+	for len(m.queue) > 0 && m.inFlight < m.Limit(now) {
+		next := m.queue[0]
+		m.queue = slices.Delete(m.queue, 0, 1)
+		if m.late(now, next, 0) {
+			actions = append(actions, Refuse{ticket: next, reason: outcome.ReasonQueueTimeout})
+			continue
+		}
+		actions = append(actions, m.admit(now, next))
+	}
+	return actions
+}
+
+// shed refuses the waiting requests from index on whose expected wait exceeds
+// their deadline, and the last one if the queue is too long.
+func (m *Machine) shed(now clock.Millis, index int, actions []Action) []Action {
+	wait := m.service / float64(m.Limit(now))
+	kept := m.queue[:index]
+	for _, ticket := range m.queue[index:] {
+		full := len(kept) >= m.queueLimit()
+		if full || m.late(now, ticket, wait*float64(len(kept)+1)) {
+			actions = append(actions, Refuse{ticket: ticket, reason: outcome.ReasonOverloaded})
+			continue
+		}
+		kept = append(kept, ticket)
+	}
+	clear(m.queue[len(kept):])
+	m.queue = kept
+	return actions
+}
+
+// late tells whether a request that starts after wait milliseconds is expected
+// to end after its deadline.
+func (m *Machine) late(now clock.Millis, ticket *Ticket, wait float64) bool {
+	return ticket.deadline <= now || float64(now)+wait+m.service > float64(ticket.deadline)
+}
+
+func (m *Machine) queueLimit() int {
+	if m.settings.QueueLimit > 0 {
+		return m.settings.QueueLimit
+	}
+	return defaultQueuePerSlot * max(m.settings.Slots, 1)
+}
+
+func compare(a, b *Ticket) int {
+	switch {
+	case a.priority != b.priority:
+		return int(b.priority - a.priority)
+	case a.deadline < b.deadline:
+		return -1
+	case a.deadline > b.deadline:
+		return 1
+	case a.sequence < b.sequence:
+		return -1
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/core/peer/grpcpeer/forward.go
@@ -0,0 +1,277 @@
+package grpcpeer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/peer/peerpb"
+	"briarwell.dev/core/router"
+	"briarwell.dev/core/upstream"
+)
+
+// chunkBytes is the size of the parts of a body.
+const chunkBytes = 32 << 10
+
+// headerRelayed marks a request that a former owner passed on.
+const headerRelayed = "Briarwell-Relayed"
+
+// chunks keeps the buffers of bodies for reuse.
+var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }} //nolint:gochecknoglobals // Buffers are shared by all streams of the process.
+
+// ProtocolError reports a part of a stream that does not belong there.
+type ProtocolError struct {
+	expected string
+	found    any
+}
+
+// Expected returns what should have come.
+func (e *ProtocolError) Expected() string { return e.expected }
+
+func (e *ProtocolError) Error() string {
+	return fmt.Sprintf("peer sent %T instead of %s", e.found, e.expected)
+}
+
+// clientStream is the sender's side of a forwarded request, and the body of
+// its answer.
+type clientStream struct {
+	stream grpc.BidiStreamingClient[peerpb.ForwardRequest, peerpb.ForwardResponse]
+	conn   *connection
+	cancel context.CancelFunc
+	sender conc.WaitGroup
+	// part is what is left of the last part that arrived.
+	part  []byte
+	err   error
+	ended bool
+}
+
+// Forward sends a request to the daemon at the peer address. The error is a
+// *router.ForwardError: NotRun if the request was not handed to a connection,
+// Unknown otherwise.
+func (p *Pool) Forward(ctx context.Context, peerAddress string, request *router.Request) (*router.Response, error) {
+	remaining := request.Deadline - p.settings.Clock.Now()
+	if remaining <= 0 {
+		return nil, notRun(outcome.ReasonDeadlineExceeded, context.DeadlineExceeded)
+	}
+	c, err := p.acquire(peerAddress)
+	if err != nil {
+		return nil, notRun(outcome.ReasonUnreachable, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, remaining.Duration())
+	// A stream that can't be opened carried no part of the request: the owner
+	// acts on the first message only.
+	stream, err := c.client.Forward(ctx)
+	if err != nil {
+		cancel()
+		c.end()
+		return nil, notRun(outcome.ReasonUnreachable, err)
+	}
+	s := &clientStream{stream: stream, conn: c, cancel: cancel}
+	response, err := s.exchange(request, int64(remaining))
+	if err != nil {
+		_ = s.Close()
+		return nil, router.NewForwardError(unknownOutcome(err), err)
+	}
+	return response, nil
+}
+
+func notRun(reason outcome.Reason, cause error) error {
+	return router.NewForwardError(outcome.NewNotRun(reason), cause)
+}
+
+func unknownOutcome(err error) outcome.Outcome {
+	if status.Code(err) == codes.DeadlineExceeded || errors.Is(err, context.DeadlineExceeded) {
+		return outcome.NewUnknown(outcome.ReasonTimeout)
+	}
+	return outcome.NewUnknown(outcome.ReasonConnectionLost)
+}
+
+func (s *clientStream) exchange(request *router.Request, timeoutMillis int64) (*router.Response, error) {
+	if err := s.stream.Send(headOf(request, timeoutMillis)); err != nil {
+		return nil, s.cause(err)
+	}
+	if request.Body == nil {
+		if err := s.finishRequest(); err != nil {
+			return nil, s.cause(err)
+		}
+	} else {
+		body, length := request.Body, request.ContentLength
+		s.sender.Go(func() { s.sendBody(body, length) })
+	}
+	first, err := s.stream.Recv()
+	if err != nil {
+		return nil, err
+	}
+	head, ok := first.GetPart().(*peerpb.ForwardResponse_Head)
+	if !ok {
+		return nil, &ProtocolError{expected: "a head", found: first.GetPart()}
+	}
+	return s.response(head.Head)
+}
+
+// cause returns the status of a stream that broke: Send returns io.EOF for it.
+func (s *clientStream) cause(err error) error {
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	if _, received := s.stream.Recv(); received != nil {
+		return received
+	}
+	return err
+}
+
+func (s *clientStream) finishRequest() error {
+	end := &peerpb.ForwardRequest{Part: &peerpb.ForwardRequest_End{End: &peerpb.RequestEnd{}}}
+	if err := s.stream.Send(end); err != nil {
+		return err
+	}
+	return s.stream.CloseSend()
+}
+
+// sendBody sends the body of the request. A body that breaks off cancels the
+// stream, so that the owner never takes it for complete.
+func (s *clientStream) sendBody(body io.Reader, length int64) {
+	buffer := chunks.Get().(*[chunkBytes]byte)
+	defer chunks.Put(buffer)
+	part := &peerpb.ForwardRequest_Body{}
+	message := &peerpb.ForwardRequest{Part: part}
+	for {
+		n, err := body.Read(buffer[:])
+		if n > 0 {
+			length -= int64(n)
+			part.Body = buffer[:n]
+			if s.stream.Send(message) != nil {
+				return
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if !errors.Is(err, io.EOF) || length > 0 {
+			s.cancel()
+			return
+		}
+		_ = s.finishRequest()
+		return
+	}
+}
+
+// response returns the answer with the given head.
+func (s *clientStream) response(head *peerpb.ResponseHead) (*router.Response, error) {
+	response := &router.Response{Status: int(head.GetStatus()), ContentLength: head.GetContentLength()}
+	var name, reason string
+	response.Headers = make([]upstream.Header, 0, len(head.GetHeaders())+1)
+	for _, header := range head.GetHeaders() {
+		switch {
+		case header.GetName() == outcome.HeaderOutcome:
+			name = header.GetValue()
+		case header.GetName() == outcome.HeaderReason:
+			reason = header.GetValue()
+		case router.ReadMeta(response, header.GetName(), header.GetValue()) || router.IsHopByHop(header.GetName()):
+		default:
+			response.Headers = append(response.Headers, upstream.NewHeader(header.GetName(), header.GetValue()))
+		}
+	}
+	found, ok := router.ParseOutcome(name, reason)
+	if !ok {
+		return nil, &ProtocolError{expected: "a known outcome", found: name}
+	}
+	response.Outcome, response.Body = found, s
+	return response, nil
+}
+
+// Read reads the body of the answer.
+func (s *clientStream) Read(p []byte) (int, error) {
+	for len(s.part) == 0 {
+		if s.err != nil {
+			return 0, s.err
+		}
+		s.receive()
+	}
+	n := copy(p, s.part)
+	s.part = s.part[n:]
+	return n, nil
+}
+
+func (s *clientStream) receive() {
+	message, err := s.stream.Recv()
+	if err != nil {
+		s.err = router.NewTruncatedError(err)
+		return
+	}
+	switch part := message.GetPart().(type) {
+	case *peerpb.ForwardResponse_Body:
+		s.part = part.Body
+	case *peerpb.ForwardResponse_End:
+		s.err = io.EOF
+	default:
+		s.err = router.NewTruncatedError(&ProtocolError{expected: "a body or an end", found: part})
+	}
+}
+
+// Close ends the stream. It waits until the body of the request is not read
+// any more.
+func (s *clientStream) Close() error {
+	if s.ended {
+		return nil
+	}
+	s.ended = true
+	if s.err == nil {
+		s.err = router.NewTruncatedError(context.Canceled)
+	}
+	s.cancel()
+	s.sender.Wait()
+	s.conn.end()
+	return nil
+}
+
+func headOf(request *router.Request, timeoutMillis int64) *peerpb.ForwardRequest {
+	length := request.ContentLength
+	if request.Body == nil {
+		length = 0
+	}
+	head := &peerpb.RequestHead{
+		Organisation:  request.Service.Organisation(),
+		Service:       request.Service.Name(),
+		Key:           request.Key,
+		Shard:         uint32(request.Shard),
+		Epoch:         uint64(request.Epoch),
+		Method:        request.Method,
+		Path:          request.Path,
+		Headers:       encodeHeaders(request.Headers),
+		RequestId:     request.RequestID,
+		Stamp:         request.Stamp,
+		TimeoutMillis: timeoutMillis,
+		ConfigVersion: request.ConfigVersion,
+		Attempt:       uint32(request.Attempt),
+		ContentLength: length,
+	}
+	if request.Relayed {
+		head.Headers = append(head.Headers, &peerpb.Header{Name: headerRelayed, Value: "1"})
+	}
+	return &peerpb.ForwardRequest{Part: &peerpb.ForwardRequest_Head{Head: head}}
+}
+
+// encodeHeaders leaves out those that concern one connection only. All
+// messages are one allocation.
+func encodeHeaders(headers []upstream.Header) []*peerpb.Header {
+	encoded := make([]*peerpb.Header, 0, len(headers)+1)
+	values := make([]peerpb.Header, len(headers))
+	for i, header := range headers {
+		if router.IsHopByHop(header.Name()) || strings.EqualFold(header.Name(), headerRelayed) {
+			continue
+		}
+		values[i].Name, values[i].Value = header.Name(), header.Value()
+		encoded = append(encoded, &values[i])
+	}
+	return encoded
+}
--- /dev/null
+++ b/core/peer/grpcpeer/peer.go
@@ -0,0 +1,136 @@
+package grpcpeer
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/peer/peerpb"
+)
+
+// peer holds the connections to one address.
+type peer struct {
+	pool    *Pool
+	address string
+	control *controlSender
+
+	mu sync.Mutex
+	// connections are those for requests.
+	connections []*connection
+	// controlConnection is nil until the first control message.
+	controlConnection *connection
+	closed            bool
+}
+
+func newPeer(pool *Pool, address string) *peer {
+	target := &peer{pool: pool, address: address}
+	target.control = newControlSender(target, pool.settings.ControlQueue)
+	return target
+}
+
+// acquire returns the connection with the least work, or a new one if all are
+// crowded.
+func (p *peer) acquire() (*connection, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	var best *connection
+	for _, c := range p.connections {
+		if best == nil || c.inFlight.Load() < best.inFlight.Load() {
+			best = c
+		}
+	}
+	full := len(p.connections) >= p.pool.settings.ConnectionsPerPeer
+	if best == nil || (best.inFlight.Load() >= crowded && !full) {
+		opened, err := dial(p.address, p.pool.settings)
+		if err != nil {
+			return nil, err
+		}
+		p.connections = append(p.connections, opened)
+		best = opened
+	}
+	best.begin()
+	return best, nil
+}
+
+// acquireControl returns the connection for control messages.
+func (p *peer) acquireControl() (*connection, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	if p.controlConnection == nil {
+		opened, err := dial(p.address, p.pool.settings)
+		if err != nil {
+			return nil, err
+		}
+		p.controlConnection = opened
+	}
+	return p.controlConnection, nil
+}
+
+// inspect returns the connections that must be probed, and closes idle ones.
+func (p *peer) inspect(now clock.Millis) []*connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var silent []*connection
+	p.connections = slices.DeleteFunc(p.connections, func(c *connection) bool {
+		if c.startProbe(now) {
+			silent = append(silent, c)
+		}
+		if !c.idle(now) {
+			return false
+		}
+		c.close()
+		return true
+	})
+	if c := p.controlConnection; c != nil && c.startProbe(now) {
+		silent = append(silent, c)
+	}
+	return silent
+}
+
+// probe closes the connection unless it answers in time.
+func (p *peer) probe(c *connection) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
+	defer cancel()
+	_, err := c.client.Probe(ctx, &peerpb.ProbeRequest{})
+	if err == nil {
+		c.endProbe()
+		return
+	}
+	p.remove(c)
+	c.close()
+	if p.pool.settings.ConnectionClosed != nil {
+		p.pool.settings.ConnectionClosed(p.address)
+	}
+}
+
+func (p *peer) remove(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.controlConnection == c {
+		p.controlConnection = nil
+		return
+	}
+	p.connections = slices.DeleteFunc(p.connections, func(other *connection) bool { return other == c })
+}
+
+func (p *peer) close() {
+	p.mu.Lock()
+	p.closed = true
+	connections := p.connections
+	if p.controlConnection != nil {
+		connections = append(connections, p.controlConnection)
+	}
+	p.connections, p.controlConnection = nil, nil
+	p.mu.Unlock()
+	p.control.close()
+	for _, c := range connections {
+		c.close()
+	}
+}
--- a/core/peer/grpcpeer/server.go
+++ b/core/peer/grpcpeer/server.go
@@ -2,20 +2,41 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/peer/peerpb"
 	"briarwell.dev/core/router"
+	"briarwell.dev/core/shard"
+	"briarwell.dev/core/upstream"
+)
+
+const (
+	// deadAfter and deadTimeout find incoming connections whose peer is gone.
+	deadAfter   = 10 * time.Second
+	deadTimeout = 5 * time.Second
 )
 
-// Handler is what a Server passes messages to.
+// Handler runs forwarded requests; router.Owner implements it.
 type Handler interface {
-	// Serve runs a forwarded request; router.Owner implements it.
+	// Serve runs a request; it never returns nil.
 	Serve(ctx context.Context, request *router.Request) *router.Response
 }
 
-// ServerSettings are those of a Server.
+// ServerSettings are those of a Server. All are required.
 type ServerSettings struct {
 	Clock   clock.Clock
 	Handler Handler
@@ -28,18 +49,248 @@
 
 // Server serves peerpb.Peer to the other daemons.
 type Server struct {
-	settings ServerSettings
+	server *grpc.Server
+	// stopping ends the control streams, which have no end of their own.
+	stopping chan struct{}
+	once     sync.Once
 }
 
 // NewServer returns a Server.
-func NewServer(settings ServerSettings) *Server { return &Server{settings: settings} }
+func NewServer(settings ServerSettings) *Server {
+	server := &Server{stopping: make(chan struct{})}
+	server.server = grpc.NewServer(
+		grpc.InitialWindowSize(streamWindow),
+		grpc.InitialConnWindowSize(connectionWindow),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.MaxSendMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: deadAfter, Timeout: deadTimeout}),
+	)
+	peerpb.RegisterPeerServer(server.server, &service{settings: settings, stopping: server.stopping})
+	return server
+}
 
 // Serve accepts connections until Stop. It returns nil after Stop.
 func (s *Server) Serve(listener net.Listener) error {
-	_ = listener
-	return nil
+	return s.server.Serve(listener)
+}
+
+// Stop ends the control streams, refuses new requests and waits for the
+// running ones until ctx ends, then closes all connections.
+func (s *Server) Stop(ctx context.Context) {
+	s.once.Do(func() { close(s.stopping) })
+	var group conc.WaitGroup
+	stopped := make(chan struct{})
+	group.Go(func() {
+		s.server.GracefulStop()
+		close(stopped)
+	})
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		s.server.Stop()
+	}
+	group.Wait()
+}
+
+// service implements peerpb.PeerServer.
+type service struct {
+	peerpb.UnimplementedPeerServer
+	settings ServerSettings
+	stopping <-chan struct{}
+}
+
+// Probe answers at once.
+func (s *service) Probe(context.Context, *peerpb.ProbeRequest) (*peerpb.ProbeResponse, error) {
+	return &peerpb.ProbeResponse{}, nil
+}
+
+// Status reports the state of the daemon.
+func (s *service) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
+	return s.settings.Status(), nil
+}
+
+// Control passes the messages of one stream on until it or the server ends.
+func (s *service) Control(stream grpc.ClientStreamingServer[peerpb.Envelope, peerpb.ControlSummary]) error {
+	ended := make(chan error, 1)
+	// The goroutine ends with the stream, after this method has returned.
+	go func() { ended <- s.receiveControl(stream) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-s.stopping:
+		return status.Error(codes.Unavailable, "daemon is stopping")
+	}
+}
+
+func (s *service) receiveControl(stream grpc.ClientStreamingServer[peerpb.Envelope, peerpb.ControlSummary]) error {
+	for {
+		envelope, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return stream.SendAndClose(&peerpb.ControlSummary{})
+		}
+		if err != nil {
+			return err
+		}
+		s.settings.Control(envelope)
+	}
 }
 
-// Stop refuses new streams and waits for the running ones until ctx ends, then
-// closes all connections.
-func (s *Server) Stop(ctx context.Context) { _ = ctx }
+// Forward runs one request.
+func (s *service) Forward(stream grpc.BidiStreamingServer[peerpb.ForwardRequest, peerpb.ForwardResponse]) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	head := first.GetHead()
+	if head == nil {
+		return status.Error(codes.InvalidArgument, "first part is not a head")
+	}
+	request := s.decode(head)
+	if head.GetContentLength() != 0 {
+		request.Body = &requestBody{stream: stream, remaining: head.GetContentLength()}
+	}
+	response := s.settings.Handler.Serve(stream.Context(), request)
+	if response.Body != nil {
+		defer response.Body.Close() //nolint:errcheck // An error of Close concerns no one here.
+	}
+	return answer(stream, response)
+}
+
+func (s *service) decode(head *peerpb.RequestHead) *router.Request {
+	request := &router.Request{
+		Service:       identity.NewService(head.GetOrganisation(), head.GetService()),
+		Key:           head.GetKey(),
+		Shard:         shard.ID(head.GetShard()),
+		Epoch:         identity.Epoch(head.GetEpoch()),
+		Method:        head.GetMethod(),
+		Path:          head.GetPath(),
+		RequestID:     head.GetRequestId(),
+		Stamp:         head.GetStamp(),
+		ContentLength: head.GetContentLength(),
+		Deadline:      s.settings.Clock.Now() + clock.Millis(head.GetTimeoutMillis()),
+		ConfigVersion: head.GetConfigVersion(),
+		Attempt:       int(head.GetAttempt()),
+	}
+	request.Headers = make([]upstream.Header, 0, len(head.GetHeaders()))
+	for _, header := range head.GetHeaders() {
+		switch {
+		case strings.EqualFold(header.GetName(), headerRelayed):
+			request.Relayed = true
+		case router.IsHopByHop(header.GetName()):
+		default:
+			request.Headers = append(request.Headers, upstream.NewHeader(header.GetName(), header.GetValue()))
+		}
+	}
+	return request
+}
+
+// answer sends the response. Without its end the other daemon takes it for
+// truncated.
+func answer(stream grpc.BidiStreamingServer[peerpb.ForwardRequest, peerpb.ForwardResponse], response *router.Response) error {
+	if err := stream.Send(encodeHead(response)); err != nil {
+		return err
+	}
+	if response.Body != nil {
+		if err := sendAnswerBody(stream, response.Body); err != nil {
+			return err
+		}
+	}
+	return stream.Send(&peerpb.ForwardResponse{Part: &peerpb.ForwardResponse_End{End: &peerpb.ResponseEnd{
+		Outcome:  response.Outcome.String(),
+		Reason:   string(outcome.ReasonOf(response.Outcome)),
+		Epoch:    uint64(response.Epoch),
+		Stamp:    response.Stamp,
+		ServedBy: response.ServedBy,
+	}}})
+}
+
+func sendAnswerBody(stream grpc.BidiStreamingServer[peerpb.ForwardRequest, peerpb.ForwardResponse], body io.Reader) error {
+	buffer := chunks.Get().(*[chunkBytes]byte)
+	defer chunks.Put(buffer)
+	part := &peerpb.ForwardResponse_Body{}
+	message := &peerpb.ForwardResponse{Part: part}
+	for {
+		n, err := body.Read(buffer[:])
+		if n > 0 {
+			part.Body = buffer[:n]
+			if sent := stream.Send(message); sent != nil {
+				return sent
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return status.Error(codes.DataLoss, err.Error())
+		}
+	}
+}
+
+func encodeHead(response *router.Response) *peerpb.ForwardResponse {
+	headers := router.AppendMeta(response.Headers, response)
+	encoded := encodeHeaders(headers)
+	if response.OwnerPeer != "" {
+		encoded = append(encoded, &peerpb.Header{Name: router.HeaderOwnerPeer, Value: response.OwnerPeer})
+	}
+	return &peerpb.ForwardResponse{Part: &peerpb.ForwardResponse_Head{Head: &peerpb.ResponseHead{
+		Status:        uint32(response.Status),
+		Headers:       encoded,
+		ContentLength: response.ContentLength,
+	}}}
+}
+
+// requestBody reads the body of a forwarded request.
+type requestBody struct {
+	stream grpc.BidiStreamingServer[peerpb.ForwardRequest, peerpb.ForwardResponse]
+	part   []byte
+	// remaining is the number of bytes to come, negative if unknown.
+	remaining int64
+	err       error
+}
+
+// Read reads the body. A body that breaks off returns an error other than
+// io.EOF.
+func (b *requestBody) Read(p []byte) (int, error) {
+	for len(b.part) == 0 {
+		if b.err != nil {
+			return 0, b.err
+		}
+		b.receive()
+	}
+	n := copy(p, b.part)
+	b.part = b.part[n:]
+	if b.remaining >= 0 {
+		b.remaining -= int64(n)
+	}
+	return n, nil
+}
+
+func (b *requestBody) receive() {
+	message, err := b.stream.Recv()
+	if err != nil {
+		b.err = brokenBody(err)
+		return
+	}
+	switch part := message.GetPart().(type) {
+	case *peerpb.ForwardRequest_Body:
+		b.part = part.Body
+	case *peerpb.ForwardRequest_End:
+		b.err = io.EOF
+		if b.remaining > 0 {
+			b.err = io.ErrUnexpectedEOF
+		}
+	default:
+		b.err = &ProtocolError{expected: "a body or an end", found: part}
+	}
+}
+
+// brokenBody keeps a stream that was closed without an end from looking like
+// the end of the body.
+func brokenBody(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/core/router/fixture_test.go
@@ -0,0 +1,207 @@
+package router_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"briarwell.dev/core/admission"
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/clock/manual"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/router"
+	"briarwell.dev/core/shard"
+	"briarwell.dev/core/template"
+	"briarwell.dev/core/upstream"
+)
+
+const (
+	shards = 8
+	// long is a lease end that no test reaches.
+	long clock.Millis = 1 << 40
+)
+
+var (
+	keyed   = identity.NewService("attire", "bookings")
+	unkeyed = identity.NewService("attire", "catalogue")
+)
+
+func catalog(fencing upstream.Fencing) template.Catalog {
+	routes := []template.RouteRules{
+		template.NewRouteRules("POST", "", false, template.PriorityHigh, 5000),
+		template.NewRouteRules("", "", true, template.PriorityNormal, 5000),
+	}
+	return template.NewCatalog(1, map[string]template.ServiceRules{
+		keyed.String():   template.NewServiceRules(keyed.Name(), routes, template.Keyed(shards), template.Fenced(fencing, 0)),
+		unkeyed.String(): template.NewServiceRules(unkeyed.Name(), routes),
+	})
+}
+
+// shared is the control state that all daemons of a test see, unless a daemon
+// has a frozen copy.
+type shared struct {
+	mu      sync.Mutex
+	owners  map[shard.ID]router.Ownership
+	members []router.Member
+	catalog template.Catalog
+}
+
+// daemon is one daemon without a network: it is its own View, and Forwarder
+// and Backends of its Entry and Owner.
+type daemon struct {
+	*shared
+	self     router.Member
+	clock    *manual.Clock
+	leaseEnd atomic.Int64
+	up       *upstreamStub
+	gate     *admission.Gate
+	owner    *router.Owner
+	entry    *router.Entry
+	peers    map[string]*daemon
+	// lose makes a forwarded request fail: "before" or "after" it was served.
+	lose atomic.Value
+}
+
+func (d *daemon) View() router.View                        { return d }
+func (d *daemon) Self() router.Member                      { return d.self }
+func (d *daemon) LeaseEnd() clock.Millis                   { return clock.Millis(d.leaseEnd.Load()) }
+func (d *daemon) Catalog() template.Catalog                { return d.catalog }
+func (d *daemon) unixMillis() int64                        { return int64(d.clock.Now()) + 1_000_000 }
+func (d *daemon) setLease(end clock.Millis)                { d.leaseEnd.Store(int64(end)) }
+func (d *daemon) Members(identity.Service) []router.Member { return d.members }
+
+func (d *daemon) Owner(_ identity.Service, id shard.ID, _ string) (router.Ownership, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ownership, ok := d.owners[id]
+	return ownership, ok
+}
+
+func (d *daemon) Backend(identity.Service) (router.Backend, bool) {
+	return router.Backend{Upstream: d.up, Gate: d.gate}, true
+}
+
+func (d *daemon) Forward(ctx context.Context, address string, request *router.Request) (*router.Response, error) {
+	lose, _ := d.lose.Load().(string)
+	if lose == "before" {
+		return nil, router.NewForwardError(outcome.NewNotRun(outcome.ReasonUnreachable), io.ErrClosedPipe)
+	}
+	passed := *request
+	response := d.peers[address].owner.Serve(ctx, &passed)
+	if lose == "after" {
+		if response.Body != nil {
+			response.Body.Close()
+		}
+		return nil, router.NewForwardError(outcome.NewUnknown(outcome.ReasonConnectionLost), io.ErrUnexpectedEOF)
+	}
+	return response, nil
+}
+
+// cluster returns n daemons; daemon 0 owns all shards under epoch 1.
+func cluster(n int, fencing upstream.Fencing) []*daemon {
+	state := &shared{owners: map[shard.ID]router.Ownership{}, catalog: catalog(fencing)}
+	peers, daemons := map[string]*daemon{}, make([]*daemon, n)
+	for i := range n {
+		name := string(rune('a' + i))
+		d := &daemon{shared: state, clock: &manual.Clock{}, peers: peers, up: &upstreamStub{runs: map[string]int{}}}
+		d.self = router.Member{
+			Incarnation: identity.Incarnation(i + 1), Instance: name, PeerAddress: name, HTTPAddress: "http-" + name,
+			Slots: 4, Location: identity.NewLocation("lagos", "lagos-1"),
+		}
+		d.setLease(long)
+		d.gate = admission.NewGate(d.clock, admission.Settings{Slots: 4})
+		d.owner = router.NewOwner(router.OwnerPorts{Views: d, Backends: d, Clock: d.clock, UnixMillis: d.unixMillis, Forwarder: d})
+		d.entry = router.NewEntry(router.EntryPorts{Views: d, Forwarder: d, Owner: d.owner, Clock: d.clock, Random: router.NewRandom(1)})
+		state.members = append(state.members, d.self)
+		peers[name], daemons[i] = d, d
+	}
+	for id := range shard.ID(shards) {
+		daemons[0].own(id, 1)
+	}
+	return daemons
+}
+
+// own makes d the owner of a shard.
+func (d *daemon) own(id shard.ID, epoch identity.Epoch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.owners[id] = router.Ownership{Owner: d.self, Epoch: epoch, HeldSince: d.clock.Now(), First: epoch == 1}
+}
+
+// upstreamStub counts the runs of each request ID and answers with a body.
+type upstreamStub struct {
+	mu    sync.Mutex
+	runs  map[string]int
+	order upstream.Order
+	// act, if set, replaces the answer.
+	act func(ctx context.Context, order upstream.Order) (upstream.Answer, error)
+}
+
+func (u *upstreamStub) Do(ctx context.Context, order upstream.Order) (upstream.Answer, error) {
+	u.mu.Lock()
+	u.runs[order.RequestID]++
+	u.order = order
+	act := u.act
+	u.mu.Unlock()
+	if act != nil {
+		return act(ctx, order)
+	}
+	return answer("done " + order.RequestID), nil
+}
+
+func (*upstreamStub) Grant(context.Context, upstream.Grant) error { return nil }
+func (*upstreamStub) Load(context.Context) (upstream.Load, error) { return upstream.Load{}, nil }
+
+func (u *upstreamStub) count(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[id]
+}
+
+func answer(text string) upstream.Answer {
+	return upstream.Answer{
+		Status: 200, ContentLength: int64(len(text)), Body: io.NopCloser(strings.NewReader(text)),
+		Headers: []upstream.Header{upstream.NewHeader("X-Own", "1"), upstream.NewHeader("Briarwell-Epoch", "99")},
+	}
+}
+
+func post(key, id, stamp string) router.CallerRequest {
+	return router.CallerRequest{
+		Method: "POST", Target: "/attire/bookings/" + key,
+		Headers: []upstream.Header{upstream.NewHeader(outcome.HeaderRequestID, id), upstream.NewHeader(outcome.HeaderStamp, stamp)},
+	}
+}
+
+func get(target string) router.CallerRequest {
+	return router.CallerRequest{Method: "GET", Target: target}
+}
+
+func read(response *router.Response) (string, error) {
+	if response.Body == nil {
+		return "", nil
+	}
+	defer response.Body.Close()
+	var buffer bytes.Buffer
+	_, err := io.Copy(&buffer, response.Body)
+	return buffer.String(), err
+}
+
+func header(response *router.Response, name string) string {
+	for _, header := range response.Headers {
+		if strings.EqualFold(header.Name(), name) {
+			return header.Value()
+		}
+	}
+	return ""
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func asTruncated(err error, target **router.TruncatedError) bool { return errors.As(err, target) }
--- a/core/router/ports.go
+++ b/core/router/ports.go
@@ -53,26 +53,37 @@
 	ConfigVersion uint64
 	// Attempt numbers the attempts of the request, from 1.
 	Attempt int
+	// Relayed tells that a former owner passed the request on. It is not passed
+	// on again, so that two daemons with different views can't form a loop.
+	Relayed bool
 }
 
 // Response is the answer to a request. The caller of Serve or Forward must
-// close Body unless it is nil. A Body that ends early returns an error other
-// than io.EOF; the answer must then be aborted, not ended.
+// close Body unless it is nil; the body of the request may be read until then.
+// Body is read and closed by one goroutine. A Body that ends early returns a
+// *TruncatedError; the answer must then be aborted, not ended.
 type Response struct {
 	Outcome outcome.Outcome
 	// Status is the HTTP status for the caller.
 	Status int
-	// Headers include the headers of package outcome.
+	// Headers are end-to-end headers. Those that Entry.Serve returns include the
+	// headers of package outcome.
 	Headers       []upstream.Header
 	Body          io.ReadCloser
 	ContentLength int64
-	Epoch         identity.Epoch
-	Stamp         string
+	// Keyed tells that Shard and Epoch are set.
+	Keyed bool
+	Shard shard.ID
+	Epoch identity.Epoch
+	Stamp string
 	// ServedBy names the instance whose upstream answered.
 	ServedBy string
 	// OwnerHTTP and OwnerPeer are the addresses of the owner's daemon, if known.
 	OwnerHTTP string
 	OwnerPeer string
+	// Replay is the value of HeaderReplay, "" for a first answer.
+	Replay   string
+	Attempts int
 }
 
 // Member is a daemon that serves a service.
@@ -174,3 +185,14 @@
 
 // Unwrap returns the cause.
 func (e *ForwardError) Unwrap() error { return e.cause }
+
+// TruncatedError says that the body of an answer ended early.
+type TruncatedError struct{ cause error }
+
+// NewTruncatedError returns a TruncatedError.
+func NewTruncatedError(cause error) *TruncatedError { return &TruncatedError{cause: cause} }
+
+func (e *TruncatedError) Error() string { return "answer is truncated: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *TruncatedError) Unwrap() error { return e.cause }
