Add standin link, the network between regions

Cause: partitions, delays and silent connections between regions must be set in tests of whole processes on one machine.

Ruled out: closing connections at a cut. A real cut drops packets and TCP delivers them late after it ends, which is the harder case for a daemon that acts on old messages; so the relay keeps them in order.

Conclusion: usable from settings files and POST /admin/rules.

--- /dev/null
+++ b/standin/linkserver/linkserver_test.go
@@ -0,0 +1,202 @@
+package linkserver_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"briarwell.dev/standin/linkserver"
+)
+
+// freeAddress returns an address on which nothing listens.
+func freeAddress(t *testing.T, ip string) string {
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// relay runs a link in front of an echo server in region 1, and a way to open
+// connections from region 2.
+type relay struct {
+	t       *testing.T
+	admin   string
+	address string
+}
+
+func start(t *testing.T, rules linkserver.Rules) *relay {
+	echo, err := net.Listen("tcp", "127.0.1.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = echo.Close() })
+	go func() {
+		for conn, err := echo.Accept(); err == nil; conn, err = echo.Accept() {
+			go func() { _, _ = io.Copy(conn, conn); _ = conn.Close() }()
+		}
+	}()
+	r := &relay{t: t, admin: freeAddress(t, "127.0.0.1"), address: freeAddress(t, "127.0.1.2")}
+	settings := linkserver.Settings{
+		AdminAddress: r.admin, Rules: rules,
+		Listens: []linkserver.Listen{{Address: r.address, Target: echo.Addr().String()}},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	go func() { done <- linkserver.New(rules, logger).Run(ctx, settings) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	for {
+		if conn, err := net.Dial("tcp", r.admin); err == nil {
+			_ = conn.Close()
+			return r
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (r *relay) post(path string, body any) string {
+	encoded, _ := json.Marshal(body)
+	response, err := http.Post("http://"+r.admin+path, "application/json", bytes.NewReader(encoded))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	if response.StatusCode != http.StatusOK {
+		r.t.Fatalf("%s: %s", path, text)
+	}
+	return string(text)
+}
+
+func (r *relay) dial() net.Conn {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 2, 1)}}
+	conn, err := dialer.Dial("tcp", r.address)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// echo sends text and returns what came back within the limit, and when.
+func echo(conn net.Conn, text string, limit time.Duration) (string, time.Duration) {
+	start := time.Now()
+	_, _ = io.WriteString(conn, text)
+	return receive(conn, len(text), limit), time.Since(start)
+}
+
+func receive(conn net.Conn, length int, limit time.Duration) string {
+	_ = conn.SetReadDeadline(time.Now().Add(limit))
+	buffer := make([]byte, length)
+	n, _ := io.ReadFull(conn, buffer)
+	return string(buffer[:n])
+}
+
+var twoToOne = linkserver.Pair{From: 2, To: 1}
+
+// Guards against delays that a fault test relies on and that aren't there.
+func TestDelay(t *testing.T) {
+	is := is.New(t)
+	r := start(t, linkserver.Rules{
+		ConnectionCostMillis: 10,
+		Delays:               []linkserver.Delay{{From: 2, To: 1, Millis: 20}, {From: 1, To: 2, Millis: 30}},
+	})
+	conn := r.dial()
+	text, first := echo(conn, "a", 5*time.Second)
+	is.Equal(text, "a")
+	is.True(first >= 110*time.Millisecond) // 10 set-up, 50 for the handshake, 50 there and back
+	_, second := echo(conn, "b", 5*time.Second)
+	is.True(second >= 50*time.Millisecond && second < first)
+	var counters []linkserver.Counter
+	response, err := http.Get("http://" + r.admin + "/admin/counters")
+	is.NoErr(err)
+	defer response.Body.Close()
+	is.NoErr(json.NewDecoder(response.Body).Decode(&counters))
+	for _, counter := range counters {
+		is.Equal(counter.Bytes, uint64(2))
+	}
+}
+
+// Guards against a one-way cut that lets data through, loses what it held, or
+// cuts the other way too.
+func TestOneWayCut(t *testing.T) {
+	for _, cut := range []linkserver.Pair{twoToOne, {From: 1, To: 2}} {
+		is := is.New(t)
+		r := start(t, linkserver.Rules{})
+		conn := r.dial()
+		text, _ := echo(conn, "a", 5*time.Second)
+		is.Equal(text, "a")
+		r.post("/admin/rules", linkserver.Rules{Cuts: []linkserver.Pair{cut}})
+		text, _ = echo(conn, "bc", 100*time.Millisecond)
+		is.Equal(text, "")
+		fresh := r.dial()
+		text, _ = echo(fresh, "d", 100*time.Millisecond)
+		is.Equal(text, "") // no new connection either
+		r.post("/admin/rules", linkserver.Rules{})
+		is.Equal(receive(conn, 2, 5*time.Second), "bc")
+		is.Equal(receive(fresh, 1, 5*time.Second), "d")
+	}
+}
+
+// Guards against a silence that closes connections, ends by itself, or reaches
+// new connections.
+func TestSilence(t *testing.T) {
+	is := is.New(t)
+	r := start(t, linkserver.Rules{})
+	old := r.dial()
+	text, _ := echo(old, "a", 5*time.Second)
+	is.Equal(text, "a")
+	is.Equal(r.post("/admin/silence", twoToOne), `{"connections":1}`)
+	text, _ = echo(old, "b", 100*time.Millisecond)
+	is.Equal(text, "")
+	text, _ = echo(r.dial(), "c", 5*time.Second)
+	is.Equal(text, "c")
+	_ = old.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	_, err := old.Read(make([]byte, 1))
+	is.True(err != nil && strings.Contains(err.Error(), "timeout")) // still open
+}
+
+// Guards against a bandwidth bound that is not kept, and lost bytes.
+func TestBandwidth(t *testing.T) {
+	is := is.New(t)
+	r := start(t, linkserver.Rules{Bandwidths: []linkserver.Bandwidth{{From: 2, To: 1, MegabitsPerSecond: 80}}})
+	conn := r.dial()
+	sent := bytes.Repeat([]byte("0123456789"), 500_000)
+	start := time.Now()
+	go func() { _, _ = conn.Write(sent); _ = conn.(*net.TCPConn).CloseWrite() }()
+	received, err := io.ReadAll(conn)
+	is.NoErr(err)
+	is.True(bytes.Equal(received, sent))
+	is.True(time.Since(start) >= 450*time.Millisecond) // 5 MB at 10 MB/s, less the last 50 ms
+}
+
+// Guards against settings that are taken in part.
+func TestSettingsErrors(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "link.json")
+	body := `{"adminAddress":"x","listens":[{"address":"127.0.1.2:1","target":""}],"rules":{"delays":[{"from":1,"to":256,"millis":-1}]}}`
+	is.NoErr(os.WriteFile(path, []byte(body), 0o600))
+	_, err := linkserver.Load(path)
+	for _, part := range []string{"adminAddress", "listens[0].target", "delays[0].to", "delays[0].millis"} {
+		is.True(strings.Contains(fmt.Sprint(err), part))
+	}
+}
