--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -44,7 +44,7 @@
 // Run parses arguments and runs the stand-in that they name, until SIGTERM or
 // SIGINT. It returns the exit code of the process.
 func Run(arguments []string, stderr io.Writer) int {
-	programs := []program{newTable(), newUpstream(), newLink()}
+	programs := []program{newTable(), newObjects(), newUpstream(), newLink()}
 	parser := flaggy.NewParser("standin")
 	parser.Description = "Stand-ins for the platform that briarwell meets."
 	commands := make([]*flaggy.Subcommand, 0, len(programs))
--- /dev/null
+++ b/standin/objectserver/objectserver.go
@@ -0,0 +1,124 @@
+// Package objectserver is the stand-in for the platform's object store, with
+// faults that tests set at run time.
+package objectserver
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"briarwell.dev/core/object"
+	"briarwell.dev/core/object/httpobject"
+	"briarwell.dev/core/object/memory"
+	"briarwell.dev/standin/server"
+)
+
+// Faults are the settings of POST /admin/faults, which replaces all of them.
+type Faults struct {
+	// Outage makes every call fail without effect.
+	Outage bool `json:"outage"`
+	// DelayMillis is added before each call takes effect.
+	DelayMillis int `json:"delayMillis"`
+	// Corrupt changes one byte of each body that is read.
+	Corrupt bool `json:"corrupt"`
+}
+
+// Server answers the object protocol from memory. The zero value is empty and
+// has no faults.
+type Server struct {
+	objects memory.Store
+	mutex   sync.Mutex
+	faults  Faults
+}
+
+// Handle answers one request.
+func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	name, isObject := strings.CutPrefix(path, httpobject.PathPrefix)
+	switch {
+	case path == "/admin/faults":
+		s.handleFaults(ctx)
+	case isObject:
+		s.handleObject(ctx, name)
+	default:
+		server.Fail(ctx, fasthttp.StatusNotFound, "unknown path")
+	}
+}
+
+func (s *Server) handleFaults(ctx *fasthttp.RequestCtx) {
+	if ctx.IsPost() {
+		var settings Faults
+		if !server.Decode(ctx, &settings) {
+			return
+		}
+		if settings.DelayMillis < 0 {
+			server.Fail(ctx, fasthttp.StatusBadRequest, "delayMillis: allowed 0 or more")
+			return
+		}
+		s.mutex.Lock()
+		s.faults = settings
+		s.mutex.Unlock()
+	}
+	server.Respond(ctx, fasthttp.StatusOK, s.current())
+}
+
+func (s *Server) current() Faults {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.faults
+}
+
+func (s *Server) handleObject(ctx *fasthttp.RequestCtx, name string) {
+	digest, err := object.ParseDigest(name)
+	if err != nil {
+		server.Fail(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	time.Sleep(time.Duration(s.current().DelayMillis) * time.Millisecond)
+	if s.current().Outage {
+		server.Fail(ctx, fasthttp.StatusServiceUnavailable, "outage")
+		return
+	}
+	switch {
+	case ctx.IsPut():
+		s.put(ctx, digest)
+	case ctx.IsGet():
+		s.get(ctx, digest)
+	default:
+		server.Fail(ctx, fasthttp.StatusMethodNotAllowed, "objects take PUT and GET")
+	}
+}
+
+func (s *Server) put(ctx *fasthttp.RequestCtx, digest object.Digest) {
+	if err := object.Check(ctx.PostBody(), digest); err != nil {
+		server.Fail(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	if _, err := s.objects.Put(context.Background(), ctx.PostBody()); err != nil {
+		server.Fail(ctx, fasthttp.StatusInternalServerError, err.Error())
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+func (s *Server) get(ctx *fasthttp.RequestCtx, digest object.Digest) {
+	body, err := s.objects.Get(context.Background(), digest)
+	var missing *object.NotFoundError
+	switch {
+	case errors.As(err, &missing):
+		server.Fail(ctx, fasthttp.StatusNotFound, err.Error())
+		return
+	case err != nil:
+		server.Fail(ctx, fasthttp.StatusInternalServerError, err.Error())
+		return
+	}
+	ctx.SetContentType("application/octet-stream")
+	ctx.SetBody(body) // SetBody copies.
+	if s.current().Corrupt && len(body) > 0 {
+		ctx.Response.Body()[0] ^= 1
+	}
+}
