Reject incomplete copies of the configuration

Cause: a daemon puts its copy together from several scans and from peers. With a newer head and an older body it would report a version in Status that it does not have in force, and accepted would be told too early. Ruled out: reliance on the order of scans. It depends on every later change of how daemons copy rows. Change: the head lists the version of every document's row, and Render returns a CopyError if a row differs. History reads the head without the documents.

--- a/core/rollout/history.go
+++ b/core/rollout/history.go
@@ -155,17 +155,17 @@
 	if err != nil {
 		return nil, err
 	}
-	stored, err := decodeRows(rows)
-	if err != nil {
+	var stored snapshot
+	if rows[0].Version() == 0 {
+		return nil, nil
+	}
+	if err := stored.addHead(rows[0]); err != nil {
 		return nil, err
 	}
 	keys := make([]string, 0, count)
 	for version := stored.head.version; version > 0 && len(keys) < count; version-- {
 		keys = append(keys, HistoryKey(version))
 	}
-	if len(keys) == 0 {
-		return nil, nil
-	}
 	if rows, err = source.Read(ctx, keys); err != nil {
 		return nil, err
 	}
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -135,7 +135,7 @@
 
 func (s snapshot) copy() snapshot {
 	s.entries = append([]entry(nil), s.entries...)
-	s.shards = maps.Clone(s.shards)
+	s.shards, s.documents = maps.Clone(s.shards), maps.Clone(s.documents)
 	return s
 }
 
@@ -207,7 +207,10 @@
 // transaction stores the plan and its history row. It is conditional on the
 // head, which every edit writes, and on the rows that it changes.
 func (p Plan) transaction(history []byte) (table.Transaction, error) {
-	head, err := json.Marshal(headJSON{stampJSON: p.stamp.encode(), Shards: p.edited.shards})
+	for _, changed := range p.changed {
+		p.edited.documents[changed.key] = p.stamp.version
+	}
+	head, err := json.Marshal(headJSON{stampJSON: p.stamp.encode(), Documents: p.edited.documents, Shards: p.edited.shards})
 	if err != nil {
 		return table.Transaction{}, NewRowError(KeyHead, err)
 	}
--- a/core/rollout/render_test.go
+++ b/core/rollout/render_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -21,9 +22,14 @@
 	return table.NewRow(key, table.Revision(version), fmt.Appendf(nil, `{"version": %d, "author": "ada", "body": %s}`, version, body))
 }
 
+func headRow(version, kind, organisation uint64) table.Row {
+	value := fmt.Appendf(nil, `{"version": %d, "documents": {"config/template/k": %d, "config/organisation/o": %d}}`, version, kind, organisation)
+	return table.NewRow(rollout.KeyHead, table.Revision(version), value)
+}
+
 func configRows(version uint64, timeout string) []table.Row {
 	return []table.Row{
-		configRow(rollout.KeyHead, version, `{}`),
+		headRow(version, 1, version),
 		configRow(rollout.TemplateKey("k"), 1, smallTemplate),
 		configRow(rollout.OrganisationKey("o"), version, `{"name": "o", "kind": "k", "parameters": {"t": `+timeout+`}}`),
 		table.NewRow("member/1", 9, []byte("not JSON")),
@@ -67,14 +73,18 @@
 	is.Equal(timeout(), 70)
 }
 
-// Guards against a copy that holds a newer body than its head: its version
-// would be reported for a body that another version changed.
+// Guards against a copy with the rows of two versions: the daemon would report
+// a version whose rules it doesn't have in force, and accepted would be wrong.
 func TestRenderRejectsMixedCopy(t *testing.T) {
-	rows := configRows(4, "40")
-	rows[0] = configRow(rollout.KeyHead, 3, `{}`)
-	_, err := rollout.Render(rows)
-	var unread *rollout.RowError
-	is.New(t).True(errors.As(err, &unread))
+	is := is.New(t)
+	missing := configRows(4, "40")[:2]
+	newer, older := configRows(4, "40"), configRows(4, "40")
+	newer[0], older[0] = headRow(3, 1, 3), headRow(5, 1, 5)
+	for _, rows := range [][]table.Row{missing, newer, older, newer[1:]} {
+		_, err := rollout.Render(rows)
+		var incomplete *rollout.CopyError
+		is.True(errors.As(err, &incomplete))
+	}
 }
 
 // Guards against a daemon that goes back or shows rules of another version than
@@ -110,12 +120,19 @@
 	}
 	var force rollout.InForce
 	newest := uint64(0)
-	for _, i := range copies {
+	for step, i := range copies {
 		before := force.Catalog().Version()
-		changed, err := force.Update(kept[i])
-		newest = max(newest, uint64(i+1))
+		// Every third copy mixes the organisation of this version with the head
+		// of the one that came before it.
+		rows, mixed := slices.Clone(kept[i]), step%3 == 2 && copies[step-1] != i
+		if mixed {
+			rows[0] = kept[copies[step-1]][0]
+		} else {
+			newest = max(newest, uint64(i+1))
+		}
+		changed, err := force.Update(rows)
 		version := force.Catalog().Version()
-		if err != nil || version != newest || changed != (version > before) || timeoutOf(force.Catalog(), "o/s") != reference[version] {
+		if (err != nil) != mixed || version != newest || changed != (version > before) || timeoutOf(force.Catalog(), "o/s") != reference[version] {
 			return fmt.Errorf("version %d in force after the copy of %d, newest %d: %w", version, i+1, newest, err)
 		}
 	}
--- a/core/rollout/rows.go
+++ b/core/rollout/rows.go
@@ -5,6 +5,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -71,12 +73,15 @@
 	return Stamp{version: s.Version, author: s.Author, unixMillis: s.UnixMillis, edit: s.Edit}
 }
 
-// headJSON is the value of KeyHead. Shards holds the number of shards of every
-// keyed service that ever was in force, since ownership rows outlive the
-// service's removal from a template.
+// headJSON is the value of KeyHead. Documents holds the version of every
+// template and organisation row by its key, so that an incomplete copy of the
+// rows is recognised. Shards holds the number of shards of every keyed service
+// that ever was in force, since ownership rows outlive the service's removal
+// from a template.
 type headJSON struct {
 	stampJSON
-	Shards map[string]uint32 `json:"shards"`
+	Documents map[string]uint64 `json:"documents"`
+	Shards    map[string]uint32 `json:"shards"`
 }
 
 // bodyJSON is the value of a template or organisation row.
@@ -120,15 +125,16 @@
 
 // snapshot is the decoded content of configuration rows.
 type snapshot struct {
-	headRow  table.Row
-	head     Stamp
-	shards   map[string]uint32
-	accepted uint64
-	entries  []entry
+	headRow   table.Row
+	head      Stamp
+	documents map[string]uint64
+	shards    map[string]uint32
+	accepted  uint64
+	entries   []entry
 }
 
 func decodeRows(rows []table.Row) (snapshot, error) {
-	result := snapshot{shards: map[string]uint32{}}
+	result := snapshot{documents: map[string]uint64{}, shards: map[string]uint32{}}
 	for _, row := range rows {
 		if row.Version() == 0 {
 			continue
@@ -137,15 +143,49 @@
 			return snapshot{}, err
 		}
 	}
-	for _, item := range result.entries {
-		if item.stamp.version > result.head.version {
-			cause := fmt.Errorf("it has configuration version %d, but %s has %d", item.stamp.version, KeyHead, result.head.version)
-			return snapshot{}, NewRowError(item.row.Key(), cause)
-		}
+	if err := result.checkComplete(); err != nil {
+		return snapshot{}, err
 	}
 	return result, nil
 }
 
+// checkComplete compares the rows with those that the head lists. Copies that
+// are put together from several reads may hold the rows of two versions.
+func (s *snapshot) checkComplete() error {
+	found := make(map[string]uint64, len(s.entries))
+	for _, item := range s.entries {
+		found[item.row.Key()] = item.stamp.version
+	}
+	keys := append(slices.Collect(maps.Keys(found)), slices.Collect(maps.Keys(s.documents))...)
+	slices.Sort(keys)
+	for _, key := range keys {
+		if found[key] != s.documents[key] {
+			return NewRowError(key, &CopyError{found: found[key], expected: s.documents[key], head: s.head.version})
+		}
+	}
+	return nil
+}
+
+// CopyError reports a row of another version than the head lists.
+type CopyError struct {
+	found    uint64
+	expected uint64
+	head     uint64
+}
+
+// Found returns the version of the row, 0 if it is absent.
+func (e *CopyError) Found() uint64 { return e.found }
+
+// Expected returns the version that the head lists, 0 for none.
+func (e *CopyError) Expected() uint64 { return e.expected }
+
+// Head returns the version of the head.
+func (e *CopyError) Head() uint64 { return e.head }
+
+func (e *CopyError) Error() string {
+	return fmt.Sprintf("the copy is incomplete: the row has version %d, the head of version %d lists %d", e.found, e.head, e.expected)
+}
+
 func (s *snapshot) add(row table.Row) error {
 	key := row.Key()
 	switch {
@@ -168,8 +208,11 @@
 		return NewRowError(row.Key(), err)
 	}
 	s.headRow, s.head = row, head.decode()
-	for service, shards := range head.Shards {
-		s.shards[service] = shards
+	if head.Documents != nil {
+		s.documents = head.Documents
+	}
+	if head.Shards != nil {
+		s.shards = head.Shards
 	}
 	return nil
 }
