--- /dev/null
+++ b/demo/main.go
@@ -0,0 +1,137 @@
+// Command bwdemo starts briarwell and its stand-ins as processes on loopback
+// addresses: the main job of the README, fault tests and benchmarks.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"briarwell.dev/demo/harness"
+)
+
+const (
+	// mainTime bounds the main job, as the README promises.
+	mainTime = 60 * time.Second
+	// orderTime is the time of an order at an upstream stand-in.
+	orderTime = 2 * time.Millisecond
+)
+
+// options are the options that all commands share.
+type options struct {
+	root      string
+	programs  string
+	build     bool
+	folder    string
+	regions   int
+	upstreams int
+	logLevel  string
+	linked    bool
+	seed      uint64
+	minutes   float64
+	rate      float64
+	rounds    int
+	length    time.Duration
+}
+
+// job is a subcommand.
+type job struct {
+	command *flaggy.Subcommand
+	run     func(context.Context, harness.Programs) error
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := run(ctx)
+	stop()
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "bwdemo:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context) error {
+	o := options{root: ".", build: true, regions: 3, upstreams: 6, logLevel: "info", seed: 1, minutes: 5, rounds: 5}
+	flaggy.SetName("bwdemo")
+	flaggy.SetDescription("Starts briarwell and its stand-ins as processes on loopback addresses.")
+	flaggy.DisableCompletion()
+	flaggy.String(&o.root, "", "root", "folder of the workspace")
+	flaggy.String(&o.programs, "", "programs", "folder of the programs; ROOT/bin if empty")
+	flaggy.Bool(&o.build, "", "build", "build the programs first")
+	flaggy.String(&o.folder, "", "folder", "folder of logs and records; a new one in the temporary folder if empty")
+	flaggy.Int(&o.regions, "", "regions", "number of regions, 1 to 3")
+	flaggy.Int(&o.upstreams, "", "upstreams", "number of upstreams of the bookings service")
+	flaggy.String(&o.logLevel, "", "log-level", "log level of the daemons")
+	jobs := o.jobs()
+	for _, j := range jobs {
+		flaggy.AttachSubcommand(j.command, 1)
+	}
+	flaggy.Parse()
+	for _, j := range jobs {
+		if !j.command.Used {
+			continue
+		}
+		programs, err := o.prepare(ctx)
+		if err != nil {
+			return err
+		}
+		return j.run(ctx, programs)
+	}
+	flaggy.ShowHelp("")
+	return errors.New("a subcommand is missing")
+}
+
+func (o *options) jobs() []job {
+	main := flaggy.NewSubcommand("main")
+	main.Description = "Shows that every daemon sends each key to its owner."
+
+	faults := flaggy.NewSubcommand("faults")
+	faults.Description = "Injects a seeded sequence of faults under load and audits the run."
+	faults.Float64(&o.minutes, "", "minutes", "length of the sequence")
+
+	outage := flaggy.NewSubcommand("outage")
+	outage.Description = "Makes the table fail for a time under load and audits the run."
+	outage.Duration(&o.length, "", "length", "length of the outage; 5m if 0")
+
+	bench := flaggy.NewSubcommand("bench")
+	bench.Description = "Compares direct calls with calls through one and two daemons."
+	bench.Duration(&o.length, "", "round", "measured time of each path in a round; 5s if 0")
+	bench.Int(&o.rounds, "", "rounds", "number of rounds")
+
+	for _, c := range []*flaggy.Subcommand{faults, outage, bench} {
+		c.Float64(&o.rate, "", "rate", "requests a second; 300 for faults and outage and 3500 for bench if 0")
+		c.UInt64(&o.seed, "", "seed", "seed of faults and requests")
+	}
+	return []job{{main, o.mainJob}, {faults, o.faultJob}, {outage, o.outageJob}, {bench, o.benchJob}}
+}
+
+// prepare builds the programs and fills in the folders.
+func (o *options) prepare(ctx context.Context) (harness.Programs, error) {
+	if o.regions < 1 || o.regions > len(regionNames()) {
+		return harness.Programs{}, fmt.Errorf("--regions: found %d, allowed 1 to %d", o.regions, len(regionNames()))
+	}
+	if o.programs == "" {
+		o.programs = filepath.Join(o.root, "bin")
+	}
+	if o.folder == "" {
+		folder, err := os.MkdirTemp("", "bwdemo-")
+		if err != nil {
+			return harness.Programs{}, err
+		}
+		o.folder = folder
+	}
+	programs := harness.NewPrograms(o.programs)
+	if !o.build {
+		return programs, nil
+	}
+	return programs, programs.Build(ctx, o.root)
+}
+
+func regionNames() []string { return []string{"lagos", "kano", "enugu"} }
