--- a/demo/harness/cluster.go
+++ b/demo/harness/cluster.go
@@ -161,24 +161,18 @@
 	return post(c.TableURL()+"/admin/faults", faults)
 }
 
-// Apply applies the example configuration, with the number of shards of the
-// options.
-func (c *Cluster) Apply(ctx context.Context) error {
-	for _, name := range []string{"lending-service", "onboarding"} {
-		if _, err := c.Control(ctx, "apply", c.example(name)); err != nil {
-			return err
-		}
-	}
+// Apply stores the example configuration as its first version, with the number
+// of shards of the options.
+func (c *Cluster) Apply(ctx context.Context) (string, error) {
+	files := []string{"apply", c.example("lending-service"), c.example("onboarding")}
 	for name, parameter := range map[string]string{"lagos": "bookingShards", "primeiro-dia": "signOffShards"} {
 		path, err := c.organisation(name, parameter)
 		if err != nil {
-			return err
-		}
-		if _, err := c.Control(ctx, "apply", path); err != nil {
-			return err
+			return "", err
 		}
+		files = append(files, path)
 	}
-	return nil
+	return c.Control(ctx, append(files, "--expect", "0", "--author", "bwdemo")...)
 }
 
 func (c *Cluster) example(name string) string {
--- a/demo/mainjob/mainjob.go
+++ b/demo/mainjob/mainjob.go
@@ -70,7 +70,7 @@
 	if err := cluster.StartPlatform(ctx); err != nil {
 		return err
 	}
-	if err := cluster.Apply(ctx); err != nil {
+	if _, err := cluster.Apply(ctx); err != nil {
 		return err
 	}
 	if err := cluster.StartInstances(ctx); err != nil {
