Put the relay between regions into fault runs

Link faults need delays, cuts and silence between regions, and between a region and the table. standin link tells the source region by the IP to which each daemon binds. Ruled out: one relay for each pair of regions, since the relay replaces its rules as a whole. Not run with a daemon yet; unit tests pass.

--- a/demo/faults/plan.go
+++ b/demo/faults/plan.go
@@ -61,6 +61,10 @@
 		p.table("slow table", harness.TableFaults{DelayMillis: slowMillis}),
 		p.table("lost answers", harness.TableFaults{LoseCommitShare: lostShare, Seed: seed}),
 	}
+	p.deck = append(p.deck, func(int) Step {
+		region := regions[p.random.IntN(len(regions))]
+		return Step{fault: Cut{link: harness.NewLinkFault(harness.LinkCut, region, harness.TableRegion)}, hold: tableHold}
+	})
 	if len(regions) > 1 {
 		p.deck = append(p.deck, p.cut(harness.LinkCutOneWay), p.cut(harness.LinkCut), p.cut(harness.LinkSilent))
 	}
--- a/demo/harness/cluster.go
+++ b/demo/harness/cluster.go
@@ -83,7 +83,10 @@
 			hosts[region]++
 		}
 	}
-	return c, nil
+	if options.Linked {
+		c.links, err = newLinks(c)
+	}
+	return c, err
 }
 
 func (c *Cluster) addInstance(service Service, region, host int) error {
@@ -116,7 +119,15 @@
 
 func (c *Cluster) objectURL() string { return "http://" + c.objectAddr }
 
-// StartPlatform starts the table and the object store.
+// daemonTableURL returns the address at which daemons reach the table.
+func (c *Cluster) daemonTableURL() string {
+	if c.links != nil {
+		return "http://" + c.links.table
+	}
+	return c.TableURL()
+}
+
+// StartPlatform starts the table, the object store and the relay.
 func (c *Cluster) StartPlatform(ctx context.Context) error {
 	standIn := c.options.Programs.StandIn()
 	table, err := c.group.Start("table", standIn, "table", "--address", c.tableAddress)
@@ -131,7 +142,13 @@
 	if err := WaitListening(ctx, table, c.tableAddress); err != nil {
 		return err
 	}
-	return WaitListening(ctx, objects, c.objectAddr)
+	if err := WaitListening(ctx, objects, c.objectAddr); err != nil {
+		return err
+	}
+	if c.links == nil {
+		return nil
+	}
+	return c.links.start(ctx)
 }
 
 // Control runs the operator's command line and returns its output.
--- a/demo/harness/instance.go
+++ b/demo/harness/instance.go
@@ -86,7 +86,7 @@
 		Instance: i.name, Region: i.region, FailureDomain: i.failureDomain,
 		HTTPAddress: i.addresses.HTTP, PeerAddress: i.addresses.Peer, LocalAddress: i.addresses.Local,
 		AdvertisePeerAddress: i.addresses.AdvertisedPeer,
-		TableURL:             c.TableURL(), ObjectURL: c.objectURL(),
+		TableURL:             c.daemonTableURL(), ObjectURL: c.objectURL(),
 		LogLevel: c.options.LogLevel, StopTimeoutMillis: stopTimeoutMillis,
 	}, "", "  ")
 	if err != nil {
--- a/load/runner/attempt.go
+++ b/load/runner/attempt.go
@@ -16,6 +16,8 @@
 	// statusOlderEpoch answers a repeat whose first attempt belongs to an older
 	// epoch; further repeats get the same answer.
 	statusOlderEpoch = fasthttp.StatusConflict
+	// versionHeader carries the configuration version of the daemon.
+	versionHeader = "Briarwell-Config-Version"
 )
 
 // call identifies one attempt.
@@ -84,6 +86,7 @@
 	result.ServedBy = header(outcome.HeaderServedBy)
 	result.Status = response.StatusCode()
 	result.Epoch, _ = strconv.ParseUint(header(outcome.HeaderEpoch), 10, 64)
+	result.ConfigVersion, _ = strconv.ParseUint(header(versionHeader), 10, 64)
 	r.stamps.learn(request, result.Epoch, header(outcome.HeaderStamp))
 
 	if result.Outcome != (outcome.Done{}).String() || result.Status != fasthttp.StatusOK {
