--- a/ctl/command/environment.go
+++ b/ctl/command/environment.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"io"
 	"os"
+	"os/user"
 	"time"
 
 	"briarwell.dev/core/identity"
@@ -90,7 +91,7 @@
 		peers:    newGRPCPeers(),
 		now:      time.Now,
 		editID:   randomID,
-		user:     os.Getenv("USER"),
+		user:     userName(),
 		interval: defaultInterval,
 	}
 	for _, option := range options {
@@ -99,6 +100,18 @@
 	return environment
 }
 
+// userName returns the name of the operating system's user, "" if unknown.
+func userName() string {
+	if name := os.Getenv("USER"); name != "" {
+		return name
+	}
+	current, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return current.Username
+}
+
 func randomID() string {
 	id := make([]byte, editIDBytes)
 	_, _ = rand.Read(id) // It never fails: crypto/rand ends the process instead.
