Evaluate a witness proposal when its transaction is sent

The lease end then fell, while orders in flight carried the earlier, later end as their deadline; a replacement could overlap with them.

The readiness is computed when the transaction is built. The suite now requires that a lease end never falls before it has passed; a quarter of the schedules have short delays, ticks of 3 ms and clock rates at the bounds; one in eight lasts longer than the bootstrap window; partitions have random sides.

--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -33,11 +33,7 @@
 }
 
 func compareLocal(a, b localKey) int {
-	return cmp.Or(
-		cmp.Compare(a.service.String(), b.service.String()),
-		cmp.Compare(a.unit.Shard(), b.unit.Shard()),
-		cmp.Compare(a.unit.HotKey(), b.unit.HotKey()),
-	)
+	return cmp.Or(cmp.Compare(a.service.String(), b.service.String()), compareUnits(a.unit, b.unit))
 }
 
 // localUnit is a unit that the node owns.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -15,7 +15,7 @@
 	"briarwell.dev/core/ownership"
 	"briarwell.dev/core/peer"
 	"briarwell.dev/core/placement"
-	"briarwell.dev/core/placement/rendezvous"
+	"briarwell.dev/core/placement/balanced"
 	"briarwell.dev/core/table"
 	"briarwell.dev/core/template"
 )
@@ -32,14 +32,15 @@
 // Option sets an optional part of Settings.
 type Option func(*Settings)
 
-// WithPolicy sets the placement policy that the node uses as planner.
+// WithPolicy sets the placement policy that the node uses as planner; without it
+// balanced.Policy is used. Nodes must not share a policy that keeps state.
 func WithPolicy(policy placement.Policy) Option {
 	return func(s *Settings) { s.policy = policy }
 }
 
 // NewSettings returns settings for the daemon of an instance.
 func NewSettings(instance membership.Instance, options ...Option) Settings {
-	settings := Settings{instance: instance, policy: rendezvous.Policy{}}
+	settings := Settings{instance: instance, policy: &balanced.Policy{}}
 	for _, option := range options {
 		option(&settings)
 	}
--- a/core/node/planner.go
+++ b/core/node/planner.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 
 	"briarwell.dev/core/clock"
@@ -119,9 +121,19 @@
 			add(u.Unit(), u.Entry())
 		}
 	}
+	for unit := range busy {
+		if unit.HotKey() != "" && n.owners.Entry(service, unit) == (ownership.Entry{}) {
+			add(unit, n.owners.Entry(service, ownership.NewUnit(unit.Shard(), "")))
+		}
+	}
+	slices.SortFunc(units, func(a, b placement.Placed) int { return compareUnits(a.Unit(), b.Unit()) })
 	return units, owned
 }
 
+func compareUnits(a, b ownership.Unit) int {
+	return cmp.Or(cmp.Compare(a.Shard(), b.Shard()), cmp.Compare(a.HotKey(), b.HotKey()))
+}
+
 // unitLoads returns the slot-milliseconds of each unit that the fresh reports
 // name.
 func (n *Node) unitLoads() map[ownership.Unit]clock.Millis {
@@ -159,6 +171,8 @@
 	requests := make(map[identity.Incarnation][]peer.Target)
 	for _, move := range n.settings.policy.Plan(input) {
 		switch {
+		case move.From() == 0 && move.Unit().HotKey() != "" && n.owners.Entry(service, move.Unit()) == (ownership.Entry{}):
+			// The owner of the shard, once there is one, may split the key off.
 		case move.From() == 0 && change.Groups() < groupsPerCommit:
 			entry := n.owners.Entry(service, move.Unit())
 			change.Set(service, move.Unit(), entry.Next(move.To(), entry.Owner() != 0))
--- a/core/node/schedule_test.go
+++ b/core/node/schedule_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -21,8 +22,10 @@
 const (
 	// bootTime is when the first fault may occur.
 	bootTime = 6000
-	// faultTime is the time in which faults occur.
-	faultTime = 14000
+	// faultTime is the time in which faults occur. In one of eight schedules they
+	// last for longer than the bootstrap window and a replacement.
+	faultTime     = 14000
+	longFaultTime = 24000
 	// moveTime bounds a planned move: 200 ms for the orders in flight and its
 	// transactions.
 	moveTime = 1000
@@ -45,6 +48,7 @@
 type schedule struct {
 	*sim
 	seed      uint64
+	faultTime int64
 	locations []identity.Location
 	keyed     []bool
 }
@@ -59,6 +63,10 @@
 	if trace != nil {
 		c.trace = trace
 	}
+	c.sharp, c.faultTime = rng.IntN(4) == 0, faultTime
+	if rng.IntN(8) == 0 {
+		c.faultTime = longFaultTime
+	}
 	nodes, regions, domains := 3+rng.IntN(5), 1+rng.IntN(2), 1+rng.IntN(3)
 	for i := range nodes {
 		region := i % regions
@@ -132,9 +140,14 @@
 	}
 }
 
-// partition cuts the regions from each other, or else two halves.
+// partition cuts the members into two sides, by region or at random. Only one
+// side reaches the table.
 func (c *schedule) partition(duration int64) {
-	side := func(i int) bool { return i%2 == 0 }
+	sides := 0x55
+	if c.rng.IntN(2) == 0 {
+		sides = c.rng.IntN(1 << len(c.locations))
+	}
+	side := func(i int) bool { return sides>>i&1 == 1 }
 	for i := range c.locations {
 		for j := range c.locations {
 			if side(i) != side(j) {
@@ -170,7 +183,7 @@
 // moveTime, since a planned move may be under way.
 func (c *schedule) requireServed(when string) {
 	missing := c.keys
-	for end := c.t + moveTime; c.t < end; {
+	for end := c.t + moveTime; c.t < end && c.failure == ""; {
 		c.run(c.t)
 		missing = c.unserved(missing)
 	}
@@ -195,17 +208,17 @@
 		return outcome{seed, c.failure, single, c.again}
 	}
 	for range 1 + c.rng.IntN(5) {
-		at := c.rng.Int64N(faultTime)
-		c.after(at, func() { c.fault(1 + c.rng.Int64N(faultTime-at)) })
+		at := c.rng.Int64N(c.faultTime)
+		c.after(at, func() { c.fault(1 + c.rng.Int64N(c.faultTime-at)) })
 	}
 	for range 3 {
-		c.after(c.rng.Int64N(faultTime), func() { c.table.put("config/head", []byte("2")) })
+		c.after(c.rng.Int64N(c.faultTime), func() { c.table.put("config/head", []byte("2")) })
 	}
-	c.run(bootTime + faultTime)
+	c.run(bootTime + c.faultTime)
 	for i := range c.locations {
 		c.restart(i)
 	}
-	c.run(bootTime + faultTime + healTarget - moveTime)
+	c.run(bootTime + c.faultTime + healTarget - moveTime)
 	c.requireServed("after the faults")
 	return outcome{seed, c.failure, single, c.again}
 }
@@ -228,20 +241,27 @@
 
 // TestFaultSchedules guards against two owners at one moment, lost assignments,
 // falling epochs, reverted configuration and shards that stay unserved. Set
-// BRIARWELL_SCHEDULES for the number of seeds and BRIARWELL_SEED for the first.
+// BRIARWELL_SCHEDULES for the number of seeds, BRIARWELL_SEED for the first, and
+// BRIARWELL_FAIL_FAST=1 to end with the first failure.
 func TestFaultSchedules(t *testing.T) {
 	is := is.New(t)
 	count, first := envInt("BRIARWELL_SCHEDULES", 200), envInt("BRIARWELL_SEED", 1)
 	var mutex sync.Mutex
 	var failed []outcome
 	var single, mixed []int64
+	var stop atomic.Bool
+	failFast := envInt("BRIARWELL_FAIL_FAST", 0) != 0
 	workers := pool.New().WithMaxGoroutines(3)
 	for i := range count {
 		workers.Go(func() {
+			if failFast && stop.Load() {
+				return
+			}
 			o := runSchedule(uint64(first+i), nil)
 			mutex.Lock()
 			defer mutex.Unlock()
 			if o.failure != "" {
+				stop.Store(true)
 				failed = append(failed, o)
 			}
 			if o.single {
--- a/core/node/self.go
+++ b/core/node/self.go
@@ -29,7 +29,6 @@
 	left         bool
 
 	proposal       []membership.Witness
-	proposalReady  bool
 	proposedAt     clock.Millis
 	proposalReason string
 	witnessesDirty bool
@@ -135,12 +134,12 @@
 		if incarnation != n.incarnation {
 			return
 		}
-		n.self.proposal, n.self.proposalReady = nil, false
 		if committed {
 			n.witness.Extend(sent)
 			return
 		}
 		n.holder.Abandon()
+		n.self.proposal = nil
 	})
 }
 
@@ -157,7 +156,7 @@
 	case next.State() == membership.StateJoining && n.leaseValid():
 		next, reason = next.WithState(membership.StateActive), "active"
 	}
-	if n.self.proposalReady {
+	if n.proposalReady() {
 		next, reason = next.WithWitnesses(n.self.proposal), n.self.proposalReason
 	}
 	if reason == "" && n.refreshDue() {
--- a/core/node/sim_test.go
+++ b/core/node/sim_test.go
@@ -16,6 +16,10 @@
 	"briarwell.dev/core/upstream"
 )
 
+// maxRate is the largest deviation of a clock's rate in millionths: the rates of
+// two clocks differ by at most 1%.
+const maxRate = 4950
+
 var service = identity.NewService("attire", "bookings")
 
 // sim runs nodes at a virtual time in milliseconds on a fake bus and table.
@@ -38,6 +42,11 @@
 	failure string
 	trace   func(string)
 	policy  node.Option
+	// sharp makes delays and ticks short and clock rates extreme, so that little
+	// but the margins of the protocol keeps owners apart.
+	sharp bool
+	// naive makes processes trust their copy of the table's rows and no lease.
+	naive bool
 }
 
 // simKey is a key of a shard; "" stands for all keys that are not hot.
@@ -67,6 +76,8 @@
 	backlog     []node.Event
 	units       map[ownership.Unit]bool
 	configSeen  uint64
+	incarnation identity.Incarnation
+	leaseEnd    clock.Millis
 	keyed       bool
 	cutTable    bool
 }
@@ -138,7 +149,10 @@
 	instance := membership.NewInstance(fmt.Sprintf("i%d", i), "http"+s.address(i), s.address(i), location)
 	p := &proc{
 		s: s, index: i, instance: instance, alive: true, keyed: keyed,
-		ppm: s.rng.Int64N(9900) - 4950, offset: s.rng.Int64N(1e6), units: map[ownership.Unit]bool{},
+		ppm: s.rng.Int64N(2*maxRate+1) - maxRate, offset: s.rng.Int64N(1e6), units: map[ownership.Unit]bool{},
+	}
+	if s.sharp {
+		p.ppm = maxRate - 2*maxRate*s.rng.Int64N(2)
 	}
 	options := []node.Option{}
 	if s.policy != nil {
@@ -169,7 +183,11 @@
 	if p.s.t >= p.pausedUntil {
 		p.deliver(node.Tick{})
 	}
-	p.s.after(int64(node.TickInterval), p.tick)
+	interval := int64(node.TickInterval)
+	if p.s.sharp {
+		interval = 3
+	}
+	p.s.after(interval, p.tick)
 }
 
 func (p *proc) pause(duration int64) {
@@ -211,12 +229,18 @@
 	case node.Commit:
 		p.s.table.commit(p, a)
 	case node.ServeShard:
+		p.s.trace(fmt.Sprintf("%6d i%d serve unit=%v epoch=%d", p.s.t, p.index, a.Unit(), a.Epoch()))
 		p.units[a.Unit()] = true
 		p.s.after(int64(a.ServeFrom()-p.now())*102/100, p.check)
 	case node.StopShard:
+		p.s.trace(fmt.Sprintf("%6d i%d stop unit=%v epoch=%d drain=%t", p.s.t, p.index, a.Unit(), a.Epoch(), a.Drain()))
 		p.stop(a)
 	case node.Note:
-		p.s.trace(fmt.Sprintf("%6d i%d %s %v", p.s.t, p.index, a.Name(), a.Fields()))
+		line := fmt.Sprintf("%6d i%d %s", p.s.t, p.index, a.Name())
+		for _, f := range a.Fields() {
+			line += " " + f.Key() + "=" + f.Value()
+		}
+		p.s.trace(line)
 	case node.Left:
 		p.alive, p.left = false, true
 	}
@@ -261,6 +285,9 @@
 	if q := s.current(to); q != nil && q.instance.Location().Region() != p.instance.Location().Region() {
 		delay += 19
 	}
+	if s.sharp {
+		delay = s.rng.Int64N(2)
+	}
 	if s.rng.IntN(50) == 0 {
 		delay += s.rng.Int64N(400)
 	}
@@ -283,7 +310,7 @@
 func (p *proc) serves(key simKey) (node.Owner, bool) {
 	snapshot, now := p.node.Snapshot(), p.now()
 	owner, ok := snapshot.Owner(service, key.shard, key.key)
-	return owner, ok && owner.Local() && owner.Admits(now) && snapshot.LeaseValid(now)
+	return owner, ok && owner.Local() && owner.Admits(now) && (p.s.naive || snapshot.LeaseValid(now))
 }
 
 // check looks at what p may admit now: no orders of another process may run for
@@ -299,12 +326,16 @@
 		}
 		p.configSeen = uint64(head.Version())
 	}
+	if snapshot.Incarnation() == p.incarnation && snapshot.LeaseEnd() < p.leaseEnd && p.now() < p.leaseEnd {
+		s.fail("i%d shortened its lease from %d to %d: orders in flight have the old deadline", p.index, p.leaseEnd, snapshot.LeaseEnd())
+	}
+	p.incarnation, p.leaseEnd = snapshot.Incarnation(), snapshot.LeaseEnd()
 	for _, key := range s.keys {
 		owner, serves := p.serves(key)
 		if !serves {
 			continue
 		}
-		p.occupies(key, owner.Epoch(), snapshot.LeaseEnd()+s.settle)
+		p.occupies(key, owner.Epoch(), max(snapshot.LeaseEnd(), p.now()+1)+s.settle)
 		if at, lost := s.lostAt[key]; lost {
 			delete(s.lostAt, key)
 			s.again = append(s.again, s.t-at)
--- a/core/node/table_test.go
+++ b/core/node/table_test.go
@@ -33,7 +33,12 @@
 	f.rows[key] = table.NewRow(key, f.revision, value)
 }
 
-func (f *fakeTable) delay() int64 { return 2 + f.s.rng.Int64N(20) + f.s.slow }
+func (f *fakeTable) delay() int64 {
+	if f.s.sharp {
+		return f.s.rng.Int64N(2) + f.s.slow
+	}
+	return 2 + f.s.rng.Int64N(20) + f.s.slow
+}
 
 func (f *fakeTable) reachable(p *proc) bool { return !f.outage && !p.cutTable }
 
--- a/core/node/witnesses.go
+++ b/core/node/witnesses.go
@@ -74,21 +74,21 @@
 	n.self.proposal, n.self.proposedAt, n.self.proposalReason = chosen, n.now, reason
 	n.holder.Propose(n.row.Generation()+1, chosen)
 	n.note("witnessChange", "reason", reason, "generation", strconv.FormatUint(n.row.Generation()+1, 10), "witnesses", witnessList(chosen))
-	n.stepProposal()
+}
+
+// proposalReady tells whether the transaction that makes the proposed set the
+// only one may be sent now. Orders in flight carry deadlines up to the end of the
+// lease. Once the table names the new set, only its promises hold a replacement
+// back, so they must last as long.
+func (n *Node) proposalReady() bool {
+	return n.holder.Proposed() != 0 && (!n.leaseValid() || n.holder.ProposedEnd() >= n.holder.End())
 }
 
 func (n *Node) stepProposal() {
-	// Orders in flight carry deadlines up to the end of the lease. Once the table
-	// names the new set, only its promises hold a replacement back, so they must
-	// last as long.
-	if !n.leaseValid() || n.holder.ProposedEnd() >= n.holder.End() {
-		n.self.proposalReady = true
-		return
-	}
-	if n.now-n.self.proposedAt >= proposalPatience {
+	if !n.proposalReady() && n.now-n.self.proposedAt >= proposalPatience {
 		n.avoidSilent()
 		n.holder.Abandon()
-		n.self.proposal, n.self.proposalReady = nil, false
+		n.self.proposal = nil
 		n.self.witnessesDirty = true
 	}
 }
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -219,7 +219,8 @@
 }
 
 // NewUnitLoad returns the load of a shard, or of a hot key if it is not "":
-// slot-milliseconds used and number of requests.
+// slot-milliseconds used and number of requests. The load of a shard does not
+// include that of the hot keys that are listed apart.
 func NewUnitLoad(id shard.ID, hotKey string, busy clock.Millis, requests uint64) UnitLoad {
 	return UnitLoad{shard: id, hotKey: hotKey, busy: busy, requests: requests}
 }
--- /dev/null
+++ b/core/placement/balanced/balanced_test.go
@@ -0,0 +1,92 @@
+package balanced_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/ownership"
+	"briarwell.dev/core/placement"
+	"briarwell.dev/core/placement/balanced"
+	"briarwell.dev/core/placement/rendezvous"
+	"briarwell.dev/core/shard"
+)
+
+var service = identity.NewService("attire", "bookings")
+
+func input(now clock.Millis, members int, units []placement.Placed) placement.Input {
+	candidates := make([]placement.Candidate, 0, members)
+	for i := range members {
+		candidates = append(candidates, placement.NewCandidate(identity.Incarnation(i+1), identity.NewLocation("r", "d"), 12, 0))
+	}
+	return placement.NewInput(service, now, 1000, candidates, units)
+}
+
+func placed(id int, hotKey string, owner identity.Incarnation, busy clock.Millis) placement.Placed {
+	return placement.NewPlaced(ownership.NewUnit(shard.ID(id), hotKey), owner, busy)
+}
+
+// TestAssignsAll guards, for both policies, against units that stay unowned or
+// get an owner that is no candidate.
+func TestAssignsAll(t *testing.T) {
+	for _, policy := range []placement.Policy{&balanced.Policy{}, rendezvous.Policy{}} {
+		rapid.Check(t, func(t *rapid.T) {
+			is := is.New(t)
+			members, shards := rapid.IntRange(1, 7).Draw(t, "members"), rapid.IntRange(1, 64).Draw(t, "shards")
+			units := make([]placement.Placed, 0, shards)
+			for i := range shards {
+				units = append(units, placed(i, "", 0, 0))
+			}
+			owners := map[ownership.Unit]identity.Incarnation{}
+			counts := map[identity.Incarnation]int{}
+			for _, m := range policy.Plan(input(0, members, units)) {
+				owners[m.Unit()] = m.To()
+				counts[m.To()]++
+				is.True(m.From() == 0 && m.To() >= 1 && int(m.To()) <= members)
+			}
+			is.Equal(len(owners), shards)
+			if _, ok := policy.(*balanced.Policy); ok {
+				for i := range members {
+					is.True(counts[identity.Incarnation(i+1)] >= shards/members) // equal numbers without load
+				}
+			}
+		})
+	}
+}
+
+// TestMovesLoad guards against load that is not moved away, a hot key that drags
+// its shard along, and moves that are undone in the next plan.
+func TestMovesLoad(t *testing.T) {
+	is := is.New(t)
+	policy := &balanced.Policy{}
+	units := []placement.Placed{
+		placed(0, "", 1, 500), placed(0, "hot", 1, 5000), placed(1, "", 1, 400), placed(2, "", 2, 400), placed(3, "", 3, 400),
+	}
+	moves := policy.Plan(input(0, 3, units))
+	is.Equal(moves[0], placement.NewMove(ownership.NewUnit(0, "hot"), 1, 2))
+	units[1] = placed(0, "hot", 2, 5000)
+	for _, m := range policy.Plan(input(5000, 3, units)) {
+		is.True(m.Unit() != ownership.NewUnit(0, "hot")) // rests after a move
+	}
+}
+
+// TestHysteresis guards against moves for a small imbalance.
+func TestHysteresis(t *testing.T) {
+	is := is.New(t)
+	units := []placement.Placed{placed(0, "", 1, 560), placed(1, "", 1, 560), placed(2, "", 2, 500), placed(3, "", 2, 500)}
+	is.Equal(len((&balanced.Policy{}).Plan(input(0, 2, units))), 0)
+}
+
+// TestNewMember guards against a member that joins a balanced service and gets
+// no units.
+func TestNewMember(t *testing.T) {
+	is := is.New(t)
+	units := make([]placement.Placed, 0, 60)
+	for i := range 60 {
+		units = append(units, placed(i, "", identity.Incarnation(i%5+1), 0))
+	}
+	is.Equal(len((&balanced.Policy{}).Plan(input(0, 6, units))), 8)
+}
