--- a/core/peer/peercodec/peercodec.go
+++ b/core/peer/peercodec/peercodec.go
@@ -1,5 +1,5 @@
-// Package peercodec converts control messages to and from the protocol between
-// daemons.
+// Package peercodec converts control messages between their types and the wire
+// form in peerpb.
 package peercodec
 
 import (
@@ -13,180 +13,163 @@
 	"briarwell.dev/core/table"
 )
 
-// MessageError reports an envelope without a known message.
-type MessageError struct {
-	message any
+// Encode returns the wire form of an envelope.
+func Encode(e peer.Envelope) *peerpb.Envelope {
+	wire := &peerpb.Envelope{From: uint64(e.From()), To: uint64(e.To()), FromAddress: e.FromAddress()}
+	switch m := e.Message().(type) {
+	case peer.Renew:
+		wire.Message = &peerpb.Envelope_Renew{Renew: &peerpb.Renew{Generation: m.Generation(), Sequence: m.Sequence(), Revision: uint64(m.Revision())}}
+	case peer.RenewReply:
+		wire.Message = &peerpb.Envelope_RenewReply{RenewReply: &peerpb.RenewReply{
+			Generation: m.Generation(),
+			Sequence:   m.Sequence(),
+			Granted:    m.Result() == peer.RenewGranted,
+			Fenced:     m.Result() == peer.RenewFenced,
+			Revision:   uint64(m.Revision()),
+		}}
+	case peer.LapseQuery:
+		wire.Message = &peerpb.Envelope_LapseQuery{LapseQuery: &peerpb.LapseQuery{Holder: uint64(m.Holder()), Generation: m.Generation()}}
+	case peer.LapseReply:
+		wire.Message = &peerpb.Envelope_LapseReply{LapseReply: &peerpb.LapseReply{Holder: uint64(m.Holder()), Generation: m.Generation(), Lapsed: m.Lapsed()}}
+	case peer.Sync:
+		wire.Message = &peerpb.Envelope_Sync{Sync: &peerpb.Sync{Revision: uint64(m.Revision())}}
+	case peer.SyncReply:
+		wire.Message = &peerpb.Envelope_SyncReply{SyncReply: encodeSyncReply(m)}
+	case peer.Handover:
+		wire.Message = &peerpb.Envelope_Handover{Handover: encodeHandover(m)}
+	case peer.LoadReport:
+		wire.Message = &peerpb.Envelope_LoadReport{LoadReport: encodeLoadReport(m)}
+	case peer.OtherIncarnation:
+		wire.Message = &peerpb.Envelope_OtherIncarnation{OtherIncarnation: &peerpb.OtherIncarnation{Asked: uint64(m.Asked()), Actual: uint64(e.From())}}
+	}
+	return wire
 }
 
-func (e *MessageError) Error() string {
-	return fmt.Sprintf("control message of type %T is not known", e.message)
+func encodeSyncReply(m peer.SyncReply) *peerpb.SyncReply {
+	wire := &peerpb.SyncReply{Since: uint64(m.Since()), Revision: uint64(m.Revision())}
+	for _, row := range m.Rows() {
+		wire.Rows = append(wire.Rows, &peerpb.Row{Key: row.Key(), Version: uint64(row.Version()), Value: row.Value()})
+	}
+	return wire
 }
 
-// Encode returns the envelope as sent.
-func Encode(envelope peer.Envelope) *peerpb.Envelope {
-	encoded := &peerpb.Envelope{
-		From:        uint64(envelope.From()),
-		To:          uint64(envelope.To()),
-		FromAddress: envelope.FromAddress(),
+func encodeHandover(m peer.Handover) *peerpb.Handover {
+	wire := &peerpb.Handover{Organisation: m.Service().Organisation(), Service: m.Service().Name()}
+	for _, t := range m.Targets() {
+		wire.Targets = append(wire.Targets, &peerpb.ShardTarget{Shard: uint32(t.Shard()), HotKey: t.HotKey(), Target: uint64(t.Target())})
 	}
-	setMessage(encoded, envelope.Message())
-	return encoded
+	return wire
 }
 
-// Decode returns the envelope as received. It returns a *MessageError if it
-// carries no known message.
-func Decode(encoded *peerpb.Envelope) (peer.Envelope, error) {
-	message, err := messageOf(encoded)
-	if err != nil {
-		return peer.Envelope{}, err
+func encodeLoadReport(m peer.LoadReport) *peerpb.LoadReport {
+	wire := &peerpb.LoadReport{
+		Organisation:   m.Service().Organisation(),
+		Service:        m.Service().Name(),
+		IntervalMillis: uint64(m.Interval()),
+		BusySlotMillis: uint64(m.Busy()),
+		Slots:          uint32(m.Slots()), //nolint:gosec // A number of slots fits.
+	}
+	for _, u := range m.Units() {
+		if u.HotKey() != "" {
+			wire.HotKeys = append(wire.HotKeys, &peerpb.KeyLoad{Key: u.HotKey(), Shard: uint32(u.Shard()), BusySlotMillis: uint64(u.Busy()), Requests: u.Requests()})
+			continue
+		}
+		wire.Shards = append(wire.Shards, &peerpb.ShardLoad{Shard: uint32(u.Shard()), BusySlotMillis: uint64(u.Busy()), Requests: u.Requests()})
 	}
-	from, to := identity.Incarnation(encoded.GetFrom()), identity.Incarnation(encoded.GetTo())
-	return peer.NewEnvelope(from, to, encoded.GetFromAddress(), message), nil
+	return wire
 }
 
-func setMessage(encoded *peerpb.Envelope, message peer.Message) {
-	switch m := message.(type) {
-	case peer.Renew:
-		encoded.Message = &peerpb.Envelope_Renew{Renew: &peerpb.Renew{
-			Generation: m.Generation(), Sequence: m.Sequence(), Revision: uint64(m.Revision()),
-		}}
-	case peer.RenewReply:
-		encoded.Message = &peerpb.Envelope_RenewReply{RenewReply: encodeRenewReply(m)}
-	case peer.LapseQuery:
-		encoded.Message = &peerpb.Envelope_LapseQuery{LapseQuery: &peerpb.LapseQuery{
-			Holder: uint64(m.Holder()), Generation: m.Generation(),
-		}}
-	case peer.LapseReply:
-		encoded.Message = &peerpb.Envelope_LapseReply{LapseReply: &peerpb.LapseReply{
-			Holder: uint64(m.Holder()), Generation: m.Generation(), Lapsed: m.Lapsed(),
-		}}
-	case peer.Sync:
-		encoded.Message = &peerpb.Envelope_Sync{Sync: &peerpb.Sync{Revision: uint64(m.Revision())}}
-	case peer.SyncReply:
-		encoded.Message = &peerpb.Envelope_SyncReply{SyncReply: encodeSyncReply(m)}
-	case peer.Handover:
-		encoded.Message = &peerpb.Envelope_Handover{Handover: encodeHandover(m)}
-	case peer.LoadReport:
-		encoded.Message = &peerpb.Envelope_LoadReport{LoadReport: encodeLoadReport(m)}
-	case peer.OtherIncarnation:
-		encoded.Message = &peerpb.Envelope_OtherIncarnation{OtherIncarnation: &peerpb.OtherIncarnation{
-			Asked: uint64(m.Asked()),
-		}}
+// Decode returns the envelope of a wire form. It returns a *MessageError if the
+// envelope has no known message or no sender.
+func Decode(wire *peerpb.Envelope) (peer.Envelope, error) {
+	message := decodeMessage(wire)
+	if message == nil {
+		return peer.Envelope{}, &MessageError{from: identity.Incarnation(wire.GetFrom()), reason: "no known message"}
 	}
+	if wire.GetFrom() == 0 {
+		return peer.Envelope{}, &MessageError{reason: "no sender"}
+	}
+	return peer.NewEnvelope(identity.Incarnation(wire.GetFrom()), identity.Incarnation(wire.GetTo()), wire.GetFromAddress(), message), nil
 }
 
-func messageOf(encoded *peerpb.Envelope) (peer.Message, error) {
-	switch m := encoded.GetMessage().(type) {
+func decodeMessage(wire *peerpb.Envelope) peer.Message {
+	switch w := wire.GetMessage().(type) {
 	case *peerpb.Envelope_Renew:
-		return peer.NewRenew(m.Renew.GetGeneration(), m.Renew.GetSequence(), table.Revision(m.Renew.GetRevision())), nil
+		return peer.NewRenew(w.Renew.GetGeneration(), w.Renew.GetSequence(), table.Revision(w.Renew.GetRevision()))
 	case *peerpb.Envelope_RenewReply:
-		return decodeRenewReply(m.RenewReply), nil
+		return decodeRenewReply(w.RenewReply)
 	case *peerpb.Envelope_LapseQuery:
-		return peer.NewLapseQuery(identity.Incarnation(m.LapseQuery.GetHolder()), m.LapseQuery.GetGeneration()), nil
+		return peer.NewLapseQuery(identity.Incarnation(w.LapseQuery.GetHolder()), w.LapseQuery.GetGeneration())
 	case *peerpb.Envelope_LapseReply:
-		holder := identity.Incarnation(m.LapseReply.GetHolder())
-		return peer.NewLapseReply(holder, m.LapseReply.GetGeneration(), m.LapseReply.GetLapsed()), nil
+		return peer.NewLapseReply(identity.Incarnation(w.LapseReply.GetHolder()), w.LapseReply.GetGeneration(), w.LapseReply.GetLapsed())
 	case *peerpb.Envelope_Sync:
-		return peer.NewSync(table.Revision(m.Sync.GetRevision())), nil
+		return peer.NewSync(table.Revision(w.Sync.GetRevision()))
 	case *peerpb.Envelope_SyncReply:
-		return decodeSyncReply(m.SyncReply), nil
+		return decodeSyncReply(w.SyncReply)
 	case *peerpb.Envelope_Handover:
-		return decodeHandover(m.Handover), nil
+		return decodeHandover(w.Handover)
 	case *peerpb.Envelope_LoadReport:
-		return decodeLoadReport(m.LoadReport), nil
+		return decodeLoadReport(w.LoadReport)
 	case *peerpb.Envelope_OtherIncarnation:
-		return peer.NewOtherIncarnation(identity.Incarnation(m.OtherIncarnation.GetAsked())), nil
+		return peer.NewOtherIncarnation(identity.Incarnation(w.OtherIncarnation.GetAsked()))
 	default:
-		return nil, &MessageError{message: encoded.GetMessage()}
-	}
-}
-
-func encodeRenewReply(m peer.RenewReply) *peerpb.RenewReply {
-	return &peerpb.RenewReply{
-		Generation: m.Generation(),
-		Sequence:   m.Sequence(),
-		Granted:    m.Result() == peer.RenewGranted,
-		Fenced:     m.Result() == peer.RenewFenced,
-		Revision:   uint64(m.Revision()),
+		return nil
 	}
 }
 
-func decodeRenewReply(m *peerpb.RenewReply) peer.RenewReply {
+// decodeRenewReply counts a reply as a grant only if it is not fenced too.
+func decodeRenewReply(w *peerpb.RenewReply) peer.RenewReply {
 	result := peer.RenewRefused
 	switch {
-	case m.GetGranted():
-		result = peer.RenewGranted
-	case m.GetFenced():
+	case w.GetFenced():
 		result = peer.RenewFenced
+	case w.GetGranted():
+		result = peer.RenewGranted
 	}
-	return peer.NewRenewReply(m.GetGeneration(), m.GetSequence(), result, table.Revision(m.GetRevision()))
+	return peer.NewRenewReply(w.GetGeneration(), w.GetSequence(), result, table.Revision(w.GetRevision()))
 }
 
-func encodeSyncReply(m peer.SyncReply) *peerpb.SyncReply {
-	encoded := &peerpb.SyncReply{Since: uint64(m.Since()), Revision: uint64(m.Revision())}
-	for _, row := range m.Rows() {
-		encoded.Rows = append(encoded.Rows, &peerpb.Row{Key: row.Key(), Version: uint64(row.Version()), Value: row.Value()})
+func decodeSyncReply(w *peerpb.SyncReply) peer.SyncReply {
+	rows := make([]table.Row, 0, len(w.GetRows()))
+	for _, r := range w.GetRows() {
+		rows = append(rows, table.NewRow(r.GetKey(), table.Revision(r.GetVersion()), r.GetValue()))
 	}
-	return encoded
+	return peer.NewSyncReply(table.Revision(w.GetSince()), table.Revision(w.GetRevision()), rows)
 }
 
-func decodeSyncReply(m *peerpb.SyncReply) peer.SyncReply {
-	rows := make([]table.Row, 0, len(m.GetRows()))
-	for _, row := range m.GetRows() {
-		rows = append(rows, table.NewRow(row.GetKey(), table.Revision(row.GetVersion()), row.GetValue()))
+func decodeHandover(w *peerpb.Handover) peer.Handover {
+	targets := make([]peer.Target, 0, len(w.GetTargets()))
+	for _, t := range w.GetTargets() {
+		targets = append(targets, peer.NewTarget(shard.ID(t.GetShard()), t.GetHotKey(), identity.Incarnation(t.GetTarget())))
 	}
-	return peer.NewSyncReply(table.Revision(m.GetSince()), table.Revision(m.GetRevision()), rows)
+	return peer.NewHandover(identity.NewService(w.GetOrganisation(), w.GetService()), targets)
 }
 
-func encodeHandover(m peer.Handover) *peerpb.Handover {
-	encoded := &peerpb.Handover{Organisation: m.Service().Organisation(), Service: m.Service().Name()}
-	for _, target := range m.Targets() {
-		encoded.Targets = append(encoded.Targets, &peerpb.ShardTarget{
-			Shard: uint32(target.Shard()), HotKey: target.HotKey(), Target: uint64(target.Target()),
-		})
+func decodeLoadReport(w *peerpb.LoadReport) peer.LoadReport {
+	units := make([]peer.UnitLoad, 0, len(w.GetShards())+len(w.GetHotKeys()))
+	for _, s := range w.GetShards() {
+		units = append(units, peer.NewUnitLoad(shard.ID(s.GetShard()), "", millis(s.GetBusySlotMillis()), s.GetRequests()))
+	}
+	for _, k := range w.GetHotKeys() {
+		units = append(units, peer.NewUnitLoad(shard.ID(k.GetShard()), k.GetKey(), millis(k.GetBusySlotMillis()), k.GetRequests()))
 	}
-	return encoded
+	service := identity.NewService(w.GetOrganisation(), w.GetService())
+	return peer.NewLoadReport(service, millis(w.GetIntervalMillis()), millis(w.GetBusySlotMillis()), int(w.GetSlots()), units)
 }
 
-func decodeHandover(m *peerpb.Handover) peer.Handover {
-	targets := make([]peer.Target, 0, len(m.GetTargets()))
-	for _, target := range m.GetTargets() {
-		incarnation := identity.Incarnation(target.GetTarget())
-		targets = append(targets, peer.NewTarget(shard.ID(target.GetShard()), target.GetHotKey(), incarnation))
-	}
-	return peer.NewHandover(identity.NewService(m.GetOrganisation(), m.GetService()), targets)
+func millis(value uint64) clock.Millis {
+	return clock.Millis(value) //nolint:gosec // Slot-milliseconds of one interval fit.
 }
 
-func encodeLoadReport(m peer.LoadReport) *peerpb.LoadReport {
-	encoded := &peerpb.LoadReport{
-		Organisation:   m.Service().Organisation(),
-		Service:        m.Service().Name(),
-		IntervalMillis: uint64(m.Interval()),
-		BusySlotMillis: uint64(m.Busy()),
-		Slots:          uint32(m.Slots()),
-	}
-	for _, unit := range m.Units() {
-		if unit.HotKey() == "" {
-			encoded.Shards = append(encoded.Shards, &peerpb.ShardLoad{
-				Shard: uint32(unit.Shard()), BusySlotMillis: uint64(unit.Busy()), Requests: unit.Requests(),
-			})
-			continue
-		}
-		encoded.HotKeys = append(encoded.HotKeys, &peerpb.KeyLoad{
-			Key: unit.HotKey(), Shard: uint32(unit.Shard()), BusySlotMillis: uint64(unit.Busy()), Requests: unit.Requests(),
-		})
-	}
-	return encoded
+// MessageError reports an envelope that can't be decoded.
+type MessageError struct {
+	from   identity.Incarnation
+	reason string
 }
 
-func decodeLoadReport(m *peerpb.LoadReport) peer.LoadReport {
-	units := make([]peer.UnitLoad, 0, len(m.GetShards())+len(m.GetHotKeys()))
-	for _, load := range m.GetShards() {
-		units = append(units, peer.NewUnitLoad(shard.ID(load.GetShard()), "", clock.Millis(load.GetBusySlotMillis()), load.GetRequests()))
-	}
-	for _, load := range m.GetHotKeys() {
-		units = append(units, peer.NewUnitLoad(shard.ID(load.GetShard()), load.GetKey(), clock.Millis(load.GetBusySlotMillis()), load.GetRequests()))
-	}
-	service := identity.NewService(m.GetOrganisation(), m.GetService())
-	return peer.NewLoadReport(service, clock.Millis(m.GetIntervalMillis()), clock.Millis(m.GetBusySlotMillis()), int(m.GetSlots()), units)
+// From returns the sender, 0 if unknown.
+func (e *MessageError) From() identity.Incarnation { return e.from }
+
+func (e *MessageError) Error() string {
+	return fmt.Sprintf("control message from %s: %s", e.from, e.reason)
 }
