Complete standin upstream and test the stand-ins

Cause: the upstream stand-in held POST bodies whole, went on with an order past its deadline, gave up telling its daemon of a drain after one try, and stopped while its grants were still being renewed.

--- a/standin/command/upstream.go
+++ b/standin/command/upstream.go
@@ -146,12 +146,11 @@
 	tasks.Go(func() {
 		defer stopServing()
 		<-ctx.Done()
-		if err := logic.AnnounceDrain(); err != nil {
-			logger.Warn().Str("event", "drain").Err(err).Msg("daemon not told")
-		}
 		limit, cancel := context.WithTimeout(context.Background(), p.settings.StopTimeout)
 		defer cancel()
-		logic.AwaitIdle(limit, quietBeforeStop)
+		if err := logic.Leave(limit, quietBeforeStop); err != nil {
+			logger.Warn().Str("event", "drain").Err(err).Msg("daemon not told")
+		}
 	})
 	http := server.New(logic.Handle)
 	http.StreamRequestBody = true
--- a/standin/upstreamserver/announcer.go
+++ b/standin/upstreamserver/announcer.go
@@ -20,6 +20,8 @@
 	announceRepeat = time.Second
 	// announceTimeout bounds one announcement.
 	announceTimeout = time.Second
+	// drainTries bounds the messages to a daemon that does not answer.
+	drainTries = 20
 )
 
 // Announce announces the upstream to its daemon until ctx ends.
@@ -66,15 +68,22 @@
 	})
 }
 
-// AwaitIdle waits until no order has been in flight for quiet, or ctx ends.
-func (s *Server) AwaitIdle(ctx context.Context, quiet time.Duration) {
+// Leave tells the daemon that the upstream is leaving, then waits until the
+// daemon has taken its grants back and no order has been in flight for quiet,
+// or ctx ends. It returns the last error of telling the daemon.
+func (s *Server) Leave(ctx context.Context, quiet time.Duration) error {
+	err := s.AnnounceDrain()
+	for tries := 1; err != nil && tries < drainTries && sleep(ctx, announceRetry); tries++ {
+		err = s.AnnounceDrain()
+	}
 	since := time.Now()
 	for ctx.Err() == nil && time.Since(since) < quiet {
-		if s.inFlight.Load() > 0 {
+		if s.inFlight.Load() > 0 || s.grants.active(time.Now().UnixMilli()) {
 			since = time.Now()
 		}
 		sleep(ctx, gatePoll)
 	}
+	return err
 }
 
 func (s *Server) post(path string, message any) error {
--- a/standin/upstreamserver/fence.go
+++ b/standin/upstreamserver/fence.go
@@ -80,6 +80,13 @@
 	g.expiresUnixMillis = message.ExpiresUnixMillis
 }
 
+// active tells whether a grant is in force.
+func (g *grants) active(nowUnixMillis int64) bool {
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	return len(g.epochs) > 0 && nowUnixMillis < g.expiresUnixMillis
+}
+
 func (g *grants) check(order fence, nowUnixMillis int64) refusal {
 	g.mutex.RLock()
 	defer g.mutex.RUnlock()
--- a/standin/upstreamserver/orders.go
+++ b/standin/upstreamserver/orders.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/upstream"
 	"briarwell.dev/standin/server"
 )
 
@@ -53,26 +54,24 @@
 
 // runOrder runs an accepted order. It returns false if the order had no effect.
 func (s *Server) runOrder(ctx *fasthttp.RequestCtx, path string, accepted *order) bool {
-	if ctx.IsPut() {
-		return s.receiveBody(ctx, accepted)
-	}
-	// A body that is left unread would be taken for the next request by the
-	// watch on the connection.
-	if len(ctx.PostBody()) > 0 && ctx.IsGet() {
-		refuse(ctx, refusedMalformed)
-		return false
-	}
-	if !s.work(ctx, accepted) {
+	// The body is read whole before the watch on the connection begins, which
+	// takes any further byte for the next request.
+	received, ok := receiveBody(ctx)
+	if !ok || !s.work(ctx, accepted) {
 		return false
 	}
-	if ctx.IsGet() || ctx.IsHead() {
-		if strings.HasSuffix(path, "/pattern") {
-			return s.sendPattern(ctx, accepted)
-		}
-		server.Respond(ctx, fasthttp.StatusOK, s.read(accepted.line.Key))
-	} else {
-		s.append(accepted.line.Key, accepted.line.RequestID)
-		server.Respond(ctx, fasthttp.StatusOK, s.read(accepted.line.Key))
+	key := accepted.line.Key
+	switch {
+	case ctx.IsGet() && strings.HasSuffix(path, "/pattern"):
+		return s.sendPattern(ctx, accepted)
+	case ctx.IsGet() || ctx.IsHead():
+		server.Respond(ctx, fasthttp.StatusOK, s.read(key))
+	case ctx.IsPut():
+		s.append(key, accepted.line.RequestID)
+		server.Respond(ctx, fasthttp.StatusOK, received)
+	default:
+		s.append(key, accepted.line.RequestID)
+		server.Respond(ctx, fasthttp.StatusOK, s.read(key))
 	}
 	s.finish(accepted, true)
 	return true
@@ -81,7 +80,7 @@
 // work takes the service time and checks the fence again. It returns false if
 // the order was cancelled or may not have its effect any more.
 func (s *Server) work(ctx *fasthttp.RequestCtx, accepted *order) bool {
-	if length := s.serviceTime(time.Now()); length > 0 {
+	if length := s.workTime(accepted.fence, time.Now()); length > 0 {
 		watched, stop := watchClose(ctx.Conn())
 		cancelled := !sleep(watched, length)
 		stop()
@@ -98,6 +97,16 @@
 	return true
 }
 
+// workTime draws the service time of an order. An upstream that checks
+// deadlines stops at the order's.
+func (s *Server) workTime(claimed fence, now time.Time) time.Duration {
+	length := s.serviceTime(now)
+	if s.settings.Fencing == upstream.FencingNone {
+		return length
+	}
+	return min(length, time.UnixMilli(claimed.deadlineUnixMillis).Sub(now))
+}
+
 func sleep(ctx context.Context, length time.Duration) bool {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
--- a/standin/upstreamserver/stream.go
+++ b/standin/upstreamserver/stream.go
@@ -86,24 +86,20 @@
 	return nil
 }
 
-// receiveBody reads the body as a stream and answers its length and digest.
-func (s *Server) receiveBody(ctx *fasthttp.RequestCtx, accepted *order) bool {
+// receiveBody reads the request body as a stream. It returns false if the body
+// ended early.
+func receiveBody(ctx *fasthttp.RequestCtx) (Received, bool) {
 	digest := sha256.New()
-	var length int64
+	var received Received
 	if body := ctx.RequestBodyStream(); body != nil {
 		copied, err := io.Copy(digest, body)
 		declared := int64(ctx.Request.Header.ContentLength())
 		if err != nil || (declared >= 0 && copied != declared) {
 			abandon(ctx)
-			return false
+			return Received{}, false
 		}
-		length = copied
+		received.Bytes = copied
 	}
-	if !s.work(ctx, accepted) {
-		return false
-	}
-	s.append(accepted.line.Key, accepted.line.RequestID)
-	server.Respond(ctx, fasthttp.StatusOK, Received{Bytes: length, SHA256: hex.EncodeToString(digest.Sum(nil))})
-	s.finish(accepted, true)
-	return true
+	received.SHA256 = hex.EncodeToString(digest.Sum(nil))
+	return received, true
 }
--- /dev/null
+++ b/standin/upstreamserver/upstreamserver_test.go
@@ -0,0 +1,290 @@
+package upstreamserver_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+	"github.com/valyala/fasthttp"
+
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/shard"
+	"briarwell.dev/core/upstream"
+	"briarwell.dev/core/upstream/announce"
+	"briarwell.dev/core/upstream/httpupstream"
+	"briarwell.dev/standin/server"
+	"briarwell.dev/standin/upstreamserver"
+)
+
+var service = identity.NewService("attire", "bookings")
+
+// fixture is an upstream, a client of it, and its acceptance log.
+type fixture struct {
+	t      *testing.T
+	logic  *upstreamserver.Server
+	client *httpupstream.Upstream
+	url    string
+	log    string
+}
+
+func start(t *testing.T, settings upstreamserver.Settings) *fixture {
+	listener, err := server.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{t: t, url: "http://" + listener.Addr().String(), log: filepath.Join(t.TempDir(), "log")}
+	settings.Address, settings.Service, settings.AcceptanceLog = listener.Addr().String(), service, f.log
+	f.logic, err = upstreamserver.New(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := server.New(f.logic.Handle)
+	h.StreamRequestBody = true
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener, h) }()
+	f.client, err = httpupstream.New(settings.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		f.client.Close()
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return f
+}
+
+// do sends an order for shard 1 and returns the answer's body, or the refusal.
+func (f *fixture) do(ctx context.Context, method, id string, epoch identity.Epoch, timeout time.Duration) (string, error) {
+	answer, err := f.client.Do(ctx, upstream.Order{
+		Service: service, Key: "k", Shard: 1, Epoch: epoch, Method: method, Path: "/k", RequestID: id, Attempt: 1,
+		DeadlineUnixMillis: time.Now().Add(timeout).UnixMilli(),
+	})
+	if err != nil {
+		var refused *httpupstream.RefusedError
+		if errors.As(err, &refused) {
+			return "refused " + refused.Reason(), nil
+		}
+		return "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return string(body), err
+}
+
+func (f *fixture) grant(epoch identity.Epoch, length time.Duration) {
+	err := f.client.Grant(context.Background(), upstream.Grant{
+		Service: service, ExpiresUnixMillis: time.Now().Add(length).UnixMilli(),
+		Shards: []upstream.GrantedShard{{Shard: shard.ID(1), Epoch: epoch}},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fixture) lines() []upstreamserver.Acceptance {
+	body, err := os.ReadFile(f.log)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var lines []upstreamserver.Acceptance
+	decoder := json.NewDecoder(strings.NewReader(string(body)))
+	for decoder.More() {
+		var line upstreamserver.Acceptance
+		if err := decoder.Decode(&line); err != nil {
+			f.t.Fatal(err)
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// Guards against an upstream that runs what its fencing mode forbids, or
+// refuses what it doesn't check.
+func TestFencing(t *testing.T) {
+	ctx := context.Background()
+	for fencing, want := range map[upstream.Fencing][4]string{
+		upstream.FencingEpoch:    {"refused epoch", "refused epoch", "refused deadline", "refused grant-expired"},
+		upstream.FencingDeadline: {`{"k`, `{"k`, "refused deadline", `{"k`},
+		upstream.FencingNone:     {`{"k`, `{"k`, `{"k`, `{"k`},
+	} {
+		t.Run(string(fencing), func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, upstreamserver.Settings{Fencing: fencing, Slots: 2, ServiceTime: 30 * time.Millisecond})
+			check := func(i int, epoch identity.Epoch, timeout time.Duration) {
+				t.Helper()
+				found, err := f.do(ctx, "POST", "r", epoch, timeout)
+				is.NoErr(err)
+				is.True(strings.HasPrefix(found, want[i]))
+			}
+			check(0, 5, time.Minute) // no grant
+			f.grant(5, time.Minute)
+			f.grant(4, time.Minute) // late
+			check(1, 4, time.Minute)
+			found, err := f.do(ctx, "POST", "run", 5, time.Minute)
+			is.NoErr(err)
+			is.True(strings.Contains(found, `"run"`))
+			check(2, 5, 10*time.Millisecond) // the deadline passes while it runs
+			f.grant(5, -time.Second)
+			check(3, 5, time.Minute)
+		})
+	}
+}
+
+// Guards against an order that has its effect after its daemon cancelled it,
+// and against a slot that is not given back.
+func TestCancelAndShed(t *testing.T) {
+	is := is.New(t)
+	f := start(t, upstreamserver.Settings{Fencing: upstream.FencingNone, Slots: 1, ServiceTime: 200 * time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := f.do(ctx, "POST", "cancelled", 1, time.Minute)
+		done <- err
+	}()
+	inFlight := func(want int) {
+		for {
+			load, err := f.client.Load(context.Background())
+			is.NoErr(err)
+			if load.InFlight == want {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	inFlight(1)
+	found, err := f.do(context.Background(), "POST", "shed", 1, time.Minute)
+	is.NoErr(err)
+	is.Equal(found, "refused overloaded")
+	cancel()
+	is.True(<-done != nil)
+	inFlight(0)
+	found, err = f.do(context.Background(), "POST", "run", 1, time.Minute)
+	is.NoErr(err)
+	is.Equal(found, `{"key":"k","requests":["run"]}`)
+	lines := f.lines()
+	is.Equal(len(lines), 2)
+	is.True(!lines[0].Effect && lines[0].RequestID == "cancelled")
+	is.True(lines[0].EndUnixMicros-lines[0].StartUnixMicros < 200_000) // not to the end of its service time
+	is.True(lines[1].Effect && lines[1].RequestID == "run" && lines[1].Shard == 1 && lines[1].Epoch == 1)
+}
+
+// Guards against an order that a frozen upstream runs after its deadline.
+func TestFreeze(t *testing.T) {
+	is := is.New(t)
+	f := start(t, upstreamserver.Settings{Fencing: upstream.FencingDeadline, Slots: 4, ServiceTime: 50 * time.Millisecond})
+	done := make(chan string, 1)
+	go func() {
+		found, _ := f.do(context.Background(), "POST", "r", 1, 150*time.Millisecond)
+		done <- found
+	}()
+	for len(f.statistics()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	response, err := http.Post(f.url+"/admin/freeze", "application/json", strings.NewReader(`{"millis":400}`))
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(<-done, "refused deadline")
+	found, err := f.do(context.Background(), "GET", "", 1, time.Minute)
+	is.NoErr(err)
+	is.Equal(found, `{"key":"k","requests":[]}`)
+}
+
+// statistics returns the true load's text once an order is in flight.
+func (f *fixture) statistics() string {
+	response, err := http.Get(f.url + "/admin/load")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	if strings.Contains(string(body), `"inFlight":0`) {
+		return ""
+	}
+	return string(body)
+}
+
+// Guards against large bodies that change on the way.
+func TestStreams(t *testing.T) {
+	const size = 20 << 20
+	is := is.New(t)
+	f := start(t, upstreamserver.Settings{Fencing: upstream.FencingNone, Slots: 1})
+	want := sha256.New()
+	_, _ = io.CopyN(want, &upstreamserver.Pattern{}, size)
+	for _, path := range []string{"/k/pattern?bytes=20971520", "/k/pattern?bytes=20971520&chunked=true"} {
+		answer, err := f.client.Do(context.Background(), upstream.Order{Method: "GET", Path: path})
+		is.NoErr(err)
+		found := sha256.New()
+		_, err = io.Copy(found, answer.Body)
+		is.NoErr(err)
+		is.Equal(found.Sum(nil), want.Sum(nil))
+	}
+	answer, err := f.client.Do(context.Background(), upstream.Order{
+		Method: "PUT", Path: "/k/file", Body: io.LimitReader(&upstreamserver.Pattern{}, size), ContentLength: -1,
+	})
+	is.NoErr(err)
+	var received upstreamserver.Received
+	is.NoErr(json.NewDecoder(answer.Body).Decode(&received))
+	is.Equal(received, upstreamserver.Received{Bytes: size, SHA256: hex.EncodeToString(want.Sum(nil))})
+}
+
+// Guards against an announcement that is given up or is not as the protocol
+// says, and against a drain of which the daemon isn't told.
+func TestAnnounceAndLeave(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	bodies := make(chan string, 10)
+	calls := 0
+	daemon := &fasthttp.Server{Concurrency: 1, Handler: func(ctx *fasthttp.RequestCtx) {
+		if calls++; calls == 1 {
+			ctx.SetStatusCode(409)
+			return
+		}
+		bodies <- string(ctx.Path()) + " " + string(ctx.PostBody())
+	}}
+	go func() { _ = daemon.Serve(listener) }()
+	defer daemon.Shutdown()
+	f := start(t, upstreamserver.Settings{
+		Daemon: "http://" + listener.Addr().String(), Slots: 1, Connections: 2, Fencing: upstream.FencingEpoch,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		f.logic.Announce(ctx, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+		close(stopped)
+	}()
+	path, body, _ := strings.Cut(<-bodies, " ")
+	is.Equal(path, announce.PathAnnounce)
+	parsed, err := announce.ParseAnnouncement([]byte(body))
+	is.NoErr(err)
+	is.Equal(parsed.Connections, 2)
+	cancel()
+	<-stopped
+	f.grant(1, 100*time.Millisecond)
+	begin := time.Now()
+	is.NoErr(f.logic.Leave(context.Background(), 10*time.Millisecond))
+	is.True(time.Since(begin) >= 90*time.Millisecond) // as long as the grant is in force
+	path, body, _ = strings.Cut(<-bodies, " ")
+	is.Equal(path, announce.PathDrain)
+	_, err = announce.ParseDrain([]byte(body))
+	is.NoErr(err)
+	load, err := f.client.Load(context.Background())
+	is.NoErr(err)
+	is.True(load.Draining)
+}
