Keep slow callers apart from inactive upstreams

Cause: the inactivity timeout of an order went on while the caller sent its body slowly or read the answer slowly, so a slow caller made an order of a sound upstream unknown. An order's path, key or request ID with a line end could start a second request at the upstream. Bytes written through a promoted ReadFrom of the TCP connection would not have been counted as sent.

Change: the timeout is suspended during reads of the caller's body and starts again with each read of the answer; orders with control characters are not run (malformed); the tracked connection hides all but net.Conn. The stand-in's pattern comes from a table of its period.

--- a/core/upstream/httpupstream/conn.go
+++ b/core/upstream/httpupstream/conn.go
@@ -1,6 +1,7 @@
 package httpupstream
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -11,8 +12,11 @@
 // ends reads and writes after a time without progress. The counters are reset
 // by begin, before each order.
 type trackedConn struct {
-	*net.TCPConn
+	// Conn hides the ReadFrom and WriteTo of the TCP connection, whose bytes
+	// would not be counted.
+	net.Conn
 
+	tcp        *net.TCPConn
 	inactivity time.Duration
 	sent       atomic.Int64
 	orders     int
@@ -37,9 +41,17 @@
 	}
 }
 
+// suspend ends the inactivity timeout until the next progress: what is awaited
+// does not come from the upstream.
+func (c *trackedConn) suspend() {
+	if c.inactivity > 0 {
+		_ = c.SetDeadline(time.Time{})
+	}
+}
+
 // Read reads and notes progress.
 func (c *trackedConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.tcp.Read(p)
 	if n > 0 {
 		c.progress()
 	}
@@ -48,7 +60,7 @@
 
 // Write writes and counts what the kernel took.
 func (c *trackedConn) Write(p []byte) (int, error) {
-	n, err := c.TCPConn.Write(p)
+	n, err := c.tcp.Write(p)
 	if n > 0 {
 		c.sent.Add(int64(n))
 		c.progress()
@@ -59,7 +71,7 @@
 // usable tells whether an idle connection is still open and has no unexpected
 // byte waiting. It looks at the next byte without taking it or waiting for it.
 func (c *trackedConn) usable() bool {
-	raw, err := c.SyscallConn()
+	raw, err := c.tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -71,3 +83,17 @@
 	})
 	return err == nil && open
 }
+
+// callerBody is the body of an order. A caller who is slow to send it is not
+// taken for an inactive upstream.
+type callerBody struct {
+	inner io.Reader
+	conn  *trackedConn
+}
+
+// Read reads the next part from the caller.
+func (b *callerBody) Read(p []byte) (int, error) {
+	b.conn.suspend()
+	defer b.conn.progress()
+	return b.inner.Read(p)
+}
--- a/core/upstream/httpupstream/exchange.go
+++ b/core/upstream/httpupstream/exchange.go
@@ -110,7 +110,7 @@
 		e.writeErr = err
 		// Nothing more comes after a failed body. The answer that the upstream
 		// may have sent before is still read.
-		_ = e.conn.CloseWrite()
+		_ = e.conn.tcp.CloseWrite()
 	}
 }
 
@@ -223,6 +223,8 @@
 	if b.whole {
 		return 0, io.EOF
 	}
+	// The time in which the caller didn't read is not the upstream's.
+	b.exchange.conn.progress()
 	n, err := b.exchange.response.BodyStream().Read(p)
 	switch {
 	case err == nil:
--- a/core/upstream/httpupstream/httpupstream.go
+++ b/core/upstream/httpupstream/httpupstream.go
@@ -20,11 +20,14 @@
 // streamed. Until Do fails or the answer's body is closed, order.Body is read;
 // its reads must end soon after ctx does.
 func (u *Upstream) Do(ctx context.Context, order upstream.Order) (upstream.Answer, error) {
+	if err := check(order); err != nil {
+		return upstream.Answer{}, upstream.NewSendError(outcome.NewNotRun(outcome.ReasonMalformed), err)
+	}
 	e, err := u.open(ctx)
 	if err != nil {
 		return upstream.Answer{}, openFailure(ctx, err)
 	}
-	if err := e.send(ctx, u.newRequest(order)); err != nil {
+	if err := e.send(ctx, u.newRequest(order, e.conn)); err != nil {
 		// The order is stopped first: what is counted as sent is then final.
 		e.end(false)
 		return upstream.Answer{}, e.failure(ctx, err)
@@ -93,7 +96,57 @@
 	return fmt.Sprintf("upstream refused with status %d: %s", e.status, e.reason)
 }
 
-func (u *Upstream) newRequest(order upstream.Order) *fasthttp.Request {
+// OrderError reports an order that can't be written as an HTTP request.
+type OrderError struct {
+	field string
+	value string
+}
+
+// Field returns the name of the rejected field.
+func (e *OrderError) Field() string { return e.field }
+
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("order has %s %q, which HTTP doesn't allow", e.field, e.value)
+}
+
+// check rejects texts that would end their line in the request's head, and so
+// start another request.
+func check(order upstream.Order) error {
+	if order.Method == "" || !printable(order.Method, " ") {
+		return &OrderError{field: "method", value: order.Method}
+	}
+	if !printable(order.Path, " ") {
+		return &OrderError{field: "path", value: order.Path}
+	}
+	for _, field := range order.Headers {
+		if field.Name() == "" || !printable(field.Name(), " :") {
+			return &OrderError{field: "header name", value: field.Name()}
+		}
+		if !printable(field.Value(), "") {
+			return &OrderError{field: "header value", value: field.Value()}
+		}
+	}
+	if !printable(order.Key, "") {
+		return &OrderError{field: "key", value: order.Key}
+	}
+	if !printable(order.RequestID, "") {
+		return &OrderError{field: "request ID", value: order.RequestID}
+	}
+	return nil
+}
+
+// printable tells whether text has no control character but tabs, and none of
+// the excluded characters.
+func printable(text, excluded string) bool {
+	for i := range len(text) {
+		if c := text[i]; (c < ' ' && c != '\t') || c == 0x7f {
+			return false
+		}
+	}
+	return excluded == "" || !strings.ContainsAny(text, excluded+"\t")
+}
+
+func (u *Upstream) newRequest(order upstream.Order, conn *trackedConn) *fasthttp.Request {
 	request := fasthttp.AcquireRequest()
 	header := &request.Header
 	header.SetMethod(order.Method)
@@ -112,7 +165,7 @@
 	header.SetRequestURI(path)
 	setOrderHeaders(header, order)
 	if order.Body != nil && order.ContentLength != 0 {
-		request.SetBodyStream(order.Body, int(order.ContentLength))
+		request.SetBodyStream(&callerBody{inner: order.Body, conn: conn}, int(order.ContentLength))
 	}
 	return request
 }
--- a/core/upstream/httpupstream/options.go
+++ b/core/upstream/httpupstream/options.go
@@ -148,7 +148,8 @@
 	if err != nil {
 		return nil, &dialError{cause: err}
 	}
-	return &trackedConn{TCPConn: conn.(*net.TCPConn)}, nil //nolint:forcetypeassert // The network "tcp" gives a *net.TCPConn.
+	tcp := conn.(*net.TCPConn) //nolint:forcetypeassert // The network "tcp" gives a *net.TCPConn.
+	return &trackedConn{Conn: tcp, tcp: tcp}, nil
 }
 
 // Close closes the connections that are not in use.
--- /dev/null
+++ b/core/upstream/httpupstream/stream_test.go
@@ -0,0 +1,215 @@
+package httpupstream_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/upstream"
+	"briarwell.dev/core/upstream/httpupstream"
+)
+
+// Guards against an answer that ended early and is taken for a whole one.
+func TestTruncatedAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		text  string
+		whole bool
+	}{
+		"length":           {okReply, true},
+		"length short":     {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false},
+		"length empty":     {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", false},
+		"chunked":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true},
+		"no last chunk":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", false},
+		"half last chunk":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", false},
+		"broken chunk":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", false},
+		"chunks not begun": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := client(t, serve(t, reply(false, c.text)).address)
+			answer, err := u.Do(context.Background(), order("GET"))
+			is.NoErr(err)
+			body, err := io.ReadAll(answer.Body)
+			var truncated *httpupstream.TruncatedError
+			is.Equal(errors.As(err, &truncated), !c.whole)
+			is.True(!c.whole || string(body) == "ok")
+			_, again := answer.Body.Read(make([]byte, 1))
+			is.Equal(errors.Is(again, io.EOF) && !errors.As(again, &truncated), c.whole) // the verdict stays
+			is.NoErr(answer.Body.Close())
+		})
+	}
+}
+
+// slow is a body that pauses before its second part.
+type slow struct{ reads int }
+
+func (s *slow) Read(p []byte) (int, error) {
+	if s.reads++; s.reads == 2 {
+		time.Sleep(700 * time.Millisecond)
+	}
+	return copy(p, "x"), map[bool]error{true: io.EOF}[s.reads == 2]
+}
+
+// Guards against a slow caller who is taken for an inactive upstream, in either
+// direction.
+func TestSlowCaller(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(conn net.Conn, r *http.Request) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+		_, _ = io.CopyN(conn, &zeros{}, 1000000)
+		return true
+	})
+	put := order("PUT")
+	put.Body, put.ContentLength = &slow{}, -1
+	answer, err := client(t, s.address, httpupstream.Inactivity(350*time.Millisecond)).Do(context.Background(), put)
+	is.NoErr(err)
+	_, err = answer.Body.Read(make([]byte, 10))
+	is.NoErr(err)
+	time.Sleep(700 * time.Millisecond)
+	rest, err := io.Copy(io.Discard, answer.Body)
+	is.NoErr(err)
+	is.True(rest >= 999990)
+}
+
+// Guards against an answer that stalls halfway and holds its caller for ever.
+func TestStalledAnswer(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(conn net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
+		return hang(conn, r)
+	})
+	answer, err := client(t, s.address, httpupstream.Inactivity(50*time.Millisecond)).Do(context.Background(), order("GET"))
+	is.NoErr(err)
+	start := time.Now()
+	_, err = io.ReadAll(answer.Body)
+	var truncated *httpupstream.TruncatedError
+	is.True(errors.As(err, &truncated))
+	is.True(time.Since(start) < time.Second)
+}
+
+// zeros is an endless body that counts what was read of it.
+type zeros struct{ read atomic.Int64 }
+
+func (z *zeros) Read(p []byte) (int, error) {
+	clear(p)
+	z.read.Add(int64(len(p)))
+	return len(p), nil
+}
+
+// Guards against a refusal that is lost because the upstream sent it before it
+// had read the request body.
+func TestEarlyRefusal(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(conn net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 x\r\nBriarwell-Refused: overloaded\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.Copy(io.Discard, conn)
+		return false
+	})
+	u := client(t, s.address, httpupstream.Connections(1))
+	body := &zeros{}
+	put := order("PUT")
+	put.Body, put.ContentLength = body, 1<<40
+	for range 3 {
+		_, err := u.Do(context.Background(), put)
+		expect(t, err, "not-run", outcome.ReasonUpstreamRefused)
+	}
+	is.True(body.read.Load() < 1<<30) // the rest of the body wasn't sent
+}
+
+// Guards against a failed caller whose half body is taken for a whole one.
+func TestBrokenRequestBody(t *testing.T) {
+	for _, length := range []int64{-1, 100} {
+		is := is.New(t)
+		whole := make(chan bool, 1)
+		s := serve(t, func(_ net.Conn, r *http.Request) bool {
+			_, err := io.ReadAll(r.Body)
+			whole <- err == nil
+			return false
+		})
+		put := order("PUT")
+		put.ContentLength = length
+		start := time.Now()
+		put.Body = io.MultiReader(strings.NewReader(strings.Repeat("x", 10)), errorReader{})
+		_, err := client(t, s.address).Do(context.Background(), put)
+		var failed *upstream.SendError
+		is.True(errors.As(err, &failed))
+		is.True(time.Since(start) < 2*time.Second) // not the inactivity timeout
+		select {
+		case found := <-whole:
+			is.True(!found)
+			is.Equal(failed.Outcome().String(), "unknown")
+		case <-time.After(50 * time.Millisecond):
+			is.Equal(failed.Outcome().String(), "not-run") // nothing was flushed
+		}
+	}
+}
+
+type errorReader struct{}
+
+func (errorReader) Read([]byte) (int, error) { return 0, errors.New("caller is gone") }
+
+// heapProbe measures the live heap after each quarter of a body. The total of
+// allocations would not do: under the race detector sync.Pool drops buffers.
+type heapProbe struct {
+	inner      io.Reader
+	left, next int64
+	largest    *uint64
+}
+
+func (h *heapProbe) Read(p []byte) (int, error) {
+	n, err := h.inner.Read(p)
+	if h.left -= int64(n); h.left <= h.next {
+		h.next -= bodySize / 4
+		*h.largest = max(*h.largest, liveHeap())
+	}
+	return n, err
+}
+
+func liveHeap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+const bodySize = 256 << 20
+
+// Guards against bodies that are held whole: 256 MB go each way with less than
+// 4 MB more on the heap.
+func TestBodiesStreamInBoundedMemory(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(conn net.Conn, r *http.Request) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 268435456\r\n\r\n")
+		_, _ = io.CopyN(conn, &zeros{}, bodySize)
+		return true
+	})
+	u := client(t, s.address)
+	for _, length := range []int64{bodySize, -1} {
+		var largest uint64
+		before := liveHeap()
+		probe := func(r io.Reader) io.Reader {
+			return &heapProbe{inner: r, left: bodySize, next: bodySize * 3 / 4, largest: &largest}
+		}
+		put := order("PUT")
+		put.Body, put.ContentLength = probe(io.LimitReader(&zeros{}, bodySize)), length
+		answer, err := u.Do(context.Background(), put)
+		is.NoErr(err)
+		received, err := io.Copy(io.Discard, probe(answer.Body))
+		is.NoErr(err)
+		is.Equal(received, int64(bodySize))
+		t.Logf("content length %d: heap %d bytes before, at most %d within", length, before, largest)
+		is.True(largest < before+4<<20)
+	}
+}
--- a/standin/linkserver/linkserver.go
+++ b/standin/linkserver/linkserver.go
@@ -45,7 +45,7 @@
 		}
 		context.AfterFunc(ctx, func() { _ = listener.Close() })
 		tasks.Go(func() { s.accept(ctx, listener, address.Target, &tasks) })
-		s.logger.Info().Str("event", "listening").Str("address", address.Address).Str("target", address.Target).Msg("")
+		s.logger.Info().Str("program", "link").Str("address", address.Address).Str("target", address.Target).Msg("listening")
 		return nil
 	}
 	for _, address := range settings.Listens {
@@ -54,7 +54,7 @@
 			return err
 		}
 	}
-	s.logger.Info().Str("program", "link").Str("address", settings.AdminAddress).Msg("listening")
+	s.logger.Info().Str("program", "link").Str("adminAddress", settings.AdminAddress).Msg("listening")
 	return server.Serve(ctx, admin, server.New(s.handle))
 }
 
--- a/standin/upstreamserver/announcer.go
+++ b/standin/upstreamserver/announcer.go
@@ -49,7 +49,7 @@
 			pause = announceRepeat
 		}
 		if result != last {
-			logger.Info().Str("event", "announce").Str("daemon", s.settings.Daemon).Str("result", result).Msg("")
+			logger.Info().Str("daemon", s.settings.Daemon).Str("result", result).Msg("announced")
 			last = result
 		}
 		sleep(ctx, pause)
--- a/standin/upstreamserver/stream.go
+++ b/standin/upstreamserver/stream.go
@@ -23,17 +23,28 @@
 	SHA256 string `json:"sha256"`
 }
 
+// patternPeriod is after how many bytes a Pattern repeats.
+const patternPeriod = 251 * 256
+
 // Pattern is an endless stream whose byte at offset i is byte(i*31 + i/251),
 // so that a shifted or repeated part shows. The zero value is at offset 0.
 type Pattern struct {
 	offset int64
+	block  []byte
 }
 
 // Read fills p.
 func (p *Pattern) Read(into []byte) (int, error) {
-	for i := range into {
-		into[i] = byte(p.offset*31 + p.offset/251)
-		p.offset++
+	if p.block == nil {
+		p.block = make([]byte, patternPeriod)
+		for i := range p.block {
+			p.block[i] = byte(i*31 + i/251)
+		}
+	}
+	for filled := 0; filled < len(into); {
+		copied := copy(into[filled:], p.block[p.offset%patternPeriod:])
+		filled += copied
+		p.offset += int64(copied)
 	}
 	return len(into), nil
 }
