--- /dev/null
+++ b/core/client/client.go
@@ -0,0 +1,300 @@
+// Package client sends requests to briarwell: it learns the owners of keys,
+// keeps stamps and request IDs, and sends a request again only where that
+// can't run it twice.
+package client
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/clock/system"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/retry"
+	"briarwell.dev/core/router"
+	"briarwell.dev/core/upstream"
+)
+
+const (
+	// defaultTimeout bounds a request without a timeout, in milliseconds.
+	defaultTimeout clock.Millis = 10_000
+	// maxAttempts bounds the attempts of a request; its deadline and the budget
+	// usually end them earlier.
+	maxAttempts = 30
+	// requestIDBytes makes a collision of request IDs implausible.
+	requestIDBytes = 16
+)
+
+// ErrNoEntry says that the client has no entry address.
+var ErrNoEntry = errors.New("client has no entry address")
+
+// Settings are those of a Client. Entries is required.
+type Settings struct {
+	// Entries are HTTP addresses ("host:port") of daemons.
+	Entries []string
+	// Budget bounds the retries; nil means the default budget.
+	Budget *retry.Budget
+	// Random picks entries and backoffs; nil means a source with a fixed seed.
+	Random router.Random
+	// Dial opens connections; nil means TCP.
+	Dial func(address string) (net.Conn, error)
+}
+
+// Request is a request to a service.
+type Request struct {
+	Service identity.Service
+	// Key is empty for a service without keys.
+	Key    string
+	Method string
+	// Rest is the path below the key (or below the service) and the query; ""
+	// or with a leading slash.
+	Rest    string
+	Headers []upstream.Header
+	// Body is sent again with each attempt. Stream is used instead if it is set;
+	// the request is then not sent again after a part of it was read.
+	Body   []byte
+	Stream io.Reader
+	// Idempotent tells that the request may be run more than once.
+	Idempotent bool
+	// ID is the idempotency key; "" makes a new one. A request with an ID that
+	// was sent before needs Repeat and the Stamp of the first answer or error.
+	ID     string
+	Repeat bool
+	Stamp  string
+	// Timeout is in milliseconds; zero means 10,000.
+	Timeout clock.Millis
+}
+
+// Answer is the answer to a request. Body must be closed. A Body that ends
+// early returns a *router.TruncatedError.
+type Answer struct {
+	Outcome outcome.Outcome
+	Status  int
+	Headers []upstream.Header
+	Body    io.ReadCloser
+	// ID and Stamp are those under which the request was first sent; a repeat
+	// in another call needs them.
+	ID       string
+	Stamp    string
+	Attempts int
+	// ServedBy names the instance whose upstream answered.
+	ServedBy string
+}
+
+// Client sends requests. It is safe for concurrent use.
+type Client struct {
+	settings Settings
+	clock    system.Clock
+	http     *fasthttp.Client
+	owners   owners
+}
+
+// New returns a client.
+func New(settings Settings) *Client {
+	if settings.Budget == nil {
+		settings.Budget = &retry.Budget{}
+	}
+	if settings.Random == nil {
+		settings.Random = router.NewRandom(1)
+	}
+	client := &Client{settings: settings}
+	client.http = newHTTP(settings)
+	return client
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// call is one request and its attempts.
+type call struct {
+	client   *Client
+	request  Request
+	target   string
+	stream   trackedReader
+	deadline clock.Millis
+	attempt  int
+	// stamp is the one under which the ID was first sent.
+	stamp string
+	// doubt is the first unknown outcome.
+	doubt outcome.Outcome
+	// last is the address of the last attempt if it failed there.
+	last string
+}
+
+// Do sends a request. The answer has one of the three outcomes; the error, if
+// any, is ErrNoEntry. The deadline of ctx holds as the timeout does; its
+// cancellation is observed between attempts.
+func (c *Client) Do(ctx context.Context, request Request) (*Answer, error) {
+	if len(c.settings.Entries) == 0 {
+		return nil, ErrNoEntry
+	}
+	now := c.clock.Now()
+	k := &call{client: c, request: request, deadline: now + timeoutOf(ctx, request)}
+	k.prepare()
+	c.settings.Budget.First(now)
+	for {
+		answer := k.try()
+		after, again := k.next(answer)
+		if !again || !pause(ctx, after) {
+			return k.settle(answer), nil
+		}
+		_ = answer.Body.Close()
+	}
+}
+
+func timeoutOf(ctx context.Context, request Request) clock.Millis {
+	timeout := request.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, clock.FromDuration(time.Until(deadline)))
+	}
+	return timeout
+}
+
+func (k *call) prepare() {
+	request := &k.request
+	if request.ID == "" {
+		request.ID = NewRequestID()
+	}
+	k.target = "/" + request.Service.String()
+	if request.Key != "" {
+		k.target += "/" + url.PathEscape(request.Key)
+	}
+	k.target += request.Rest
+	k.stamp = request.Stamp
+	if !request.Repeat && k.stamp == "" {
+		k.stamp = k.client.owners.stamp(request.Service, request.Key)
+	}
+	k.stream.reader = request.Stream
+}
+
+// NewRequestID returns a random request ID.
+func NewRequestID() string {
+	var id [requestIDBytes]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+// address returns where the next attempt goes: the learned owner, or an entry
+// other than the one that just failed.
+func (k *call) address() string {
+	if owner := k.client.owners.address(k.request.Service, k.request.Key); owner != "" && owner != k.last {
+		return owner
+	}
+	entries := k.client.settings.Entries
+	index := k.client.settings.Random.IntN(len(entries))
+	if entries[index] == k.last {
+		index = (index + 1) % len(entries)
+	}
+	return entries[index]
+}
+
+func (k *call) try() *Answer {
+	k.attempt++
+	remaining := k.deadline - k.client.clock.Now()
+	if remaining <= 0 {
+		return refused(outcome.NewNotRun(outcome.ReasonDeadlineExceeded))
+	}
+	address := k.address()
+	answer := k.client.send(address, k, remaining)
+	k.learn(address, answer)
+	return answer
+}
+
+func refused(o outcome.Outcome) *Answer {
+	return &Answer{Outcome: o, Status: router.Status(o), Body: emptyBody{}}
+}
+
+// learn notes what the answer says of the owner. A failed address is forgotten.
+func (k *call) learn(address string, answer *Answer) {
+	k.last = ""
+	reason := outcome.ReasonOf(answer.Outcome)
+	switch reason {
+	case outcome.ReasonUnreachable, outcome.ReasonConnectionLost, outcome.ReasonTimeout, outcome.ReasonNoLease, outcome.ReasonDraining:
+		k.last = address
+		k.client.owners.forget(address)
+	default:
+	}
+	k.client.owners.learn(k.request.Service, k.request.Key, answer.Headers)
+}
+
+// next tells whether the request is sent again, and after how long.
+func (k *call) next(answer *Answer) (clock.Millis, bool) {
+	if _, ok := answer.Outcome.(outcome.Done); ok {
+		return 0, false
+	}
+	if _, ok := answer.Outcome.(outcome.Unknown); ok && k.doubt == nil {
+		k.doubt = answer.Outcome
+	}
+	if outcome.ReasonOf(answer.Outcome) == outcome.ReasonStampRequired {
+		return 0, k.restamp(answer)
+	}
+	now := k.client.clock.Now()
+	decision := retry.Decide(retry.Attempt{
+		Outcome: answer.Outcome,
+		// The owner of a key doesn't run an ID twice.
+		Idempotent:   k.request.Idempotent || k.request.Key != "",
+		BodyConsumed: k.stream.consumed.Load(),
+		Alternatives: k.request.Key == "",
+		Number:       k.attempt,
+		Limit:        maxAttempts,
+		Now:          now,
+		Deadline:     k.deadline,
+	}, k.client.settings.Random.Float64())
+	again, ok := decision.(retry.Again)
+	if !ok || !k.client.settings.Budget.Take(now) {
+		return 0, false
+	}
+	return again.After(), true
+}
+
+// restamp takes the stamp of an answer that requires one. Only an ID that was
+// never run may get a stamp: not after an unknown outcome, and not in a repeat.
+func (k *call) restamp(answer *Answer) bool {
+	current := headerOf(answer.Headers, outcome.HeaderStamp)
+	if k.request.Repeat || k.doubt != nil || k.stamp != "" || current == "" || k.stream.consumed.Load() {
+		return false
+	}
+	k.stamp = current
+	return true
+}
+
+// settle returns the final answer. A refusal says nothing of an earlier attempt
+// that may have been run, nor of one in an earlier call.
+func (k *call) settle(answer *Answer) *Answer {
+	if _, ok := answer.Outcome.(outcome.NotRun); ok {
+		if k.doubt == nil && k.request.Repeat {
+			k.doubt = outcome.NewUnknown(outcome.ReasonTimeout)
+		}
+		if k.doubt != nil {
+			answer.Outcome, answer.Status = k.doubt, router.Status(k.doubt)
+		}
+	}
+	answer.ID, answer.Stamp, answer.Attempts = k.request.ID, k.stamp, k.attempt
+	return answer
+}
+
+func pause(ctx context.Context, d clock.Millis) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/core/peer/grpcpeer/grpcpeer_test.go
+++ b/core/peer/grpcpeer/grpcpeer_test.go
@@ -129,18 +129,25 @@
 
 func (failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
+// waiting is an empty reader that ends when its event does: a stream that is
+// cancelled earlier may never reach the handler.
+type waiting struct{ event <-chan struct{} }
+
+func (w waiting) Read([]byte) (int, error) { <-w.event; return 0, io.EOF }
+
 // TestBrokenRequestBody guards against half a request that the owner takes for
 // a whole one.
 func TestBrokenRequestBody(t *testing.T) {
 	is := is.New(t)
-	bodies := make(chan error, 1)
+	bodies, started := make(chan error, 1), make(chan struct{})
 	address := serve(t, func(_ context.Context, request *router.Request) *router.Response {
+		close(started)
 		_, err := io.Copy(io.Discard, request.Body)
 		bodies <- err
 		return done(nil)
 	}, nil)
 	pool := newPool(t, grpcpeer.PoolSettings{})
-	_, err := pool.Forward(t.Context(), address, newRequest(io.MultiReader(strings.NewReader("half"), failing{})))
+	_, err := pool.Forward(t.Context(), address, newRequest(io.MultiReader(strings.NewReader("half"), waiting{started}, failing{})))
 	is.True(err != nil)
 	is.True(<-bodies != nil)
 }
--- a/core/router/fixture_test.go
+++ b/core/router/fixture_test.go
@@ -170,9 +170,9 @@
 	}
 }
 
-func post(key, id, stamp string) router.CallerRequest {
+func post(id, stamp string) router.CallerRequest {
 	return router.CallerRequest{
-		Method: "POST", Target: "/attire/bookings/" + key,
+		Method: "POST", Target: "/attire/bookings/k1",
 		Headers: []upstream.Header{upstream.NewHeader(outcome.HeaderRequestID, id), upstream.NewHeader(outcome.HeaderStamp, stamp)},
 	}
 }
--- a/core/router/owner_test.go
+++ b/core/router/owner_test.go
@@ -23,7 +23,7 @@
 	is := is.New(t)
 	d := cluster(2, upstream.FencingEpoch)
 	for _, entry := range d {
-		response := entry.entry.Serve(t.Context(), post("k1", "id-"+entry.self.Instance, ""))
+		response := entry.entry.Serve(t.Context(), post("id-"+entry.self.Instance, ""))
 		text, err := read(response)
 		is.NoErr(err)
 		is.Equal(text, "done id-"+entry.self.Instance)
@@ -42,11 +42,11 @@
 	is := is.New(t)
 	d := cluster(2, upstream.FencingEpoch)
 	d[1].lose.Store("after")
-	first := d[1].entry.Serve(t.Context(), post("k1", "id", ""))
+	first := d[1].entry.Serve(t.Context(), post("id", ""))
 	is.Equal(first.Outcome, outcome.Outcome(outcome.NewUnknown(outcome.ReasonConnectionLost)))
 	is.Equal(first.Status, 504)
 	d[1].lose.Store("")
-	second := d[1].entry.Serve(t.Context(), post("k1", "id", "1.0"))
+	second := d[1].entry.Serve(t.Context(), post("id", "1.0"))
 	text, err := read(second)
 	is.NoErr(err)
 	is.Equal(text, "done id")
@@ -66,12 +66,12 @@
 			d.clock.Advance(3000)
 			return answer(""), nil
 		}
-		response := d.entry.Serve(t.Context(), post("k1", "id", ""))
+		response := d.entry.Serve(t.Context(), post("id", ""))
 		_, err := read(response)
 		is.NoErr(err)
 		is.True(d.up.order.DeadlineUnixMillis <= unixLeaseEnd)
 		is.True(d.up.order.DeadlineUnixMillis > unixLeaseEnd-10)
-		is.Equal(d.entry.Serve(t.Context(), post("k1", "next", "")).Outcome, outcome.Outcome(outcome.NewNotRun(outcome.ReasonNoLease)))
+		is.Equal(d.entry.Serve(t.Context(), post("next", "")).Outcome, outcome.Outcome(outcome.NewNotRun(outcome.ReasonNoLease)))
 		is.Equal(d.up.count("next"), 0)
 	}
 }
@@ -88,7 +88,7 @@
 		for i := range 5 {
 			id := string(rune('0' + i))
 			go func() {
-				response := d.entry.Serve(t.Context(), post("k1", id, ""))
+				response := d.entry.Serve(t.Context(), post(id, ""))
 				_, _ = read(response)
 				results <- response
 			}()
@@ -125,11 +125,11 @@
 			text, _ := read(d[0].entry.Serve(t.Context(), request))
 			texts <- text
 		}
-		go serve(post("k1", "before", ""))
+		go serve(post("before", ""))
 		synctest.Wait()
 		drained := make(chan struct{})
 		d[0].owner.StopShard(keyed, id, func() { close(drained) })
-		during, withBody := post("k1", "during", ""), post("k1", "body", "")
+		during, withBody := post("during", ""), post("body", "")
 		during.Method, withBody.Method = "PUT", "PUT"
 		go serve(during)
 		withBody.Body, withBody.ContentLength = strings.NewReader("payload"), 7
@@ -159,7 +159,7 @@
 func TestStopWaitsForRequestsInFlight(t *testing.T) {
 	is := is.New(t)
 	d := cluster(1, upstream.FencingEpoch)[0]
-	response := d.entry.Serve(t.Context(), post("k1", "id", ""))
+	response := d.entry.Serve(t.Context(), post("id", ""))
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	is.True(d.owner.Stop(ctx) != nil)
