Test pauses, concurrent repeats, relays and lost owners

Cause: these failures had no test. Change: tests for a pause between the readings of the two clocks, 20 concurrent repeats, a new owner that must wait, a former owner that relays a body of 400 KB over gRPC, two daemons that take each other for the owner, a killed owner and the local address of connections.

--- a/core/peer/grpcpeer/grpcpeer_test.go
+++ b/core/peer/grpcpeer/grpcpeer_test.go
@@ -167,6 +167,49 @@
 	is.Equal(failed.Outcome(), outcome.Outcome(outcome.NewNotRun(outcome.ReasonUnreachable)))
 }
 
+// TestConnectionsBindToLocalIP guards against traffic from an address other
+// than the daemon's own.
+func TestConnectionsBindToLocalIP(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	pool := newPool(t, grpcpeer.PoolSettings{LocalIP: "127.0.3.7"})
+	pool.Send(listener.Addr().String(), &peerpb.Envelope{})
+	accepted, err := listener.Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	is.Equal(accepted.RemoteAddr().(*net.TCPAddr).IP.String(), "127.0.3.7")
+}
+
+// TestLostOwnerIsUnknown guards against a not-run for an order that was sent to
+// a daemon which then died.
+func TestLostOwnerIsUnknown(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := grpcpeer.NewServer(grpcpeer.ServerSettings{Clock: system.Clock{}, Handler: handlerFunc(func(context.Context, *router.Request) *router.Response {
+		close(started)
+		<-release
+		return done(nil)
+	})})
+	var group conc.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) })
+	group.Go(func() {
+		<-started
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		group.Go(func() { time.Sleep(100 * time.Millisecond); close(release) })
+		server.Stop(ended)
+	})
+	_, err = newPool(t, grpcpeer.PoolSettings{}).Forward(t.Context(), listener.Addr().String(), newRequest(nil))
+	var failed *router.ForwardError
+	is.True(errors.As(err, &failed))
+	is.Equal(failed.Outcome(), outcome.Outcome(outcome.NewUnknown(outcome.ReasonConnectionLost)))
+	group.Wait()
+}
+
 // TestControlKeepsOrder guards against control messages that are reordered or
 // lost on a healthy connection.
 func TestControlKeepsOrder(t *testing.T) {
--- a/core/router/fixture_test.go
+++ b/core/router/fixture_test.go
@@ -5,15 +5,20 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
+
+	"github.com/sourcegraph/conc"
 
 	"briarwell.dev/core/admission"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/clock/manual"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/peer/grpcpeer"
 	"briarwell.dev/core/router"
 	"briarwell.dev/core/shard"
 	"briarwell.dev/core/template"
@@ -63,6 +68,10 @@
 	owner    *router.Owner
 	entry    *router.Entry
 	peers    map[string]*daemon
+	// pool, if set, replaces the direct calls between daemons.
+	pool *grpcpeer.Pool
+	// pause is how long the daemon stands still after it read the wall clock.
+	pause clock.Millis
 	// lose makes a forwarded request fail: "before" or "after" it was served.
 	lose atomic.Value
 }
@@ -71,10 +80,15 @@
 func (d *daemon) Self() router.Member                      { return d.self }
 func (d *daemon) LeaseEnd() clock.Millis                   { return clock.Millis(d.leaseEnd.Load()) }
 func (d *daemon) Catalog() template.Catalog                { return d.catalog }
-func (d *daemon) unixMillis() int64                        { return int64(d.clock.Now()) + 1_000_000 }
 func (d *daemon) setLease(end clock.Millis)                { d.leaseEnd.Store(int64(end)) }
 func (d *daemon) Members(identity.Service) []router.Member { return d.members }
 
+func (d *daemon) unixMillis() int64 {
+	now := int64(d.clock.Now()) + 1_000_000
+	d.clock.Advance(d.pause)
+	return now
+}
+
 func (d *daemon) Owner(_ identity.Service, id shard.ID, _ string) (router.Ownership, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -87,6 +101,9 @@
 }
 
 func (d *daemon) Forward(ctx context.Context, address string, request *router.Request) (*router.Response, error) {
+	if d.pool != nil {
+		return d.pool.Forward(ctx, address, request)
+	}
 	lose, _ := d.lose.Load().(string)
 	if lose == "before" {
 		return nil, router.NewForwardError(outcome.NewNotRun(outcome.ReasonUnreachable), io.ErrClosedPipe)
@@ -133,6 +150,25 @@
 	d.owners[id] = router.Ownership{Owner: d.self, Epoch: epoch, HeldSince: d.clock.Now(), First: epoch == 1}
 }
 
+// connect lets the daemons talk over gRPC on loopback addresses.
+func connect(t *testing.T, daemons []*daemon) {
+	for _, d := range daemons {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := grpcpeer.NewServer(grpcpeer.ServerSettings{Clock: d.clock, Handler: d.owner})
+		var group conc.WaitGroup
+		group.Go(func() { _ = server.Serve(listener) })
+		d.self.PeerAddress = listener.Addr().String()
+		d.pool = grpcpeer.NewPool(grpcpeer.PoolSettings{Clock: d.clock})
+		t.Cleanup(func() { d.pool.Close(); server.Stop(context.Background()); group.Wait() })
+	}
+	for id := range shard.ID(shards) {
+		daemons[0].own(id, 1)
+	}
+}
+
 // upstreamStub counts the runs of each request ID and answers with a body.
 type upstreamStub struct {
 	mu    sync.Mutex
--- a/core/router/owner_test.go
+++ b/core/router/owner_test.go
@@ -76,6 +76,100 @@
 	}
 }
 
+// TestOrderDeadlineAfterPause guards against a deadline that a pause between
+// the readings of the two clocks makes later than the lease end.
+func TestOrderDeadlineAfterPause(t *testing.T) {
+	is := is.New(t)
+	d := cluster(1, upstream.FencingDeadline)[0]
+	d.setLease(1200)
+	unixLeaseEnd := d.unixMillis() + 1200
+	d.pause = 500
+	_, err := read(d.entry.Serve(t.Context(), post("id", "")))
+	is.NoErr(err)
+	is.True(d.up.order.DeadlineUnixMillis <= unixLeaseEnd)
+	d.pause = 800
+	is.Equal(d.entry.Serve(t.Context(), post("late", "")).Outcome, outcome.Outcome(outcome.NewNotRun(outcome.ReasonNoLease)))
+	is.Equal(d.up.count("late"), 0)
+	d = cluster(1, upstream.FencingEpoch)[0]
+	d.setLease(1200)
+	_, err = read(d.entry.Serve(t.Context(), post("id", "")))
+	is.NoErr(err)
+	is.Equal(d.up.order.DeadlineUnixMillis, d.unixMillis()+5000-1) // The route's timeout; the epoch fences.
+}
+
+// TestConcurrentRepeatsRunOnce guards against repeats that run while the first
+// attempt still does.
+func TestConcurrentRepeatsRunOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := cluster(2, upstream.FencingEpoch)
+		d[0].up.act = func(_ context.Context, order upstream.Order) (upstream.Answer, error) {
+			time.Sleep(100 * time.Millisecond)
+			return answer("done " + order.RequestID), nil
+		}
+		texts := make(chan string, 20)
+		for i := range 20 {
+			go func() {
+				text, _ := read(d[i%2].entry.Serve(t.Context(), post("id", "")))
+				texts <- text
+			}()
+		}
+		for range 20 {
+			is.Equal(<-texts, "done id")
+		}
+		is.Equal(d[0].up.count("id"), 1)
+	})
+}
+
+// TestNewOwnerWaits guards against a new owner that sends orders before those
+// of the former one have settled, and against one with an older configuration.
+func TestNewOwnerWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, id := cluster(1, upstream.FencingNone)[0], shard.Of("k1", shards)
+		d.owners[id] = router.Ownership{Owner: d.self, Epoch: 2, ServeFrom: 50}
+		time.AfterFunc(35*time.Millisecond, func() { d.clock.Advance(50) })
+		start := time.Now()
+		_, err := read(d.entry.Serve(t.Context(), get("/attire/bookings/k1")))
+		is.NoErr(err)
+		is.Equal(time.Since(start), 40*time.Millisecond) // The next look.
+		request := &router.Request{Service: keyed, Key: "k1", Shard: id, Method: "GET", Path: "/k1", Deadline: 5000, ConfigVersion: 2}
+		is.Equal(d.owner.Serve(t.Context(), request).Outcome, outcome.Outcome(outcome.NewNotRun(outcome.ReasonConfigurationLags)))
+	})
+}
+
+// TestRelayOverNetwork guards against a body that is lost or mixed when a
+// former owner passes a request on, and against loops between two daemons that
+// each take the other for the owner.
+func TestRelayOverNetwork(t *testing.T) {
+	is := is.New(t)
+	d, id := cluster(3, upstream.FencingEpoch), shard.Of("k1", shards)
+	connect(t, d)
+	payload := strings.Repeat("payload ", 50_000)
+	for _, daemon := range d {
+		daemon.up.act = func(_ context.Context, order upstream.Order) (upstream.Answer, error) {
+			return upstream.Answer{Status: 200, Body: io.NopCloser(order.Body), ContentLength: -1}, nil
+		}
+	}
+	stale := &shared{owners: map[shard.ID]router.Ownership{id: d[2].owners[id]}, catalog: d[2].catalog}
+	d[2].shared = stale
+	d[1].own(id, 2)
+	request := post("id", "")
+	request.Method, request.Body, request.ContentLength = "PUT", strings.NewReader(payload), int64(len(payload))
+	response := d[2].entry.Serve(t.Context(), request)
+	text, err := read(response)
+	is.NoErr(err)
+	is.True(text == payload)
+	is.Equal(response.ServedBy, "b")
+	is.Equal(header(response, outcome.HeaderOwner), "http-b")
+	stale.owners[id] = router.Ownership{Owner: d[0].self, Epoch: 3}
+	d[0].owners[id] = router.Ownership{Owner: d[2].self, Epoch: 3}
+	request.Body = strings.NewReader(payload)
+	response = d[2].entry.Serve(t.Context(), request)
+	_, _ = read(response)
+	is.Equal(response.Outcome, outcome.Outcome(outcome.NewNotRun(outcome.ReasonMoved)))
+}
+
 // TestLeaseLostWhileQueued guards against an order that is sent under a lease
 // that ended while the request waited for a slot.
 func TestLeaseLostWhileQueued(t *testing.T) {
