Keep large history bodies in the object store

Cause: briarwell had no client of the object store, so that the example templates, which are over 2,048 bytes, could not be stored. Ruled out: package token for the command line's transactions. An edit's history row, a mark and a dead member row already tell what became of a transaction whose answer was lost. Change: rollout uses the port object.Store; briarwell connects object/httpobject; an edit's author is the user of the process by default.

--- a/core/rollout/editor.go
+++ b/core/rollout/editor.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"briarwell.dev/core/object"
 	"briarwell.dev/core/table"
 )
 
@@ -20,12 +21,12 @@
 // Editor stores edits. The zero value is not usable.
 type Editor struct {
 	table table.Table
-	store Store
+	store object.Store
 }
 
 // NewEditor returns an editor. The store may be nil if every document is at
 // most 2,048 bytes long.
-func NewEditor(target table.Table, store Store) Editor {
+func NewEditor(target table.Table, store object.Store) Editor {
 	return Editor{table: target, store: store}
 }
 
--- a/core/rollout/editor_test.go
+++ b/core/rollout/editor_test.go
@@ -14,20 +14,22 @@
 	"github.com/sebdah/goldie/v2"
 	"pgregory.net/rapid"
 
+	"briarwell.dev/core/object"
+	"briarwell.dev/core/object/memory"
 	"briarwell.dev/core/rollout"
 	"briarwell.dev/core/table"
 	"briarwell.dev/core/template"
 )
 
-type objects map[string][]byte
-
-func (o objects) Put(_ context.Context, data []byte) (string, error) {
-	digest := fmt.Sprintf("object-%d", len(o))
-	o[digest] = data
-	return digest, nil
+type countingStore struct {
+	memory.Store
+	puts int
 }
 
-func (o objects) Get(_ context.Context, digest string) ([]byte, error) { return o[digest], nil }
+func (s *countingStore) Put(ctx context.Context, body []byte) (object.Digest, error) {
+	s.puts++
+	return s.Store.Put(ctx, body)
+}
 
 func document(t interface{ Fatal(args ...any) }, text string) template.Document {
 	parsed, err := template.Parse([]byte(text))
@@ -70,7 +72,7 @@
 // history that lacks the former or the new body.
 func TestEditThenRender(t *testing.T) {
 	is := is.New(t)
-	ctx, target, store := context.Background(), newTable(1, 0), objects{}
+	ctx, target, store := context.Background(), newTable(1, 0), &countingStore{}
 	editor := rollout.NewEditor(target, store)
 	first, err := editor.Apply(ctx, rollout.NewEdit("e1", "ada", 0, 1000, exampleDocument(t, "lending-service"), exampleDocument(t, "lagos")))
 	is.NoErr(err)
@@ -97,7 +99,7 @@
 	before, after, err := history[0].Changes()[0].Bodies(ctx, store)
 	is.NoErr(err)
 	is.Equal(len(template.Diff(before, after)), 2)
-	is.Equal(len(store), 1) // Only the template is larger than a history row may hold.
+	is.Equal(store.puts, 1) // Only the template is larger than a history row may hold.
 	_, body, err := history[1].Changes()[0].Bodies(ctx, store)
 	is.NoErr(err)
 	is.True(strings.Contains(string(body), "lendingService"))
--- a/core/rollout/history.go
+++ b/core/rollout/history.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 
+	"briarwell.dev/core/object"
 	"briarwell.dev/core/table"
 )
 
@@ -13,17 +12,9 @@
 // go to the object store, so that a row stays within a few KB.
 const maxInlineBytes = 2048
 
-// Store keeps immutable objects by the digest of their content.
-type Store interface {
-	// Put stores data and returns its digest.
-	Put(ctx context.Context, data []byte) (string, error)
-	// Get returns the object with the digest.
-	Get(ctx context.Context, digest string) ([]byte, error)
-}
-
 // bodyRefJSON refers to the content of a row in the history.
 type bodyRefJSON struct {
-	Digest string `json:"digest"`
+	Digest object.Digest `json:"digest"`
 	// Inline is the body itself; absent if it is in the object store.
 	Inline json.RawMessage `json:"inline,omitempty"`
 }
@@ -62,12 +53,12 @@
 func (c RowChange) Key() string { return c.key }
 
 // BeforeDigest returns the digest of the former body, "" if there was none.
-func (c RowChange) BeforeDigest() string { return c.before.digest() }
+func (c RowChange) BeforeDigest() object.Digest { return c.before.digest() }
 
 // AfterDigest returns the digest of the new body.
-func (c RowChange) AfterDigest() string { return c.after.digest() }
+func (c RowChange) AfterDigest() object.Digest { return c.after.digest() }
 
-func (b *bodyRefJSON) digest() string {
+func (b *bodyRefJSON) digest() object.Digest {
 	if b == nil {
 		return ""
 	}
@@ -76,7 +67,7 @@
 
 // Bodies returns the former body, nil if there was none, and the new one. The
 // store may be nil if both are in the row.
-func (c RowChange) Bodies(ctx context.Context, store Store) (before, after []byte, err error) {
+func (c RowChange) Bodies(ctx context.Context, store object.Store) (before, after []byte, err error) {
 	if before, err = c.before.load(ctx, store); err != nil {
 		return nil, nil, err
 	}
@@ -84,7 +75,7 @@
 	return before, after, err
 }
 
-func (b *bodyRefJSON) load(ctx context.Context, store Store) ([]byte, error) {
+func (b *bodyRefJSON) load(ctx context.Context, store object.Store) ([]byte, error) {
 	if b == nil || b.Inline != nil {
 		return b.inline(), nil
 	}
@@ -103,7 +94,7 @@
 
 // encodeHistory returns the value of the plan's history row after it stored
 // the large bodies.
-func (p Plan) encodeHistory(ctx context.Context, store Store) ([]byte, error) {
+func (p Plan) encodeHistory(ctx context.Context, store object.Store) ([]byte, error) {
 	record := historyJSON{stampJSON: p.stamp.encode()}
 	for _, changed := range p.changed {
 		before, err := reference(ctx, store, changed.before)
@@ -119,13 +110,12 @@
 	return json.Marshal(record)
 }
 
-func reference(ctx context.Context, store Store, body []byte) (*bodyRefJSON, error) {
+func reference(ctx context.Context, store object.Store, body []byte) (*bodyRefJSON, error) {
 	if body == nil {
 		return nil, nil
 	}
 	if len(body) <= maxInlineBytes {
-		sum := sha256.Sum256(body)
-		return &bodyRefJSON{Digest: hex.EncodeToString(sum[:]), Inline: body}, nil
+		return &bodyRefJSON{Digest: object.DigestOf(body), Inline: body}, nil
 	}
 	if store == nil {
 		return nil, NewStoreMissingError(len(body))
--- a/ctl/command/apply.go
+++ b/ctl/command/apply.go
@@ -52,7 +52,7 @@
 		return rollout.Edit{}, newInputError("--expect: found %q, allowed: the version that status shows, 0 for the first edit", c.expect)
 	}
 	if c.author == "" {
-		return rollout.Edit{}, newInputError("--author: found nothing, allowed: your name, since USER is not set")
+		return rollout.Edit{}, newInputError("--author: found nothing, allowed: your name, since the user of this process has none")
 	}
 	documents, err := readFiles(c.files)
 	if err != nil {
--- a/ctl/command/connect.go
+++ b/ctl/command/connect.go
@@ -1,31 +1,25 @@
 package command
 
 import (
-	"fmt"
-
-	"briarwell.dev/core/rollout"
+	"briarwell.dev/core/object"
+	"briarwell.dev/core/object/httpobject"
 	"briarwell.dev/core/table"
 	"briarwell.dev/core/table/httptable"
 )
 
-// StoreError reports that the object store gave no answer.
-type StoreError struct {
-	operation string
-	cause     error
-}
-
-func (e *StoreError) Error() string {
-	return fmt.Sprintf("object store gave no answer to %s: %v", e.operation, e.cause)
-}
-
-// Unwrap returns the cause.
-func (e *StoreError) Unwrap() error { return e.cause }
-
-// connectHTTP opens the platform over HTTP.
-func connectHTTP(tableURL, _ string) (table.Table, rollout.Store, error) {
+// connectHTTP opens the platform over HTTP. Transactions carry no token row:
+// the commands find out themselves what became of one whose answer was lost.
+func connectHTTP(tableURL, objectURL string) (table.Table, object.Store, error) {
 	client, err := httptable.New(tableURL)
 	if err != nil {
 		return nil, nil, newInputError("--table: %v", err)
 	}
-	return client, nil, nil
+	if objectURL == "" {
+		return client, nil, nil
+	}
+	store, err := httpobject.New(objectURL)
+	if err != nil {
+		return nil, nil, newInputError("--objects: %v", err)
+	}
+	return client, store, nil
 }
--- a/ctl/command/environment.go
+++ b/ctl/command/environment.go
@@ -8,11 +8,12 @@
 	"encoding/hex"
 	"io"
 	"os"
+	"os/user"
 	"time"
 
 	"briarwell.dev/core/identity"
+	"briarwell.dev/core/object"
 	"briarwell.dev/core/peer/peerpb"
-	"briarwell.dev/core/rollout"
 	"briarwell.dev/core/table"
 )
 
@@ -25,7 +26,7 @@
 }
 
 // Connect opens the platform at the URLs. The object URL may be "".
-type Connect func(tableURL, objectURL string) (table.Table, rollout.Store, error)
+type Connect func(tableURL, objectURL string) (table.Table, object.Store, error)
 
 // Environment is what the commands need of the system.
 type Environment struct {
@@ -90,7 +91,7 @@
 		peers:    newGRPCPeers(),
 		now:      time.Now,
 		editID:   randomID,
-		user:     os.Getenv("USER"),
+		user:     userName(),
 		interval: defaultInterval,
 	}
 	for _, option := range options {
@@ -99,6 +100,18 @@
 	return environment
 }
 
+// userName returns the name of the operating system's user, "" if unknown.
+func userName() string {
+	if name := os.Getenv("USER"); name != "" {
+		return name
+	}
+	current, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return current.Username
+}
+
 func randomID() string {
 	id := make([]byte, editIDBytes)
 	_, _ = rand.Read(id) // It never fails: crypto/rand ends the process instead.
--- a/ctl/command/exit.go
+++ b/ctl/command/exit.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"briarwell.dev/core/object"
 	"briarwell.dev/core/rollout"
 	"briarwell.dev/core/settings"
 	"briarwell.dev/core/table"
@@ -59,7 +60,7 @@
 		outage    *table.OutageError
 		uncertain *rollout.UncertainError
 		silent    *SilentError
-		store     *StoreError
+		store     *object.OutageError
 	)
 	switch {
 	case err == nil:
--- a/ctl/command/history.go
+++ b/ctl/command/history.go
@@ -49,7 +49,7 @@
 	stamp := edit.Stamp()
 	result := historyJSON{Version: stamp.Version(), Author: stamp.Author(), UnixMillis: stamp.UnixMillis(), Fields: []changeJSON{}}
 	for _, changed := range edit.Changes() {
-		row := rowJSON{Row: strings.TrimPrefix(changed.Key(), rollout.Prefix), Before: changed.BeforeDigest(), After: changed.AfterDigest()}
+		row := rowJSON{Row: strings.TrimPrefix(changed.Key(), rollout.Prefix), Before: string(changed.BeforeDigest()), After: string(changed.AfterDigest())}
 		before, after, err := changed.Bodies(ctx, c.store)
 		if err != nil {
 			row.Problem = err.Error()
--- a/ctl/command/program_test.go
+++ b/ctl/command/program_test.go
@@ -17,8 +17,8 @@
 
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/membership"
+	"briarwell.dev/core/object"
 	"briarwell.dev/core/peer/peerpb"
-	"briarwell.dev/core/rollout"
 	"briarwell.dev/core/table"
 	"briarwell.dev/core/table/memory"
 	"briarwell.dev/ctl/command"
@@ -34,7 +34,7 @@
 	}
 	for _, line := range lines {
 		program := exec.Command(os.Args[0], strings.Fields(line)...)
-		program.Env = append(os.Environ(), "BRIARWELL_TEST_PROGRAM=1")
+		program.Env = append(os.Environ(), "BRIARWELL_TEST_PROGRAM=1", "USER=ada")
 		output, err := program.CombinedOutput()
 		var exit *exec.ExitError
 		is.New(t).True(err == nil || errors.As(err, &exit))
@@ -72,7 +72,7 @@
 	is.NoErr(err)
 	run := func(words ...string) string {
 		var output bytes.Buffer
-		code := command.Run(t.Context(), command.System(command.Output(&output, &output), command.Platform(func(string, string) (table.Table, rollout.Store, error) {
+		code := command.Run(t.Context(), command.System(command.Output(&output, &output), command.Platform(func(string, string) (table.Table, object.Store, error) {
 			return target, nil, nil
 		})), append(words, "--table", "http://t:1", "--json"))
 		return fmt.Sprintf("%d %s", code, output.String())
--- a/ctl/command/run.go
+++ b/ctl/command/run.go
@@ -10,7 +10,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"briarwell.dev/core/rollout"
+	"briarwell.dev/core/object"
 	"briarwell.dev/core/settings"
 	"briarwell.dev/core/table"
 )
@@ -47,7 +47,7 @@
 	Environment
 	arguments
 	table table.Table
-	store rollout.Store
+	store object.Store
 }
 
 // entry is a command as the parser knows it.
--- a/ctl/command/session_test.go
+++ b/ctl/command/session_test.go
@@ -17,9 +17,10 @@
 
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/membership"
+	"briarwell.dev/core/object"
+	objects "briarwell.dev/core/object/memory"
 	"briarwell.dev/core/ownership"
 	"briarwell.dev/core/peer/peerpb"
-	"briarwell.dev/core/rollout"
 	"briarwell.dev/core/shard"
 	"briarwell.dev/core/table"
 	"briarwell.dev/core/table/memory"
@@ -34,16 +35,6 @@
 	os.Exit(m.Run())
 }
 
-type objects map[string][]byte
-
-func (o objects) Put(_ context.Context, data []byte) (string, error) {
-	digest := fmt.Sprintf("object-%d", len(o))
-	o[digest] = data
-	return digest, nil
-}
-
-func (o objects) Get(_ context.Context, digest string) ([]byte, error) { return o[digest], nil }
-
 // outageTable is a table whose calls get no answer while down is set. Of the
 // commits, the next lost ones take effect without an answer; with deaf set none
 // takes effect.
@@ -81,11 +72,24 @@
 	return o.Table.Scan(ctx, prefix, since)
 }
 
+// outageStore is an object store that stores nothing while down is set.
+type outageStore struct {
+	*objects.Store
+	down bool
+}
+
+func (o *outageStore) Put(ctx context.Context, body []byte) (object.Digest, error) {
+	if o.down {
+		return "", object.NewOutageError("put", errors.New("connection refused"))
+	}
+	return o.Store.Put(ctx, body)
+}
+
 // session runs commands against one platform and records what they print.
 type session struct {
 	t       *testing.T
 	table   *outageTable
-	store   objects
+	store   *outageStore
 	daemons map[string]func() (*peerpb.StatusResponse, error)
 	started time.Time
 	edits   int
@@ -99,7 +103,7 @@
 // the record with a golden file.
 func runSession(t *testing.T, name string, steps func(*session)) {
 	t.Helper()
-	s := &session{table: &outageTable{Table: memory.New()}, store: objects{}, daemons: map[string]func() (*peerpb.StatusResponse, error){}}
+	s := &session{table: &outageTable{Table: memory.New()}, store: &outageStore{Store: objects.New()}, daemons: map[string]func() (*peerpb.StatusResponse, error){}}
 	synctest.Test(t, func(t *testing.T) {
 		s.t, s.started, s.ctx, s.directory = t, time.Now(), t.Context(), t.TempDir()
 		steps(s)
@@ -129,7 +133,7 @@
 	began := time.Now()
 	code := command.Run(s.ctx, command.System(
 		command.Output(&s.log, &s.log), command.AskPeers(s), command.Author("ada"),
-		command.Platform(func(string, string) (table.Table, rollout.Store, error) { return s.table, s.store, nil }),
+		command.Platform(func(string, string) (table.Table, object.Store, error) { return s.table, s.store, nil }),
 		command.EditIDs(func() string { s.edits++; return fmt.Sprint("edit", s.edits) }),
 	), strings.Fields(strings.ReplaceAll(line, "EXAMPLES", "../../examples")))
 	fmt.Fprintf(&s.log, "[exit %d after %v]\n\n", code, time.Since(began))
@@ -289,6 +293,10 @@
 		s.run("apply EXAMPLES/lagos.json --expect 0 --table http://t:1")
 		s.run("apply EXAMPLES/lending-service.json EXAMPLES/lagos.json --expect 3 --table http://t:1")
 		s.run("history --count 0 --table http://t:1")
+		s.note("the object store gives no answer")
+		s.store.down = true
+		s.run("apply EXAMPLES/lending-service.json EXAMPLES/lagos.json --expect 0 --table http://t:1")
+		s.store.down = false
 		s.run("apply EXAMPLES/lending-service.json EXAMPLES/lagos.json --expect 0 --table http://t:1")
 		s.run("apply " + s.file("shards.json", `{"name":"lagos","kind":"lendingService","parameters":{"patternTimeoutMillis":90000,"bookingShards":512}}`) + " --expect 1 --table http://t:1")
 		s.note("the table stores the edit, the mark and the row, but the answers are lost")
