--- a/demo/harness/cluster.go
+++ b/demo/harness/cluster.go
@@ -83,7 +83,10 @@
 			hosts[region]++
 		}
 	}
-	return c, nil
+	if options.Linked {
+		c.links, err = newLinks(c)
+	}
+	return c, err
 }
 
 func (c *Cluster) addInstance(service Service, region, host int) error {
@@ -116,7 +119,15 @@
 
 func (c *Cluster) objectURL() string { return "http://" + c.objectAddr }
 
-// StartPlatform starts the table and the object store.
+// daemonTableURL returns the address at which daemons reach the table.
+func (c *Cluster) daemonTableURL() string {
+	if c.links != nil {
+		return "http://" + c.links.table
+	}
+	return c.TableURL()
+}
+
+// StartPlatform starts the table, the object store and the relay.
 func (c *Cluster) StartPlatform(ctx context.Context) error {
 	standIn := c.options.Programs.StandIn()
 	table, err := c.group.Start("table", standIn, "table", "--address", c.tableAddress)
@@ -131,7 +142,13 @@
 	if err := WaitListening(ctx, table, c.tableAddress); err != nil {
 		return err
 	}
-	return WaitListening(ctx, objects, c.objectAddr)
+	if err := WaitListening(ctx, objects, c.objectAddr); err != nil {
+		return err
+	}
+	if c.links == nil {
+		return nil
+	}
+	return c.links.start(ctx)
 }
 
 // Control runs the operator's command line and returns its output.
@@ -161,24 +178,18 @@
 	return post(c.TableURL()+"/admin/faults", faults)
 }
 
-// Apply applies the example configuration, with the number of shards of the
-// options.
-func (c *Cluster) Apply(ctx context.Context) error {
-	for _, name := range []string{"lending-service", "onboarding"} {
-		if _, err := c.Control(ctx, "apply", c.example(name)); err != nil {
-			return err
-		}
-	}
+// Apply stores the example configuration as its first version, with the number
+// of shards of the options.
+func (c *Cluster) Apply(ctx context.Context) (string, error) {
+	files := []string{"apply", c.example("lending-service"), c.example("onboarding")}
 	for name, parameter := range map[string]string{"lagos": "bookingShards", "primeiro-dia": "signOffShards"} {
 		path, err := c.organisation(name, parameter)
 		if err != nil {
-			return err
-		}
-		if _, err := c.Control(ctx, "apply", path); err != nil {
-			return err
+			return "", err
 		}
+		files = append(files, path)
 	}
-	return nil
+	return c.Control(ctx, append(files, "--expect", "0", "--author", "bwdemo")...)
 }
 
 func (c *Cluster) example(name string) string {
