--- a/core/rollout/acceptance_test.go
+++ b/core/rollout/acceptance_test.go
@@ -195,7 +195,7 @@
 	})
 }
 
-func raiseMarks(target *memoryTable, versions []uint64) error {
+func raiseMarks(target *lossyTable, versions []uint64) error {
 	ctx := context.Background()
 	var highest, last uint64
 	var fell error
--- a/core/rollout/editor_test.go
+++ b/core/rollout/editor_test.go
@@ -15,14 +15,14 @@
 	"pgregory.net/rapid"
 
 	"briarwell.dev/core/object"
-	"briarwell.dev/core/object/memory"
+	objects "briarwell.dev/core/object/memory"
 	"briarwell.dev/core/rollout"
 	"briarwell.dev/core/table"
 	"briarwell.dev/core/template"
 )
 
 type countingStore struct {
-	memory.Store
+	objects.Store
 	puts int
 }
 
@@ -176,7 +176,7 @@
 // runEditors lets three operators alternate between reading a counter and
 // storing it plus one. It returns the counter and how many edits were told as
 // stored.
-func runEditors(t *testing.T, target *memoryTable, order []int, naive bool) (stored, told int, err error) {
+func runEditors(t *testing.T, target *lossyTable, order []int, naive bool) (stored, told int, err error) {
 	ctx, editor := context.Background(), rollout.NewEditor(target, nil)
 	apply := func(id string, expect uint64, documents ...template.Document) error {
 		_, err := editor.Apply(ctx, rollout.NewEdit(id, id, expect, 1, documents...))
--- a/core/rollout/render_test.go
+++ b/core/rollout/render_test.go
@@ -98,7 +98,7 @@
 	})
 }
 
-func followCopies(t *testing.T, target *memoryTable, copies []int) error {
+func followCopies(t *testing.T, target *lossyTable, copies []int) error {
 	ctx, editor := context.Background(), rollout.NewEditor(target, nil)
 	reference := map[uint64]int{}
 	kept := make([][]table.Row, 0, 10)
--- a/core/settings/reader.go
+++ b/core/settings/reader.go
@@ -23,12 +23,16 @@
 
 // Replacement stands in a document for a value that a Resolver replaced.
 type Replacement struct {
-	// Value is a string, an int64, a bool, or nil if it is known only later.
-	Value any
-	// Kind is the kind of the value, "" if the resolver has reported an error.
-	Kind Kind
-	// Source says in errors where the value is from.
-	Source string
+	kind   Kind
+	value  any
+	source string
+}
+
+// NewReplacement returns a replacement by value, a string, an int64, a bool, or
+// nil if it is known only later. The kind is that of the value, "" if the
+// resolver has reported an error. source says in errors where the value is from.
+func NewReplacement(kind Kind, value any, source string) Replacement {
+	return Replacement{kind: kind, value: value, source: source}
 }
 
 // Resolver may replace a value before it is read. It returns false to keep the
@@ -92,7 +96,7 @@
 // Known tells whether the value is absent or has a value now, not only later.
 func (v Value) Known() bool {
 	replacement, ok := v.raw.(Replacement)
-	return !ok || replacement.Value != nil
+	return !ok || replacement.value != nil
 }
 
 // Errors returns the collector of the document's errors.
@@ -100,7 +104,7 @@
 
 // Reject reports the value as not allowed, unless the resolver has done so.
 func (v Value) Reject(allowed string) {
-	if replacement, ok := v.raw.(Replacement); ok && replacement.Kind == "" {
+	if replacement, ok := v.raw.(Replacement); ok && replacement.kind == "" {
 		return
 	}
 	v.document.errors.Add(v.path, v.describe(), allowed)
@@ -179,14 +183,14 @@
 	if !ok {
 		return v.raw, true
 	}
-	if replacement.Kind == "" {
+	if replacement.kind == "" {
 		return nil, false
 	}
-	if replacement.Kind != kind {
+	if replacement.kind != kind {
 		v.Reject(allowed)
 		return nil, false
 	}
-	return replacement.Value, replacement.Value != nil
+	return replacement.value, replacement.value != nil
 }
 
 func (v Value) missing(allowed string) {
@@ -274,10 +278,10 @@
 func (v Value) describe() string {
 	switch raw := v.raw.(type) {
 	case Replacement:
-		if raw.Value == nil {
-			return fmt.Sprintf("%s of type %s", raw.Source, raw.Kind)
+		if raw.value == nil {
+			return fmt.Sprintf("%s of type %s", raw.source, raw.kind)
 		}
-		return fmt.Sprintf("%s from %s", describeScalar(raw.Value), raw.Source)
+		return fmt.Sprintf("%s from %s", describeScalar(raw.value), raw.source)
 	case map[string]any:
 		return "an object"
 	case []any:
--- a/core/template/parameter.go
+++ b/core/template/parameter.go
@@ -169,13 +169,13 @@
 		parameter, ok := findParameter(parameters, name)
 		if !ok {
 			collector.Add(value.Path(), fmt.Sprintf("a reference to %q", name), "a parameter of the template: "+parameterNames(parameters))
-			return settings.Replacement{Source: "an unknown parameter"}, true
+			return settings.NewReplacement("", nil, "an unknown parameter"), true
 		}
 		resolved, set := values[name]
 		if !set {
 			resolved = parameter.defaultValue
 		}
-		return settings.Replacement{Value: resolved, Kind: parameter.kind, Source: "parameter " + name}, true
+		return settings.NewReplacement(parameter.kind, resolved, "parameter "+name), true
 	}
 }
 
--- a/ctl/command/session_test.go
+++ b/ctl/command/session_test.go
@@ -103,14 +103,21 @@
 // the record with a golden file.
 func runSession(t *testing.T, name string, steps func(*session)) {
 	t.Helper()
-	s := &session{table: &outageTable{Table: memory.New()}, store: &outageStore{Store: objects.New()}, daemons: map[string]func() (*peerpb.StatusResponse, error){}}
+	var s *session
 	synctest.Test(t, func(t *testing.T) {
-		s.t, s.started, s.ctx, s.directory = t, time.Now(), t.Context(), t.TempDir()
+		s = newSession(t)
 		steps(s)
 	})
 	goldie.New(t).Assert(t, name, bytes.ReplaceAll(s.log.Bytes(), []byte(s.directory+"/"), nil))
 }
 
+func newSession(t *testing.T) *session {
+	return &session{
+		t: t, started: time.Now(), ctx: t.Context(), directory: t.TempDir(), daemons: map[string]func() (*peerpb.StatusResponse, error){},
+		table: &outageTable{Table: memory.New()}, store: &outageStore{Store: objects.New()},
+	}
+}
+
 func (s *session) Status(_ context.Context, address string) (*peerpb.StatusResponse, error) {
 	if answer, ok := s.daemons[address]; ok {
 		return answer()
@@ -149,7 +156,7 @@
 }
 
 func (s *session) put(key string, value []byte) {
-	_, err := s.table.Commit(s.ctx, table.NewTransaction(nil, []table.Mutation{table.NewPut(key, value)}))
+	_, err := s.table.Table.Commit(s.ctx, table.NewTransaction(nil, []table.Mutation{table.NewPut(key, value)}))
 	is.New(s.t).NoErr(err)
 }
 
