--- a/load/runner/runner.go
+++ b/load/runner/runner.go
@@ -23,7 +23,7 @@
 const (
 	// maxInFlight bounds the requests in flight. At the bound the next request
 	// is sent late; its latency still counts from its intended time.
-	maxInFlight = 8192
+	maxInFlight = 2048
 	// repeatDelay separates the attempts of a request.
 	repeatDelay = 50 * time.Millisecond
 )
