--- a/ctl/command/environment.go
+++ b/ctl/command/environment.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"briarwell.dev/core/identity"
+	"briarwell.dev/core/object"
 	"briarwell.dev/core/peer/peerpb"
-	"briarwell.dev/core/rollout"
 	"briarwell.dev/core/table"
 )
 
@@ -26,7 +26,7 @@
 }
 
 // Connect opens the platform at the URLs. The object URL may be "".
-type Connect func(tableURL, objectURL string) (table.Table, rollout.Store, error)
+type Connect func(tableURL, objectURL string) (table.Table, object.Store, error)
 
 // Environment is what the commands need of the system.
 type Environment struct {
