Name instances in fault reports and attribute gaps to one fault

Ruled out: attribution by the last done answer, which lies before the window's end by one call interval.

--- a/core/measure/measure.go
+++ b/core/measure/measure.go
@@ -143,6 +143,9 @@
 // UntilUnixMicros returns the time of the first answer after the gap.
 func (g Gap) UntilUnixMicros() int64 { return g.untilUnixMicros }
 
+// FirstFailedUnixMicros returns when the first failed call in the gap was sent.
+func (g Gap) FirstFailedUnixMicros() int64 { return g.firstFailed }
+
 // Millis returns the length in milliseconds.
 func (g Gap) Millis() float64 { return float64(g.untilUnixMicros-g.fromUnixMicros) / microsPerMilli }
 
--- a/demo/assess/assess.go
+++ b/demo/assess/assess.go
@@ -107,14 +107,14 @@
 	return c.Outcome
 }
 
-// assessFault takes the gaps that ended after the fault began and began before
-// the cluster was ready again.
+// assessFault takes the gaps that ended after the fault began and whose first
+// failed call was sent before the next fault.
 func assessFault(event Event, gaps []measure.Gap) FaultResult {
 	result := FaultResult{Event: event}
 	var lengths []float64
 	shards := make(map[measure.Shard]bool)
 	for _, g := range gaps {
-		if g.UntilUnixMicros() <= event.FromUnixMicros || g.FromUnixMicros() >= event.UntilUnixMicros {
+		if g.UntilUnixMicros() <= event.FromUnixMicros || g.FirstFailedUnixMicros() >= event.UntilUnixMicros {
 			continue
 		}
 		from := max(g.FromUnixMicros(), event.FromUnixMicros)
--- a/demo/commands.go
+++ b/demo/commands.go
@@ -72,7 +72,7 @@
 	o.linked = true
 	return o.underLoad(ctx, programs, func(cluster *harness.Cluster) ([]assess.Event, error) {
 		length := time.Duration(o.minutes * float64(time.Minute))
-		plan := faults.NewPlan(o.seed, len(cluster.Instances()), regionNames()[:o.regions])
+		plan := faults.NewPlan(o.seed, cluster.Names(), regionNames()[:o.regions])
 		return faults.Run(ctx, cluster, plan, length, os.Stdout)
 	})
 }
--- a/demo/faults/fault.go
+++ b/demo/faults/fault.go
@@ -44,16 +44,24 @@
 	}
 }
 
+// target is an instance by its number in the cluster.
+type target struct {
+	number int
+	name   string
+}
+
+func (t target) in(c *harness.Cluster) *harness.Instance { return c.Instances()[t.number] }
+
 // Kill ends processes of an instance with SIGKILL; they are started again when
 // the fault heals.
 type Kill struct {
-	instance int
+	instance target
 	part     Part
 }
 
 // Freeze stops processes of an instance and resumes them when the fault heals.
 type Freeze struct {
-	instance int
+	instance target
 	part     Part
 	length   time.Duration
 }
@@ -61,7 +69,7 @@
 // Leave stops the daemon of an instance with SIGTERM and starts it again when
 // the fault heals.
 type Leave struct {
-	instance int
+	instance target
 	stopped  *time.Duration
 }
 
@@ -86,12 +94,12 @@
 func (Cut) isFault()    {}
 func (Pair) isFault()   {}
 
-func (f Kill) String() string { return fmt.Sprintf("kill %s of %d", f.part, f.instance) }
+func (f Kill) String() string { return fmt.Sprintf("kill %s of %s", f.part, f.instance.name) }
 
 func (f Freeze) String() string {
-	return fmt.Sprintf("freeze %s of %d for %v", f.part, f.instance, f.length)
+	return fmt.Sprintf("freeze %s of %s for %v", f.part, f.instance.name, f.length)
 }
-func (f Leave) String() string { return fmt.Sprintf("graceful leave of %d", f.instance) }
+func (f Leave) String() string { return fmt.Sprintf("graceful leave of %s", f.instance.name) }
 func (f Table) String() string { return f.name }
 func (f Cut) String() string   { return f.link.String() }
 func (f Pair) String() string  { return f.first.String() + " + " + f.second.String() }
@@ -121,32 +129,32 @@
 
 func (f Kill) inject(c *harness.Cluster) error {
 	var err error
-	for _, p := range f.part.processes(c.Instances()[f.instance]) {
+	for _, p := range f.part.processes(f.instance.in(c)) {
 		err = errors.Join(err, p.Signal(syscall.SIGKILL))
 	}
 	return err
 }
 
-func (f Kill) heal(c *harness.Cluster) error { return startEnded(c.Instances()[f.instance]) }
+func (f Kill) heal(c *harness.Cluster) error { return startEnded(f.instance.in(c)) }
 
 func (f Freeze) inject(c *harness.Cluster) error { return f.signal(c, syscall.SIGSTOP) }
 func (f Freeze) heal(c *harness.Cluster) error   { return f.signal(c, syscall.SIGCONT) }
 
 func (f Freeze) signal(c *harness.Cluster, signal syscall.Signal) error {
 	var err error
-	for _, p := range f.part.processes(c.Instances()[f.instance]) {
+	for _, p := range f.part.processes(f.instance.in(c)) {
 		err = errors.Join(err, p.Signal(signal))
 	}
 	return err
 }
 
 func (f Leave) inject(c *harness.Cluster) error {
-	length, err := c.Instances()[f.instance].Daemon().Stop(stopTimeout)
+	length, err := f.instance.in(c).Daemon().Stop(stopTimeout)
 	*f.stopped = length
 	return err
 }
 
-func (f Leave) heal(c *harness.Cluster) error { return startEnded(c.Instances()[f.instance]) }
+func (f Leave) heal(c *harness.Cluster) error { return startEnded(f.instance.in(c)) }
 
 func (f Table) inject(c *harness.Cluster) error { return c.SetTableFaults(f.faults) }
 func (f Table) heal(c *harness.Cluster) error   { return c.SetTableFaults(harness.TableFaults{}) }
--- a/demo/faults/plan.go
+++ b/demo/faults/plan.go
@@ -44,24 +44,25 @@
 type Plan struct {
 	random    *rand.Rand
 	seed      uint64
-	instances int
+	instances []string
 	regions   []string
-	deck      []func(instance int) Step
+	deck      []func(instance target) Step
 	next      int
 	steps     int
 }
 
-// NewPlan returns a plan for instances in regions. Equal seeds give equal steps.
-func NewPlan(seed uint64, instances int, regions []string) *Plan {
+// NewPlan returns a plan for the instances of a cluster, in its order, and its
+// regions. Equal seeds give equal steps.
+func NewPlan(seed uint64, instances, regions []string) *Plan {
 	p := &Plan{random: rand.New(rand.NewPCG(seed, 0)), seed: seed, instances: instances, regions: regions}
-	p.deck = []func(int) Step{
+	p.deck = []func(target) Step{
 		p.kill(PartBoth), p.kill(PartDaemon), p.kill(PartUpstream),
 		p.freeze(PartDaemon), p.freeze(PartUpstream), p.freeze(PartBoth), p.leave,
 		p.table("table outage", harness.TableFaults{Outage: true}),
 		p.table("slow table", harness.TableFaults{DelayMillis: slowMillis}),
 		p.table("lost answers", harness.TableFaults{LoseCommitShare: lostShare, Seed: seed}),
 	}
-	p.deck = append(p.deck, func(int) Step {
+	p.deck = append(p.deck, func(target) Step {
 		region := regions[p.random.IntN(len(regions))]
 		return Step{fault: Cut{link: harness.NewLinkFault(harness.LinkCut, region, harness.TableRegion)}, hold: tableHold}
 	})
@@ -74,16 +75,21 @@
 // Next returns the next step.
 func (p *Plan) Next() Step {
 	p.steps++
-	first := p.random.IntN(p.instances)
-	step := p.deal()(first)
-	if p.steps%pairEvery != 0 || p.instances < 2 {
+	first := p.random.IntN(len(p.instances))
+	step := p.deal()(p.target(first))
+	if p.steps%pairEvery != 0 || len(p.instances) < 2 {
 		return step
 	}
-	second := p.deal()((first + 1 + p.random.IntN(p.instances-1)) % p.instances)
+	other := (first + 1 + p.random.IntN(len(p.instances)-1)) % len(p.instances)
+	second := p.deal()(p.target(other))
 	return Step{fault: Pair{first: step.fault, second: second.fault}, hold: max(step.hold, second.hold)}
 }
 
-func (p *Plan) deal() func(int) Step {
+func (p *Plan) target(number int) target {
+	return target{number: number, name: p.instances[number]}
+}
+
+func (p *Plan) deal() func(target) Step {
 	if p.next == 0 {
 		p.random.Shuffle(len(p.deck), func(i, j int) { p.deck[i], p.deck[j] = p.deck[j], p.deck[i] })
 	}
@@ -92,32 +98,32 @@
 	return dealt
 }
 
-func (p *Plan) kill(part Part) func(int) Step {
-	return func(instance int) Step {
+func (p *Plan) kill(part Part) func(target) Step {
+	return func(instance target) Step {
 		return Step{fault: Kill{instance: instance, part: part}, hold: killHold}
 	}
 }
 
-func (p *Plan) freeze(part Part) func(int) Step {
-	return func(instance int) Step {
+func (p *Plan) freeze(part Part) func(target) Step {
+	return func(instance target) Step {
 		length := shortestFreeze + time.Duration(p.random.Int64N(int64(longestFreeze-shortestFreeze)))
 		length = length.Round(time.Millisecond)
 		return Step{fault: Freeze{instance: instance, part: part, length: length}, hold: length}
 	}
 }
 
-func (p *Plan) leave(instance int) Step {
+func (p *Plan) leave(instance target) Step {
 	return Step{fault: Leave{instance: instance, stopped: new(time.Duration)}, hold: leaveHold}
 }
 
-func (p *Plan) table(name string, faults harness.TableFaults) func(int) Step {
-	return func(int) Step {
+func (p *Plan) table(name string, faults harness.TableFaults) func(target) Step {
+	return func(target) Step {
 		return Step{fault: Table{name: name, faults: faults}, hold: tableHold}
 	}
 }
 
-func (p *Plan) cut(kind harness.LinkKind) func(int) Step {
-	return func(int) Step {
+func (p *Plan) cut(kind harness.LinkKind) func(target) Step {
+	return func(target) Step {
 		from := p.random.IntN(len(p.regions))
 		to := (from + 1 + p.random.IntN(len(p.regions)-1)) % len(p.regions)
 		return Step{fault: Cut{link: harness.NewLinkFault(kind, p.regions[from], p.regions[to])}, hold: linkHold}
--- a/demo/faults/plan_test.go
+++ b/demo/faults/plan_test.go
@@ -14,7 +14,8 @@
 func TestPlan(t *testing.T) {
 	is := is.New(t)
 	regions := []string{"lagos", "kano", "enugu"}
-	first, second := faults.NewPlan(7, 6, regions), faults.NewPlan(7, 6, regions)
+	instances := []string{"a", "b", "c"}
+	first, second := faults.NewPlan(7, instances, regions), faults.NewPlan(7, instances, regions)
 	kinds := make(map[string]bool)
 	pairs := 0
 	for range 100 {
--- a/demo/harness/cluster.go
+++ b/demo/harness/cluster.go
@@ -170,6 +170,15 @@
 	Seed            uint64  `json:"seed"`
 }
 
+// Names returns the names of all instances.
+func (c *Cluster) Names() []string {
+	names := make([]string, 0, len(c.instances))
+	for _, i := range c.instances {
+		names = append(names, i.name)
+	}
+	return names
+}
+
 // Links returns the relays, nil if there are none.
 func (c *Cluster) Links() *Links { return c.links }
 
