Pace sends by the kernel's timers

Cause: bwload's median was that of the runtime's timers.

Ruled out: sending at once and dropping the intended time, which hides stalls; busy waiting, which takes a core from the measured processes.

Upstreams write no acceptance files in a benchmark, since these are part of the test.

--- a/demo/commands.go
+++ b/demo/commands.go
@@ -59,7 +59,7 @@
 func (o *options) with(programs harness.Programs, instances []harness.ServiceCount, shards int, run func(*harness.Cluster) error) error {
 	cluster, err := harness.NewCluster(harness.Options{
 		Programs: programs, Folder: o.folder, Root: o.root, Regions: regionNames()[:o.regions], LogLevel: o.logLevel,
-		Instances: instances, Shards: shards, Linked: o.linked,
+		Instances: instances, Shards: shards, Linked: o.linked, Unrecorded: o.unrecorded,
 	})
 	if err != nil {
 		return err
@@ -145,6 +145,8 @@
 // benchJob compares the paths to one upstream.
 func (o *options) benchJob(ctx context.Context, programs harness.Programs) error {
 	o.regions = 1
+	// The records of a test would add to the cost of the upstream.
+	o.unrecorded = true
 	instances := []harness.ServiceCount{{Service: harness.Bookings(benchOrderTime), Count: benchInstances}}
 	return o.with(programs, instances, 0, func(cluster *harness.Cluster) error {
 		if err := mainjob.Start(ctx, cluster, os.Stdout); err != nil {
--- a/demo/harness/cluster.go
+++ b/demo/harness/cluster.go
@@ -35,6 +35,8 @@
 	Regions []string
 	// Instances gives the number of instances of each service.
 	Instances []ServiceCount
+	// Unrecorded keeps upstreams from writing acceptance files.
+	Unrecorded bool
 	// Linked puts a relay before the peer address of each daemon.
 	Linked   bool
 	LogLevel string
--- a/demo/harness/instance.go
+++ b/demo/harness/instance.go
@@ -108,14 +108,17 @@
 // own.
 func (i *Instance) StartUpstream() error {
 	c := i.cluster
-	acceptances := c.group.File(fmt.Sprintf("%s-%d.acceptances", i.name, i.starts.Add(1)))
 	arguments := []string{
 		"upstream",
 		"--address", i.addresses.Upstream, "--daemon", "http://" + i.addresses.Local, "--service", i.service.Name,
 		"--slots", strconv.Itoa(i.service.Slots), "--connections", strconv.Itoa(i.service.Connections),
-		"--fencing", i.service.Fencing, "--name", i.name, "--acceptance-log", acceptances,
+		"--fencing", i.service.Fencing, "--name", i.name,
 		"--service-time", i.service.Time.String(),
 	}
+	if !c.options.Unrecorded {
+		path := c.group.File(fmt.Sprintf("%s-%d.acceptances", i.name, i.starts.Add(1)))
+		arguments = append(arguments, "--acceptance-log", path)
+	}
 	if i.service.Unkeyed {
 		arguments = append(arguments, "--unkeyed")
 	}
--- a/demo/main.go
+++ b/demo/main.go
@@ -34,11 +34,13 @@
 	upstreams int
 	logLevel  string
 	linked    bool
-	seed      uint64
-	minutes   float64
-	rate      float64
-	rounds    int
-	length    time.Duration
+	// unrecorded keeps upstreams from writing acceptance files.
+	unrecorded bool
+	seed       uint64
+	minutes    float64
+	rate       float64
+	rounds     int
+	length     time.Duration
 }
 
 // job is a subcommand.
--- a/load/bench/bench.go
+++ b/load/bench/bench.go
@@ -179,7 +179,7 @@
 	start := time.Now()
 	for i := 0; i < total && ctx.Err() == nil; i++ {
 		intended := start.Add(time.Duration(float64(i) / settings.Rate * float64(time.Second)))
-		time.Sleep(time.Until(intended))
+		runner.WaitUntil(intended)
 		key := keys[i%len(keys)]
 		group.Go(func() {
 			if !p.call(settings, key) {
--- a/load/runner/runner.go
+++ b/load/runner/runner.go
@@ -97,7 +97,7 @@
 	start := time.Now()
 	for i := 0; i < total && ctx.Err() == nil; i++ {
 		intended := start.Add(time.Duration(i) * interval)
-		time.Sleep(time.Until(intended))
+		WaitUntil(intended)
 		request := drawer.Next(intended.Sub(start))
 		group.Go(func() { r.send(request, intended) })
 	}
