Edit the configuration during fault runs and check acceptance

The main job trusted the answers' headers.

Ruled out: taking refusals under an older version as violations, since a daemon without a lease may refuse under what it knows.

The main job compares the answers with the acceptances of the upstreams.

Conclusion: unit tests, vet and lint pass.

--- a/core/audit/audit.go
+++ b/core/audit/audit.go
@@ -28,6 +28,12 @@
 	effects     map[keyName]map[string]bool
 	hotKeys     map[keyName]bool
 	lenient     map[string]bool
+	accepted    []acceptedVersion
+}
+
+type acceptedVersion struct {
+	version    uint64
+	unixMicros int64
 }
 
 type keyName struct{ service, key string }
@@ -76,6 +82,12 @@
 	h.lenient[service] = true
 }
 
+// Accepted adds the time at which an operator saw a configuration version as
+// accepted. From then on no request may be done under an older one.
+func (h *History) Accepted(version uint64, unixMicros int64) {
+	h.accepted = append(h.accepted, acceptedVersion{version: version, unixMicros: unixMicros})
+}
+
 // Check returns all findings, those on ownership first.
 func (h *History) Check() []Finding {
 	runs := h.runsByID()
@@ -85,6 +97,7 @@
 	findings = append(findings, h.checkDone(runs)...)
 	findings = append(findings, h.checkBodies()...)
 	findings = append(findings, h.checkVersions()...)
+	findings = append(findings, h.checkAccepted()...)
 	return findings
 }
 
@@ -214,3 +227,21 @@
 	}
 	return findings
 }
+
+// checkAccepted takes only done answers, since a daemon without a lease may
+// refuse requests under an older version.
+func (h *History) checkAccepted() []Finding {
+	var findings []Finding
+	for _, c := range h.calls {
+		if c.Outcome != "done" || c.ConfigVersion == 0 {
+			continue
+		}
+		for _, a := range h.accepted {
+			if c.SentUnixMicros >= a.unixMicros && c.ConfigVersion < a.version {
+				findings = append(findings, AcceptedNotInForce{call: c, version: a.version})
+				break
+			}
+		}
+	}
+	return findings
+}
--- a/core/audit/audit_test.go
+++ b/core/audit/audit_test.go
@@ -86,6 +86,11 @@
 			h.Call(with(call("x", "unknown", 1, 2), func(c *record.Call) { c.ConfigVersion = 9 }),
 				with(call("y", "unknown", 3, 4), func(c *record.Call) { c.ConfigVersion = 8 }))
 		},
+		"acceptedNotInForce": func(h *audit.History) {
+			h.Accepted(3, 4)
+			h.Accept(order("a", 1, "x", "POST", 10, 20))
+			h.Call(with(call("x", "done", 5, 25), func(c *record.Call) { c.ConfigVersion = 2 }))
+		},
 		"lostEffect": func(h *audit.History) {
 			h.Accept(order("a", 1, "x", "POST", 10, 20))
 			h.Call(call("x", "done", 5, 25))
@@ -131,6 +136,11 @@
 		late.Organisation, late.Service = "o", "s"
 		h.Accept(late)
 	}
+	h.Accepted(9, 101) // one answer was sent before, the other was not done
+	before, refused := call("repeat", "done", 100, 120), call("refused", "not-run", 130, 140)
+	before.ConfigVersion, refused.ConfigVersion = 8, 8
+	before.Daemon, refused.Daemon = "e", "f"
+	h.Call(before, refused)
 	older, newer := call("v1", "unknown", 1, 10), call("v2", "unknown", 2, 9)
 	older.ConfigVersion, newer.ConfigVersion = 1, 2
 	h.Call(older, newer)
--- a/core/audit/finding.go
+++ b/core/audit/finding.go
@@ -8,7 +8,7 @@
 
 // Finding is a violation of an invariant: one of TwoOwners, EpochBack,
 // DuplicateRun, NotRunRan, DoneNeverRan, ForeignAnswer, TruncatedAsComplete,
-// ConfigurationBack and LostEffect.
+// ConfigurationBack, AcceptedNotInForce and LostEffect.
 type Finding interface {
 	isFinding()
 	// Kind returns the finding's name in reports, in camelCase.
@@ -46,6 +46,13 @@
 // version than before.
 type ConfigurationBack struct{ before, after record.Call }
 
+// AcceptedNotInForce reports a request that was done under an older version than
+// one that was accepted before it was sent.
+type AcceptedNotInForce struct {
+	call    record.Call
+	version uint64
+}
+
 // LostEffect reports a request that was answered as done, and whose effect is
 // absent from its key at the end.
 type LostEffect struct{ call record.Call }
@@ -58,6 +65,7 @@
 func (ForeignAnswer) isFinding()       {}
 func (TruncatedAsComplete) isFinding() {}
 func (ConfigurationBack) isFinding()   {}
+func (AcceptedNotInForce) isFinding()  {}
 func (LostEffect) isFinding()          {}
 
 // Kind returns "twoOwners".
@@ -84,6 +92,9 @@
 // Kind returns "configurationBack".
 func (ConfigurationBack) Kind() string { return "configurationBack" }
 
+// Kind returns "acceptedNotInForce".
+func (AcceptedNotInForce) Kind() string { return "acceptedNotInForce" }
+
 // Kind returns "lostEffect".
 func (LostEffect) Kind() string { return "lostEffect" }
 
@@ -118,6 +129,10 @@
 	return fmt.Sprintf("configuration version went from %d back to %d: %s", f.before.ConfigVersion, f.after.ConfigVersion, callText(f.after))
 }
 
+func (f AcceptedNotInForce) String() string {
+	return fmt.Sprintf("done under configuration version %d after the acceptance of %d: %s", f.call.ConfigVersion, f.version, callText(f.call))
+}
+
 func (f LostEffect) String() string {
 	return "answered done, but its effect is lost: " + callText(f.call)
 }
--- a/demo/commands.go
+++ b/demo/commands.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"briarwell.dev/core/audit"
+	"briarwell.dev/core/measure"
 	"briarwell.dev/demo/assess"
 	"briarwell.dev/demo/faults"
 	"briarwell.dev/demo/harness"
@@ -98,16 +99,30 @@
 		if err != nil {
 			return err
 		}
-		watch := cluster.StartWatch(ctx)
+		watch, operators := cluster.StartWatch(ctx), cluster.StartOperators(ctx)
 		time.Sleep(warmUp)
 		events, err := run(cluster)
-		return errors.Join(err, o.assess(cluster, load, watch, events))
+		var history audit.History
+		reportOperators(&history, operators)
+		return errors.Join(err, o.assess(cluster, &history, load, watch, events))
 	})
 }
 
+// reportOperators stops the operators and prints how long their edits took.
+func reportOperators(history *audit.History, operators *harness.Operators) {
+	accepted, tried := operators.Stop()
+	millis := make([]float64, 0, len(accepted))
+	for _, a := range accepted {
+		history.Accepted(a.Version(), a.UnixMicros())
+		millis = append(millis, float64(a.Took().Milliseconds()))
+	}
+	d := measure.NewDistribution(millis)
+	fmt.Printf("configuration: %d of %d edits accepted, after p50 %.0f ms, max %.0f ms\n", len(accepted), tried, d.Quantile(0.5), d.Max())
+}
+
 // assess stops the load, audits the records and prints the report. A finding
 // or a missed target is an error.
-func (o *options) assess(cluster *harness.Cluster, load *harness.Load, watch *harness.Watch, events []assess.Event) error {
+func (o *options) assess(cluster *harness.Cluster, history *audit.History, load *harness.Load, watch *harness.Watch, events []assess.Event) error {
 	calls, err := load.Stop()
 	if err != nil {
 		return err
@@ -122,12 +137,11 @@
 	if err != nil {
 		return err
 	}
-	var history audit.History
 	history.Lenient(harness.SignOff(0).Name)
 	for _, h := range hotKeys {
 		history.HotKey(h.Service(), h.Key())
 	}
-	report := assess.Run(&history, acceptances, append(calls, watch.Stop()...), events)
+	report := assess.Run(history, acceptances, append(calls, watch.Stop()...), events)
 	if err := report.Print(os.Stdout); err != nil {
 		return err
 	}
--- a/demo/harness/cluster.go
+++ b/demo/harness/cluster.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 
@@ -153,17 +150,6 @@
 	return c.links.start(ctx)
 }
 
-// Control runs the operator's command line and returns its output.
-func (c *Cluster) Control(ctx context.Context, arguments ...string) (string, error) {
-	arguments = append(arguments, "--table", c.TableURL(), "--objects", c.objectURL())
-	command := exec.CommandContext(ctx, c.options.Programs.Control(), arguments...)
-	text, err := command.CombinedOutput()
-	if err != nil {
-		return string(text), fmt.Errorf("%s: %w\n%s", command, err, text)
-	}
-	return string(text), nil
-}
-
 // TableFaults are the settings of POST /admin/faults of the table stand-in.
 type TableFaults struct {
 	Outage          bool    `json:"outage"`
@@ -191,48 +177,23 @@
 
 // Apply stores the example configuration as its first version, with the number
 // of shards of the options.
-func (c *Cluster) Apply(ctx context.Context) (string, error) {
+func (c *Cluster) Apply(ctx context.Context) error {
 	files := []string{"apply", c.example("lending-service"), c.example("onboarding")}
-	for name, parameter := range map[string]string{"lagos": "bookingShards", "primeiro-dia": "signOffShards"} {
-		path, err := c.organisation(name, parameter)
+	for name, parameter := range organisations() {
+		path, err := c.organisation(name, parameter, nil)
 		if err != nil {
-			return "", err
+			return err
 		}
 		files = append(files, path)
 	}
-	return c.Control(ctx, append(files, "--expect", "0", "--author", "bwdemo")...)
+	_, err := c.control(ctx, append(files, "--expect", "0", "--author", "bwdemo")...)
+	return err
 }
 
 func (c *Cluster) example(name string) string {
 	return filepath.Join(c.options.Root, "examples", name+".json")
 }
 
-// organisation returns the path of an organisation's file whose keyed service
-// has the number of shards of the options.
-func (c *Cluster) organisation(name, parameter string) (string, error) {
-	if c.options.Shards == 0 {
-		return c.example(name), nil
-	}
-	text, err := os.ReadFile(c.example(name))
-	if err != nil {
-		return "", err
-	}
-	var body struct {
-		Name       string         `json:"name"`
-		Kind       string         `json:"kind"`
-		Parameters map[string]any `json:"parameters"`
-	}
-	if err := json.Unmarshal(text, &body); err != nil {
-		return "", err
-	}
-	body.Parameters[parameter] = c.options.Shards
-	if text, err = json.Marshal(body); err != nil {
-		return "", err
-	}
-	path := c.group.File(name + ".organisation.json")
-	return path, os.WriteFile(path, text, 0o644)
-}
-
 // StartInstances starts all instances and waits until they are ready.
 func (c *Cluster) StartInstances(ctx context.Context) error {
 	for _, i := range c.instances {
--- a/demo/mainjob/mainjob.go
+++ b/demo/mainjob/mainjob.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"text/tabwriter"
 	"time"
 
@@ -70,7 +71,7 @@
 	if err := cluster.StartPlatform(ctx); err != nil {
 		return err
 	}
-	if _, err := cluster.Apply(ctx); err != nil {
+	if err := cluster.Apply(ctx); err != nil {
 		return err
 	}
 	if err := cluster.StartInstances(ctx); err != nil {
@@ -99,7 +100,7 @@
 	for {
 		answers, problems := pass(cluster, service)
 		if len(problems) == 0 {
-			return printOwners(out, cluster, service, answers)
+			return confirm(out, cluster, service, answers)
 		}
 		if time.Now().After(deadline) {
 			return &MismatchError{problems: problems}
@@ -147,6 +148,35 @@
 	}
 }
 
+// confirm compares the answers with what the upstreams themselves recorded: in
+// the epoch of the answers, only the upstream that they name ran orders.
+func confirm(out io.Writer, cluster *harness.Cluster, service string, answers [][]answer) error {
+	acceptances, err := cluster.Acceptances()
+	if err != nil {
+		return err
+	}
+	var problems []string
+	for n, a := range answers {
+		ran := 0
+		for _, accepted := range acceptances {
+			if accepted.ServiceName() != service || accepted.Key != keyName(n) || strconv.FormatUint(accepted.Epoch, 10) != a[0].epoch {
+				continue
+			}
+			ran++
+			if accepted.Upstream != a[0].servedBy {
+				problems = append(problems, fmt.Sprintf("key %s of %s ran at %s, answered by %s", keyName(n), service, accepted.Upstream, a[0].servedBy))
+			}
+		}
+		if ran < len(a) {
+			problems = append(problems, fmt.Sprintf("key %s of %s ran %d times for %d answers", keyName(n), service, ran, len(a)))
+		}
+	}
+	if len(problems) > 0 {
+		return &MismatchError{problems: problems}
+	}
+	return printOwners(out, cluster, service, answers)
+}
+
 func printOwners(out io.Writer, cluster *harness.Cluster, service string, answers [][]answer) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "service\tkey\tserved by\tepoch\tdaemons that agree")
