--- a/core/peer/grpcpeer/grpcpeer_test.go
+++ b/core/peer/grpcpeer/grpcpeer_test.go
@@ -129,18 +129,25 @@
 
 func (failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
+// waiting is an empty reader that ends when its event does: a stream that is
+// cancelled earlier may never reach the handler.
+type waiting struct{ event <-chan struct{} }
+
+func (w waiting) Read([]byte) (int, error) { <-w.event; return 0, io.EOF }
+
 // TestBrokenRequestBody guards against half a request that the owner takes for
 // a whole one.
 func TestBrokenRequestBody(t *testing.T) {
 	is := is.New(t)
-	bodies := make(chan error, 1)
+	bodies, started := make(chan error, 1), make(chan struct{})
 	address := serve(t, func(_ context.Context, request *router.Request) *router.Response {
+		close(started)
 		_, err := io.Copy(io.Discard, request.Body)
 		bodies <- err
 		return done(nil)
 	}, nil)
 	pool := newPool(t, grpcpeer.PoolSettings{})
-	_, err := pool.Forward(t.Context(), address, newRequest(io.MultiReader(strings.NewReader("half"), failing{})))
+	_, err := pool.Forward(t.Context(), address, newRequest(io.MultiReader(strings.NewReader("half"), waiting{started}, failing{})))
 	is.True(err != nil)
 	is.True(<-bodies != nil)
 }
@@ -160,6 +167,49 @@
 	is.Equal(failed.Outcome(), outcome.Outcome(outcome.NewNotRun(outcome.ReasonUnreachable)))
 }
 
+// TestConnectionsBindToLocalIP guards against traffic from an address other
+// than the daemon's own.
+func TestConnectionsBindToLocalIP(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	pool := newPool(t, grpcpeer.PoolSettings{LocalIP: "127.0.3.7"})
+	pool.Send(listener.Addr().String(), &peerpb.Envelope{})
+	accepted, err := listener.Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	is.Equal(accepted.RemoteAddr().(*net.TCPAddr).IP.String(), "127.0.3.7")
+}
+
+// TestLostOwnerIsUnknown guards against a not-run for an order that was sent to
+// a daemon which then died.
+func TestLostOwnerIsUnknown(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := grpcpeer.NewServer(grpcpeer.ServerSettings{Clock: system.Clock{}, Handler: handlerFunc(func(context.Context, *router.Request) *router.Response {
+		close(started)
+		<-release
+		return done(nil)
+	})})
+	var group conc.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) })
+	group.Go(func() {
+		<-started
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		group.Go(func() { time.Sleep(100 * time.Millisecond); close(release) })
+		server.Stop(ended)
+	})
+	_, err = newPool(t, grpcpeer.PoolSettings{}).Forward(t.Context(), listener.Addr().String(), newRequest(nil))
+	var failed *router.ForwardError
+	is.True(errors.As(err, &failed))
+	is.Equal(failed.Outcome(), outcome.Outcome(outcome.NewUnknown(outcome.ReasonConnectionLost)))
+	group.Wait()
+}
+
 // TestControlKeepsOrder guards against control messages that are reordered or
 // lost on a healthy connection.
 func TestControlKeepsOrder(t *testing.T) {
--- a/standin/upstreamserver/stream.go
+++ b/standin/upstreamserver/stream.go
@@ -23,17 +23,28 @@
 	SHA256 string `json:"sha256"`
 }
 
+// patternPeriod is after how many bytes a Pattern repeats.
+const patternPeriod = 251 * 256
+
 // Pattern is an endless stream whose byte at offset i is byte(i*31 + i/251),
 // so that a shifted or repeated part shows. The zero value is at offset 0.
 type Pattern struct {
 	offset int64
+	block  []byte
 }
 
 // Read fills p.
 func (p *Pattern) Read(into []byte) (int, error) {
-	for i := range into {
-		into[i] = byte(p.offset*31 + p.offset/251)
-		p.offset++
+	if p.block == nil {
+		p.block = make([]byte, patternPeriod)
+		for i := range p.block {
+			p.block[i] = byte(i*31 + i/251)
+		}
+	}
+	for filled := 0; filled < len(into); {
+		copied := copy(into[filled:], p.block[p.offset%patternPeriod:])
+		filled += copied
+		p.offset += int64(copied)
 	}
 	return len(into), nil
 }
@@ -86,24 +97,20 @@
 	return nil
 }
 
-// receiveBody reads the body as a stream and answers its length and digest.
-func (s *Server) receiveBody(ctx *fasthttp.RequestCtx, accepted *order) bool {
+// receiveBody reads the request body as a stream. It returns false if the body
+// ended early.
+func receiveBody(ctx *fasthttp.RequestCtx) (Received, bool) {
 	digest := sha256.New()
-	var length int64
+	var received Received
 	if body := ctx.RequestBodyStream(); body != nil {
 		copied, err := io.Copy(digest, body)
 		declared := int64(ctx.Request.Header.ContentLength())
 		if err != nil || (declared >= 0 && copied != declared) {
 			abandon(ctx)
-			return false
+			return Received{}, false
 		}
-		length = copied
+		received.Bytes = copied
 	}
-	if !s.work(ctx, accepted) {
-		return false
-	}
-	s.append(accepted.line.Key, accepted.line.RequestID)
-	server.Respond(ctx, fasthttp.StatusOK, Received{Bytes: length, SHA256: hex.EncodeToString(digest.Sum(nil))})
-	s.finish(accepted, true)
-	return true
+	received.SHA256 = hex.EncodeToString(digest.Sum(nil))
+	return received, true
 }
