--- a/demo/commands.go
+++ b/demo/commands.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"briarwell.dev/core/audit"
+	"briarwell.dev/core/measure"
 	"briarwell.dev/demo/assess"
 	"briarwell.dev/demo/faults"
 	"briarwell.dev/demo/harness"
@@ -26,7 +27,7 @@
 	// faultLoad is the workload of the fault tests.
 	faultLoad = "faults"
 	// faultRate is the usual rate in fault tests.
-	faultRate = 300
+	faultRate = 400
 	// outageLength is the usual length of a table outage.
 	outageLength = 5 * time.Minute
 	// benchRate is the rate of one daemon at the target scale.
@@ -59,7 +60,7 @@
 func (o *options) with(programs harness.Programs, instances []harness.ServiceCount, shards int, run func(*harness.Cluster) error) error {
 	cluster, err := harness.NewCluster(harness.Options{
 		Programs: programs, Folder: o.folder, Root: o.root, Regions: regionNames()[:o.regions], LogLevel: o.logLevel,
-		Instances: instances, Shards: shards, Linked: o.linked,
+		Instances: instances, Shards: shards, Linked: o.linked, Unrecorded: o.unrecorded,
 	})
 	if err != nil {
 		return err
@@ -72,7 +73,7 @@
 	o.linked = true
 	return o.underLoad(ctx, programs, func(cluster *harness.Cluster) ([]assess.Event, error) {
 		length := time.Duration(o.minutes * float64(time.Minute))
-		plan := faults.NewPlan(o.seed, len(cluster.Instances()), regionNames()[:o.regions])
+		plan := faults.NewPlan(o.seed, cluster.Names(), regionNames()[:o.regions])
 		return faults.Run(ctx, cluster, plan, length, os.Stdout)
 	})
 }
@@ -98,16 +99,30 @@
 		if err != nil {
 			return err
 		}
-		watch := cluster.StartWatch(ctx)
+		watch, operators := cluster.StartWatch(ctx), cluster.StartOperators(ctx)
 		time.Sleep(warmUp)
 		events, err := run(cluster)
-		return errors.Join(err, o.assess(cluster, load, watch, events))
+		var history audit.History
+		reportOperators(&history, operators)
+		return errors.Join(err, o.assess(cluster, &history, load, watch, events))
 	})
 }
 
+// reportOperators stops the operators and prints how long their edits took.
+func reportOperators(history *audit.History, operators *harness.Operators) {
+	accepted, tried := operators.Stop()
+	millis := make([]float64, 0, len(accepted))
+	for _, a := range accepted {
+		history.Accepted(a.Version(), a.UnixMicros())
+		millis = append(millis, float64(a.Took().Milliseconds()))
+	}
+	d := measure.NewDistribution(millis)
+	fmt.Printf("configuration: %d of %d edits accepted, after p50 %.0f ms, max %.0f ms\n", len(accepted), tried, d.Quantile(0.5), d.Max())
+}
+
 // assess stops the load, audits the records and prints the report. A finding
 // or a missed target is an error.
-func (o *options) assess(cluster *harness.Cluster, load *harness.Load, watch *harness.Watch, events []assess.Event) error {
+func (o *options) assess(cluster *harness.Cluster, history *audit.History, load *harness.Load, watch *harness.Watch, events []assess.Event) error {
 	calls, err := load.Stop()
 	if err != nil {
 		return err
@@ -122,12 +137,11 @@
 	if err != nil {
 		return err
 	}
-	var history audit.History
 	history.Lenient(harness.SignOff(0).Name)
 	for _, h := range hotKeys {
 		history.HotKey(h.Service(), h.Key())
 	}
-	report := assess.Run(&history, acceptances, append(calls, watch.Stop()...), events)
+	report := assess.Run(history, acceptances, append(calls, watch.Stop()...), events)
 	if err := report.Print(os.Stdout); err != nil {
 		return err
 	}
@@ -145,6 +159,8 @@
 // benchJob compares the paths to one upstream.
 func (o *options) benchJob(ctx context.Context, programs harness.Programs) error {
 	o.regions = 1
+	// The records of a test would add to the cost of the upstream.
+	o.unrecorded = true
 	instances := []harness.ServiceCount{{Service: harness.Bookings(benchOrderTime), Count: benchInstances}}
 	return o.with(programs, instances, 0, func(cluster *harness.Cluster) error {
 		if err := mainjob.Start(ctx, cluster, os.Stdout); err != nil {
--- a/demo/main.go
+++ b/demo/main.go
@@ -34,11 +34,13 @@
 	upstreams int
 	logLevel  string
 	linked    bool
-	seed      uint64
-	minutes   float64
-	rate      float64
-	rounds    int
-	length    time.Duration
+	// unrecorded keeps upstreams from writing acceptance files.
+	unrecorded bool
+	seed       uint64
+	minutes    float64
+	rate       float64
+	rounds     int
+	length     time.Duration
 }
 
 // job is a subcommand.
@@ -106,7 +108,7 @@
 	bench.Int(&o.rounds, "", "rounds", "number of rounds")
 
 	for _, c := range []*flaggy.Subcommand{faults, outage, bench} {
-		c.Float64(&o.rate, "", "rate", "requests a second; 300 for faults and outage and 3500 for bench if 0")
+		c.Float64(&o.rate, "", "rate", "requests a second; 400 for faults and outage and 3500 for bench if 0")
 		c.UInt64(&o.seed, "", "seed", "seed of faults and requests")
 	}
 	return []job{{main, o.mainJob}, {faults, o.faultJob}, {outage, o.outageJob}, {bench, o.benchJob}}
--- a/load/runner/runner.go
+++ b/load/runner/runner.go
@@ -23,7 +23,7 @@
 const (
 	// maxInFlight bounds the requests in flight. At the bound the next request
 	// is sent late; its latency still counts from its intended time.
-	maxInFlight = 8192
+	maxInFlight = 2048
 	// repeatDelay separates the attempts of a request.
 	repeatDelay = 50 * time.Millisecond
 )
@@ -97,7 +97,7 @@
 	start := time.Now()
 	for i := 0; i < total && ctx.Err() == nil; i++ {
 		intended := start.Add(time.Duration(i) * interval)
-		time.Sleep(time.Until(intended))
+		WaitUntil(intended)
 		request := drawer.Next(intended.Sub(start))
 		group.Go(func() { r.send(request, intended) })
 	}
