--- a/core/peer/grpcpeer/server.go
+++ b/core/peer/grpcpeer/server.go
@@ -45,6 +45,9 @@
 	Control func(envelope *peerpb.Envelope)
 	// Status reports the state of the daemon.
 	Status func() *peerpb.StatusResponse
+	// Drain starts a graceful leave of an incarnation. It returns the running
+	// incarnation, its state and whether it accepted.
+	Drain func(incarnation identity.Incarnation) (running identity.Incarnation, state string, accepted bool)
 }
 
 // Server serves peerpb.Peer to the other daemons.
@@ -111,6 +114,12 @@
 	return s.settings.Status(), nil
 }
 
+// Drain starts a graceful leave.
+func (s *service) Drain(_ context.Context, request *peerpb.DrainRequest) (*peerpb.DrainResponse, error) {
+	running, state, accepted := s.settings.Drain(identity.Incarnation(request.GetIncarnation()))
+	return &peerpb.DrainResponse{Incarnation: uint64(running), State: state, Accepted: accepted}, nil
+}
+
 // Control passes the messages of one stream on until it or the server ends.
 func (s *service) Control(stream grpc.ClientStreamingServer[peerpb.Envelope, peerpb.ControlSummary]) error {
 	ended := make(chan error, 1)
--- a/core/router/exchange.go
+++ b/core/router/exchange.go
@@ -202,7 +202,15 @@
 	if x.recorded {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithTimeout(ctx, timeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	if x.backend.Lost == nil {
+		return ctx, cancel
+	}
+	release := context.AfterFunc(x.backend.Lost, cancel)
+	return ctx, func() {
+		release()
+		cancel()
+	}
 }
 
 func sendOutcome(err error) outcome.Outcome {
--- a/core/router/ports.go
+++ b/core/router/ports.go
@@ -145,6 +145,9 @@
 type Backend struct {
 	Upstream upstream.Upstream
 	Gate     *admission.Gate
+	// Lost, if set, is done when the upstream counts as lost. Orders in flight
+	// are then given up, with an unknown outcome.
+	Lost context.Context
 }
 
 // Backends returns the upstream of a service, or false if none is announced.
--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -102,12 +102,14 @@
 		Owner:     a.owner,
 		Clock:     a.clock,
 		Random:    router.NewRandom(seed),
+		Routed:    decisions{log: a.log}.routed,
 	})
 	a.server = grpcpeer.NewServer(grpcpeer.ServerSettings{
 		Clock:   a.clock,
 		Handler: loggedHandler{owner: a.owner, log: a.log},
 		Control: a.loop.Receive,
 		Status:  a.status,
+		Drain:   a.drain,
 	})
 	a.callers = edge.New(edge.Settings{
 		Entry: entry, Views: a.loop, Log: a.log, Scope: a.scope, MaxHeaderBytes: a.settings.MaxHeaderBytes(),
@@ -129,7 +131,7 @@
 			Grants: a.grants, Log: a.log, Scope: a.scope,
 		})
 	})
-	tasks.Go(func() { a.backend.Probe(background) })
+	tasks.Go(func() { a.backend.Probe(background, a.owner) })
 	tasks.Go(func() { a.grants.Run(background, a.loop) })
 	tasks.Go(func() { a.load.run(background, a.loop, a.backend) })
 	tasks.Go(func() { a.gauge(background) })
@@ -224,19 +226,14 @@
 	return binary.LittleEndian.Uint64(seed[:]), nil
 }
 
-// loggedHandler writes one line for each request that another daemon sent.
-type loggedHandler struct {
-	owner *router.Owner
-	log   *log.Logger
-}
-
-// Serve runs a request of another daemon.
-func (h loggedHandler) Serve(ctx context.Context, request *router.Request) *router.Response {
-	response := h.owner.Serve(ctx, request)
-	h.log.Info().Str("service", request.Service.String()).Str("key", request.Key).
-		Uint32("shard", uint32(request.Shard)).Uint64("epoch", uint64(request.Epoch)).Int("attempt", request.Attempt).
-		Str("outcome", response.Outcome.String()).Str("reason", reasonOf(response)).Msg("serveForwarded")
-	return response
+// drain starts a graceful leave if the incarnation is the running one.
+func (a *App) drain(incarnation identity.Incarnation) (identity.Incarnation, string, bool) {
+	running := a.loop.Snapshot().Incarnation()
+	accepted := incarnation == running
+	if accepted {
+		a.Drain()
+	}
+	return running, a.state(), accepted
 }
 
 // status answers an operator's Status call.
--- a/daemon/app/load.go
+++ b/daemon/app/load.go
@@ -101,10 +101,6 @@
 	return nil
 }
 
-func reasonOf(response *router.Response) string {
-	return string(outcome.ReasonOf(response.Outcome))
-}
-
 // gauge exports the state of the daemon as metrics until ctx ends.
 func (a *App) gauge(ctx context.Context) {
 	ticker := time.NewTicker(loadInterval)
--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -26,12 +26,11 @@
 const (
 	// probeInterval is the time between two reads of the upstream's load report.
 	probeInterval = 250 * time.Millisecond
-	// silenceLimit is how long an upstream may leave a probe unanswered before
-	// the daemon hands over its shards.
-	silenceLimit = 1000 * time.Millisecond
-	// refusedLimit is how many probes in a row may fail at once, as when the
-	// upstream restarts, before it counts as down.
-	refusedLimit = 2
+	// probeTimeout bounds one read.
+	probeTimeout = 400 * time.Millisecond
+	// silenceLimit is how long in milliseconds an upstream may show no progress
+	// on any order or probe before the daemon hands over its shards.
+	silenceLimit clock.Millis = 1000
 )
 
 // Events takes events for the node.
@@ -57,13 +56,28 @@
 	current  *attached
 	announce announce.Announcement
 	up       bool
+	// suspect tells that a grant or probe is unanswered. No grants are sent
+	// then, so that the last one of a frozen upstream ends soon.
+	suspect bool
+	// grantEnd is the end of the last grant that was sent, answered or not.
+	grantEnd clock.Millis
 }
 
 // attached is an announced upstream.
 type attached struct {
 	service identity.Service
-	client  *httpupstream.Upstream
+	fencing upstream.Fencing
+	client  *progress
 	gate    *admission.Gate
+	// lost is done, by lose, while the upstream counts as down.
+	lost context.Context
+	lose context.CancelFunc
+}
+
+// Orders is told when the upstream can't act on orders any more; router.Owner
+// implements it.
+type Orders interface {
+	UpstreamGone(service identity.Service)
 }
 
 // New returns the holder of an upstream whose connections bind to localIP.
@@ -73,11 +87,12 @@
 
 // Backend returns the upstream of a service, or false if none is announced.
 func (u *Upstream) Backend(service identity.Service) (router.Backend, bool) {
-	current := u.attached()
-	if current == nil || current.service != service {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.current == nil || u.current.service != service {
 		return router.Backend{}, false
 	}
-	return router.Backend{Upstream: current.client, Gate: current.gate}, true
+	return router.Backend{Upstream: u.current.client, Gate: u.current.gate, Lost: u.current.lost}, true
 }
 
 // InFlight returns the orders in flight and the requests that wait.
@@ -146,7 +161,7 @@
 	}
 	if u.current != nil && u.announce == next {
 		if !u.up {
-			u.current.gate.Announce(settings)
+			u.current.gate.Restarted()
 		}
 		return nil
 	}
@@ -157,7 +172,13 @@
 	if u.current != nil {
 		u.current.client.Close()
 	}
-	u.current = &attached{service: service, client: client, gate: admission.NewGate(u.clock, settings)}
+	u.current = &attached{
+		service: service,
+		fencing: next.Fencing,
+		client:  newProgress(client, u.clock),
+		gate:    admission.NewGate(u.clock, settings),
+	}
+	u.current.lost, u.current.lose = context.WithCancel(context.Background())
 	u.announce = next
 	u.log.Info().Str("service", service.String()).Str("address", next.Address).Int("slots", next.Slots).
 		Str("fencing", string(next.Fencing)).Msg("upstreamAnnounced")
@@ -165,57 +186,75 @@
 }
 
 // Probe reads the upstream's load report until ctx ends, and tells the node
-// when the upstream goes down or comes back.
-func (u *Upstream) Probe(ctx context.Context) {
+// when the upstream goes down or comes back, and orders when the last grant of
+// an upstream that is down has expired.
+func (u *Upstream) Probe(ctx context.Context, orders Orders) {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
-	failures := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		current := u.attached()
-		if current == nil {
-			continue
+		if current := u.attached(); current != nil {
+			u.probe(ctx, current)
+			u.settle(current, orders)
 		}
-		failures = u.probe(ctx, current, failures)
 	}
 }
 
-// probe reads one report and returns the number of failures in a row.
-func (u *Upstream) probe(ctx context.Context, current *attached, failures int) int {
-	probeContext, cancel := context.WithTimeout(ctx, silenceLimit)
+// probe reads one report. An answer of any kind shows that the upstream is
+// alive; the report itself may lag or mislead.
+func (u *Upstream) probe(ctx context.Context, current *attached) {
+	probeContext, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	load, err := current.client.Load(probeContext)
+	var failed *httpupstream.ControlError
+	answered := err == nil || errors.As(err, &failed) && failed.Status() != 0
 	if err == nil {
 		current.gate.Report(load)
+	}
+	if answered {
+		current.client.touch()
 		u.markUp()
-		return 0
+		return
 	}
 	if ctx.Err() != nil {
-		return failures
+		return
 	}
-	failures++
-	silent := errors.Is(probeContext.Err(), context.DeadlineExceeded)
-	if silent || failures >= refusedLimit {
+	u.setSuspect(true)
+	if u.clock.Now()-current.client.last() >= silenceLimit {
 		u.markDown(err)
 	}
-	return failures
+}
+
+// settle tells orders that an upstream which checks grants can't act any more.
+func (u *Upstream) settle(current *attached, orders Orders) {
+	u.mutex.Lock()
+	gone := !u.up && u.current == current && u.clock.Now() > u.grantEnd
+	u.mutex.Unlock()
+	if gone && current.fencing == upstream.FencingEpoch {
+		orders.UpstreamGone(current.service)
+	}
 }
 
 func (u *Upstream) markUp() {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
+	u.suspect = false
 	if u.up {
 		return
 	}
 	u.up = true
+	if u.current.lost.Err() != nil {
+		u.current.lost, u.current.lose = context.WithCancel(context.Background())
+	}
 	u.events.Post(node.UpstreamUp{})
 	u.log.Info().Msg("upstreamUp")
 }
 
+// markDown gives up the orders in flight and lets the node hand over.
 func (u *Upstream) markDown(cause error) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
@@ -223,15 +262,27 @@
 		return
 	}
 	u.up = false
+	u.current.lose()
 	u.events.Post(node.UpstreamDown{})
 	u.log.Warn().Err(cause).Msg("upstreamDown")
 }
 
-// isUp tells whether the upstream answered its last probe.
-func (u *Upstream) isUp() bool {
+func (u *Upstream) setSuspect(suspect bool) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	return u.up
+	u.suspect = suspect
+}
+
+// startGrant notes the end of a grant that is about to be sent. It returns
+// false if none may be sent now.
+func (u *Upstream) startGrant(end clock.Millis) (*attached, bool) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.current == nil || !u.up || u.suspect {
+		return nil, false
+	}
+	u.grantEnd = max(u.grantEnd, end)
+	return u.current, true
 }
 
 // weaker tells whether an upstream checks less than required.
--- a/daemon/backend/grants.go
+++ b/daemon/backend/grants.go
@@ -13,7 +13,7 @@
 
 const (
 	// grantTimeout bounds one message to the upstream.
-	grantTimeout = 500 * time.Millisecond
+	grantTimeout = 300 * time.Millisecond
 	// grantRetry is the pause after a message that failed.
 	grantRetry = 50 * time.Millisecond
 )
@@ -81,18 +81,18 @@
 }
 
 // send passes the units to the upstream, and tells whether it took them. An
-// upstream that is down gets none, so that its grants end with the lease.
+// upstream that is down or silent gets none, so that its grants end.
 func (g *Grants) send(ctx context.Context, next update) bool {
-	current := g.upstream.attached()
-	if current == nil || !g.upstream.isUp() {
-		return len(next.units) == 0
-	}
 	// The wall clock is read first: a pause between the two reads then shortens
 	// the grant and never extends it past the lease.
 	unixMillis := system.UnixMillis()
 	remaining := next.leaseEnd - g.clock.Now()
 	if remaining <= 0 {
-		return true
+		return len(next.units) == 0
+	}
+	current, ok := g.upstream.startGrant(next.leaseEnd)
+	if !ok {
+		return len(next.units) == 0
 	}
 	sendContext, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
@@ -101,6 +101,9 @@
 		Shards:            grantedShards(current.service, next.units),
 		ExpiresUnixMillis: unixMillis + int64(remaining),
 	})
+	if err != nil {
+		g.upstream.setSuspect(true)
+	}
 	return err == nil
 }
 
--- a/daemon/control/actions.go
+++ b/daemon/control/actions.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"reflect"
-	"strings"
 
 	"github.com/uber-go/tally/v4"
 
@@ -153,9 +152,13 @@
 	}
 }
 
-// prefixes are the parts of the table that each daemon copies.
+// prefixes are the parts of the table that each daemon copies. The history of
+// edits is not among them.
 func prefixes() []string {
-	return []string{membership.KeyPrefix, ownership.KeyPrefix, node.ConfigPrefix}
+	return []string{
+		membership.KeyPrefix, ownership.KeyPrefix, rollout.KeyHead, rollout.KeyAccepted,
+		rollout.PrefixTemplate, rollout.PrefixOrganisation,
+	}
 }
 
 // scan reads the copied rows above a revision. The rows are complete up to the
@@ -175,15 +178,14 @@
 		}
 		rows = append(rows, part...)
 	}
-	l.Post(node.NewScanned(since, complete, withoutHistory(rows, complete)))
+	l.Post(node.NewScanned(since, complete, upTo(rows, complete)))
 }
 
-// withoutHistory drops the rows that daemons don't copy, and those of a part
-// that is newer than the whole.
-func withoutHistory(rows []table.Row, complete table.Revision) []table.Row {
+// upTo drops the rows of parts that are newer than the whole.
+func upTo(rows []table.Row, complete table.Revision) []table.Row {
 	kept := rows[:0]
 	for _, row := range rows {
-		if row.Version() <= complete && !strings.HasPrefix(row.Key(), rollout.PrefixHistory) {
+		if row.Version() <= complete {
 			kept = append(kept, row)
 		}
 	}
--- a/daemon/control/loop.go
+++ b/daemon/control/loop.go
@@ -87,10 +87,15 @@
 	inForce rollout.InForce
 	// configHead is the version of the configuration head last rendered.
 	configHead table.Revision
-	held       map[unitKey]holding
-	left       chan struct{}
-	workers    conc.WaitGroup
-	notes      counters
+	// configTried is the revision of the copy last tried.
+	configTried table.Revision
+	// currentSince is the incarnation that has had the newest configuration of
+	// its copy in force.
+	currentSince identity.Incarnation
+	held         map[unitKey]holding
+	left         chan struct{}
+	workers      conc.WaitGroup
+	notes        counters
 }
 
 // New returns a loop for the daemon of an instance. The instance's peer address
@@ -190,25 +195,45 @@
 	snapshot := l.node.Snapshot()
 	old := l.view.Load()
 	catalog := l.inForce.Catalog()
-	if old != nil && old.snapshot == snapshot && old.catalog.Version() == catalog.Version() && sameMap(old.held, l.held) {
+	current := l.configCurrent(snapshot)
+	if old != nil && old.snapshot == snapshot && old.catalog.Version() == catalog.Version() &&
+		old.configCurrent == current && sameMap(old.held, l.held) {
 		return
 	}
-	l.view.Store(&view{snapshot: snapshot, catalog: catalog, held: l.held})
+	l.view.Store(&view{snapshot: snapshot, catalog: catalog, held: l.held, configCurrent: current})
 }
 
-// updateCatalog puts a newer configuration of the node's copy in force.
+// configCurrent tells whether this incarnation has had the newest configuration
+// of its copy in force at least once. Its registration is conditional on the
+// copy, so that it must not serve with an older one that another incarnation
+// of this process left in force.
+func (l *Loop) configCurrent(snapshot *node.Snapshot) bool {
+	if l.currentSince == snapshot.Incarnation() {
+		return true
+	}
+	versions, err := rollout.ReadVersions(snapshot.ConfigRows())
+	if err != nil || l.inForce.Catalog().Version() < versions.Head().Version() {
+		return false
+	}
+	l.currentSince = snapshot.Incarnation()
+	return true
+}
+
+// updateCatalog puts a newer configuration of the node's copy in force. A copy
+// that is rejected is tried again when more rows come.
 func (l *Loop) updateCatalog() {
 	snapshot := l.node.Snapshot()
 	head, ok := snapshot.Config(rollout.KeyHead)
-	if !ok || head.Version() == l.configHead {
+	if !ok || head.Version() == l.configHead || snapshot.Revision() == l.configTried {
 		return
 	}
-	l.configHead = head.Version()
+	l.configTried = snapshot.Revision()
 	changed, err := l.inForce.Update(snapshot.ConfigRows())
 	if err != nil {
 		l.ports.Log.Error().Err(err).Msg("configurationRejected")
 		return
 	}
+	l.configHead = head.Version()
 	if !changed {
 		return
 	}
--- a/daemon/control/view.go
+++ b/daemon/control/view.go
@@ -38,13 +38,22 @@
 	snapshot *node.Snapshot
 	catalog  template.Catalog
 	held     map[unitKey]holding
+	// configCurrent is false while a new incarnation has no configuration as new
+	// as the one it registered with.
+	configCurrent bool
 }
 
 // Self returns this daemon.
 func (v *view) Self() router.Member { return routerMember(v.snapshot.Self()) }
 
-// LeaseEnd returns the end of this daemon's lease.
-func (v *view) LeaseEnd() clock.Millis { return v.snapshot.LeaseEnd() }
+// LeaseEnd returns the end of this daemon's lease, zero while its configuration
+// lags behind its registration.
+func (v *view) LeaseEnd() clock.Millis {
+	if !v.configCurrent {
+		return 0
+	}
+	return v.snapshot.LeaseEnd()
+}
 
 // Catalog returns the configuration in force.
 func (v *view) Catalog() template.Catalog { return v.catalog }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -92,7 +92,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	response := s.settings.Entry.Serve(ctx, caller)
 	s.write(c, response, version, cancel)
-	s.record(caller, response, time.Since(started))
+	s.record(response, time.Since(started))
 	return nil
 }
 
@@ -122,18 +122,12 @@
 	return b.ReadCloser.Close()
 }
 
-// record writes the routing decision as one line and counts the outcome.
-func (s *server) record(caller router.CallerRequest, response *router.Response, duration time.Duration) {
+// record counts the outcome. The routing decisions themselves are logged by
+// the entry's Routed hook.
+func (s *server) record(response *router.Response, duration time.Duration) {
 	reason := string(outcome.ReasonOf(response.Outcome))
 	s.latency.RecordDuration(duration)
 	s.settings.Scope.Tagged(map[string]string{"outcome": response.Outcome.String(), "reason": reason}).Counter("requests").Inc(1)
-	entry := s.settings.Log.Info().Str("method", caller.Method).Str("target", caller.Target)
-	if response.Keyed {
-		entry = entry.Uint32("shard", uint32(response.Shard)).Uint64("epoch", uint64(response.Epoch))
-	}
-	entry.Str("outcome", response.Outcome.String()).Str("reason", reason).Int("status", response.Status).
-		Str("servedBy", response.ServedBy).Str("ownerPeer", response.OwnerPeer).Int("attempts", response.Attempts).
-		Int64("durationMicros", duration.Microseconds()).Msg("route")
 }
 
 // fail answers a request that the HTTP library could not parse.
