--- a/daemon/local/local.go
+++ b/daemon/local/local.go
@@ -1,9 +1,10 @@
 // Package local serves the instance's own HTTP address: announcements of the
-// upstream, health, readiness and metrics.
+// upstream, health, readiness, metrics and, below /debug/pprof, profiles.
 package local
 
 import (
 	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/pprof"
 
 	"briarwell.dev/core/metrics"
 )
@@ -22,6 +23,7 @@
 // New returns the application that serves daemon and its metrics.
 func New(daemon Daemon, collector *metrics.Collector) *fiber.App {
 	app := fiber.New(fiber.Config{AppName: "briarwelld local"})
+	app.Use(pprof.New())
 	app.Get("/healthz", func(c fiber.Ctx) error {
 		return c.SendString("ok\n")
 	})
