Test the caller's address and the daemon's command line

Cause: bad input must get a clear answer and a truncated body must never reach a caller as complete. Ruled out: fiber's in-memory test client, which doesn't show how a connection ends. Change: tests over loopback connections: malformed and oversized requests, unknown services, truncated bodies, a streamed upload of 8 MiB, wrong settings, an address in use. Conclusion: statuses are 400, 404 and 431 with outcome not-run; exit codes 2 and 1.

--- /dev/null
+++ b/daemon/command/command_test.go
@@ -0,0 +1,57 @@
+package command_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/daemon/command"
+)
+
+const valid = `{"instance":"a","region":"r","failureDomain":"f","httpAddress":"%s",` +
+	`"peerAddress":"127.0.0.1:9","localAddress":"127.0.0.1:9","tableUrl":"http://127.0.0.1:9","objectUrl":"http://127.0.0.1:9"}`
+
+func run(t *testing.T, settings string, flags ...string) (int, string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "daemon.json")
+	is.New(t).NoErr(os.WriteFile(path, []byte(settings), 0o600))
+	var out bytes.Buffer
+	code := command.Run(append([]string{"--settings", path}, flags...), &out)
+	return code, out.String()
+}
+
+// TestBadSettings guards against a daemon that starts with settings that are
+// wrong, or that reports only the first of several errors.
+func TestBadSettings(t *testing.T) {
+	is := is.New(t)
+	code, text := run(t, `{"instance":"","httpAdress":"x","maxHeaderBytes":1}`)
+	is.Equal(code, 2)
+	for _, part := range []string{"instance", "httpAdress", "maxHeaderBytes", "tableUrl"} {
+		is.True(strings.Contains(text, part))
+	}
+	code, _ = run(t, fmt.Sprintf(valid, "127.0.0.1:8"), "--check")
+	is.Equal(code, 0)
+	var out bytes.Buffer
+	is.Equal(command.Run(nil, &out), 2)
+	is.True(strings.Contains(out.String(), "--settings"))
+}
+
+// TestPortInUse guards against a daemon that goes on without one of its
+// addresses.
+func TestPortInUse(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	address := listener.Addr().String()
+	settings := strings.Replace(fmt.Sprintf(valid, "127.0.0.1:8"), `"peerAddress":"127.0.0.1:9"`, fmt.Sprintf(`"peerAddress":%q`, address), 1)
+	code, text := run(t, settings)
+	is.Equal(code, 1)
+	is.True(strings.Contains(text, "peerAddress "+address))
+}
--- /dev/null
+++ b/daemon/edge/edge_test.go
@@ -0,0 +1,175 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/router"
+	"briarwell.dev/core/shard"
+	"briarwell.dev/core/template"
+	"briarwell.dev/core/upstream"
+	"briarwell.dev/daemon/edge"
+	"briarwell.dev/daemon/logs"
+)
+
+// view is a control snapshot without members.
+type view struct{}
+
+func (view) View() router.View                        { return view{} }
+func (view) Self() router.Member                      { return router.Member{Instance: "a"} }
+func (view) LeaseEnd() clock.Millis                   { return 1 << 40 }
+func (view) Members(identity.Service) []router.Member { return nil }
+func (view) Catalog() template.Catalog {
+	route := template.NewRouteRules("", "", true, template.PriorityNormal, 1000)
+	rules := template.NewServiceRules("bookings", []template.RouteRules{route}, template.Keyed(4))
+	return template.NewCatalog(7, map[string]template.ServiceRules{"lagos/bookings": rules})
+}
+
+func (view) Owner(identity.Service, shard.ID, string) (router.Ownership, bool) {
+	return router.Ownership{}, false
+}
+
+// entryFunc is an Entry of one function.
+type entryFunc func(caller router.CallerRequest) *router.Response
+
+func (f entryFunc) Serve(_ context.Context, caller router.CallerRequest) *router.Response {
+	return f(caller)
+}
+
+// start serves an entry on loopback and returns the address.
+func start(t *testing.T, entry edge.Entry) string {
+	t.Helper()
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	logger, closer := logs.New(io.Discard, "error")
+	app := edge.New(edge.Settings{Entry: entry, Views: view{}, Log: logger, Scope: tally.NoopScope, MaxHeaderBytes: 4096})
+	done := make(chan error, 1)
+	go func() { done <- app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) }()
+	t.Cleanup(func() {
+		is.NoErr(app.Shutdown())
+		is.NoErr(<-done)
+		is.NoErr(closer.Close())
+	})
+	return listener.Addr().String()
+}
+
+// refusing is an entry that has no owner for any key.
+func refusing() edge.Entry {
+	return router.NewEntry(router.EntryPorts{Views: view{}, Clock: fixed{}, Random: router.NewRandom(1)})
+}
+
+type fixed struct{}
+
+func (fixed) Now() clock.Millis { return 1000 }
+
+// TestBadInput guards against requests that can't be routed and yet are not
+// answered as not-run with a fitting status.
+func TestBadInput(t *testing.T) {
+	address := start(t, refusing())
+	for _, each := range []struct {
+		name, request, reason string
+		status                int
+	}{
+		{"unknown organisation", "GET /kano/bookings/k HTTP/1.1\r\nHost: a\r\n\r\n", "unknown-service", 404},
+		{"unknown service", "GET /lagos/carts/k HTTP/1.1\r\nHost: a\r\n\r\n", "unknown-service", 404},
+		{"no key", "GET /lagos/bookings HTTP/1.1\r\nHost: a\r\n\r\n", "malformed", 400},
+		{"bad escape", "GET /lagos/bookings/%zz HTTP/1.1\r\nHost: a\r\n\r\n", "malformed", 400},
+		{"no request line", "nonsense\r\n\r\n", "malformed", 400},
+		{"oversized headers", "GET /lagos/bookings/k HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 8192) + "\r\n\r\n", "malformed", 431},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			is := is.New(t)
+			connection, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			defer connection.Close()
+			_, err = io.WriteString(connection, each.request)
+			is.NoErr(err)
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, each.status)
+			is.Equal(response.Header.Get(outcome.HeaderOutcome), "not-run")
+			is.Equal(response.Header.Get(outcome.HeaderReason), each.reason)
+		})
+	}
+}
+
+// failing is a body that ends early.
+type failing struct{ text io.Reader }
+
+func (f failing) Read(buffer []byte) (int, error) {
+	n, err := f.text.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = router.NewTruncatedError(io.ErrUnexpectedEOF)
+	}
+	return n, err
+}
+
+func (failing) Close() error { return nil }
+
+// TestTruncatedBody guards against a body that ended early and reaches the
+// caller as complete, with and without a known length.
+func TestTruncatedBody(t *testing.T) {
+	for name, length := range map[string]int64{"chunked": -1, "known length": 100} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := start(t, entryFunc(func(router.CallerRequest) *router.Response {
+				return &router.Response{
+					Outcome: outcome.Done{}, Status: 200, ContentLength: length,
+					Body: failing{text: strings.NewReader("part")},
+				}
+			}))
+			response, err := http.Get("http://" + address + "/lagos/bookings/k")
+			if err != nil {
+				return // The connection may close before the head is out.
+			}
+			defer response.Body.Close()
+			_, err = io.ReadAll(response.Body)
+			is.True(err != nil)
+		})
+	}
+}
+
+// TestStreamedUpload guards against request bodies that are changed or lost on
+// the way to the entry, and against headers that are dropped.
+func TestStreamedUpload(t *testing.T) {
+	is := is.New(t)
+	const size = 8 << 20
+	address := start(t, entryFunc(func(caller router.CallerRequest) *router.Response {
+		n, err := io.Copy(io.Discard, caller.Body)
+		if err != nil || n != size || caller.ContentLength != size || !hasHeader(caller.Headers, "X-Pattern", "agbada") {
+			return &router.Response{Outcome: outcome.NewUnknown(outcome.ReasonConnectionLost), Status: 504}
+		}
+		return &router.Response{Outcome: outcome.Done{}, Status: 201}
+	}))
+	request, err := http.NewRequest(http.MethodPut, "http://"+address+"/lagos/patterns/p", strings.NewReader(strings.Repeat("y", size)))
+	is.NoErr(err)
+	request.Header.Set("X-Pattern", "agbada")
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	is.Equal(response.StatusCode, 201)
+	is.Equal(response.Header.Get(edge.HeaderConfigVersion), "7")
+}
+
+func hasHeader(headers []upstream.Header, name, value string) bool {
+	for _, header := range headers {
+		if header.Name() == name && header.Value() == value {
+			return true
+		}
+	}
+	return false
+}
