--- a/core/table/token/token.go
+++ b/core/table/token/token.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -21,9 +22,9 @@
 const (
 	// Prefix is the prefix of the token rows' keys.
 	Prefix = "txn/"
-	// RetentionMillis is how long abandoned rows must stay: a delayed request
-	// whose row was removed could commit after all.
-	RetentionMillis clock.Millis = 24 * 60 * 60 * 1000
+	// Retention is how long abandoned rows stay, in milliseconds: a delayed
+	// request whose row was removed could commit after all.
+	Retention clock.Millis = 24 * 60 * 60 * 1000
 
 	// defaultBase and defaultCap bound the pause before a repeated call. The
 	// cap keeps 670 daemons that wait for the end of an outage below the reads
@@ -68,6 +69,11 @@
 	return func(t *Table) { t.random = rand.New(rand.NewPCG(seed, 0)) }
 }
 
+// Now replaces the wall clock, which dates the token rows.
+func Now(now func() time.Time) Option {
+	return func(t *Table) { t.now = now }
+}
+
 // New returns a client of inner.
 func New(inner table.Table, options ...Option) *Table {
 	var seed [16]byte
@@ -118,7 +124,7 @@
 func (t *Table) attempt(ctx context.Context, transaction table.Transaction, pause *clock.Millis) (table.Revision, error) {
 	key := t.newKey()
 	removed := t.takeFinished()
-	revision, err := t.inner.Commit(ctx, withToken(transaction, key, removed))
+	revision, err := t.inner.Commit(ctx, withToken(transaction, key, t.value(valueCommitted), removed))
 	var conflict *table.ConflictError
 	switch {
 	case err == nil:
@@ -145,13 +151,13 @@
 // withToken adds the token row. Its condition is the first, so that it is the
 // one reported if the transaction has committed already and its other
 // conditions no longer hold either.
-func withToken(transaction table.Transaction, key string, removed []string) table.Transaction {
+func withToken(transaction table.Transaction, key string, value []byte, removed []string) table.Transaction {
 	conditions := make([]table.Condition, 0, len(transaction.Conditions())+1)
 	conditions = append(conditions, table.NewCondition(key, 0))
 	conditions = append(conditions, transaction.Conditions()...)
 	mutations := make([]table.Mutation, 0, len(transaction.Mutations())+1+len(removed))
 	mutations = append(mutations, transaction.Mutations()...)
-	mutations = append(mutations, table.NewPut(key, []byte(valueCommitted)))
+	mutations = append(mutations, table.NewPut(key, value))
 	for _, old := range removed {
 		mutations = append(mutations, table.NewDelete(old))
 	}
@@ -163,10 +169,10 @@
 func (t *Table) resolve(ctx context.Context, key string, pause *clock.Millis) (table.Revision, error) {
 	for {
 		row, err := t.readOrAbandon(ctx, key)
-		if err == nil && string(row.Value()) == valueCommitted {
+		if err == nil && isCommitted(row) {
 			return row.Version(), nil
 		}
-		if err == nil && row.Version() != 0 {
+		if err == nil {
 			return 0, table.NewOutageError("commit", &NotAppliedError{key: key})
 		}
 		if !t.wait(ctx, pause) {
@@ -185,7 +191,7 @@
 	if rows[0].Version() != 0 {
 		return rows[0], nil
 	}
-	value := fmt.Appendf(nil, "%s %d", valueAbandoned, t.now().UnixMilli())
+	value := t.value(valueAbandoned)
 	abandon := table.NewTransaction(
 		[]table.Condition{table.NewCondition(key, 0)},
 		[]table.Mutation{table.NewPut(key, value)},
@@ -234,18 +240,38 @@
 	t.finished = append(t.finished, keys...)
 }
 
-// AbandonedAt returns when a token row was abandoned, in milliseconds since the
-// Unix epoch. It returns false for the row of a committed transaction.
-func AbandonedAt(row table.Row) (int64, bool) {
-	var millis int64
-	text := string(row.Value())
-	if !strings.HasPrefix(text, valueAbandoned) {
-		return 0, false
+// value returns the text of a token row: its state, and the time in
+// milliseconds since the Unix epoch.
+func (t *Table) value(state string) []byte {
+	return fmt.Appendf(nil, "%s %d", state, t.now().UnixMilli())
+}
+
+func isCommitted(row table.Row) bool {
+	return strings.HasPrefix(string(row.Value()), valueCommitted+" ")
+}
+
+// Sweep removes the token rows older than Retention: abandoned ones, and those
+// of clients that ended before they could remove them. It returns how many it
+// removed, at most maxDeletes.
+func (t *Table) Sweep(ctx context.Context) (int, error) {
+	rows, _, err := t.inner.Scan(ctx, Prefix, 0)
+	if err != nil {
+		return 0, err
+	}
+	limit := t.now().Add(-Retention.Duration()).UnixMilli()
+	var removals []table.Mutation
+	for _, row := range rows {
+		_, written, _ := strings.Cut(string(row.Value()), " ")
+		millis, err := strconv.ParseInt(written, 10, 64)
+		if err == nil && millis < limit && len(removals) < maxDeletes {
+			removals = append(removals, table.NewDelete(row.Key()))
+		}
 	}
-	if _, err := fmt.Sscanf(text, valueAbandoned+" %d", &millis); err != nil {
-		return 0, false
+	if len(removals) == 0 {
+		return 0, nil
 	}
-	return millis, true
+	_, err = t.Commit(ctx, table.NewTransaction(nil, removals))
+	return len(removals), err
 }
 
 // UnresolvedError reports that the context ended before it was known whether a
--- a/core/table/token/token_test.go
+++ b/core/table/token/token_test.go
@@ -178,20 +178,24 @@
 // Guards against token rows that pile up, and abandoned ones that are removed
 // while a delayed request could still come.
 func TestTokenRows(t *testing.T) {
-	is := is.New(t)
-	rows := memory.New()
-	client := newClient(&faulty{Table: rows, next: once(loseRequest)}, 1)
+	is, ctx := is.New(t), context.Background()
+	rows, now := memory.New(), time.Unix(1_000_000, 0)
+	client := token.New(&faulty{Table: rows, next: once(loseRequest)}, token.Seed(1), token.Backoff(1, 2),
+		token.Now(func() time.Time { return now }))
 	for i := range 200 {
-		_, err := client.Commit(context.Background(), put("k"+strconv.Itoa(i), "1", 0))
+		_, err := client.Commit(ctx, put("k"+strconv.Itoa(i), "1", 0))
 		is.NoErr(err)
 	}
-	found, _, err := rows.Scan(context.Background(), token.Prefix, 0)
+	is.Equal(keysUnder(t, rows, token.Prefix), 2) // the abandoned one and the last one
+	now = now.Add(token.Retention.Duration())
+	removed, err := client.Sweep(ctx)
+	is.NoErr(err)
+	is.Equal(removed, 0)
+	now = now.Add(time.Millisecond)
+	removed, err = client.Sweep(ctx)
 	is.NoErr(err)
-	is.Equal(len(found), 2) // the abandoned one and the last one
-	_, abandoned := token.AbandonedAt(found[0])
-	is.True(abandoned)
-	_, abandoned = token.AbandonedAt(found[1])
-	is.True(!abandoned)
+	is.Equal(removed, 2)
+	is.Equal(keysUnder(t, rows, token.Prefix), 1) // that of the sweep itself
 }
 
 // Guards against lost, doubled or wrongly reported commits: clients raise a
--- a/core/upstream/httpupstream/exchange.go
+++ b/core/upstream/httpupstream/exchange.go
@@ -167,6 +167,18 @@
 	e.discard()
 }
 
+// endOfAnswer ends the order if the request is over too. If the upstream
+// answered without reading it whole, the connection is closed, and Close waits
+// for the last read of the order's body.
+func (e *exchange) endOfAnswer(clean bool) {
+	select {
+	case <-e.written:
+		e.end(clean)
+	default:
+		e.interrupt()
+	}
+}
+
 // failure classifies the error of an order that got no answer.
 func (e *exchange) failure(ctx context.Context, err error) *upstream.SendError {
 	if e.conn.sent.Load() == 0 {
@@ -231,7 +243,7 @@
 		return n, nil
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
 		b.whole = true
-		b.exchange.end(true)
+		b.exchange.endOfAnswer(true)
 		return n, io.EOF
 	case b.ctx.Err() != nil:
 		err = b.ctx.Err()
@@ -239,7 +251,7 @@
 		err = errInactive
 	}
 	b.failed = &TruncatedError{cause: err}
-	b.exchange.end(false)
+	b.exchange.endOfAnswer(false)
 	return n, b.failed
 }
 
--- a/core/upstream/httpupstream/httpupstream.go
+++ b/core/upstream/httpupstream/httpupstream.go
@@ -18,7 +18,7 @@
 
 // Do sends the order and returns the head of the answer; the bodies of both are
 // streamed. Until Do fails or the answer's body is closed, order.Body is read;
-// its reads must end soon after ctx does.
+// its reads must end soon after ctx does, as Do and Close wait for the last one.
 func (u *Upstream) Do(ctx context.Context, order upstream.Order) (upstream.Answer, error) {
 	if err := check(order); err != nil {
 		return upstream.Answer{}, upstream.NewSendError(outcome.NewNotRun(outcome.ReasonMalformed), err)
--- a/core/upstream/httpupstream/stream_test.go
+++ b/core/upstream/httpupstream/stream_test.go
@@ -127,6 +127,36 @@
 	is.True(body.read.Load() < 1<<30) // the rest of the body wasn't sent
 }
 
+// blocked is a body that gives nothing until it is released.
+type blocked chan struct{}
+
+func (b blocked) Read([]byte) (int, error) {
+	<-b
+	return 0, io.EOF
+}
+
+// Guards against an early answer that is held back until the caller has sent
+// its body.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(conn net.Conn, r *http.Request) bool {
+		_, _ = io.CopyN(io.Discard, r.Body, 100_000)
+		_, _ = io.WriteString(conn, okReply)
+		_, _ = io.Copy(io.Discard, conn)
+		return false
+	})
+	body := make(blocked)
+	put := order("PUT")
+	put.Body, put.ContentLength = io.MultiReader(strings.NewReader(strings.Repeat("x", 100_000)), body), -1
+	answer, err := client(t, s.address).Do(context.Background(), put)
+	is.NoErr(err)
+	text, err := io.ReadAll(answer.Body)
+	is.NoErr(err)
+	is.Equal(string(text), "ok")
+	close(body)
+	is.NoErr(answer.Body.Close())
+}
+
 // Guards against a failed caller whose half body is taken for a whole one.
 func TestBrokenRequestBody(t *testing.T) {
 	for _, length := range []int64{-1, 100} {
--- a/standin/upstreamserver/fence.go
+++ b/standin/upstreamserver/fence.go
@@ -65,18 +65,25 @@
 	mutex             sync.RWMutex
 	epochs            map[shard.ID]identity.Epoch
 	expiresUnixMillis int64
+	// highest holds the highest epoch ever granted for each shard.
+	highest map[shard.ID]identity.Epoch
 }
 
-// replace sets the grants. An older epoch than one already seen for a shard is
-// ignored, as a delayed grant must not bring back an earlier ownership.
+// replace sets the grants. A grant below the highest epoch of its shard is
+// ignored, as a delayed one must not bring back an earlier ownership.
 func (g *grants) replace(message wire.Grants) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	epochs := make(map[shard.ID]identity.Epoch, len(message.Shards))
+	if g.highest == nil {
+		g.highest = make(map[shard.ID]identity.Epoch)
+	}
+	g.epochs = make(map[shard.ID]identity.Epoch, len(message.Shards))
 	for _, granted := range message.Shards {
-		epochs[granted.Shard] = max(granted.Epoch, g.epochs[granted.Shard])
+		g.highest[granted.Shard] = max(granted.Epoch, g.highest[granted.Shard])
+		if granted.Epoch == g.highest[granted.Shard] {
+			g.epochs[granted.Shard] = granted.Epoch
+		}
 	}
-	g.epochs = epochs
 	g.expiresUnixMillis = message.ExpiresUnixMillis
 }
 
--- a/standin/upstreamserver/upstreamserver_test.go
+++ b/standin/upstreamserver/upstreamserver_test.go
@@ -136,6 +136,7 @@
 			f.grant(5, time.Minute)
 			f.grant(4, time.Minute) // late
 			check(1, 4, time.Minute)
+			f.grant(5, time.Minute)
 			found, err := f.do(ctx, "POST", "run", 5, time.Minute)
 			is.NoErr(err)
 			is.True(strings.Contains(found, `"run"`))
