--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -5,15 +5,19 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 	"pgregory.net/rapid"
 
 	"briarwell.dev/core/admission"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/clock/manual"
+	"briarwell.dev/core/clock/system"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/template"
 	"briarwell.dev/core/upstream"
@@ -148,6 +152,35 @@
 	})
 }
 
+// TestGateConcurrent guards against slots that leak or are given twice when
+// requests end, give up and are refused at the same time.
+func TestGateConcurrent(t *testing.T) {
+	is := is.New(t)
+	gate := admission.NewGate(system.Clock{}, admission.Settings{Slots: 4})
+	var group conc.WaitGroup
+	var running atomic.Int64
+	for worker := range 32 {
+		random := rand.New(rand.NewPCG(9, uint64(worker)))
+		group.Go(func() {
+			for range 100 {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(random.IntN(3000))*time.Microsecond)
+				slot, err := gate.Acquire(ctx, template.Priority(random.IntN(4)), system.Clock{}.Now()+clock.Millis(random.IntN(20)))
+				if err == nil {
+					is.True(running.Add(1) <= 4)
+					time.Sleep(time.Duration(random.IntN(300)) * time.Microsecond)
+					running.Add(-1)
+					[]func(){slot.Release, slot.Refused, slot.Unsent}[random.IntN(3)]()
+				}
+				cancel()
+				gate.Report(upstream.Load{InFlight: random.IntN(6), Slots: 4})
+				gate.Announce(admission.Settings{Slots: 4, ColdStart: clock.Millis(random.IntN(2))})
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(gate.InFlight()+gate.Queued(), 0)
+}
+
 // job is a request in the goodput simulation.
 type job struct{ deadline, end clock.Millis }
 
--- a/core/router/route_test.go
+++ b/core/router/route_test.go
@@ -1,16 +1,20 @@
 package router_test
 
 import (
+	"context"
 	"errors"
+	"io"
 	"net/url"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/retry"
 	"briarwell.dev/core/router"
 	"briarwell.dev/core/shard"
 	"briarwell.dev/core/upstream"
@@ -93,3 +97,98 @@
 	refused := router.Decide(0, d, router.Route{Service: unkeyed}, random).(router.Refuse)
 	is.Equal(refused.Outcome(), outcome.Outcome(outcome.NewNotRun(outcome.ReasonNoLease)))
 }
+
+// TestUnkeyedRetryAvoidsFailedMember guards against a second attempt at the
+// member that has just failed, and against one of an order that may have run.
+func TestUnkeyedRetryAvoidsFailedMember(t *testing.T) {
+	is := is.New(t)
+	d := cluster(4, upstream.FencingEpoch)
+	refuse := func(o outcome.Outcome) {
+		for _, other := range d[1:] {
+			other.up.act = func(context.Context, upstream.Order) (upstream.Answer, error) {
+				return upstream.Answer{}, upstream.NewSendError(o, io.ErrUnexpectedEOF)
+			}
+		}
+	}
+	d[0].members = d[0].members[1:]
+	var routed []router.Routed
+	ports := router.EntryPorts{Views: d[0], Forwarder: d[0], Owner: d[0].owner, Clock: d[0].clock, Random: router.NewRandom(2)}
+	ports.Routed = func(r router.Routed) { routed = append(routed, r) }
+	ports.Budget = retry.NewBudget(1, 100)
+	entry := router.NewEntry(ports)
+	serve := func(method string) *router.Response {
+		routed = nil
+		request := get("/attire/catalogue/page")
+		request.Method = method
+		return entry.Serve(t.Context(), request)
+	}
+	refuse(outcome.NewNotRun(outcome.ReasonUpstreamRefused))
+	is.Equal(serve("POST").Status, 429)
+	is.Equal(len(routed), 4)
+	members := map[string]bool{}
+	for _, r := range routed[:3] {
+		members[r.Decision.(router.Forward).PeerAddress()] = true
+	}
+	is.Equal(len(members), 3)
+	refuse(outcome.NewUnknown(outcome.ReasonConnectionLost))
+	is.Equal(serve("POST").Status, 504)
+	is.Equal(len(routed), 1)
+	is.Equal(serve("GET").Status, 504)
+	is.Equal(len(routed), 4)
+}
+
+// TestHeadersOfOneConnection guards against headers that a caller sets for its
+// own connection, or in the name of briarwell, and that reach an upstream.
+func TestHeadersOfOneConnection(t *testing.T) {
+	is := is.New(t)
+	headers := make([]upstream.Header, 0, 10)
+	for _, name := range []string{"Te", "Upgrade", "Keep-Alive", "Content-Length", "Proxy-Connection", "Transfer-Encoding", "X-Listed", "briarwell-epoch", "X-Kept"} {
+		headers = append(headers, upstream.NewHeader(name, "1"))
+	}
+	headers = append(headers, upstream.NewHeader("connection", "close, x-listed"))
+	is.Equal(router.EndToEnd(nil, headers), []upstream.Header{upstream.NewHeader("X-Kept", "1")})
+	d := cluster(1, upstream.FencingEpoch)[0]
+	for _, value := range []string{"0", "-1", "x", "99999999999"} {
+		request := get("/attire/bookings/k1")
+		request.Headers = []upstream.Header{upstream.NewHeader(outcome.HeaderTimeout, value)}
+		is.Equal(d.entry.Serve(t.Context(), request).Status, 400)
+	}
+}
+
+// TestHotKeyMovesAlone guards against a hot key's handover that stops its
+// shard, and against one that leaves the key's orders running.
+func TestHotKeyMovesAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := cluster(1, upstream.FencingEpoch)[0]
+		id := shard.Of("k1", shards)
+		other := "a"
+		for shard.Of(other, shards) != id {
+			other += "a"
+		}
+		release, drained, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+		d.up.act = func(_ context.Context, order upstream.Order) (upstream.Answer, error) {
+			if order.Key == "k1" {
+				<-release
+			}
+			return answer("x"), nil
+		}
+		go func() { _, _ = read(d.entry.Serve(t.Context(), post("id", ""))); close(ended) }()
+		synctest.Wait()
+		d.owner.StopKey(keyed, id, "k1", func() { close(drained) })
+		text, _ := read(d.entry.Serve(t.Context(), get("/attire/bookings/"+other)))
+		is.Equal(text, "x")
+		select {
+		case <-drained:
+			is.Fail()
+		default:
+		}
+		close(release)
+		<-drained
+		<-ended
+		is.Equal(d.entry.Serve(t.Context(), get("/attire/bookings/k1")).Outcome, outcome.Outcome(outcome.NewNotRun(outcome.ReasonMoved)))
+		d.owner.ResumeKey(keyed, id, "k1")
+		text, _ = read(d.entry.Serve(t.Context(), get("/attire/bookings/k1")))
+		is.Equal(text, "x")
+	})
+}
