--- a/core/measure/measure.go
+++ b/core/measure/measure.go
@@ -130,7 +130,8 @@
 type Gap struct {
 	shard                           Shard
 	fromUnixMicros, untilUnixMicros int64
-	// firstFailed and lastFailed are the send times of the failed calls.
+	// firstFailed and lastFailed are the send times of the failed calls, the first
+	// not before the gap.
 	firstFailed, lastFailed int64
 }
 
@@ -188,7 +189,7 @@
 		bySent := func(a, b record.Call) int { return cmp.Compare(a.SentUnixMicros, b.SentUnixMicros) }
 		gaps = append(gaps, Gap{
 			shard: s, fromUnixMicros: from, untilUnixMicros: until,
-			firstFailed: slices.MinFunc(failed, bySent).SentUnixMicros, lastFailed: slices.MaxFunc(failed, bySent).SentUnixMicros,
+			firstFailed: max(slices.MinFunc(failed, bySent).SentUnixMicros, from), lastFailed: slices.MaxFunc(failed, bySent).SentUnixMicros,
 		})
 		failed = nil
 	}
