Run the festival workload as bwdemo festival

Cause: imbalance under changing hot keys needs a whole run with its audit.

Ruled out: a flag for the workload of fault runs, whose shards differ.

Conclusion: vet, lint and tests pass.

--- a/demo/commands.go
+++ b/demo/commands.go
@@ -24,8 +24,9 @@
 	faultShards = 32
 	// warmUp is the time under load before the first fault.
 	warmUp = 5 * time.Second
-	// faultLoad is the workload of the fault tests.
-	faultLoad = "faults"
+	// festivalRate and festivalLength cover three sets of hot keys.
+	festivalRate   = 1500
+	festivalLength = 3 * time.Minute
 	// faultRate is the usual rate in fault tests.
 	faultRate = 400
 	// outageLength is the usual length of a table outage.
@@ -43,6 +44,9 @@
 	benchInstances = 3
 )
 
+// faultTest returns the load of the fault and outage tests.
+func faultTest() test { return test{workload: "faults", rate: faultRate, shards: faultShards} }
+
 // mainJob runs the main job within the time that the README promises.
 func (o *options) mainJob(ctx context.Context, programs harness.Programs) error {
 	ctx, cancel := context.WithTimeout(ctx, mainTime)
@@ -71,7 +75,7 @@
 // faultJob runs faults under load and audits the run.
 func (o *options) faultJob(ctx context.Context, programs harness.Programs) error {
 	o.linked = true
-	return o.underLoad(ctx, programs, func(cluster *harness.Cluster) ([]assess.Event, error) {
+	return o.underLoad(ctx, programs, faultTest(), func(cluster *harness.Cluster) ([]assess.Event, error) {
 		length := time.Duration(o.minutes * float64(time.Minute))
 		plan := faults.NewPlan(o.seed, cluster.Names(), regionNames()[:o.regions])
 		return faults.Run(ctx, cluster, plan, length, os.Stdout)
@@ -80,22 +84,42 @@
 
 // outageJob makes the table fail for a time under load and audits the run.
 func (o *options) outageJob(ctx context.Context, programs harness.Programs) error {
-	return o.underLoad(ctx, programs, func(cluster *harness.Cluster) ([]assess.Event, error) {
+	return o.underLoad(ctx, programs, faultTest(), func(cluster *harness.Cluster) ([]assess.Event, error) {
 		return faults.RunOutage(ctx, cluster, cmp.Or(o.length, outageLength), os.Stdout)
 	})
 }
 
-func (o *options) underLoad(ctx context.Context, programs harness.Programs, run func(*harness.Cluster) ([]assess.Event, error)) error {
+// festivalJob runs the festival workload without faults and audits the run.
+func (o *options) festivalJob(ctx context.Context, programs harness.Programs) error {
+	festival := test{workload: "festival", rate: festivalRate}
+	return o.underLoad(ctx, programs, festival, func(*harness.Cluster) ([]assess.Event, error) {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(cmp.Or(o.length, festivalLength)):
+			return nil, nil
+		}
+	})
+}
+
+// test is a load and the configuration that it needs.
+type test struct {
+	workload string
+	rate     float64
+	shards   int
+}
+
+func (o *options) underLoad(ctx context.Context, programs harness.Programs, t test, run func(*harness.Cluster) ([]assess.Event, error)) error {
 	instances := []harness.ServiceCount{
 		{Service: harness.Bookings(orderTime), Count: o.upstreams},
 		{Service: harness.SignOff(orderTime), Count: o.regions},
 		{Service: harness.Patterns(orderTime), Count: o.regions},
 	}
-	return o.with(programs, instances, faultShards, func(cluster *harness.Cluster) error {
+	return o.with(programs, instances, t.shards, func(cluster *harness.Cluster) error {
 		if err := mainjob.Start(ctx, cluster, os.Stdout); err != nil {
 			return err
 		}
-		load, err := cluster.StartLoad(harness.LoadOptions{Workload: faultLoad, Rate: cmp.Or(o.rate, faultRate), Seed: o.seed})
+		load, err := cluster.StartLoad(harness.LoadOptions{Workload: t.workload, Rate: cmp.Or(o.rate, t.rate), Seed: o.seed})
 		if err != nil {
 			return err
 		}
--- a/demo/main.go
+++ b/demo/main.go
@@ -102,16 +102,20 @@
 	outage.Description = "Makes the table fail for a time under load and audits the run."
 	outage.Duration(&o.length, "", "length", "length of the outage; 5m if 0")
 
+	festival := flaggy.NewSubcommand("festival")
+	festival.Description = "Runs a load whose 61 hottest keys change each minute and audits the run."
+	festival.Duration(&o.length, "", "length", "length of the load; 3m if 0")
+
 	bench := flaggy.NewSubcommand("bench")
 	bench.Description = "Compares direct calls with calls through one and two daemons."
 	bench.Duration(&o.length, "", "round", "measured time of each path in a round; 5s if 0")
 	bench.Int(&o.rounds, "", "rounds", "number of rounds")
 
-	for _, c := range []*flaggy.Subcommand{faults, outage, bench} {
-		c.Float64(&o.rate, "", "rate", "requests a second; 400 for faults and outage and 3500 for bench if 0")
+	for _, c := range []*flaggy.Subcommand{faults, outage, festival, bench} {
+		c.Float64(&o.rate, "", "rate", "requests a second; 400 for faults and outage, 1500 for festival and 3500 for bench if 0")
 		c.UInt64(&o.seed, "", "seed", "seed of faults and requests")
 	}
-	return []job{{main, o.mainJob}, {faults, o.faultJob}, {outage, o.outageJob}, {bench, o.benchJob}}
+	return []job{{main, o.mainJob}, {faults, o.faultJob}, {outage, o.outageJob}, {festival, o.festivalJob}, {bench, o.benchJob}}
 }
 
 // prepare builds the programs and fills in the folders.
