--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -123,11 +123,12 @@
 	if err != nil {
 		return eris.Wrap(err, "table service")
 	}
+	tokens := token.New(table)
 	background, cancel := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
 	tasks.Go(func() {
 		a.loop.Run(background, control.Ports{
-			Clock: a.clock, Table: token.New(table), Peers: a.pool, Orders: a.owner,
+			Clock: a.clock, Table: tokens, Peers: a.pool, Orders: a.owner,
 			Grants: a.grants, Log: a.log, Scope: a.scope,
 		})
 	})
@@ -135,6 +136,7 @@
 	tasks.Go(func() { a.grants.Run(background, a.loop) })
 	tasks.Go(func() { a.load.run(background, a.loop, a.backend) })
 	tasks.Go(func() { a.gauge(background) })
+	tasks.Go(func() { a.sweep(background, tokens) })
 	a.serve(&tasks)
 	a.log.Info().Str("instance", a.settings.Instance()).Str("httpAddress", a.settings.HTTPAddress()).
 		Str("peerAddress", a.settings.PeerAddress()).Msg("started")
--- a/daemon/app/load.go
+++ b/daemon/app/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"briarwell.dev/core/peer"
 	"briarwell.dev/core/router"
 	"briarwell.dev/core/shard"
+	"briarwell.dev/core/table/token"
 	"briarwell.dev/daemon/backend"
 	"briarwell.dev/daemon/control"
 )
@@ -18,6 +20,8 @@
 const (
 	// loadInterval is the time between two load measurements for the planner.
 	loadInterval = time.Second
+	// sweepInterval is the time between two sweeps of old token rows.
+	sweepInterval = time.Hour
 	// awaitPoll is the time between two looks at the configuration in force.
 	awaitPoll = 5 * time.Millisecond
 )
@@ -124,3 +128,24 @@
 		}
 	}
 }
+
+// sweep removes old token rows of the table now and then until ctx ends. The
+// first call comes after a random part of the interval, so that daemons that
+// start together don't scan together.
+func (a *App) sweep(ctx context.Context, tokens *token.Table) {
+	wait := rand.N(sweepInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+		removed, err := tokens.Sweep(ctx)
+		if err != nil {
+			a.log.Warn().Err(err).Msg("tokenSweepFailed")
+		} else if removed > 0 {
+			a.log.Info().Int("removed", removed).Msg("tokenSweep")
+		}
+		wait = sweepInterval
+	}
+}
--- /dev/null
+++ b/daemon/edge/body.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+)
+
+// callerInactivity bounds the time between two parts of a caller's body. A
+// caller that stalls would otherwise hold a slot of the upstream.
+const callerInactivity = 10 * time.Second
+
+// requestBody reads the body of a request from the caller's connection.
+type requestBody struct {
+	stream     io.Reader
+	connection net.Conn
+}
+
+// Read reads the next part. It fails if the caller sends nothing for
+// callerInactivity.
+func (b *requestBody) Read(buffer []byte) (int, error) {
+	if err := b.connection.SetReadDeadline(time.Now().Add(callerInactivity)); err != nil {
+		return 0, err
+	}
+	n, err := b.stream.Read(buffer)
+	if err == nil || err == io.EOF { //nolint:errorlint // The deadline stays only after a failed read.
+		_ = b.connection.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// responseBody ends the request's context when the answer is written or given
+// up.
+type responseBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the answer and ends the request.
+func (b *responseBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"strconv"
 	"time"
 
@@ -80,11 +79,10 @@
 		Method:        string(request.Header.Method()),
 		Target:        string(request.Header.RequestURI()),
 		Headers:       headersOf(&request.Header),
-		Body:          request.BodyStream(),
 		ContentLength: int64(request.Header.ContentLength()),
 	}
-	if caller.ContentLength == 0 {
-		caller.Body = nil
+	if caller.ContentLength != 0 {
+		caller.Body = &requestBody{stream: request.BodyStream(), connection: c.RequestCtx().Conn()}
 	}
 	version := s.settings.Views.View().Catalog().Version()
 	// The request's context must outlive the handler, since the body is written
@@ -107,19 +105,7 @@
 		cancel()
 		return
 	}
-	c.Response().SetBodyStream(&body{ReadCloser: response.Body, cancel: cancel}, int(response.ContentLength))
-}
-
-// body ends the request's context when the answer is written or given up.
-type body struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close closes the answer and ends the request.
-func (b *body) Close() error {
-	defer b.cancel()
-	return b.ReadCloser.Close()
+	c.Response().SetBodyStream(&responseBody{ReadCloser: response.Body, cancel: cancel}, int(response.ContentLength))
 }
 
 // record counts the outcome. The routing decisions themselves are logged by
