--- a/daemon/edge/body.go
+++ b/daemon/edge/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"time"
@@ -24,7 +25,8 @@
 		return 0, err
 	}
 	n, err := b.stream.Read(buffer)
-	if err == nil || err == io.EOF { //nolint:errorlint // The deadline stays only after a failed read.
+	// The deadline stays after a failed read: the connection is given up.
+	if err == nil || errors.Is(err, io.EOF) {
 		_ = b.connection.SetReadDeadline(time.Time{})
 	}
 	return n, err
