Let deputies assign units when the planner can't

Cause: if the planner reaches its peers but not the table, it is not replaced, and units without an owner stay so. A replacement that met conflicts leaves its units to the planner.

The second and third active member of the service assign units that have been unowned for 2 s and 4 s. Assignments stay conditional on the rows.

The comparison of the view with a map found that a batch with two rows of one member left the first in its service's list; fixed. No caller had such a batch.

--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -36,7 +36,7 @@
 		next.byService[service] = apply(next.byService[service])
 	}
 	for _, m := range changed {
-		if old, ok := v.Member(m.incarnation); ok && old.Alive() {
+		if old, ok := next.Member(m.incarnation); ok && old.Alive() {
 			update(old.announcement.service, func(list []Member) []Member { return remove(list, m.incarnation) })
 		}
 		next.all = insert(next.all, m)
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -122,8 +122,10 @@
 // Snapshot returns the current view for the request path.
 func (n *Node) Snapshot() *Snapshot { return n.snapshot }
 
-// Step takes an event at now, which must not go back, and returns the actions
-// to carry out in order.
+// Step takes an event at now and returns the actions to carry out in order. The
+// driver reads now after the event occurred and before it carries out the
+// actions; it must not go back. A driver that was paused in between calls Step
+// with the earlier reading, which is safe.
 func (n *Node) Step(now clock.Millis, event Event) []Action {
 	if n.self.left {
 		return nil
--- a/core/node/planner.go
+++ b/core/node/planner.go
@@ -22,6 +22,11 @@
 	// before the first units of a service are assigned, so that the first member
 	// does not get all of them.
 	firstAssignment clock.Millis = 500
+	// deputies is the number of further members that assign units in place of the
+	// planner, and deputyDelay the time in milliseconds after which each does:
+	// several times what the planner needs for an assignment.
+	deputies                 = 2
+	deputyDelay clock.Millis = 2000
 	// loadAge is the time in milliseconds after which a load report is ignored.
 	loadAge = 3 * planInterval
 	// groupsPerCommit bounds the group rows of one assignment.
@@ -39,7 +44,10 @@
 	lastChange  clock.Millis
 	memberCount int
 	nextPlan    clock.Millis
-	loads       map[identity.Incarnation]loadReport
+	// unownedSince is when a deputy first saw the present unowned units, 0 if
+	// there are none.
+	unownedSince clock.Millis
+	loads        map[identity.Incarnation]loadReport
 }
 
 func (n *Node) loadMeasured(e LoadMeasured) {
@@ -64,6 +72,8 @@
 // stepPlanner assigns unowned units of the node's service and asks owners to
 // move others, if the node is the planner. Two planners at once are harmless: an
 // assignment is conditional on the row, and only the owner carries out a move.
+// The next members in order assign units that stay unowned for long, since the
+// planner may not reach the table.
 func (n *Node) stepPlanner() {
 	service := n.row.Announcement().Service()
 	periodic := n.now >= n.planner.nextPlan
@@ -71,8 +81,8 @@
 		return
 	}
 	rules, ok := n.catalog.Service(service.String())
-	planner, active := n.view.FirstActive(service)
-	if !ok || !rules.IsKeyed() || !active || planner.Incarnation() != n.incarnation || !n.leaseValid() {
+	rank, active := n.planRank(service)
+	if !ok || !rules.IsKeyed() || !active || !n.leaseValid() {
 		n.planner.dirty = false
 		n.planner.nextPlan = max(n.planner.nextPlan, n.now+TickInterval)
 		return
@@ -93,7 +103,42 @@
 	if periodic {
 		n.planner.nextPlan = n.now + planInterval
 	}
-	n.plan(service, n.input(service, members, units), periodic)
+	if rank > 0 && !n.deputyDue(rank, owned < len(units)) {
+		return
+	}
+	n.plan(service, n.input(service, members, units), periodic && rank == 0)
+}
+
+// planRank returns the node's place among the active members of a service, or
+// false if it is not one of the first.
+func (n *Node) planRank(service identity.Service) (int, bool) {
+	rank := 0
+	for _, m := range n.view.OfService(service) {
+		switch {
+		case m.State() != membership.StateActive:
+		case m.Incarnation() == n.incarnation:
+			return rank, true
+		case rank == deputies:
+			return 0, false
+		default:
+			rank++
+		}
+	}
+	return 0, false
+}
+
+// deputyDue tells whether units were unowned for so long that a member of the
+// given rank should assign them in place of the planner.
+func (n *Node) deputyDue(rank int, unowned bool) bool {
+	if !unowned {
+		n.planner.unownedSince = 0
+		return false
+	}
+	if n.planner.unownedSince == 0 {
+		n.planner.unownedSince = n.now
+	}
+	n.planner.nextPlan = min(n.planner.nextPlan, n.now+deputyDelay/4)
+	return n.now-n.planner.unownedSince >= clock.Millis(rank)*deputyDelay
 }
 
 // units returns the units of a service, with owner 0 for those whose owner is
--- a/core/node/snapshot.go
+++ b/core/node/snapshot.go
@@ -70,8 +70,8 @@
 	return s.tables.owner(service, id, key)
 }
 
-// Members returns the members of a service that are not dead, by ascending
-// incarnation; callers must not change them.
+// Members returns the members of a service that are not dead, in any other state,
+// by ascending incarnation; callers must not change them.
 func (s *Snapshot) Members(service identity.Service) []membership.Member {
 	return s.tables.members(service)
 }
