Announce revisions at most every 50 ms and list local units

Cause: each change of a row was announced to about six peers at once, so that the join of hundreds of members costs a multiple of the control budget. The driver needs the units that it serves for the grants of one message.

An announcement within 50 ms of the last one waits for the next step.

The schedules also kill all members, or a failure domain, at once.

--- a/core/node/messages.go
+++ b/core/node/messages.go
@@ -12,11 +12,17 @@
 // may be sent to another peer: well above the round trip between regions.
 const syncPatience clock.Millis = 200
 
+// announceGap is the shortest time in milliseconds between two announcements of
+// the node's revision. A single change is announced at once; when hundreds of
+// members join, their changes are announced together.
+const announceGap clock.Millis = 50
+
 type syncState struct {
 	// announce is set when rows were taken into the copy since the last
 	// announcement of its revision.
 	announce     bool
 	announced    table.Revision
+	nextAnnounce clock.Millis
 	pendingUntil clock.Millis
 	heard        table.Revision
 	behindSince  clock.Millis
@@ -131,10 +137,11 @@
 // new rows. They fetch the rows from it, so that a change spreads in a few round
 // trips and not with the renewals only.
 func (n *Node) announceRevision() {
-	if !n.sync.announce || n.copy.revision <= n.sync.announced {
+	if !n.sync.announce || n.copy.revision <= n.sync.announced || n.now < n.sync.nextAnnounce {
 		return
 	}
 	n.sync.announce = false
+	n.sync.nextAnnounce = n.now + announceGap
 	n.sync.announced = n.copy.revision
 	hint := peer.NewSyncReply(n.copy.revision, n.copy.revision, nil)
 	told := map[identity.Incarnation]bool{n.incarnation: true}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -180,6 +180,9 @@
 
 // advance makes the decisions that time or an event made due.
 func (n *Node) advance() {
+	if n.self.left {
+		return
+	}
 	n.stepWitnesses()
 	n.stepSelf()
 	if n.self.left {
--- a/core/node/schedule_test.go
+++ b/core/node/schedule_test.go
@@ -88,7 +88,7 @@
 	note := func(format string, args ...any) {
 		c.trace(fmt.Sprintf("%6d fault %s for %d", c.t, fmt.Sprintf(format, args...), duration))
 	}
-	switch c.rng.IntN(13) {
+	switch c.rng.IntN(14) {
 	case 0, 1:
 		note("kill i%d", i)
 		p.kill()
@@ -128,6 +128,15 @@
 		p.deliver(node.UpstreamDown{})
 		c.after(duration, func() { p.deliver(node.UpstreamUp{}) })
 	case 12:
+		note("kill all or a domain")
+		all := c.rng.IntN(3) == 0
+		for k, location := range c.locations {
+			if all || location == c.locations[i] {
+				c.current(k).kill()
+				c.after(c.rng.Int64N(duration), func() { c.restart(k) })
+			}
+		}
+	case 13:
 		note("moves")
 		for range 20 {
 			c.after(c.rng.Int64N(duration), c.move)
@@ -174,10 +183,8 @@
 }
 
 func (c *schedule) restart(i int) {
-	if p := c.current(i); !p.alive {
+	if !c.current(i).alive {
 		c.start(i, c.locations[i], c.keyed[i])
-	} else if p.left {
-		return
 	}
 }
 
--- a/core/node/snapshot.go
+++ b/core/node/snapshot.go
@@ -70,6 +70,42 @@
 	return s.tables.owner(service, id, key)
 }
 
+// LocalUnit is a unit that the node owns and serves.
+type LocalUnit struct {
+	service   identity.Service
+	unit      ownership.Unit
+	epoch     identity.Epoch
+	serveFrom clock.Millis
+}
+
+// Service returns the service.
+func (u LocalUnit) Service() identity.Service { return u.service }
+
+// Unit returns the shard or hot key.
+func (u LocalUnit) Unit() ownership.Unit { return u.unit }
+
+// Epoch returns the epoch under which the node owns the unit.
+func (u LocalUnit) Epoch() identity.Epoch { return u.epoch }
+
+// ServeFrom returns the earliest point at which the node may admit orders.
+func (u LocalUnit) ServeFrom() clock.Millis { return u.serveFrom }
+
+// Local returns the units that the node serves, without those whose handover has
+// begun, in order of service, shard and hot key. It costs time proportional to
+// their number.
+func (s *Snapshot) Local() []LocalUnit {
+	units := make([]LocalUnit, 0, len(s.tables.local))
+	for key, local := range s.tables.local {
+		if local.phase == phaseServing {
+			units = append(units, LocalUnit{service: key.service, unit: key.unit, epoch: local.epoch, serveFrom: local.serveFrom})
+		}
+	}
+	slices.SortFunc(units, func(a, b LocalUnit) int {
+		return compareLocal(localKey{service: a.service, unit: a.unit}, localKey{service: b.service, unit: b.unit})
+	})
+	return units
+}
+
 // Members returns the members of a service that are not dead, in any other state,
 // by ascending incarnation; callers must not change them.
 func (s *Snapshot) Members(service identity.Service) []membership.Member {
