Test the chain from caller to upstream

Cause: the parts of the request path were tested apart. Change: a test from the caller's client over HTTP, two daemons and gRPC to an upstream that breaks off; a request whose sender has another number of shards is refused as configuration-lags, because malformed would tell the caller to give up. Conclusion: a truncated body ends in an error at the caller for chunked bodies and for known lengths.

--- /dev/null
+++ b/core/router/chain_test.go
@@ -0,0 +1,97 @@
+package router_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"briarwell.dev/core/client"
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/router"
+	"briarwell.dev/core/upstream"
+)
+
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// listen serves the callers of a daemon over HTTP and returns the address.
+func listen(t *testing.T, d *daemon) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: d.serveHTTP, StreamRequestBody: true, Logger: quiet{}}
+	var group conc.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) })
+	t.Cleanup(func() { listener.Close(); group.Wait() })
+	return listener.Addr().String()
+}
+
+func (d *daemon) serveHTTP(ctx *fasthttp.RequestCtx) {
+	request := router.CallerRequest{
+		Method: string(ctx.Method()), Target: string(ctx.Request.Header.RequestURI()),
+		ContentLength: int64(ctx.Request.Header.ContentLength()),
+	}
+	for name, value := range ctx.Request.Header.All() {
+		request.Headers = append(request.Headers, upstream.NewHeader(string(name), string(value)))
+	}
+	if request.ContentLength != 0 && request.Method != "GET" {
+		request.Body = ctx.RequestBodyStream()
+	}
+	response := d.entry.Serve(context.Background(), request)
+	ctx.SetStatusCode(response.Status)
+	for _, header := range response.Headers {
+		ctx.Response.Header.Add(header.Name(), header.Value())
+	}
+	if response.Body != nil {
+		ctx.Response.SetBodyStream(response.Body, int(response.ContentLength))
+	}
+}
+
+// TestWholeChain guards against bodies that are cut on the way from the caller
+// through two daemons to the upstream and back without an error at the caller.
+func TestWholeChain(t *testing.T) {
+	is := is.New(t)
+	d := cluster(2, upstream.FencingEpoch)
+	d[0].self.HTTPAddress = listen(t, d[0])
+	connect(t, d)
+	c := client.New(client.Settings{Entries: []string{listen(t, d[1])}})
+	defer c.Close()
+	do := func(method string, body []byte) (*client.Answer, []byte, error) {
+		answer, err := c.Do(t.Context(), client.Request{Service: keyed, Key: "k1", Method: method, Body: body})
+		is.NoErr(err)
+		defer answer.Body.Close()
+		text, err := io.ReadAll(answer.Body)
+		return answer, text, err
+	}
+	payload := bytes.Repeat([]byte("pattern "), 50_000)
+	d[0].up.act = func(_ context.Context, order upstream.Order) (upstream.Answer, error) {
+		return upstream.Answer{Status: 201, Body: io.NopCloser(order.Body), ContentLength: -1}, nil
+	}
+	whole, text, err := do("POST", payload)
+	is.NoErr(err)
+	is.Equal(whole.Status, 201)
+	is.Equal(whole.ServedBy, "a")
+	is.True(bytes.Equal(text, payload))
+	for _, length := range []int64{-1, 400_000} {
+		d[0].up.act = func(context.Context, upstream.Order) (upstream.Answer, error) {
+			half := io.MultiReader(strings.NewReader(strings.Repeat("x", 200_000)), brokenReader{})
+			return upstream.Answer{Status: 200, Body: io.NopCloser(half), ContentLength: length}, nil
+		}
+		answer, text, err := do("GET", nil)
+		var truncated *router.TruncatedError
+		is.Equal(answer.Outcome, outcome.Outcome(outcome.Done{}))
+		is.True(errors.As(err, &truncated))
+		is.True(len(text) <= 200_000)
+	}
+	is.Equal(d[0].gate.InFlight(), 0)
+}
--- a/core/router/claim.go
+++ b/core/router/claim.go
@@ -49,9 +49,13 @@
 	}
 	x.rules, x.self = rules, view.Self()
 	x.route = routeOf(rules, request.Method, withoutQuery(request.Path))
-	if rules.IsKeyed() && (request.Key == "" || shard.Of(request.Key, rules.Shards()) != request.Shard) {
+	if rules.IsKeyed() && request.Key == "" {
 		return outcome.NewNotRun(outcome.ReasonMalformed)
 	}
+	if rules.IsKeyed() && shard.Of(request.Key, rules.Shards()) != request.Shard {
+		// The sender has another number of shards.
+		return outcome.NewNotRun(outcome.ReasonConfigurationLags)
+	}
 	x.backend, ok = ports.Backends.Backend(request.Service)
 	if !ok {
 		return outcome.NewNotRun(outcome.ReasonUnreachable)
--- a/core/router/owner_test.go
+++ b/core/router/owner_test.go
@@ -135,6 +135,8 @@
 		is.Equal(time.Since(start), 40*time.Millisecond) // The next look.
 		request := &router.Request{Service: keyed, Key: "k1", Shard: id, Method: "GET", Path: "/k1", Deadline: 5000, ConfigVersion: 2}
 		is.Equal(d.owner.Serve(t.Context(), request).Outcome, outcome.Outcome(outcome.NewNotRun(outcome.ReasonConfigurationLags)))
+		request.ConfigVersion, request.Shard = 1, id+1
+		is.Equal(d.owner.Serve(t.Context(), request).Outcome, outcome.Outcome(outcome.NewNotRun(outcome.ReasonConfigurationLags)))
 	})
 }
 
