End each of two simultaneous faults after its own length

Ruled out: a daemon fault; its log shows upstreamDown and upstreamUp 4.7 s apart.

Change: a step holds its faults by length and heals each when its own time is up.

Conclusion: sequences of a seed stay the same; only lengths of pairs change.

--- a/demo/faults/fault.go
+++ b/demo/faults/fault.go
@@ -13,7 +13,7 @@
 // stopTimeout bounds a graceful leave.
 const stopTimeout = 15 * time.Second
 
-// Fault is one of Kill, Freeze, Leave, Table, Cut and Pair.
+// Fault is one of Kill, Freeze, Leave, Table and Cut.
 type Fault interface {
 	isFault()
 	fmt.Stringer
@@ -84,15 +84,11 @@
 	link harness.LinkFault
 }
 
-// Pair is two faults at once.
-type Pair struct{ first, second Fault }
-
 func (Kill) isFault()   {}
 func (Freeze) isFault() {}
 func (Leave) isFault()  {}
 func (Table) isFault()  {}
 func (Cut) isFault()    {}
-func (Pair) isFault()   {}
 
 func (f Kill) String() string { return fmt.Sprintf("kill %s of %s", f.part, f.instance.name) }
 
@@ -102,7 +98,6 @@
 func (f Leave) String() string { return fmt.Sprintf("graceful leave of %s", f.instance.name) }
 func (f Table) String() string { return f.name }
 func (f Cut) String() string   { return f.link.String() }
-func (f Pair) String() string  { return f.first.String() + " + " + f.second.String() }
 
 func (Kill) targeted() bool   { return true }
 func (Freeze) targeted() bool { return true }
@@ -114,10 +109,6 @@
 // during silence.
 func (f Cut) targeted() bool { return f.link.Kind() == harness.LinkSilent }
 
-// targeted excludes pairs, as two losses at once may fall under cases 1 to 4 of
-// section 2.5 of the design page.
-func (Pair) targeted() bool { return false }
-
 // Part returns the processes that are killed.
 func (f Kill) Part() Part { return f.part }
 
@@ -162,14 +153,6 @@
 func (f Cut) inject(c *harness.Cluster) error { return c.Links().Set(f.link) }
 func (f Cut) heal(c *harness.Cluster) error   { return c.Links().Clear() }
 
-func (f Pair) inject(c *harness.Cluster) error {
-	return errors.Join(f.first.inject(c), f.second.inject(c))
-}
-
-func (f Pair) heal(c *harness.Cluster) error {
-	return errors.Join(f.first.heal(c), f.second.heal(c))
-}
-
 // startEnded starts the processes of an instance that have ended.
 func startEnded(i *harness.Instance) error {
 	if !i.Daemon().Running() {
--- a/demo/faults/plan.go
+++ b/demo/faults/plan.go
@@ -1,7 +1,10 @@
 package faults
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"briarwell.dev/demo/harness"
@@ -27,17 +30,42 @@
 	pairEvery = 4
 )
 
-// Step is a fault and how long it lasts.
-type Step struct {
+// Timed is a fault and how long it lasts.
+type Timed struct {
 	fault Fault
 	hold  time.Duration
 }
 
 // Fault returns the fault.
-func (s Step) Fault() Fault { return s.fault }
+func (t Timed) Fault() Fault { return t.fault }
 
 // Hold returns how long the fault lasts.
-func (s Step) Hold() time.Duration { return s.hold }
+func (t Timed) Hold() time.Duration { return t.hold }
+
+// Step is one fault, or two that begin at once.
+type Step struct {
+	faults []Timed
+}
+
+// Faults returns the faults by ascending length.
+func (s Step) Faults() []Timed { return s.faults }
+
+func (s Step) String() string {
+	names := make([]string, 0, len(s.faults))
+	for _, f := range s.faults {
+		names = append(names, f.fault.String())
+	}
+	return strings.Join(names, " + ")
+}
+
+// targeted excludes two faults at once, which may fall under cases 1 to 4 of
+// section 2.5 of the design page.
+func (s Step) targeted() bool { return len(s.faults) == 1 && s.faults[0].fault.targeted() }
+
+func newStep(faults ...Timed) Step {
+	slices.SortStableFunc(faults, func(a, b Timed) int { return cmp.Compare(a.hold, b.hold) })
+	return Step{faults: faults}
+}
 
 // Plan draws steps. Each kind of fault comes once before any comes again. Use
 // NewPlan.
@@ -46,7 +74,7 @@
 	seed      uint64
 	instances []string
 	regions   []string
-	deck      []func(instance target) Step
+	deck      []func(target) Timed
 	next      int
 	steps     int
 }
@@ -55,16 +83,16 @@
 // regions. Equal seeds give equal steps.
 func NewPlan(seed uint64, instances, regions []string) *Plan {
 	p := &Plan{random: rand.New(rand.NewPCG(seed, 0)), seed: seed, instances: instances, regions: regions}
-	p.deck = []func(target) Step{
+	p.deck = []func(target) Timed{
 		p.kill(PartBoth), p.kill(PartDaemon), p.kill(PartUpstream),
 		p.freeze(PartDaemon), p.freeze(PartUpstream), p.freeze(PartBoth), p.leave,
 		p.table("table outage", harness.TableFaults{Outage: true}),
 		p.table("slow table", harness.TableFaults{DelayMillis: slowMillis}),
 		p.table("lost answers", harness.TableFaults{LoseCommitShare: lostShare, Seed: seed}),
 	}
-	p.deck = append(p.deck, func(target) Step {
+	p.deck = append(p.deck, func(target) Timed {
 		region := regions[p.random.IntN(len(regions))]
-		return Step{fault: Cut{link: harness.NewLinkFault(harness.LinkCut, region, harness.TableRegion)}, hold: tableHold}
+		return Timed{fault: Cut{link: harness.NewLinkFault(harness.LinkCut, region, harness.TableRegion)}, hold: tableHold}
 	})
 	if len(regions) > 1 {
 		p.deck = append(p.deck, p.cut(harness.LinkCutOneWay), p.cut(harness.LinkCut), p.cut(harness.LinkSilent))
@@ -76,20 +104,19 @@
 func (p *Plan) Next() Step {
 	p.steps++
 	first := p.random.IntN(len(p.instances))
-	step := p.deal()(p.target(first))
+	fault := p.deal()(p.target(first))
 	if p.steps%pairEvery != 0 || len(p.instances) < 2 {
-		return step
+		return newStep(fault)
 	}
 	other := (first + 1 + p.random.IntN(len(p.instances)-1)) % len(p.instances)
-	second := p.deal()(p.target(other))
-	return Step{fault: Pair{first: step.fault, second: second.fault}, hold: max(step.hold, second.hold)}
+	return newStep(fault, p.deal()(p.target(other)))
 }
 
 func (p *Plan) target(number int) target {
 	return target{number: number, name: p.instances[number]}
 }
 
-func (p *Plan) deal() func(target) Step {
+func (p *Plan) deal() func(target) Timed {
 	if p.next == 0 {
 		p.random.Shuffle(len(p.deck), func(i, j int) { p.deck[i], p.deck[j] = p.deck[j], p.deck[i] })
 	}
@@ -98,34 +125,34 @@
 	return dealt
 }
 
-func (p *Plan) kill(part Part) func(target) Step {
-	return func(instance target) Step {
-		return Step{fault: Kill{instance: instance, part: part}, hold: killHold}
+func (p *Plan) kill(part Part) func(target) Timed {
+	return func(instance target) Timed {
+		return Timed{fault: Kill{instance: instance, part: part}, hold: killHold}
 	}
 }
 
-func (p *Plan) freeze(part Part) func(target) Step {
-	return func(instance target) Step {
+func (p *Plan) freeze(part Part) func(target) Timed {
+	return func(instance target) Timed {
 		length := shortestFreeze + time.Duration(p.random.Int64N(int64(longestFreeze-shortestFreeze)))
 		length = length.Round(time.Millisecond)
-		return Step{fault: Freeze{instance: instance, part: part, length: length}, hold: length}
+		return Timed{fault: Freeze{instance: instance, part: part, length: length}, hold: length}
 	}
 }
 
-func (p *Plan) leave(instance target) Step {
-	return Step{fault: Leave{instance: instance, stopped: new(time.Duration)}, hold: leaveHold}
+func (p *Plan) leave(instance target) Timed {
+	return Timed{fault: Leave{instance: instance, stopped: new(time.Duration)}, hold: leaveHold}
 }
 
-func (p *Plan) table(name string, faults harness.TableFaults) func(target) Step {
-	return func(target) Step {
-		return Step{fault: Table{name: name, faults: faults}, hold: tableHold}
+func (p *Plan) table(name string, faults harness.TableFaults) func(target) Timed {
+	return func(target) Timed {
+		return Timed{fault: Table{name: name, faults: faults}, hold: tableHold}
 	}
 }
 
-func (p *Plan) cut(kind harness.LinkKind) func(target) Step {
-	return func(target) Step {
+func (p *Plan) cut(kind harness.LinkKind) func(target) Timed {
+	return func(target) Timed {
 		from := p.random.IntN(len(p.regions))
 		to := (from + 1 + p.random.IntN(len(p.regions)-1)) % len(p.regions)
-		return Step{fault: Cut{link: harness.NewLinkFault(kind, p.regions[from], p.regions[to])}, hold: linkHold}
+		return Timed{fault: Cut{link: harness.NewLinkFault(kind, p.regions[from], p.regions[to])}, hold: linkHold}
 	}
 }
--- a/demo/faults/plan_test.go
+++ b/demo/faults/plan_test.go
@@ -20,21 +20,22 @@
 	pairs := 0
 	for range 100 {
 		step := first.Next()
-		is.Equal(step.Fault().String(), second.Next().Fault().String())
-		switch f := step.Fault().(type) {
-		case faults.Pair:
-			pairs++
-		case faults.Kill:
-			kinds["kill "+string(f.Part())] = true
-		case faults.Freeze:
-			kinds["freeze "+string(f.Part())] = true
-			is.True(step.Hold() >= 500*time.Millisecond && step.Hold() <= 10*time.Second)
-		case faults.Leave:
-			kinds["leave"] = true
-		case faults.Table:
-			kinds[f.String()] = true
-		case faults.Cut:
-			kinds["cut "+string(f.Kind())] = true
+		is.Equal(step.String(), second.Next().String())
+		pairs += len(step.Faults()) - 1
+		for _, timed := range step.Faults() {
+			switch f := timed.Fault().(type) {
+			case faults.Kill:
+				kinds["kill "+string(f.Part())] = true
+			case faults.Freeze:
+				kinds["freeze "+string(f.Part())] = true
+				is.True(timed.Hold() >= 500*time.Millisecond && timed.Hold() <= 10*time.Second)
+			case faults.Leave:
+				kinds["leave"] = true
+			case faults.Table:
+				kinds[f.String()] = true
+			case faults.Cut:
+				kinds["cut "+string(f.Kind())] = true
+			}
 		}
 	}
 	is.Equal(pairs, 25)
--- a/demo/faults/run.go
+++ b/demo/faults/run.go
@@ -39,18 +39,24 @@
 // RunOutage makes the table fail for a time.
 func RunOutage(ctx context.Context, cluster *harness.Cluster, length time.Duration, out io.Writer) ([]assess.Event, error) {
 	fault := Table{name: fmt.Sprintf("table outage of %v", length), faults: harness.TableFaults{Outage: true}}
-	event, err := take(ctx, cluster, Step{fault: fault, hold: length}, out)
+	event, err := take(ctx, cluster, newStep(Timed{fault: fault, hold: length}), out)
 	return []assess.Event{event}, err
 }
 
 func take(ctx context.Context, cluster *harness.Cluster, step Step, out io.Writer) (assess.Event, error) {
-	event := assess.Event{Name: step.fault.String(), Targeted: step.fault.targeted(), FromUnixMicros: time.Now().UnixMicro()}
+	event := assess.Event{Name: step.String(), Targeted: step.targeted(), FromUnixMicros: time.Now().UnixMicro()}
 	_, _ = fmt.Fprintf(out, "%s %s\n", time.Now().Format(time.TimeOnly), event.Name)
-	err := step.fault.inject(cluster)
-	event.StopMillis = stopTime(step.fault).Milliseconds()
-	err = errors.Join(err, sleep(ctx, step.hold))
+	var err error
+	for _, f := range step.faults {
+		err = errors.Join(err, f.fault.inject(cluster))
+		event.StopMillis = max(event.StopMillis, stopTime(f.fault).Milliseconds())
+	}
+	var held time.Duration
+	for _, f := range step.faults {
+		err = errors.Join(err, sleep(ctx, f.hold-held), f.fault.heal(cluster))
+		held = f.hold
+	}
 	event.HealUnixMicros = time.Now().UnixMicro()
-	err = errors.Join(err, step.fault.heal(cluster))
 	if err == nil {
 		err = waitReady(ctx, cluster)
 	}
@@ -63,14 +69,11 @@
 
 // stopTime returns how long a graceful leave took, 0 for other faults.
 func stopTime(fault Fault) time.Duration {
-	switch f := fault.(type) {
-	case Leave:
-		return *f.stopped
-	case Pair:
-		return max(stopTime(f.first), stopTime(f.second))
-	default:
+	leave, ok := fault.(Leave)
+	if !ok {
 		return 0
 	}
+	return *leave.stopped
 }
 
 func waitReady(ctx context.Context, cluster *harness.Cluster) error {
