Keep answers that come before the end of the request

An owner may answer a request without a body and end the stream before the sender has sent its end part; Send then returns io.EOF, and the code read the answer's head to look for a status and dropped it. The caller got an unknown outcome for a request that was done. Ruled out: lost connections (no connection was closed). Change: io.EOF from Send is no failure; Recv tells what happened.

--- a/core/peer/grpcpeer/forward.go
+++ b/core/peer/grpcpeer/forward.go
@@ -96,12 +96,14 @@
 }
 
 func (s *clientStream) exchange(request *router.Request, timeoutMillis int64) (*router.Response, error) {
-	if err := s.stream.Send(headOf(request, timeoutMillis)); err != nil {
-		return nil, s.cause(err)
+	// Send returns io.EOF if the stream has ended: the owner may have answered
+	// before it read the end of the request, and Recv tells what happened.
+	if err := s.stream.Send(headOf(request, timeoutMillis)); err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
 	}
 	if request.Body == nil {
-		if err := s.finishRequest(); err != nil {
-			return nil, s.cause(err)
+		if err := s.finishRequest(); err != nil && !errors.Is(err, io.EOF) {
+			return nil, err
 		}
 	} else {
 		body, length := request.Body, request.ContentLength
@@ -118,17 +120,6 @@
 	return s.response(head.Head)
 }
 
-// cause returns the status of a stream that broke: Send returns io.EOF for it.
-func (s *clientStream) cause(err error) error {
-	if !errors.Is(err, io.EOF) {
-		return err
-	}
-	if _, received := s.stream.Recv(); received != nil {
-		return received
-	}
-	return err
-}
-
 func (s *clientStream) finishRequest() error {
 	end := &peerpb.ForwardRequest{Part: &peerpb.ForwardRequest_End{End: &peerpb.RequestEnd{}}}
 	if err := s.stream.Send(end); err != nil {
--- a/core/peer/grpcpeer/grpcpeer_test.go
+++ b/core/peer/grpcpeer/grpcpeer_test.go
@@ -135,6 +135,38 @@
 
 func (w waiting) Read([]byte) (int, error) { <-w.event; return 0, io.EOF }
 
+// TestEarlyAnswers guards against an answer that is lost because the owner
+// finished before the sender had sent the end of its request.
+func TestEarlyAnswers(t *testing.T) {
+	is := is.New(t)
+	text := strings.Repeat("x", 100_000)
+	address := serve(t, func(_ context.Context, request *router.Request) *router.Response {
+		if request.Body != nil {
+			return done(strings.NewReader(text))
+		}
+		return done(nil)
+	}, nil)
+	pool := newPool(t, grpcpeer.PoolSettings{})
+	var group conc.WaitGroup
+	for range 64 {
+		group.Go(func() {
+			for i := range 150 {
+				var body io.Reader
+				if i%10 == 0 {
+					body = bytes.NewReader(make([]byte, 1<<20))
+				}
+				response, err := pool.Forward(t.Context(), address, newRequest(body))
+				is.NoErr(err)
+				n, err := io.Copy(io.Discard, response.Body)
+				is.NoErr(err)
+				is.Equal(n > 0, body != nil)
+				response.Body.Close()
+			}
+		})
+	}
+	group.Wait()
+}
+
 // TestBrokenRequestBody guards against half a request that the owner takes for
 // a whole one.
 func TestBrokenRequestBody(t *testing.T) {
--- a/core/router/bench_test.go
+++ b/core/router/bench_test.go
@@ -20,7 +20,7 @@
 // BenchmarkServe measures the request path of one daemon without network and
 // upstream.
 func BenchmarkServe(b *testing.B) {
-	requests := map[string]router.CallerRequest{"get": get("/attire/bookings/k1?x=1"), "unkeyed": get("/attire/catalogue/page")}
+	requests := map[string]router.CallerRequest{"get": get("/attire/bookings/k1?x=1"), "post": post("", ""), "unkeyed": get("/attire/catalogue/page")}
 	for name, request := range requests {
 		b.Run(name, func(b *testing.B) {
 			d := cluster(3, upstream.FencingEpoch)[0]
