--- a/demo/assess/assess.go
+++ b/demo/assess/assess.go
@@ -53,6 +53,19 @@
 	ProvedMillis float64 `json:"provedMillis"`
 }
 
+// Spread summarises a distribution.
+type Spread struct {
+	Count int     `json:"count"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+func newSpread(d measure.Distribution) Spread {
+	return Spread{Count: d.Count(), P50: d.Quantile(0.5), P90: d.Quantile(0.9), P99: d.Quantile(0.99), Max: d.Max()}
+}
+
 // Report is the JSON form of an assessment.
 type Report struct {
 	Acceptances int            `json:"acceptances"`
@@ -62,7 +75,9 @@
 	Findings    []string       `json:"findingTexts"`
 	Faults      []FaultResult  `json:"faults"`
 	PeakToMean  []string       `json:"peakToMean"`
-	ChurnMax    float64        `json:"ownerChangesPerKeyMax"`
+	// Unserved holds the gaps of all shards during the run.
+	Unserved Spread  `json:"unservedMillis"`
+	ChurnMax float64 `json:"ownerChangesPerKeyMax"`
 }
 
 // Run adds the records to the history, checks it and measures each fault.
@@ -91,6 +106,7 @@
 		r.PeakToMean = append(r.PeakToMean, fmt.Sprintf("%s %.3f over %d upstreams", i.Service(), i.PeakToMean(), i.Upstreams()))
 	}
 	gaps := measure.Gaps(calls)
+	r.Unserved = newSpread(measure.Lengths(gaps))
 	for _, event := range events {
 		r.Faults = append(r.Faults, assessFault(event, gaps))
 	}
@@ -151,6 +167,8 @@
 	for _, text := range r.PeakToMean {
 		_, _ = fmt.Fprintln(out, "peak-to-mean load:", text)
 	}
+	_, _ = fmt.Fprintf(out, "gaps of shards with failed calls in them: %d, p50 %.0f ms, p90 %.0f ms, p99 %.0f ms, max %.0f ms\n",
+		r.Unserved.Count, r.Unserved.P50, r.Unserved.P90, r.Unserved.P99, r.Unserved.Max)
 	_, _ = fmt.Fprintf(out, "owner changes of one key: at most %.0f\n", r.ChurnMax)
 	_, err := fmt.Fprintf(out, "audit: %d findings %v\n", len(r.Findings), r.Kinds)
 	for _, text := range r.Findings[:min(len(r.Findings), shownFindings)] {
--- a/demo/harness/cluster.go
+++ b/demo/harness/cluster.go
@@ -54,7 +54,6 @@
 	group        *Group
 	tableAddress string
 	objectAddr   string
-	table        *Process
 	instances    []*Instance
 	links        *Links
 }
@@ -133,7 +132,6 @@
 	if err != nil {
 		return err
 	}
-	c.table = table
 	objects, err := c.group.Start("objects", standIn, "objects", "--address", c.objectAddr)
 	if err != nil {
 		return err
