--- a/daemon/control/loop_test.go
+++ b/daemon/control/loop_test.go
@@ -93,7 +93,7 @@
 	t.Helper()
 	is := is.New(t)
 	table := &tables.Table{}
-	var documents []template.Document
+	documents := make([]template.Document, 0, 2)
 	for _, name := range []string{"lending-service", "lagos"} {
 		text, err := os.ReadFile("../../examples/" + name + ".json")
 		is.NoErr(err)
