--- a/core/router/owner_test.go
+++ b/core/router/owner_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"briarwell.dev/core/admission"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/router"
@@ -332,3 +333,46 @@
 		is.NoErr(err)
 	})
 }
+
+// TestStaleOwnerWaits guards against a former owner that still takes itself for
+// the owner and runs a request which was routed under a newer epoch.
+func TestStaleOwnerWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := cluster(1, upstream.FencingEpoch)[0]
+		response := d.owner.Serve(t.Context(), &router.Request{
+			Service: keyed, Key: "k1", Shard: shard.Of("k1", shards), Epoch: 2,
+			Method: "POST", Path: "/k1", RequestID: "a", Deadline: long, ConfigVersion: 1, Attempt: 1,
+		})
+		is.Equal(response.Outcome, outcome.Outcome(outcome.NewNotRun(outcome.ReasonMoved)))
+		is.Equal(d.up.count("a"), 0)
+	})
+}
+
+// TestShardStoppedWhileQueued guards against a request that got its slot after
+// its shard was stopped: the handover doesn't wait for it.
+func TestShardStoppedWhileQueued(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := cluster(1, upstream.FencingEpoch)[0]
+		d.gate = admission.NewGate(d.clock, admission.Settings{Slots: 1})
+		release := make(chan struct{})
+		d.up.act = func(context.Context, upstream.Order) (upstream.Answer, error) { <-release; return answer("x"), nil }
+		results := make(chan *router.Response, 2)
+		serve := func(id string) {
+			response := d.entry.Serve(t.Context(), post(id, ""))
+			_, _ = read(response)
+			results <- response
+		}
+		go serve("first")
+		synctest.Wait()
+		go serve("queued")
+		synctest.Wait()
+		is.Equal(d.gate.Queued(), 1)
+		d.owner.StopShard(keyed, shard.Of("k1", shards), func() {})
+		close(release)
+		<-results
+		<-results
+		is.Equal(d.up.count("queued"), 0)
+	})
+}
