--- a/core/node/losses.go
+++ b/core/node/losses.go
@@ -231,6 +231,8 @@
 		}
 	}
 	if len(lost) > 0 {
+		// Their rows are looked at again, since the transaction may conflict.
+		n.losses.orphansDirty = true
 		n.markDead(lost, "orphan")
 	}
 }
--- a/core/node/schedule_test.go
+++ b/core/node/schedule_test.go
@@ -224,6 +224,8 @@
 		c.after(c.rng.Int64N(c.faultTime), func() { c.table.put("config/head", []byte("2")) })
 	}
 	c.run(bootTime + c.faultTime)
+	// A single member can't have a lease, so members that still leave come back.
+	c.onLeft = c.restart
 	for i := range c.locations {
 		c.restart(i)
 	}
--- a/core/node/sim_test.go
+++ b/core/node/sim_test.go
@@ -41,7 +41,9 @@
 	slow    int64
 	failure string
 	trace   func(string)
-	policy  node.Option
+	// onLeft, if set, is called with the instance of a process that left.
+	onLeft func(int)
+	policy node.Option
 	// sharp makes delays and ticks short and clock rates extreme, so that little
 	// but the margins of the protocol keeps owners apart.
 	sharp bool
@@ -246,6 +248,9 @@
 		p.s.trace(line)
 	case node.Left:
 		p.alive, p.left = false, true
+		if p.s.onLeft != nil {
+			p.s.after(1, func() { p.s.onLeft(p.index) })
+		}
 	}
 }
 
