Add the placement setting and grants for hot keys

Cause: the daemon always placed shards by hashing, and a hot key could not be granted to an upstream. The grants of a daemon named a hot key's epoch as that of its shard, which replaced the shard's own.

Change: settings placement (static or balanced, default static) and hotKeys (default false). A grant's entry has an optional hotKey. The upstream stand-in checks an order for a key that ever had an entry against the entries of that key only: epochs of a shard and of its hot keys are counted apart and may be equal. Stamps of hot keys end with ".k", and the client and bwload keep them by key: a hot key's higher epoch would otherwise replace the stamp of its shard, and every deposit for other keys of the shard would be answered 409. A split that is given up tells the driver to resume the key, which stayed stopped before. Plans that only assign units leave the policy's state alone: balanced noted moves that were never requested, and let those units rest for 60 s.

Ruled out: to let the upstream refuse a key that was split off without ever having had an entry for it. It can't see other members' entries. Orders for the key that were sent before have ended when the split is committed, as the handover waits for them, and the daemon's view sends later ones elsewhere.

Conclusion: off by default until it is measured.

--- a/core/client/client_test.go
+++ b/core/client/client_test.go
@@ -104,6 +104,27 @@
 	is.True(strings.Contains(owner.seen[1], "|2.9|"))
 }
 
+// TestHotKeyStamps guards against a hot key's stamp on orders for other keys of its
+// shard, which the shard's owner would not run.
+func TestHotKeyStamps(t *testing.T) {
+	is := is.New(t)
+	d := start(t, func(ctx *fasthttp.RequestCtx, _ int) {
+		stamp := "2.7"
+		if strings.HasSuffix(string(ctx.Request.Header.RequestURI()), "/hot") {
+			stamp = "2.9.k"
+		}
+		reply(ctx, 200, "done", "", "", stamp)
+	})
+	c := client.New(client.Settings{Entries: []string{d.address}})
+	defer c.Close()
+	for _, key := range []string{"cold", "hot", "cold", "hot"} {
+		_, _, err := do(t, c, client.Request{Key: key, Method: "POST"})
+		is.NoErr(err)
+	}
+	is.True(strings.HasSuffix(d.seen[2], "|2.7|/attire/bookings/cold"))
+	is.True(strings.HasSuffix(d.seen[3], "|2.9.k|/attire/bookings/hot"))
+}
+
 // TestRepeatsKeepIDAndStamp guards against a repeat under another ID or a
 // newer stamp, which the owner would run again.
 func TestRepeatsKeepIDAndStamp(t *testing.T) {
--- a/core/client/owners.go
+++ b/core/client/owners.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 
+	"briarwell.dev/core/dedupe"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/shard"
@@ -38,6 +39,8 @@
 	mu     sync.Mutex
 	keys   map[keyName]shard.ID
 	shards map[shardName]knowledge
+	// hot holds the keys whose answers said that they are owned apart.
+	hot map[keyName]knowledge
 }
 
 // address returns the owner of the key, "" if unknown.
@@ -53,6 +56,9 @@
 func (o *owners) find(service identity.Service, key string) knowledge {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if known, ok := o.hot[keyName{service: service, key: key}]; ok {
+		return known
+	}
 	id, ok := o.keys[keyName{service: service, key: key}]
 	if !ok {
 		return knowledge{}
@@ -72,22 +78,40 @@
 	defer o.mu.Unlock()
 	if o.keys == nil {
 		o.keys, o.shards = make(map[keyName]shard.ID), make(map[shardName]knowledge)
+		o.hot = make(map[keyName]knowledge)
 	}
-	o.remember(keyName{service: service, key: key}, name.id)
-	known := o.shards[name]
-	if identity.Epoch(epoch) < known.epoch {
+	hotName := keyName{service: service, key: key}
+	o.remember(hotName, name.id)
+	known, isHot := o.hot[hotName]
+	if isHot || dedupe.OfHotKey(headerOf(headers, outcome.HeaderStamp)) {
+		if isHot || len(o.hot) < maxKeys {
+			o.hot[hotName] = known.updated(identity.Epoch(epoch), headers)
+		}
 		return
 	}
-	if identity.Epoch(epoch) > known.epoch {
-		known = knowledge{epoch: identity.Epoch(epoch)}
+	o.shards[name] = o.shards[name].updated(identity.Epoch(epoch), headers)
+}
+
+// updated returns what is known after an answer. An answer without a stamp may be
+// that of a hot key, whose epochs are counted apart: it does not raise the epoch.
+func (k knowledge) updated(epoch identity.Epoch, headers []upstream.Header) knowledge {
+	if epoch < k.epoch {
+		return k
+	}
+	stamp := headerOf(headers, outcome.HeaderStamp)
+	switch {
+	case epoch > k.epoch && stamp != "":
+		k = knowledge{epoch: epoch}
+	case epoch > k.epoch:
+		k = knowledge{epoch: k.epoch}
 	}
 	if owner := headerOf(headers, outcome.HeaderOwner); owner != "" {
-		known.owner = owner
+		k.owner = owner
 	}
-	if stamp := headerOf(headers, outcome.HeaderStamp); stamp != "" {
-		known.stamp = newer(known.stamp, stamp)
+	if stamp != "" {
+		k.stamp = newer(k.stamp, stamp)
 	}
-	o.shards[name] = known
+	return k
 }
 
 // newer returns the stamp with more seconds; both are of one epoch. Answers may
--- a/core/dedupe/dedupe_test.go
+++ b/core/dedupe/dedupe_test.go
@@ -81,4 +81,8 @@
 	is.Equal(held.Judge(""), dedupe.VerdictStampRequired)
 	held.First = true
 	is.Equal(held.Judge(""), dedupe.VerdictRun)
+	hot := dedupe.Held{Epoch: 3, Millis: 700_000, HotKey: true}
+	is.Equal(hot.Judge(hot.Stamp()), dedupe.VerdictRun)
+	is.Equal(hot.Judge(held.Stamp()), dedupe.VerdictOlder) // the epochs of the shard are others
+	is.Equal(held.Judge(hot.Stamp()), dedupe.VerdictOlder)
 }
--- a/core/dedupe/stamp.go
+++ b/core/dedupe/stamp.go
@@ -11,21 +11,34 @@
 // millisPerSecond converts the second part of a stamp.
 const millisPerSecond = 1000
 
-// Held says for how long this daemon has owned a shard.
+// hotKeySuffix ends the stamps of a hot key. The epochs of a shard and of its hot
+// keys are counted apart, so that callers must not mix their stamps.
+const hotKeySuffix = ".k"
+
+// OfHotKey tells whether a stamp holds for one key and not for its shard.
+func OfHotKey(stamp string) bool { return strings.HasSuffix(stamp, hotKeySuffix) }
+
+// Held says for how long this daemon has owned a shard or hot key.
 type Held struct {
-	Epoch identity.Epoch
+	// HotKey tells that the key is owned apart from its shard.
+	HotKey bool
+	Epoch  identity.Epoch
 	// Millis is the time since this owner got the epoch.
 	Millis clock.Millis
 	// First tells that the shard never had another owner.
 	First bool
 }
 
-// Stamp returns the current stamp: "<epoch>.<seconds since it was got>".
+// Stamp returns the current stamp: "<epoch>.<seconds since it was got>", and
+// ".k" after it for a hot key.
 func (h Held) Stamp() string {
 	buffer := make([]byte, 0, 24)
 	buffer = strconv.AppendUint(buffer, uint64(h.Epoch), 10)
 	buffer = append(buffer, '.')
 	buffer = strconv.AppendInt(buffer, int64(max(h.Millis, 0)/millisPerSecond), 10)
+	if h.HotKey {
+		buffer = append(buffer, hotKeySuffix...)
+	}
 	return string(buffer)
 }
 
@@ -53,8 +66,9 @@
 		}
 		return VerdictStampRequired
 	}
-	epoch, seconds, ok := parseStamp(stamp)
-	if !ok || epoch != h.Epoch {
+	text, hot := strings.CutSuffix(stamp, hotKeySuffix)
+	epoch, seconds, ok := parseStamp(text)
+	if !ok || hot != h.HotKey || epoch != h.Epoch {
 		return VerdictOlder
 	}
 	// The stamp's second is rounded down, so the age errs towards older.
--- a/core/node/action.go
+++ b/core/node/action.go
@@ -91,6 +91,19 @@
 // Drain tells whether ShardDrained is expected: a handover follows.
 func (a StopShard) Drain() bool { return a.drain }
 
+// ResumeKey ends the stop of a key that was to be split off: the key stays a part
+// of its shard, whose service goes on.
+type ResumeKey struct {
+	service identity.Service
+	unit    ownership.Unit
+}
+
+// Service returns the service.
+func (a ResumeKey) Service() identity.Service { return a.service }
+
+// Unit returns the key and its shard.
+func (a ResumeKey) Unit() ownership.Unit { return a.unit }
+
 // LeaseChanged gives the point until which the node's lease is valid.
 type LeaseChanged struct{ validUntil clock.Millis }
 
@@ -129,6 +142,7 @@
 func (Commit) isAction()       {}
 func (ServeShard) isAction()   {}
 func (StopShard) isAction()    {}
+func (ResumeKey) isAction()    {}
 func (LeaseChanged) isAction() {}
 func (Note) isAction()         {}
 func (Left) isAction()         {}
--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -272,6 +272,7 @@
 func (n *Node) resume(key localKey, local localUnit) {
 	n.forget(key)
 	if local.split {
+		n.emit(ResumeKey(key))
 		return
 	}
 	local.phase, local.target = phaseServing, 0
--- a/core/node/planner.go
+++ b/core/node/planner.go
@@ -26,6 +26,9 @@
 	loadAge = 3 * planInterval
 	// groupsPerCommit bounds the group rows of one assignment.
 	groupsPerCommit = 64
+	// maxHotKeys bounds the hot keys of a service. Their entries are never merged
+	// into the shards again, and all daemons copy them.
+	maxHotKeys = 256
 )
 
 type loadReport struct {
@@ -116,13 +119,15 @@
 		unit := ownership.NewUnit(shard.ID(id), "")
 		add(unit, n.owners.Entry(service, unit))
 	}
+	hotKeys := 0
 	for _, u := range n.owners.Units(service) {
 		if u.Unit().HotKey() != "" {
 			add(u.Unit(), u.Entry())
+			hotKeys++
 		}
 	}
 	for unit := range busy {
-		if unit.HotKey() != "" && n.owners.Entry(service, unit) == (ownership.Entry{}) {
+		if hotKeys < maxHotKeys && unit.HotKey() != "" && n.owners.Entry(service, unit) == (ownership.Entry{}) {
 			add(unit, n.owners.Entry(service, ownership.NewUnit(unit.Shard(), "")))
 		}
 	}
@@ -169,6 +174,9 @@
 	change := ownership.NewChange(n.owners)
 	var takers []identity.Incarnation
 	requests := make(map[identity.Incarnation][]peer.Target)
+	if !periodic {
+		input = input.AssignOnly()
+	}
 	for _, move := range n.settings.policy.Plan(input) {
 		switch {
 		case move.From() == 0 && move.Unit().HotKey() != "" && n.owners.Entry(service, move.Unit()) == (ownership.Entry{}):
--- a/core/placement/balanced/balanced.go
+++ b/core/placement/balanced/balanced.go
@@ -73,7 +73,9 @@
 	run := &plan{policy: p, input: input}
 	run.fill()
 	run.assign()
-	run.balance()
+	if input.MayMove() {
+		run.balance()
+	}
 	return run.moves
 }
 
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -63,6 +63,7 @@
 	interval   clock.Millis
 	candidates []Candidate
 	units      []Placed
+	assignOnly bool
 }
 
 // NewInput returns the input for a service: candidates by ascending incarnation
@@ -73,6 +74,15 @@
 	return Input{service: service, now: now, interval: interval, candidates: candidates, units: units}
 }
 
+// AssignOnly returns the input for a plan that must not move owned units.
+func (i Input) AssignOnly() Input {
+	i.assignOnly = true
+	return i
+}
+
+// MayMove tells whether the plan may move owned units.
+func (i Input) MayMove() bool { return !i.assignOnly }
+
 // Service returns the service.
 func (i Input) Service() identity.Service { return i.service }
 
--- a/core/placement/rendezvous/rendezvous.go
+++ b/core/placement/rendezvous/rendezvous.go
@@ -33,7 +33,7 @@
 		case unit.Owner() == target:
 		case unit.Owner() == 0:
 			moves = append(moves, placement.NewMove(unit.Unit(), 0, target))
-		case moved < defaultMoves:
+		case input.MayMove() && moved < defaultMoves:
 			moved++
 			moves = append(moves, placement.NewMove(unit.Unit(), unit.Owner(), target))
 		}
--- a/core/router/claim.go
+++ b/core/router/claim.go
@@ -147,6 +147,7 @@
 
 func (x *exchange) held() dedupe.Held {
 	return dedupe.Held{
+		HotKey: x.ownership.HotKey,
 		Epoch:  x.ownership.Epoch,
 		Millis: x.owner.ports.Clock.Now() - x.ownership.HeldSince,
 		First:  x.ownership.First,
--- a/core/settings/daemon.go
+++ b/core/settings/daemon.go
@@ -15,6 +15,12 @@
 	DefaultStopTimeoutMillis = 30_000
 	// DefaultLogLevel is the log level if none is set.
 	DefaultLogLevel = "info"
+	// PlacementStatic places shards by hashing, without regard to load.
+	PlacementStatic = "static"
+	// PlacementBalanced moves shards from loaded to idle members.
+	PlacementBalanced = "balanced"
+	// DefaultPlacement is the placement if none is set.
+	DefaultPlacement = PlacementStatic
 )
 
 // Daemon holds the settings of one daemon, see section 10 of the design page.
@@ -31,6 +37,8 @@
 	logLevel             string
 	maxHeaderBytes       int
 	stopTimeout          clock.Millis
+	placement            string
+	hotKeys              bool
 }
 
 // ParseDaemon reads the settings of a daemon. It returns a *ListError with all
@@ -52,6 +60,8 @@
 	daemon.logLevel = object.Optional("logLevel").TextOr(DefaultLogLevel, OneOf("debug", "info", "warn", "error"))
 	daemon.maxHeaderBytes = int(object.Optional("maxHeaderBytes").IntOr(DefaultMaxHeaderBytes, NewRange(1024, 1024*1024, "bytes")))
 	daemon.stopTimeout = clock.Millis(object.Optional("stopTimeoutMillis").IntOr(DefaultStopTimeoutMillis, NewRange(0, 600_000, "ms")))
+	daemon.placement = object.Optional("placement").TextOr(DefaultPlacement, OneOf(PlacementStatic, PlacementBalanced))
+	daemon.hotKeys = object.Optional("hotKeys").BoolOr(false)
 	object.Close()
 	if err := collector.Err(); err != nil {
 		return Daemon{}, err
@@ -111,3 +121,10 @@
 
 // StopTimeout bounds a graceful stop, in milliseconds.
 func (d Daemon) StopTimeout() clock.Millis { return d.stopTimeout }
+
+// Placement returns PlacementStatic or PlacementBalanced.
+func (d Daemon) Placement() string { return d.placement }
+
+// HotKeys tells whether hot keys are reported to the planner, so that they may
+// move apart from their shards. Only the balanced placement uses it.
+func (d Daemon) HotKeys() bool { return d.hotKeys }
--- a/core/settings/daemon_test.go
+++ b/core/settings/daemon_test.go
@@ -34,6 +34,8 @@
 	is.Equal(daemon.LogLevel(), "info")
 	is.Equal(daemon.MaxHeaderBytes(), 16384)
 	is.Equal(daemon.StopTimeout().Duration().Seconds(), 30.0)
+	is.Equal(daemon.Placement(), settings.PlacementStatic)
+	is.Equal(daemon.HotKeys(), false)
 }
 
 // Guards against errors that are reported one by one, or without the path, the
@@ -46,7 +48,7 @@
 		"missing":   `{}`,
 		"wrong": `{"instance": "", "region": 5, "failureDomain": null, "httpAddress": "8080", "peerAddress": "host:9090",
 			"localAddress": "127.0.0.1:0", "tableUrl": "ftp://x", "objectUrl": "http://u@x/?q", "logLevel": "loud",
-			"maxHeaderBytes": 1.5, "stopTimeoutMillis": 600001, "logLevle": "info", "region": {}}`,
+			"maxHeaderBytes": 1.5, "stopTimeoutMillis": 600001, "logLevle": "info", "placement": "random", "hotKeys": 1, "region": {}}`,
 		"unspecified": `{"instance": "a", "region": "r", "failureDomain": "f", "httpAddress": "0.0.0.0:80", "peerAddress": "[::]:9090",
 			"localAddress": "127.0.0.1:1", "tableUrl": "http://t", "objectUrl": "http://o"}`,
 	}
--- a/core/upstream/httpupstream/httpupstream.go
+++ b/core/upstream/httpupstream/httpupstream.go
@@ -219,7 +219,7 @@
 		ExpiresUnixMillis: grant.ExpiresUnixMillis,
 	}
 	for _, granted := range grant.Shards {
-		message.Shards = append(message.Shards, wire.Shard{Shard: granted.Shard, Epoch: granted.Epoch})
+		message.Shards = append(message.Shards, wire.Shard{Shard: granted.Shard, HotKey: granted.HotKey, Epoch: granted.Epoch})
 	}
 	body, err := json.Marshal(message)
 	if err != nil {
--- a/core/upstream/httpupstream/httpupstream_test.go
+++ b/core/upstream/httpupstream/httpupstream_test.go
@@ -321,9 +321,9 @@
 	u := client(t, s.address)
 	is.NoErr(u.Grant(context.Background(), upstream.Grant{
 		Service: identity.NewService("attire", "bookings"), ExpiresUnixMillis: 5,
-		Shards: []upstream.GrantedShard{{Shard: 1, Epoch: 2}},
+		Shards: []upstream.GrantedShard{{Shard: 1, Epoch: 2}, {Shard: 1, HotKey: "k", Epoch: 3}},
 	}))
-	is.Equal(string(body), `{"organisation":"attire","service":"bookings","shards":[{"shard":1,"epoch":2}],"expiresUnixMillis":5}`)
+	is.Equal(string(body), `{"organisation":"attire","service":"bookings","shards":[{"shard":1,"epoch":2},{"shard":1,"hotKey":"k","epoch":3}],"expiresUnixMillis":5}`)
 	load, err := u.Load(context.Background())
 	is.NoErr(err)
 	is.Equal(load, upstream.Load{InFlight: 3, Slots: 12, Draining: true})
--- a/core/upstream/upstream.go
+++ b/core/upstream/upstream.go
@@ -77,10 +77,12 @@
 	ExpiresUnixMillis int64
 }
 
-// GrantedShard is a shard and its epoch within a Grant.
+// GrantedShard is a shard, or a hot key of it if HotKey is not "", and its epoch
+// within a Grant.
 type GrantedShard struct {
-	Shard shard.ID
-	Epoch identity.Epoch
+	Shard  shard.ID
+	HotKey string
+	Epoch  identity.Epoch
 }
 
 // Load is what the upstream says of itself. It may lag or mislead.
--- a/core/upstream/wire/wire.go
+++ b/core/upstream/wire/wire.go
@@ -24,10 +24,12 @@
 	ExpiresUnixMillis int64   `json:"expiresUnixMillis"`
 }
 
-// Shard is a shard and its epoch within Grants.
+// Shard is a shard, or a hot key of it, and its epoch within Grants. For orders
+// of a hot key with an entry of its own that entry counts and not the shard's.
 type Shard struct {
-	Shard shard.ID       `json:"shard"`
-	Epoch identity.Epoch `json:"epoch"`
+	Shard  shard.ID       `json:"shard"`
+	HotKey string         `json:"hotKey,omitempty"`
+	Epoch  identity.Epoch `json:"epoch"`
 }
 
 // Load is what the upstream says of itself.
--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -23,6 +23,8 @@
 	"briarwell.dev/core/node"
 	"briarwell.dev/core/peer/grpcpeer"
 	"briarwell.dev/core/peer/peerpb"
+	"briarwell.dev/core/placement"
+	"briarwell.dev/core/placement/balanced"
 	"briarwell.dev/core/placement/rendezvous"
 	"briarwell.dev/core/router"
 	"briarwell.dev/core/settings"
@@ -75,18 +77,26 @@
 		return nil, err
 	}
 	instance := membership.NewInstance(s.Instance(), s.AdvertiseHTTPAddress(), s.AdvertisePeerAddress(), s.Location())
-	a.loop = control.New(instance, rendezvous.Policy{}, a.clock.Now(), seed)
+	a.loop = control.New(instance, policy(s), a.clock.Now(), seed)
 	a.connect(seed)
 	return a, nil
 }
 
+// policy returns the placement policy that the settings name.
+func policy(s settings.Daemon) placement.Policy {
+	if s.Placement() == settings.PlacementBalanced {
+		return &balanced.Policy{}
+	}
+	return rendezvous.Policy{}
+}
+
 // connect builds the parts that meet at the loop.
 func (a *App) connect(seed uint64) {
 	localIP := peerIP(a.settings)
 	a.pool = grpcpeer.NewPool(grpcpeer.PoolSettings{LocalIP: localIP.String(), Clock: a.clock})
 	a.backend = backend.New(a.clock, net.IP(localIP.AsSlice()), a.loop, a.loop, a.log)
 	a.grants = backend.NewGrants(a.backend, a.clock)
-	a.load = newLoadMeter()
+	a.load = newLoadMeter(a.clock, a.settings.Placement() == settings.PlacementBalanced && a.settings.HotKeys())
 	a.owner = router.NewOwner(router.OwnerPorts{
 		Views:         a.loop,
 		Backends:      a.backend,
--- a/daemon/backend/grants.go
+++ b/daemon/backend/grants.go
@@ -111,7 +111,7 @@
 	shards := make([]upstream.GrantedShard, 0, len(units))
 	for _, unit := range units {
 		if unit.Service() == service {
-			shards = append(shards, upstream.GrantedShard{Shard: unit.Shard(), Epoch: unit.Epoch()})
+			shards = append(shards, upstream.GrantedShard{Shard: unit.Shard(), HotKey: unit.HotKey(), Epoch: unit.Epoch()})
 		}
 	}
 	return shards
--- a/daemon/control/actions.go
+++ b/daemon/control/actions.go
@@ -29,6 +29,8 @@
 		l.serveUnit(action)
 	case node.StopShard:
 		l.stopUnit(action)
+	case node.ResumeKey:
+		l.ports.Orders.ResumeKey(action.Service(), action.Unit().Shard(), action.Unit().HotKey())
 	case node.LeaseChanged:
 		l.grant()
 	case node.Note:
--- a/load/runner/runner.go
+++ b/load/runner/runner.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"briarwell.dev/core/audit/record"
+	"briarwell.dev/core/dedupe"
 	"briarwell.dev/load/workload"
 )
 
@@ -169,7 +170,7 @@
 	}
 }
 
-// stamps holds the newest stamp that the callers know for each shard.
+// stamps holds the newest stamp that the callers know for each shard and hot key.
 type stamps struct {
 	lock   sync.RWMutex
 	newest map[shardName]stamp
@@ -178,6 +179,8 @@
 type shardName struct {
 	service string
 	shard   uint32
+	// hotKey is "" for the shard.
+	hotKey string
 }
 
 type stamp struct {
@@ -190,7 +193,13 @@
 func (s *stamps) get(request workload.Request) string {
 	s.lock.RLock()
 	defer s.lock.RUnlock()
-	return s.newest[nameOf(request)].text
+	name := nameOf(request)
+	hot := name
+	hot.hotKey = request.Key()
+	if known, ok := s.newest[hot]; ok {
+		return known.text
+	}
+	return s.newest[name].text
 }
 
 // learn keeps the stamp unless one of a higher epoch is known, since answers of
@@ -202,6 +211,9 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	name := nameOf(request)
+	if dedupe.OfHotKey(text) {
+		name.hotKey = request.Key()
+	}
 	if cmp.Compare(epoch, s.newest[name].epoch) >= 0 {
 		s.newest[name] = stamp{epoch: epoch, text: text}
 	}
--- a/standin/upstreamserver/fence.go
+++ b/standin/upstreamserver/fence.go
@@ -29,13 +29,14 @@
 type fence struct {
 	sharded            bool
 	shard              shard.ID
+	key                string
 	epoch              identity.Epoch
 	deadlineUnixMillis int64
 }
 
 // parseFence reads the order's headers. It returns false if one is malformed.
 func parseFence(header *fasthttp.RequestHeader) (fence, bool) {
-	var parsed fence
+	parsed := fence{key: string(header.Peek(outcome.HeaderKey))}
 	if text := header.Peek(outcome.HeaderShard); len(text) > 0 {
 		number, err := strconv.ParseUint(string(text), 10, 32)
 		if err != nil {
@@ -63,25 +64,34 @@
 // grants holds the last grants received.
 type grants struct {
 	mutex             sync.RWMutex
-	epochs            map[shard.ID]identity.Epoch
+	epochs            map[unit]identity.Epoch
 	expiresUnixMillis int64
-	// highest holds the highest epoch ever granted for each shard.
-	highest map[shard.ID]identity.Epoch
+	// highest holds the highest epoch ever granted for each unit. A hot key is
+	// never merged into its shard, so that an order for a key in here is not
+	// checked against the shard, whose epoch may equal one of the key's.
+	highest map[unit]identity.Epoch
 }
 
-// replace sets the grants. A grant below the highest epoch of its shard is
+// unit is a shard, or a hot key of it if hotKey is not "".
+type unit struct {
+	shard  shard.ID
+	hotKey string
+}
+
+// replace sets the grants. A grant below the highest epoch of its unit is
 // ignored, as a delayed one must not bring back an earlier ownership.
 func (g *grants) replace(message wire.Grants) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if g.highest == nil {
-		g.highest = make(map[shard.ID]identity.Epoch)
+		g.highest = make(map[unit]identity.Epoch)
 	}
-	g.epochs = make(map[shard.ID]identity.Epoch, len(message.Shards))
+	g.epochs = make(map[unit]identity.Epoch, len(message.Shards))
 	for _, granted := range message.Shards {
-		g.highest[granted.Shard] = max(granted.Epoch, g.highest[granted.Shard])
-		if granted.Epoch == g.highest[granted.Shard] {
-			g.epochs[granted.Shard] = granted.Epoch
+		u := unit{shard: granted.Shard, hotKey: granted.HotKey}
+		g.highest[u] = max(granted.Epoch, g.highest[u])
+		if granted.Epoch == g.highest[u] {
+			g.epochs[u] = granted.Epoch
 		}
 	}
 	g.expiresUnixMillis = message.ExpiresUnixMillis
@@ -97,7 +107,7 @@
 func (g *grants) check(order fence, nowUnixMillis int64) refusal {
 	g.mutex.RLock()
 	defer g.mutex.RUnlock()
-	epoch, ok := g.epochs[order.shard]
+	epoch, ok := g.epochs[g.unitOf(order)]
 	switch {
 	case !order.sharded || !ok || epoch != order.epoch:
 		return refusedEpoch
@@ -108,6 +118,15 @@
 	}
 }
 
+// unitOf returns the unit whose epoch counts for an order.
+func (g *grants) unitOf(order fence) unit {
+	hot := unit{shard: order.shard, hotKey: order.key}
+	if _, ok := g.highest[hot]; ok {
+		return hot
+	}
+	return unit{shard: order.shard}
+}
+
 // checkFence applies the checks of the fencing mode. It runs when an order
 // arrives and again before its effect, as the process may have been frozen in
 // between.
--- a/standin/upstreamserver/upstreamserver_test.go
+++ b/standin/upstreamserver/upstreamserver_test.go
@@ -147,6 +147,36 @@
 	}
 }
 
+// Guards against an order for a hot key that runs under its shard's epoch, or
+// under an equal epoch of the shard after the key was given away.
+func TestHotKeyFencing(t *testing.T) {
+	is := is.New(t)
+	f := start(t, upstreamserver.Settings{Fencing: upstream.FencingEpoch, Slots: 2})
+	refused := func(epoch identity.Epoch) bool {
+		t.Helper()
+		found, err := f.do(context.Background(), "POST", "r", epoch, time.Minute)
+		is.NoErr(err)
+		return found == "refused epoch"
+	}
+	grant := func(shards ...upstream.GrantedShard) {
+		t.Helper()
+		is.NoErr(f.client.Grant(context.Background(), upstream.Grant{
+			Service: service, ExpiresUnixMillis: time.Now().Add(time.Minute).UnixMilli(), Shards: shards,
+		}))
+	}
+	grant(upstream.GrantedShard{Shard: 1, Epoch: 5}, upstream.GrantedShard{Shard: 1, HotKey: "other", Epoch: 9})
+	is.True(!refused(5)) // no entry of its own
+	grant(upstream.GrantedShard{Shard: 1, Epoch: 5}, upstream.GrantedShard{Shard: 1, HotKey: "k", Epoch: 7})
+	is.True(refused(5))
+	is.True(!refused(7))
+	grant(upstream.GrantedShard{Shard: 1, Epoch: 7}) // the key went to another upstream
+	is.True(refused(7))
+	grant(upstream.GrantedShard{Shard: 1, Epoch: 7}, upstream.GrantedShard{Shard: 1, HotKey: "k", Epoch: 6}) // late
+	is.True(refused(6) && refused(7))
+	grant(upstream.GrantedShard{Shard: 1, HotKey: "k", Epoch: 9})
+	is.True(!refused(9))
+}
+
 // Guards against an order that has its effect after its daemon cancelled it,
 // and against a slot that is not given back.
 func TestCancelAndShed(t *testing.T) {
