Hold moves back while the table is slow and export plans

The planner's decisions could not be read from metrics or the log.

Ruled out: to give up a handover whose transaction was sent. Its outcome is not known, and to resume could serve a unit twice. Also a check in the planner alone: it sends few transactions and does not know the owner's way to the table.

Change: a node times its transactions. A move that is not a leave does not begin while one takes longer than 150 ms, nor for 10 s after one did; if none ended in the last 6 s, one move begins alone. Handovers that have begun are not touched. The planner moves nothing for 10 s after a member was seen dead, and plans a move that its owner dropped again after 10 s. Plans are logged (placementPlan: peakToMean, moves, hotKeys, heldBack) and exported as placement_peak_to_mean, placement_hot_keys, placement_moves, placement_held_back. The timer unit_handover has the time from the stop of a unit until its transaction was seen.

Conclusion: the first move after 6 quiet seconds can still meet a slow table. The time that remains unserved in processes with a slow table was not measured.

--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -163,8 +163,9 @@
 
 // handoverRequested takes the planner's request. The planner may be stale or
 // wrong: only units that the node serves and targets that may own them count.
+// Moves that may not begin now are dropped, since the planner repeats them.
 func (n *Node) handoverRequested(m peer.Handover) {
-	for _, t := range m.Targets() {
+	for _, t := range m.Targets()[:n.moveLimit(len(m.Targets()))] {
 		member, ok := n.view.Member(t.Target())
 		if ok && memberActive(member, m.Service()) && t.Target() != n.incarnation {
 			n.startHandover(localKey{service: m.Service(), unit: ownership.NewUnit(t.Shard(), t.HotKey())}, t.Target())
--- a/core/node/lane.go
+++ b/core/node/lane.go
@@ -1,6 +1,9 @@
 package node
 
-import "briarwell.dev/core/table"
+import (
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/table"
+)
 
 // lane runs one transaction at a time. The node has one lane for its own row and
 // one for shared rows, so that a lost answer of one does not delay the other.
@@ -8,6 +11,7 @@
 	busy        bool
 	needScan    bool
 	id          CommitID
+	sentAt      clock.Millis
 	transaction table.Transaction
 	done        func(committed bool)
 }
@@ -21,7 +25,7 @@
 func (n *Node) commit(l *lane, conditions []table.Condition, mutations []table.Mutation, done func(committed bool)) {
 	n.lastCommit++
 	transaction := table.NewTransaction(conditions, mutations)
-	*l = lane{busy: true, id: n.lastCommit, transaction: transaction, done: done}
+	*l = lane{busy: true, id: n.lastCommit, sentAt: n.now, transaction: transaction, done: done}
 	n.emit(Commit{id: n.lastCommit, transaction: transaction})
 }
 
@@ -41,6 +45,7 @@
 	}
 	finished := *l
 	*l = lane{}
+	n.pace.ended(n.now, n.now-finished.sentAt)
 	var rows []table.Row
 	for _, mutation := range finished.transaction.Mutations() {
 		if put, ok := mutation.(table.Put); ok {
@@ -64,6 +69,7 @@
 	}
 	finished := *l
 	*l = lane{needScan: true}
+	n.pace.ended(n.now, n.now-finished.sentAt)
 	n.poll.wanted = true
 	finished.done(false)
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -71,6 +71,7 @@
 	lastCommit CommitID
 	selfLane   lane
 	sharedLane lane
+	pace       pace
 
 	contact   contact
 	sync      syncState
--- a/core/node/planner.go
+++ b/core/node/planner.go
@@ -174,9 +174,11 @@
 	change := ownership.NewChange(n.owners)
 	var takers []identity.Incarnation
 	requests := make(map[identity.Incarnation][]peer.Target)
-	if !periodic {
+	heldBack := n.heldBack()
+	if !periodic || heldBack != "" {
 		input = input.AssignOnly()
 	}
+	moves := 0
 	for _, move := range n.settings.policy.Plan(input) {
 		switch {
 		case move.From() == 0 && move.Unit().HotKey() != "" && n.owners.Entry(service, move.Unit()) == (ownership.Entry{}):
@@ -190,12 +192,16 @@
 		case periodic:
 			target := peer.NewTarget(move.Unit().Shard(), move.Unit().HotKey(), move.To())
 			requests[move.From()] = append(requests[move.From()], target)
+			moves++
 		}
 	}
 	n.assign(service, change, takers)
 	for _, c := range input.Candidates() {
 		n.requestMoves(service, c.Incarnation(), requests[c.Incarnation()])
 	}
+	if periodic {
+		n.planned(input, moves, heldBack)
+	}
 }
 
 func (n *Node) assign(service identity.Service, change *ownership.Change, takers []identity.Incarnation) {
--- a/core/placement/balanced/balanced.go
+++ b/core/placement/balanced/balanced.go
@@ -27,15 +27,24 @@
 	// restTime is the time in milliseconds for which a unit that was moved stays
 	// where it is: the cost of a move must be earned back.
 	restTime clock.Millis = 60000
+	// moveTime is the time in milliseconds after which a planned move that its
+	// owner did not carry out may be planned again.
+	moveTime clock.Millis = 10000
 )
 
 // Policy is the load-aware policy. The zero value works. It is not safe for
 // concurrent use.
 type Policy struct {
-	moved  map[ownership.Unit]clock.Millis
+	moved  map[ownership.Unit]request
 	active bool
 }
 
+// request is a move that was planned.
+type request struct {
+	at clock.Millis
+	to identity.Incarnation
+}
+
 // plan is one run of the policy.
 type plan struct {
 	policy *Policy
@@ -67,9 +76,9 @@
 		return nil
 	}
 	if p.moved == nil {
-		p.moved = make(map[ownership.Unit]clock.Millis)
+		p.moved = make(map[ownership.Unit]request)
 	}
-	maps.DeleteFunc(p.moved, func(_ ownership.Unit, at clock.Millis) bool { return input.Now()-at >= restTime })
+	maps.DeleteFunc(p.moved, func(_ ownership.Unit, r request) bool { return input.Now()-r.at >= restTime })
 	run := &plan{policy: p, input: input}
 	run.fill()
 	run.assign()
@@ -200,12 +209,12 @@
 	from.units = slices.Delete(from.units, best, best+1)
 	from.expected -= weight
 	to.expected += weight
-	r.policy.moved[unit] = r.input.Now()
+	r.policy.moved[unit] = request{at: r.input.Now(), to: to.candidate.Incarnation()}
 	r.moves = append(r.moves, placement.NewMove(unit, from.candidate.Incarnation(), to.candidate.Incarnation()))
 	return true
 }
 
 func (r *plan) rests(u placement.Placed) bool {
-	_, ok := r.policy.moved[u.Unit()]
-	return ok
+	last, ok := r.policy.moved[u.Unit()]
+	return ok && (u.Owner() == last.to || r.input.Now()-last.at < moveTime)
 }
--- /dev/null
+++ b/core/placement/meter/meter_test.go
@@ -0,0 +1,34 @@
+package meter_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/ownership"
+	"briarwell.dev/core/placement/meter"
+)
+
+// TestHotKeysApart guards against a hot key whose load is also counted in its
+// shard, and against keys that can't pass through JSON and a header.
+func TestHotKeysApart(t *testing.T) {
+	is := is.New(t)
+	for hotKey, apart := range map[string]bool{"hot": true, "\xff": false, "a b": false} {
+		m := meter.New(true)
+		var busy map[ownership.Unit]clock.Millis
+		for second := range clock.Millis(60) {
+			for range 10 {
+				m.Observe(second*1000, 1, hotKey, 20)
+				m.Observe(second*1000, 1, string(rune('a'+second%26)), 1)
+			}
+			busy = make(map[ownership.Unit]clock.Millis)
+			for _, l := range m.Take(second * 1000) {
+				busy[l.Unit()] = l.Busy()
+			}
+		}
+		hot, all := ownership.NewUnit(1, hotKey), ownership.NewUnit(1, "")
+		is.Equal(busy[hot] == 200 && busy[all] == 10, apart)
+		is.Equal(busy[all] == 210, !apart)
+	}
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -99,6 +99,26 @@
 // Units returns the units; callers must not change them.
 func (i Input) Units() []Placed { return i.units }
 
+// PeakToMean returns the largest load for each slot of a candidate as a multiple of
+// the mean, 0 if no load is known.
+func (i Input) PeakToMean() float64 {
+	busy := make(map[identity.Incarnation]clock.Millis, len(i.candidates))
+	for _, u := range i.units {
+		busy[u.owner] += u.busy
+	}
+	var total, slots, peak float64
+	for _, c := range i.candidates {
+		load, own := float64(busy[c.incarnation]), float64(max(1, c.slots))
+		total += load
+		slots += own
+		peak = max(peak, load/own)
+	}
+	if total == 0 {
+		return 0
+	}
+	return peak * slots / total
+}
+
 // Move gives a unit to a member.
 type Move struct {
 	unit ownership.Unit
--- a/daemon/control/actions.go
+++ b/daemon/control/actions.go
@@ -31,6 +31,8 @@
 		l.stopUnit(action)
 	case node.ResumeKey:
 		l.ports.Orders.ResumeKey(action.Service(), action.Unit().Shard(), action.Unit().HotKey())
+	case node.Planned:
+		l.planned(action)
 	case node.LeaseChanged:
 		l.grant()
 	case node.Note:
@@ -113,6 +115,9 @@
 	} else {
 		l.ports.Orders.StopKey(action.Service(), unit.Shard(), unit.HotKey(), drained)
 	}
+	if action.Drain() {
+		l.unserved[unitKey{service: action.Service(), unit: unit}] = l.ports.Clock.Now()
+	}
 	l.ports.Log.Info().Str("service", action.Service().String()).Uint32("shard", uint32(unit.Shard())).
 		Str("hotKey", unit.HotKey()).Uint64("epoch", uint64(action.Epoch())).
 		Bool("handover", action.Drain()).Msg("stopShard")
--- a/daemon/control/loop.go
+++ b/daemon/control/loop.go
@@ -93,9 +93,11 @@
 	// its copy in force.
 	currentSince identity.Incarnation
 	held         map[unitKey]holding
-	left         chan struct{}
-	workers      conc.WaitGroup
-	notes        counters
+	// unserved holds since when units that are being handed over are stopped.
+	unserved map[unitKey]clock.Millis
+	left     chan struct{}
+	workers  conc.WaitGroup
+	notes    counters
 }
 
 // New returns a loop for the daemon of an instance. The instance's peer address
@@ -103,9 +105,10 @@
 func New(instance membership.Instance, policy placement.Policy, now clock.Millis, seed uint64) *Loop {
 	settings := node.NewSettings(instance, node.WithPolicy(policy))
 	loop := &Loop{
-		node: node.New(settings, now, seed),
-		held: map[unitKey]holding{},
-		left: make(chan struct{}),
+		node:     node.New(settings, now, seed),
+		held:     map[unitKey]holding{},
+		unserved: map[unitKey]clock.Millis{},
+		left:     make(chan struct{}),
 	}
 	loop.publish()
 	return loop
@@ -188,6 +191,7 @@
 	for _, action := range actions {
 		l.act(ctx, action)
 	}
+	l.measureHandovers()
 	l.updateCatalog()
 }
 
--- a/demo/commands.go
+++ b/demo/commands.go
@@ -65,6 +65,7 @@
 	cluster, err := harness.NewCluster(harness.Options{
 		Programs: programs, Folder: o.folder, Root: o.root, Regions: regionNames()[:o.regions], LogLevel: o.logLevel,
 		Instances: instances, Shards: shards, Linked: o.linked, Unrecorded: o.unrecorded,
+		Placement: o.placement, HotKeys: o.hotKeys,
 	})
 	if err != nil {
 		return err
--- a/demo/harness/cluster.go
+++ b/demo/harness/cluster.go
@@ -37,6 +37,9 @@
 	// Linked puts a relay before the peer address of each daemon.
 	Linked   bool
 	LogLevel string
+	// Placement and HotKeys are settings of the daemons; "" means their default.
+	Placement string
+	HotKeys   bool
 	// Shards is the number of shards of each keyed service; 0 means that of the
 	// example configuration.
 	Shards int
--- a/demo/harness/instance.go
+++ b/demo/harness/instance.go
@@ -59,6 +59,8 @@
 	ObjectURL            string `json:"objectUrl"`
 	LogLevel             string `json:"logLevel"`
 	StopTimeoutMillis    int    `json:"stopTimeoutMillis"`
+	Placement            string `json:"placement,omitempty"`
+	HotKeys              bool   `json:"hotKeys,omitempty"`
 }
 
 // Name returns the name of the instance.
@@ -88,6 +90,7 @@
 		AdvertisePeerAddress: i.addresses.AdvertisedPeer,
 		TableURL:             c.daemonTableURL(), ObjectURL: c.objectURL(),
 		LogLevel: c.options.LogLevel, StopTimeoutMillis: stopTimeoutMillis,
+		Placement: c.options.Placement, HotKeys: c.options.HotKeys,
 	}, "", "  ")
 	if err != nil {
 		return err
--- a/demo/main.go
+++ b/demo/main.go
@@ -41,6 +41,9 @@
 	rate       float64
 	rounds     int
 	length     time.Duration
+	// placement and hotKeys are settings of the daemons.
+	placement string
+	hotKeys   bool
 }
 
 // job is a subcommand.
@@ -71,6 +74,8 @@
 	flaggy.Int(&o.regions, "", "regions", "number of regions, 1 to 3")
 	flaggy.Int(&o.upstreams, "", "upstreams", "number of upstreams of the bookings service")
 	flaggy.String(&o.logLevel, "", "log-level", "log level of the daemons")
+	flaggy.String(&o.placement, "", "placement", "placement of the daemons, static or balanced; their default if empty")
+	flaggy.Bool(&o.hotKeys, "", "hot-keys", "let hot keys move apart from their shards")
 	jobs := o.jobs()
 	for _, j := range jobs {
 		flaggy.AttachSubcommand(j.command, 1)
