--- a/daemon/app/load.go
+++ b/daemon/app/load.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/node"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/peer"
+	"briarwell.dev/core/placement/meter"
 	"briarwell.dev/core/router"
-	"briarwell.dev/core/shard"
 	"briarwell.dev/core/table/token"
 	"briarwell.dev/daemon/backend"
 	"briarwell.dev/daemon/control"
@@ -26,20 +25,14 @@
 	awaitPoll = 5 * time.Millisecond
 )
 
-// unitUse is what the orders of one shard used in the current interval.
-type unitUse struct {
-	busy     clock.Millis
-	requests uint64
-}
-
-// loadMeter adds up the slot time of orders by shard.
+// loadMeter measures the load of the units. Use newLoadMeter.
 type loadMeter struct {
-	mutex sync.Mutex
-	use   map[shard.ID]unitUse
+	clock clock.Clock
+	units *meter.Meter
 }
 
-func newLoadMeter() *loadMeter {
-	return &loadMeter{use: map[shard.ID]unitUse{}}
+func newLoadMeter(c clock.Clock, hotKeys bool) *loadMeter {
+	return &loadMeter{clock: c, units: meter.New(hotKeys)}
 }
 
 // measured takes an order that ended. Orders that were not run used nothing.
@@ -47,23 +40,15 @@
 	if _, notRun := order.Outcome.(outcome.NotRun); notRun {
 		return
 	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	use := m.use[order.Shard]
-	use.busy += order.Held
-	use.requests++
-	m.use[order.Shard] = use
+	m.units.Observe(m.clock.Now(), order.Shard, order.Key, order.Held)
 }
 
-// take returns the use since the last call.
+// take returns the smoothed load of one interval.
 func (m *loadMeter) take() []peer.UnitLoad {
-	m.mutex.Lock()
-	use := m.use
-	m.use = make(map[shard.ID]unitUse, len(use))
-	m.mutex.Unlock()
-	loads := make([]peer.UnitLoad, 0, len(use))
-	for id, each := range use {
-		loads = append(loads, peer.NewUnitLoad(id, "", each.busy, each.requests))
+	measured := m.units.Take(m.clock.Now())
+	loads := make([]peer.UnitLoad, 0, len(measured))
+	for _, l := range measured {
+		loads = append(loads, peer.NewUnitLoad(l.Unit().Shard(), l.Unit().HotKey(), l.Busy(), l.Requests()))
 	}
 	return loads
 }
