demo: measure the cost of the control plane by cluster size

It reports messages, bytes, CPU time, memory and table requests of a settled cluster, of a configuration change, of the loss of a daemon and of a failure domain, and of a restart of all daemons. Messages go through their wire form, so that sizes and codec time are real.

Processes of their own were ruled out: 670 of them do not fit on one machine with others, and their timing would depend on its load.

--- a/demo/commands.go
+++ b/demo/commands.go
@@ -8,11 +8,13 @@
 	"os"
 	"os/exec"
 	"strconv"
+	"strings"
 	"time"
 
 	"briarwell.dev/core/audit"
 	"briarwell.dev/core/measure"
 	"briarwell.dev/demo/assess"
+	"briarwell.dev/demo/capacity"
 	"briarwell.dev/demo/faults"
 	"briarwell.dev/demo/harness"
 	"briarwell.dev/demo/mainjob"
@@ -177,3 +179,27 @@
 		return command.Run()
 	})
 }
+
+// capacityJob measures the control plane at several sizes.
+func (o *options) capacityJob(_ context.Context, _ harness.Programs) error {
+	var sizes []int
+	for _, field := range strings.Split(o.sizes, ",") {
+		size, err := strconv.Atoi(field)
+		if err != nil {
+			return fmt.Errorf("--sizes: found %q, allowed numbers separated by commas", o.sizes)
+		}
+		sizes = append(sizes, size)
+	}
+	results, err := capacity.Run(capacity.Options{Sizes: sizes, Shards: o.shards, Seed: o.seed, Restart: o.restart}, os.Stdout)
+	if err != nil {
+		return err
+	}
+	if o.json == "" {
+		return capacity.WriteJSON(os.Stdout, results)
+	}
+	file, err := os.Create(o.json)
+	if err != nil {
+		return err
+	}
+	return errors.Join(capacity.WriteJSON(file, results), file.Close())
+}
--- a/demo/main.go
+++ b/demo/main.go
@@ -41,12 +41,18 @@
 	rate       float64
 	rounds     int
 	length     time.Duration
+	sizes      string
+	shards     int
+	restart    bool
+	json       string
 }
 
 // job is a subcommand.
 type job struct {
 	command *flaggy.Subcommand
 	run     func(context.Context, harness.Programs) error
+	// alone says that the job needs no programs.
+	alone bool
 }
 
 func main() {
@@ -60,7 +66,7 @@
 }
 
 func run(ctx context.Context) error {
-	o := options{root: ".", build: true, regions: 3, upstreams: 6, logLevel: "info", seed: 1, minutes: 5, rounds: 5}
+	o := options{root: ".", build: true, regions: 3, upstreams: 6, logLevel: "info", seed: 1, minutes: 5, rounds: 5, sizes: "42,168,335,670", shards: 4096, restart: true}
 	flaggy.SetName("bwdemo")
 	flaggy.SetDescription("Starts briarwell and its stand-ins as processes on loopback addresses.")
 	flaggy.DisableCompletion()
@@ -80,6 +86,9 @@
 		if !j.command.Used {
 			continue
 		}
+		if j.alone {
+			return j.run(ctx, harness.Programs{})
+		}
 		programs, err := o.prepare(ctx)
 		if err != nil {
 			return err
@@ -107,11 +116,25 @@
 	bench.Duration(&o.length, "", "round", "measured time of each path in a round; 5s if 0")
 	bench.Int(&o.rounds, "", "rounds", "number of rounds")
 
+	sizes := flaggy.NewSubcommand("capacity")
+	sizes.Description = "Measures the cost of the control plane for each daemon at a virtual time."
+	sizes.String(&o.sizes, "", "sizes", "numbers of daemons, separated by commas")
+	sizes.Int(&o.shards, "", "shards", "shards of each of the two services with keys")
+	sizes.Bool(&o.restart, "", "restart", "measure a restart of all daemons too")
+	sizes.String(&o.json, "", "json", "file for the results; standard output if empty")
+	sizes.UInt64(&o.seed, "", "seed", "seed of incarnations and starts")
+
 	for _, c := range []*flaggy.Subcommand{faults, outage, bench} {
 		c.Float64(&o.rate, "", "rate", "requests a second; 400 for faults and outage and 3500 for bench if 0")
 		c.UInt64(&o.seed, "", "seed", "seed of faults and requests")
 	}
-	return []job{{main, o.mainJob}, {faults, o.faultJob}, {outage, o.outageJob}, {bench, o.benchJob}}
+	return []job{
+		{command: main, run: o.mainJob},
+		{command: faults, run: o.faultJob},
+		{command: outage, run: o.outageJob},
+		{command: bench, run: o.benchJob},
+		{command: sizes, run: o.capacityJob, alone: true},
+	}
 }
 
 // prepare builds the programs and fills in the folders.
