demo: end bwdemo capacity on an interrupt

The command ignored SIGINT and SIGTERM, since main catches them and the run did not look at its context; it went on until it was killed. Seen when a run of 670 daemons was to be ended.

The run now lets the remaining virtual time pass without events and returns the context's error. An exit from a signal handler was ruled out: it would leave a half-written result file. The test ends a run with a cancelled context; without the change it would take as long as a whole run.

No figure changes: events and their order are the same.

--- a/demo/capacity/capacity.go
+++ b/demo/capacity/capacity.go
@@ -40,23 +40,27 @@
 	Restart bool
 }
 
-// Run measures each size in turn, with one goroutine, and writes a table.
-func Run(options Options, out io.Writer) ([]Result, error) {
+// Run measures each size in turn, with one goroutine, and writes a table. It
+// returns the context's error if that ends before the last size is measured.
+func Run(ctx context.Context, options Options, out io.Writer) ([]Result, error) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	var results []Result
 	for _, size := range options.Sizes {
 		if size < 2*failureDomains {
 			return nil, fmt.Errorf("size %d: allowed from %d", size, 2*failureDomains)
 		}
-		result := runSize(options, size, out)
+		result := runSize(ctx, options, size, out)
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
 		results = append(results, result)
 	}
 	return results, nil
 }
 
-func runSize(options Options, size int, out io.Writer) Result {
+func runSize(ctx context.Context, options Options, size int, out io.Writer) Result {
 	started, before := time.Now(), heap()
-	c := newCluster(options.Seed, size, uint32(options.Shards)) //nolint:gosec // A number of shards fits.
+	c := newCluster(ctx, options.Seed, size, uint32(options.Shards)) //nolint:gosec // A number of shards fits.
 	r := Result{Daemons: size}
 	for i := range size {
 		c.after(instant(c.random.Int64N(int64(firstStart))), func() { c.start(i) })
@@ -66,6 +70,9 @@
 	r.Settled = c.runUntil(calmLimit, c.calm)
 	r.CalmSeconds = float64(c.now-calmFrom) / float64(second)
 	_, _ = fmt.Fprintf(out, "N=%d calm %t after %.0f s\n", size, r.Settled, r.CalmSeconds)
+	if ctx.Err() != nil {
+		return r
+	}
 	r.RowBytes, r.Rows = c.rowBytes()
 	r.HeapBytes = (heap() - before) / size
 	r.Idle = c.measure(func() { c.run(c.now + spanTime) })
--- a/demo/capacity/capacity_test.go
+++ b/demo/capacity/capacity_test.go
@@ -1,6 +1,8 @@
 package capacity_test
 
 import (
+	"context"
+	"errors"
 	"io"
 	"testing"
 
@@ -13,13 +15,14 @@
 const lossTarget = 3000
 
 // TestRun guards against figures that do not repeat for a seed, and against
-// measuring a cluster that never settled or lost units for good.
+// measuring a cluster that never settled or lost units for good, and
+// against a run that an interrupt does not end.
 func TestRun(t *testing.T) {
 	is := is.New(t)
 	options := capacity.Options{Sizes: []int{28}, Shards: 64, Seed: 1, Restart: true}
-	first, err := capacity.Run(options, io.Discard)
+	first, err := capacity.Run(t.Context(), options, io.Discard)
 	is.NoErr(err)
-	second, err := capacity.Run(options, io.Discard)
+	second, err := capacity.Run(t.Context(), options, io.Discard)
 	is.NoErr(err)
 	a, b := first[0], second[0]
 	is.True(a.Settled)
@@ -34,6 +37,10 @@
 			is.True(s.Times.Count > 0 && s.Times.Max <= lossTarget)
 		}
 	}
-	_, err = capacity.Run(capacity.Options{Sizes: []int{3}}, io.Discard)
+	_, err = capacity.Run(t.Context(), capacity.Options{Sizes: []int{3}}, io.Discard)
 	is.True(err != nil) // a size without all failure domains
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = capacity.Run(ended, options, io.Discard)
+	is.True(errors.Is(err, context.Canceled))
 }
--- a/demo/capacity/cluster.go
+++ b/demo/capacity/cluster.go
@@ -68,6 +68,7 @@
 
 // cluster runs daemons at a virtual time.
 type cluster struct {
+	ctx    context.Context
 	now    instant
 	queue  map[instant][]func()
 	random *rand.Rand
@@ -100,8 +101,9 @@
 	return identity.NewService(organisation, names[position]), position%4 < 2
 }
 
-func newCluster(seed uint64, daemons int, shards uint32) *cluster {
+func newCluster(ctx context.Context, seed uint64, daemons int, shards uint32) *cluster {
 	c := &cluster{
+		ctx:   ctx,
 		queue: map[instant][]func(){}, random: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // Runs must repeat for a seed.
 		table: memory.New(), counts: map[int64]*tableCounts{}, byAddress: map[string]*process{},
 		serving: map[unit]*process{}, lost: map[unit]instant{}, rules: map[string]template.ServiceRules{},
@@ -144,9 +146,13 @@
 	c.queue[c.now+delay] = append(c.queue[c.now+delay], fn)
 }
 
-// run lets virtual time pass until end.
+// run lets virtual time pass until end. Nothing happens any more once the
+// context has ended.
 func (c *cluster) run(end instant) {
 	for ; c.now < end; c.now++ {
+		if c.ctx.Err() != nil {
+			continue
+		}
 		for i := 0; i < len(c.queue[c.now]); i++ {
 			c.queue[c.now][i]()
 		}
--- a/demo/commands.go
+++ b/demo/commands.go
@@ -181,7 +181,7 @@
 }
 
 // capacityJob measures the control plane at several sizes.
-func (o *options) capacityJob(_ context.Context, _ harness.Programs) error {
+func (o *options) capacityJob(ctx context.Context, _ harness.Programs) error {
 	var sizes []int
 	for _, field := range strings.Split(o.sizes, ",") {
 		size, err := strconv.Atoi(field)
@@ -190,7 +190,7 @@
 		}
 		sizes = append(sizes, size)
 	}
-	results, err := capacity.Run(capacity.Options{Sizes: sizes, Shards: o.shards, Seed: o.seed, Restart: o.restart}, os.Stdout)
+	results, err := capacity.Run(ctx, capacity.Options{Sizes: sizes, Shards: o.shards, Seed: o.seed, Restart: o.restart}, os.Stdout)
 	if err != nil {
 		return err
 	}
