node: skip the choice of witnesses when it can't improve

A set with all witnesses can only be changed for a better spread. Each witness adds at most one distance, so a set of three that covers three distances can't be improved, and neither can any full set before the next change of the spread is due. The node now returns before the choice in these cases.

Ruled out: a limit on how often the choice is made, which would delay a member that has too few witnesses. Faults of a witness are looked for as before.

--- a/core/node/witnesses.go
+++ b/core/node/witnesses.go
@@ -123,6 +123,9 @@
 // witnessImprovement returns why another set would be better, or "". It costs
 // time proportional to the number of members.
 func (n *Node) witnessImprovement() string {
+	if n.fullSetStays() {
+		return ""
+	}
 	chosen := n.chooseWitnesses(n.row)
 	if len(chosen) > len(n.row.Witnesses()) {
 		return "moreWitnesses"
@@ -135,6 +138,17 @@
 	return ""
 }
 
+// fullSetStays tells whether no choice could improve the present set: it has all
+// witnesses, and either each adds to the spread or the next change of the spread
+// is not due. Without this test a loss of many members costs time proportional to
+// the square of their number at each node.
+func (n *Node) fullSetStays() bool {
+	if len(n.row.Witnesses()) != lease.WitnessCount {
+		return false
+	}
+	return n.now < n.self.nextSpread || membership.Spread(n.row, n.row.Witnesses(), n.view) == lease.WitnessCount
+}
+
 func (n *Node) chooseWitnesses(self membership.Member) []membership.Witness {
 	var candidates []membership.Member
 	for _, m := range n.view.Alive() {
