Stop the use of an upstream with weak fencing

Cause: an announcement that came before the configuration was accepted without a check, and its later repeats were refused while the upstream went on serving. Ruled out: refusing all announcements until a configuration is known, which would delay the first start.

--- a/daemon/backend/backend.go
+++ b/daemon/backend/backend.go
@@ -56,6 +56,9 @@
 	current  *attached
 	announce announce.Announcement
 	up       bool
+	// rejected tells that the newest announcement was refused for its fencing.
+	// It may have been accepted before the configuration was known.
+	rejected bool
 	// suspect tells that a grant or probe is unanswered. No grants are sent
 	// then, so that the last one of a frozen upstream ends soon.
 	suspect bool
@@ -138,6 +141,7 @@
 	service := identity.NewService(next.Organisation, next.Service)
 	rules, _ := u.catalogs.Catalog().Service(service.String())
 	if weaker(next.Fencing, rules.Fencing()) {
+		u.reject()
 		return &FencingError{service: service, announced: next.Fencing, required: rules.Fencing()}
 	}
 	if err := u.attach(next, service, rules); err != nil {
@@ -154,6 +158,7 @@
 func (u *Upstream) attach(next announce.Announcement, service identity.Service, rules template.ServiceRules) error {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
+	u.rejected = false
 	settings := admission.Settings{
 		Slots:      next.Slots,
 		QueueLimit: rules.QueueLimit(),
@@ -243,7 +248,7 @@
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	u.suspect = false
-	if u.up {
+	if u.up || u.rejected {
 		return
 	}
 	u.up = true
@@ -267,6 +272,14 @@
 	u.log.Warn().Err(cause).Msg("upstreamDown")
 }
 
+// reject stops the use of an upstream until it announces stronger fencing.
+func (u *Upstream) reject() {
+	u.mutex.Lock()
+	u.rejected = true
+	u.mutex.Unlock()
+	u.markDown(errWeakFencing)
+}
+
 func (u *Upstream) setSuspect(suspect bool) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
@@ -285,6 +298,9 @@
 	return u.current, true
 }
 
+// errWeakFencing is the cause of a rejected upstream in the log.
+var errWeakFencing = errors.New("upstream checks less than its template requires")
+
 // weaker tells whether an upstream checks less than required.
 func weaker(announced, required upstream.Fencing) bool {
 	return strength(announced) < strength(required)
