Report load less often in large services

Ruled out: a fixed report each 10 s, which would slow the reaction at today's 6 members. Change: the interval grows with the members, 1 to 10 s; the load is smoothed by the meter's own clock.

--- a/daemon/app/load.go
+++ b/daemon/app/load.go
@@ -17,8 +17,15 @@
 )
 
 const (
-	// loadInterval is the time between two load measurements for the planner.
+	// loadInterval is the time between two looks at the load.
 	loadInterval = time.Second
+	// reportsPerSecond bounds the load reports that a planner receives: at 670
+	// daemons with 168 members of one service, a report a second from each costs
+	// the planner 72 KB/s of the 15 KB/s that control may use.
+	reportsPerSecond = 17
+	// longestReport keeps the time between two reports below the 15 s for which
+	// the planner counts one.
+	longestReport = 10 * time.Second
 	// sweepInterval is the time between two sweeps of old token rows.
 	sweepInterval = time.Hour
 	// awaitPoll is the time between two looks at the configuration in force.
@@ -53,23 +60,45 @@
 	return loads
 }
 
-// run tells the node the load of each interval until ctx ends.
+// run tells the node the load of each report interval until ctx ends.
 func (m *loadMeter) run(ctx context.Context, loop *control.Loop, upstream *backend.Upstream) {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	last := upstream.BusySlotMillis()
+	var elapsed time.Duration
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		elapsed += loadInterval
+		if elapsed < reportInterval(members(loop, upstream)) {
+			continue
+		}
 		busy := upstream.BusySlotMillis()
 		// A newly announced upstream counts from zero.
 		used := clock.Millis(busy - min(busy, last))
 		last = busy
-		loop.Post(node.NewLoadMeasured(clock.FromDuration(loadInterval), used, m.take()))
+		loop.Post(node.NewLoadMeasured(clock.FromDuration(elapsed), used, m.take()))
+		elapsed = 0
+	}
+}
+
+// members returns the number of members of the upstream's service.
+func members(loop *control.Loop, upstream *backend.Upstream) int {
+	service, ok := upstream.Service()
+	if !ok {
+		return 0
 	}
+	return len(loop.Snapshot().Members(service))
+}
+
+// reportInterval returns the time between two reports of a member of a service
+// with count members.
+func reportInterval(count int) time.Duration {
+	interval := time.Duration(count) * time.Second / reportsPerSecond
+	return min(max(interval, loadInterval), longestReport)
 }
 
 // awaiter waits until a configuration version is in force.
