Keep static placement as the default

Cause: the default was to be balanced only if measurements support it.

Four units of a member that did not leave (kano-b-2) were stopped 2 s after the table became slow: a transaction had ended shortly before, so that the planner's moves began together.

Ruled out: to make balanced the default for its figures without faults (1.024 against 1.371, bwdemo festival). The cause of the imbalance under faults is not known yet.

Conclusion: balanced needs the cause of the imbalance under faults, and more runs.

--- a/core/settings/daemon.go
+++ b/core/settings/daemon.go
@@ -19,7 +19,9 @@
 	PlacementStatic = "static"
 	// PlacementBalanced moves shards from loaded to idle members.
 	PlacementBalanced = "balanced"
-	// DefaultPlacement is the placement if none is set.
+	// DefaultPlacement is the placement if none is set. Balanced was nearer to the
+	// mean without faults (1.02 and 1.37 peak-to-mean), but not in a run with them
+	// (1.78 and 1.23).
 	DefaultPlacement = PlacementStatic
 )
 
