Measure the leave of the stand-in from before its grant

Cause: TestAnnounceAndLeave failed in 2 of 40 runs on a busy machine: it counted 90 ms from after the grant was delivered, although the grant's end counts from its sending. Ruled out: a fault of the stand-in, which left after the end. Change: the time counts from before the grant; the bound is unchanged, and a leave before the grant's end still fails. Conclusion: the verdict doesn't depend on the machine's speed.

--- a/standin/upstreamserver/upstreamserver_test.go
+++ b/standin/upstreamserver/upstreamserver_test.go
@@ -307,8 +307,8 @@
 	is.Equal(parsed.Connections, 2)
 	cancel()
 	<-stopped
+	begin := time.Now() // before the grant, whose end counts from its sending
 	f.grant(1, 100*time.Millisecond)
-	begin := time.Now()
 	is.NoErr(f.logic.Leave(context.Background(), 10*time.Millisecond))
 	is.True(time.Since(begin) >= 90*time.Millisecond) // as long as the grant is in force
 	path, body, _ = strings.Cut(<-bodies, " ")
