Let the daemon's heap grow before a collection

The runtime collected many times a second, as the live heap is a few MB; a trial with GOGC=800 lowered the p99 several times. Ruled out: the log lines (3.5% of the CPU in a profile) and gRPC's stream workers (measured earlier without effect). Change: a collector percentage of 800 with a soft memory limit of 256 MB, unless the environment sets them.

--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -24,6 +25,16 @@
 
 const version = "0.1"
 
+const (
+	// gcPercent lets the heap grow to nine times its live size of a few MB. With
+	// the runtime's default the collector runs many times a second at 3,500
+	// requests/s, which raises the p99 latency several times over.
+	gcPercent = 800
+	// memoryLimit is the size in bytes of the runtime's memory from which the
+	// collector runs more often again.
+	memoryLimit = 256 << 20
+)
+
 // Run runs the daemon with the given arguments and returns the exit code: 2 for
 // wrong arguments or settings, 1 if an address can't be bound.
 func Run(arguments []string, out io.Writer) int {
@@ -59,7 +70,18 @@
 	return settings.ParseDaemon(data)
 }
 
+// tuneCollector sets the collector unless the environment does.
+func tuneCollector() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
+}
+
 func serve(daemon settings.Daemon, out io.Writer) int {
+	tuneCollector()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	a, err := app.New(daemon, out)
