--- a/demo/harness/process.go
+++ b/demo/harness/process.go
@@ -101,11 +101,32 @@
 	all    []*Process
 }
 
-// NewGroup returns a group whose processes write their logs to folder.
+// FolderError reports a folder that holds files of another run. Its acceptances
+// would be audited together with those of this run.
+type FolderError struct {
+	folder string
+}
+
+// Folder returns the folder.
+func (e *FolderError) Folder() string { return e.folder }
+
+func (e *FolderError) Error() string {
+	return "folder " + e.folder + " is not empty: it would mix the records of two runs"
+}
+
+// NewGroup returns a group whose processes write their logs to folder, which
+// must be empty or absent. Otherwise it returns a *FolderError.
 func NewGroup(folder string) (*Group, error) {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, err
 	}
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	if len(entries) > 0 {
+		return nil, &FolderError{folder: folder}
+	}
 	return &Group{folder: folder}, nil
 }
 
--- a/demo/harness/process_test.go
+++ b/demo/harness/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -76,3 +77,16 @@
 	var startError *harness.StartError
 	is.True(errors.As(err, &startError))
 }
+
+// TestFolderOfAnotherRun guards against an audit that mixes the records of two
+// runs.
+func TestFolderOfAnotherRun(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	_, err := harness.NewGroup(folder)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(filepath.Join(folder, "a.acceptances"), nil, 0o600))
+	_, err = harness.NewGroup(folder)
+	var used *harness.FolderError
+	is.True(errors.As(err, &used))
+}
