node: scan the table before a requested move

A unit whose move begins is unserved until the table is back. Ruled out: the planner scanning first; its scan says nothing about the owner's own path to the table. Change: the owner begins a requested move only after a scan of its own that began after the request and succeeded; a failed scan drops the request, a slow one counts as a slow table. Conclusion: moves no longer begin into an outage that is older than a scan.

--- a/core/node/handover.go
+++ b/core/node/handover.go
@@ -50,6 +50,10 @@
 	local map[localKey]localUnit
 	// pending are the units that are not serving, in the order of their stops.
 	pending []localKey
+	// requested is the planner's newest request that waits for a scan of the
+	// table, and requestedAt when it came.
+	requested   *peer.Handover
+	requestedAt clock.Millis
 }
 
 func newHandoverState() handoverState {
@@ -161,10 +165,24 @@
 	}
 }
 
-// handoverRequested takes the planner's request. The planner may be stale or
-// wrong: only units that the node serves and targets that may own them count.
-// Moves that may not begin now are dropped, since the planner repeats them.
+// handoverRequested takes the planner's request. The table may have become
+// unreachable since the planner looked, and a unit whose move began stays
+// unserved until it is back: the move waits for a scan that begins now.
 func (n *Node) handoverRequested(m peer.Handover) {
+	n.handovers.requested, n.handovers.requestedAt = &m, n.now
+	n.poll.wanted = true
+}
+
+// beginRequested begins the requested moves after a scan that began at the given
+// time. The planner may be stale or wrong: only units that the node serves and
+// targets that may own them count. Moves that may not begin now are dropped,
+// since the planner repeats them.
+func (n *Node) beginRequested(scanBegan clock.Millis) {
+	m := n.handovers.requested
+	if m == nil || scanBegan < n.handovers.requestedAt {
+		return
+	}
+	n.handovers.requested = nil
 	for _, t := range m.Targets()[:n.moveLimit(len(m.Targets()))] {
 		member, ok := n.view.Member(t.Target())
 		if ok && memberActive(member, m.Service()) && t.Target() != n.incarnation {
--- a/core/node/pace.go
+++ b/core/node/pace.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// read takes a scan of the given length that ended at now. A fast one says
+// nothing of the speed of transactions.
+func (p *pace) read(now, length clock.Millis) {
+	if length > slowTransaction {
+		p.slow, p.slowAt = true, now
+	}
+}
+
 // moveLimit returns how many moves that nobody needs may begin now: none while
 // the table is slow, one while its speed is not known.
 func (n *Node) moveLimit(requested int) int {
--- a/core/node/pace_test.go
+++ b/core/node/pace_test.go
@@ -46,12 +46,45 @@
 		return stops
 	}
 	s.slow = 400
-	is.Equal(move(20400), 1) // the speed is not known
-	is.Equal(move(23000), 0) // the transaction is under way
-	is.Equal(move(25000), 0) // it was slow
+	is.Equal(move(20400), 0) // the scan before the move is under way
+	is.Equal(move(23000), 0) // it was slow
+	is.Equal(move(25000), 0)
 	is.True(len(p.units) > 0)
 	p.deliver(node.DrainRequested{})
 	s.run(40000)
 	is.True(stops > 0 && len(p.units) == 0)
 	is.Equal(s.failure, "")
 }
+
+// TestMovesWaitForScan guards against a move that begins after the table became
+// unreachable: its unit stays unserved until the table is back.
+func TestMovesWaitForScan(t *testing.T) {
+	is := is.New(t)
+	s := cluster(3)
+	s.run(20000)
+	p := s.procs[0]
+	for _, q := range s.procs {
+		if len(q.units) > len(p.units) {
+			p = q
+		}
+	}
+	other := s.current((p.index + 1) % 3).node.Snapshot().Incarnation()
+	request := func() {
+		var targets []peer.Target
+		for unit := range p.units {
+			targets = append(targets, peer.NewTarget(unit.Shard(), unit.HotKey(), other))
+		}
+		s.inject(p.index, peer.NewHandover(service, targets))
+	}
+	owned := len(p.units)
+	s.table.outage = true
+	request()
+	s.run(26000)
+	is.Equal(len(p.units), owned) // served through the outage
+	s.table.outage = false
+	s.run(40000)
+	request()
+	s.run(42000)
+	is.True(len(p.units) < owned) // a move begins after a scan
+	is.Equal(s.failure, "")
+}
--- a/core/node/poll.go
+++ b/core/node/poll.go
@@ -82,10 +82,13 @@
 		n.copy.revision = max(n.copy.revision, e.revision)
 	}
 	n.applyRows(e.rows)
+	n.pace.read(n.now, n.now-n.poll.started)
+	n.beginRequested(n.poll.started)
 }
 
 func (n *Node) scanFailed() {
 	n.poll.scanning = false
+	n.handovers.requested = nil
 	n.poll.wanted = n.poll.wanted || n.selfLane.needScan || n.sharedLane.needScan
 	n.poll.next = n.now + scanBackoff + clock.Millis(n.random.Int64N(int64(scanBackoff)))
 }
