lease: let the holder and witness lengths be set

Cause: the platform's upstreams take their holds with reports that come each 870 ms and may be seconds late; a promise of 1,500 ms would lapse with one late report. Ruled out: a longer Length for all: the loss target of 3 s and the fault schedules of package node are proved with 1,500 ms. Change: lease.Terms; the zero value is what was. The mutant of the promise that is counted from the answer names the changed line. Conclusion: no change for the present daemon.

--- a/core/lease/holder/holder.go
+++ b/core/lease/holder/holder.go
@@ -18,6 +18,7 @@
 
 // Holder collects promises. The zero value has no witnesses and no lease.
 type Holder struct {
+	terms     lease.Terms
 	confirmed set
 	proposed  set
 	inDoubt   bool
@@ -26,6 +27,9 @@
 	nextDue   clock.Millis
 }
 
+// New returns a Holder with the given terms.
+func New(terms lease.Terms) *Holder { return &Holder{terms: terms} }
+
 type set struct {
 	generation uint64
 	promises   []promise
@@ -108,7 +112,7 @@
 	if now < h.nextDue || len(h.confirmed.promises)+len(h.proposed.promises) == 0 {
 		return nil
 	}
-	h.nextDue = now + lease.RenewInterval
+	h.nextDue = now + h.terms.RenewInterval()
 	h.sequence++
 	h.sent[h.sequence%sentHistory] = now
 	requests := h.confirmed.requests(nil, now, h.sequence)
@@ -141,16 +145,16 @@
 			if p.witness.Incarnation() != from {
 				continue
 			}
-			p.take(now, h.sent[reply.Sequence()%sentHistory], reply.Result())
+			p.take(now, h.sent[reply.Sequence()%sentHistory]+h.terms.HolderLength(), reply.Result())
 		}
 	}
 }
 
-func (p *promise) take(now, sent clock.Millis, result peer.RenewResult) {
+func (p *promise) take(now, until clock.Millis, result peer.RenewResult) {
 	switch result {
 	case peer.RenewGranted:
 		p.granted = now
-		p.until = max(p.until, sent+lease.HolderLength())
+		p.until = max(p.until, until)
 	case peer.RenewFenced:
 		p.fenced = true
 	case peer.RenewRefused:
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -25,16 +25,50 @@
 	ReplacerStagger clock.Millis = 150
 )
 
+// HolderLength returns that of the default terms.
+func HolderLength() clock.Millis { return Terms{}.HolderLength() }
+
+// WitnessLength returns that of the default terms.
+func WitnessLength() clock.Millis { return Terms{}.WitnessLength() }
+
+// Terms are the lengths of a holder's promises and renewals. The zero value has
+// Length and RenewInterval. Holder and witnesses must have the same terms.
+type Terms struct {
+	length clock.Millis
+	renew  clock.Millis
+}
+
+// NewTerms returns terms with the given length of a promise and time between
+// renewals, both in milliseconds.
+func NewTerms(length, renew clock.Millis) Terms { return Terms{length: length, renew: renew} }
+
+// RenewInterval returns the time between two renewals in milliseconds.
+func (t Terms) RenewInterval() clock.Millis {
+	if t.renew == 0 {
+		return RenewInterval
+	}
+	return t.renew
+}
+
 // HolderLength returns how long a holder may count on a promise, measured from
 // before its request was sent.
-func HolderLength() clock.Millis {
-	return Length - Length*DriftPercent/100
+func (t Terms) HolderLength() clock.Millis {
+	length := t.promise()
+	return length - length*DriftPercent/100
 }
 
 // WitnessLength returns how long a witness keeps a promise, measured from the
 // receipt of the request.
-func WitnessLength() clock.Millis {
-	return Length + Length*DriftPercent/100
+func (t Terms) WitnessLength() clock.Millis {
+	length := t.promise()
+	return length + length*DriftPercent/100
+}
+
+func (t Terms) promise() clock.Millis {
+	if t.length == 0 {
+		return Length
+	}
+	return t.length
 }
 
 // Majority returns how many of n witnesses must have promised for a valid
--- a/core/lease/witness/witness.go
+++ b/core/lease/witness/witness.go
@@ -12,11 +12,17 @@
 // Witness holds the promises of one incarnation. Create it with New; a new
 // incarnation needs a new Witness.
 type Witness struct {
+	terms      lease.Terms
 	records    map[recordKey]record
 	grantUntil clock.Millis
 	closed     bool
 }
 
+// With returns a witness like New whose promises have the given terms.
+func With(terms lease.Terms) *Witness {
+	return &Witness{terms: terms, records: make(map[recordKey]record)}
+}
+
 type recordKey struct {
 	holder     identity.Incarnation
 	generation uint64
@@ -28,9 +34,7 @@
 }
 
 // New returns a witness that can't promise before Extend.
-func New() *Witness {
-	return &Witness{records: make(map[recordKey]record)}
-}
+func New() *Witness { return With(lease.Terms{}) }
 
 // Extend lets the witness promise until BootstrapWindow after base. The base
 // must be a point at which its incarnation was certainly not dead in the table:
@@ -60,7 +64,7 @@
 	if !w.CanGrant(now) {
 		return peer.RenewRefused
 	}
-	w.records[key] = record{until: max(current.until, now+lease.WitnessLength())}
+	w.records[key] = record{until: max(current.until, now+w.terms.WitnessLength())}
 	return peer.RenewGranted
 }
 
--- a/core/node/mutant_test.go
+++ b/core/node/mutant_test.go
@@ -29,7 +29,7 @@
 		{"fencing of expired promises removed", "../lease/witness/witness.go", "record{until: r.until, fenced: true}", "record{until: r.until}", 0},
 		{"drift margin removed", "../lease/lease.go", "DriftPercent = 1\n", "DriftPercent = 0\n", 0},
 		{"stale configuration accepted", "copy.go", "if row.Version() <= c.rows[row.Key()].Version() {", "if row.Version() <= c.rows[row.Key()].Version() && row.Key()[0] != 'c' {", 0},
-		{"promise counted from the answer", "../lease/holder/holder.go", "p.until = max(p.until, sent+lease.HolderLength())", "p.until = max(p.until, now+lease.HolderLength())", 0},
+		{"promise counted from the answer", "../lease/holder/holder.go", "p.take(now, h.sent[reply.Sequence()%sentHistory]+h.terms.HolderLength(), reply.Result())", "p.take(now, now+h.terms.HolderLength(), reply.Result())", 0},
 		{"witness promises without end", "../lease/witness/witness.go", "return !w.closed && now < w.grantUntil", "return !w.closed", 5001},
 		{"one set is enough while in doubt", "../lease/holder/holder.go", "return min(h.confirmed.end(), h.proposed.end())", "return max(h.confirmed.end(), h.proposed.end())", 0},
 		{"lease end shortened by a witness change", "witnesses.go", "n.holder.ProposedEnd() >= n.holder.End()", "n.holder.ProposedEnd() > n.now", 0},
--- a/core/node/pace_test.go
+++ b/core/node/pace_test.go
@@ -70,7 +70,7 @@
 	}
 	other := s.current((p.index + 1) % 3).node.Snapshot().Incarnation()
 	request := func() {
-		var targets []peer.Target
+		targets := make([]peer.Target, 0, len(p.units))
 		for unit := range p.units {
 			targets = append(targets, peer.NewTarget(unit.Shard(), unit.HotKey(), other))
 		}
