--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -132,6 +132,21 @@
 	return g.machine.Queued()
 }
 
+// Slots returns how many requests may be in flight now.
+func (g *Gate) Slots() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Limit(g.clock.Now())
+}
+
+// ServiceMillis returns the measured time for which an order holds its slot, 0
+// if there was none.
+func (g *Gate) ServiceMillis() clock.Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.ServiceMillis()
+}
+
 // BusySlotMillis returns the slot-milliseconds of the released requests since
 // the Gate was made.
 func (g *Gate) BusySlotMillis() uint64 {
--- a/core/admission/machine.go
+++ b/core/admission/machine.go
@@ -136,6 +136,10 @@
 // Queued returns the waiting requests.
 func (m *Machine) Queued() int { return len(m.queue) }
 
+// ServiceMillis returns the measured time for which an order holds its slot, 0
+// if there was none.
+func (m *Machine) ServiceMillis() clock.Millis { return clock.Millis(m.service) }
+
 // BusyMillis returns the slot-milliseconds of all released requests.
 func (m *Machine) BusyMillis() uint64 { return m.busyMillis }
 
--- /dev/null
+++ b/core/dispatch/entry.go
@@ -0,0 +1,287 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"briarwell.dev/core/balance"
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/retry"
+	"briarwell.dev/core/routes"
+)
+
+const (
+	// ownerPoll is the time in milliseconds between two looks at who owns a key
+	// while its owner is changing.
+	ownerPoll clock.Millis = 25
+	// ownerWaitShare is the share of the objective for which a request waits for
+	// an owner of its key before it is refused.
+	ownerWaitShare = 0.25
+	// comeBack is the time in milliseconds after which a key without an owner is
+	// worth another attempt.
+	comeBack clock.Millis = 300
+	// leastTime is the time in milliseconds below which a request is not sent any
+	// more: a trip between regions and back takes 40 ms.
+	leastTime clock.Millis = 10
+	// maxSends bounds the daemons that one request is sent to.
+	maxSends = 6
+)
+
+// Target is an instance that may run a request.
+type Target struct {
+	balance.Candidate
+
+	// Address is that of its daemon for requests.
+	Address string
+}
+
+// Fleet tells where requests can go.
+type Fleet interface {
+	// Owner returns the instance that owns the request's key, or false if none
+	// does or its keys are moving.
+	Owner(service string, r *Request) (Target, bool)
+	// Instances returns the instances that may run requests without a key.
+	Instances(service string) []Target
+}
+
+// Sender sends a request to the daemon of a target, or to the own upstream.
+type Sender interface {
+	Send(ctx context.Context, to Target, service string, r *Request, route Rules) Reply
+}
+
+// Rules are what the instance beside the upstream needs to know of a route.
+type Rules struct {
+	Idempotent bool
+	Rank       int
+}
+
+// Entry handles the requests that begin on this instance. It is safe for
+// concurrent use.
+type Entry struct {
+	clock    clock.Clock
+	fleet    Fleet
+	sender   Sender
+	mu       sync.Mutex
+	balancer *balance.Balancer
+	budgets  map[string]*retry.Budget
+	// share and floor bound the requests that are sent again.
+	share float64
+	floor float64
+}
+
+// NewEntry returns an entry. The requests to a service that are sent again stay
+// below share of its first ones and floor a second.
+func NewEntry(c clock.Clock, fleet Fleet, sender Sender, balancer *balance.Balancer, share, floor float64) *Entry {
+	return &Entry{clock: c, fleet: fleet, sender: sender, balancer: balancer, budgets: make(map[string]*retry.Budget), share: share, floor: floor}
+}
+
+// Reported takes the load of an upstream that was told in another way than by a
+// reply.
+func (e *Entry) Reported(name string, load balance.Load) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.balancer.Reported(e.clock.Now(), name, load)
+}
+
+// Handle takes a request to its end. The manifest does not change while it runs.
+func (e *Entry) Handle(ctx context.Context, manifest *routes.Manifest, r *Request) Result {
+	path, _, _ := strings.Cut(r.Target, "?")
+	route, ok := manifest.Match(r.Host, path)
+	if !ok {
+		return Result{Version: manifest.Version()}
+	}
+	service := route.Choose()
+	deadline := r.Deadline
+	if route.Timeout > 0 {
+		deadline = min(deadline, r.Arrived+route.Timeout)
+	}
+	bounded := *r
+	bounded.Deadline = deadline
+	described, _ := manifest.Service(service)
+	bounded.Keyed = r.Keyed && described.Keyed
+	ctx, cancel := context.WithTimeout(ctx, (deadline - e.clock.Now()).Duration())
+	defer cancel()
+	e.budget(service).First(e.clock.Now())
+	a := attempt{entry: e, route: route, service: service, request: &bounded, keyed: described.Keyed, tried: make(map[string]bool)}
+	result := a.run(ctx)
+	result.Found, result.Version = true, manifest.Version()
+	result.Route, result.Service = route.Name, service
+	return result
+}
+
+func (e *Entry) budget(service string) *retry.Budget {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b, ok := e.budgets[service]
+	if !ok {
+		b = retry.NewBudget(e.share, e.floor)
+		e.budgets[service] = b
+	}
+	return b
+}
+
+// attempt is a request on its way.
+type attempt struct {
+	entry   *Entry
+	route   routes.Route
+	service string
+	request *Request
+	keyed   bool
+	// tried are the instances that did not run it.
+	tried map[string]bool
+	// arrivals counts the upstreams that were asked.
+	arrivals int
+	sends    int
+	instance string
+	last     Reply
+}
+
+func (a *attempt) run(ctx context.Context) Result {
+	a.last = NotRun(outcome.ReasonNoOwner).After(comeBack)
+	for a.sends < maxSends {
+		target, ok := a.target(ctx)
+		if !ok {
+			break
+		}
+		a.last = a.send(ctx, target)
+		if !a.again(ctx) {
+			break
+		}
+	}
+	expired := a.entry.clock.Now() >= a.request.Deadline
+	return Result{Reply: a.last, Expired: expired, Instance: a.instance, Attempts: a.sends}
+}
+
+func (a *attempt) send(ctx context.Context, target Target) Reply {
+	e := a.entry
+	e.mu.Lock()
+	e.balancer.Began(target.Name)
+	e.mu.Unlock()
+	a.sends++
+	a.instance = target.Name
+	rules := Rules{Idempotent: a.route.Idempotent, Rank: a.route.Rank}
+	reply := e.sender.Send(ctx, target, a.service, a.request, rules)
+	if reply.Arrived {
+		a.arrivals++
+	}
+	now := e.clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.balancer.Ended(target.Name)
+	if reply.HasLoad {
+		e.balancer.Reported(now, target.Name, reply.Load)
+	}
+	e.judge(ctx, now, target.Name, reply)
+	return reply
+}
+
+// judge remembers what a reply says of an instance; e.mu is held.
+func (e *Entry) judge(ctx context.Context, now clock.Millis, name string, reply Reply) {
+	switch o := reply.Outcome.(type) {
+	case outcome.Done:
+		e.balancer.Served(now, name, reply.Response.Status < 500)
+	case outcome.NotRun:
+		if o.Reason() == outcome.ReasonUnreachable {
+			e.balancer.Unreachable(now, name)
+		}
+		if o.Reason() == outcome.ReasonUpstreamRefused {
+			e.balancer.Served(now, name, false)
+		}
+	case outcome.Unknown:
+		if ctx.Err() == nil {
+			e.balancer.Served(now, name, false)
+		}
+		if o.Reason() == outcome.ReasonConnectionLost && !reply.HasLoad {
+			e.balancer.Unreachable(now, name)
+		}
+	}
+}
+
+// again tells whether the request is sent once more after its last reply.
+func (a *attempt) again(ctx context.Context) bool {
+	if ctx.Err() != nil || a.entry.clock.Now()+leastTime >= a.request.Deadline {
+		return false
+	}
+	switch o := a.last.Outcome.(type) {
+	case outcome.Done:
+		return false
+	case outcome.NotRun:
+		if a.keyed {
+			switch o.Reason() {
+			case outcome.ReasonMoved, outcome.ReasonNoLease, outcome.ReasonUnreachable, outcome.ReasonUpstreamRefused:
+				return !a.last.Arrived || a.mayArrive()
+			default:
+				return false
+			}
+		}
+		a.tried[a.instance] = true
+		return !a.last.Arrived || a.mayArrive()
+	case outcome.Unknown:
+		a.tried[a.instance] = true
+		return a.route.Idempotent && a.mayArrive()
+	default:
+		return false
+	}
+}
+
+// mayArrive tells whether another upstream may be asked, within the route's
+// attempts and the shared budget of repeats.
+func (a *attempt) mayArrive() bool {
+	return a.arrivals < max(a.route.Attempts, 1) && a.entry.budget(a.service).Take(a.entry.clock.Now())
+}
+
+// target returns where the request goes next. It waits a little for the owner of
+// a key that has none at the moment.
+func (a *attempt) target(ctx context.Context) (Target, bool) {
+	if a.keyed {
+		return a.owner(ctx)
+	}
+	e := a.entry
+	targets := e.fleet.Instances(a.service)
+	candidates := make([]balance.Candidate, 0, len(targets))
+	for _, t := range targets {
+		candidates = append(candidates, t.Candidate)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i := e.balancer.Pick(e.clock.Now(), candidates, a.route.Large, a.tried, rand.Float64)
+	if i < 0 {
+		return Target{}, false
+	}
+	return targets[i], true
+}
+
+func (a *attempt) owner(ctx context.Context) (Target, bool) {
+	e := a.entry
+	patience := clock.Millis(float64(a.route.Objective) * ownerWaitShare)
+	until := min(a.request.Arrived+patience, a.request.Deadline)
+	// After a refusal the newer division is still on its way.
+	look := a.sends == 0
+	for {
+		now := e.clock.Now()
+		if look {
+			if target, ok := e.fleet.Owner(a.service, a.request); ok && e.reachable(now, target.Name) {
+				return target, true
+			}
+		}
+		if now >= until {
+			return Target{}, false
+		}
+		look = true
+		select {
+		case <-ctx.Done():
+			return Target{}, false
+		case <-time.After(ownerPoll.Duration()):
+		}
+	}
+}
+
+func (e *Entry) reachable(now clock.Millis, name string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.balancer.Reachable(now, name)
+}
--- /dev/null
+++ b/core/holding/change.go
@@ -0,0 +1,263 @@
+package holding
+
+import (
+	"slices"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/keyspace"
+	"briarwell.dev/core/lease"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/table"
+)
+
+// Change is a division that this daemon asks the table for.
+type Change struct {
+	division keyspace.Division
+	base     table.Revision
+	reason   string
+}
+
+// Division returns the wanted division.
+func (c Change) Division() keyspace.Division { return c.division }
+
+// Base returns the revision of the division that it replaces, 0 if there is none.
+func (c Change) Base() table.Revision { return c.base }
+
+// Reason names the change in logs.
+func (c Change) Reason() string { return c.reason }
+
+// Lose asks the table to drop holders whose leases have certainly lapsed. It
+// returns false if the division names none of them.
+func (c *Custodian) Lose(holders []keyspace.Holder) (Change, bool) {
+	return Lose(c.division, c.revision, holders)
+}
+
+// Lose returns the change that drops holders whose leases have certainly lapsed.
+// It returns false if the division names none of them with the same lease.
+func Lose(d keyspace.Division, base table.Revision, holders []keyspace.Holder) (Change, bool) {
+	found := false
+	for _, lost := range holders {
+		h, ok := d.Holder(lost.Name())
+		if !ok || h.Lease().Incarnation() != lost.Lease().Incarnation() || h.Lease().Generation() != lost.Lease().Generation() {
+			continue
+		}
+		d, found = d.Drop(lost.Name()), true
+	}
+	return Change{division: d, base: base, reason: "lost"}, found
+}
+
+// Request asks for moves of own keys.
+func (c *Custodian) Request(moves []Move) { c.moves = append(c.moves, moves...) }
+
+// Next returns the change of the division that is due at now, if any. Its result
+// must be told with Committed or Divided before the next call.
+func (c *Custodian) Next(now clock.Millis) (Change, bool) {
+	c.now = now
+	if !c.read {
+		return Change{}, false
+	}
+	for _, step := range []func() (keyspace.Division, string){c.join, c.depart, c.hand, c.witnesses, c.move, c.deal, c.even} {
+		if d, reason := step(); reason != "" {
+			return Change{division: d, base: c.revision, reason: reason}, true
+		}
+	}
+	return Change{}, false
+}
+
+// Committed takes the division that the table accepted from this daemon.
+func (c *Custodian) Committed(now clock.Millis, revision table.Revision, change Change) {
+	c.Divided(now, revision, change.division)
+	if h, ok := c.self(); ok && h.Lease().Generation() != c.generation {
+		c.install(h.Lease())
+	}
+}
+
+func (c *Custodian) install(row membership.Member) {
+	c.generation = row.Generation()
+	c.lease.Install(row.Generation(), row.Witnesses())
+	c.proposed = nil
+}
+
+// settleProposal ends a proposal of witnesses once the table shows its outcome.
+func (c *Custodian) settleProposal() {
+	h, ok := c.self()
+	switch {
+	case !ok:
+	case h.Lease().Generation() > c.generation:
+		c.install(h.Lease())
+	case c.proposed != nil:
+		c.lease.Abandon()
+		c.proposed = nil
+	}
+}
+
+// alive tells whether the upstream may hold keys.
+func (c *Custodian) alive() bool {
+	_, seen := c.tracker.Known()
+	return seen && !c.tracker.Ended() && !c.quiet()
+}
+
+// quiet tells whether the upstream has been silent until its hold ran out.
+func (c *Custodian) quiet() bool {
+	return c.now >= max(c.holdEnd, c.tracker.Heard()+Terms().WitnessLength())+silence
+}
+
+// join enters the upstream into the division.
+func (c *Custodian) join() (keyspace.Division, string) {
+	if _, ok := c.self(); ok || !c.alive() {
+		return c.division, ""
+	}
+	old, known := c.division.Holder(c.settings.Instance.Name())
+	if c.tracker.Leaving() && !known {
+		return c.division, ""
+	}
+	witnesses := c.choose(nil)
+	if len(witnesses) == 0 {
+		return c.division, ""
+	}
+	r, _ := c.tracker.Known()
+	row := membership.Restore(c.settings.Incarnation, c.settings.Instance, max(c.generation, old.Lease().Generation())+1, witnesses)
+	c.granted, c.released = nil, nil
+	return c.division.Join(keyspace.NewHolder(row, r.Life, r.Slots)), "join"
+}
+
+// choose returns witnesses among the members but the excluded ones.
+func (c *Custodian) choose(excluded []identity.Incarnation) []membership.Witness {
+	candidates := slices.DeleteFunc(slices.Clone(c.members), func(m membership.Member) bool {
+		return slices.Contains(excluded, m.Incarnation())
+	})
+	self := membership.Restore(c.settings.Incarnation, c.settings.Instance, 0, nil)
+	return membership.ChooseWitnesses(self, candidates, lease.WitnessCount)
+}
+
+// depart gives up the keys of an upstream that leaves or has ended.
+func (c *Custodian) depart() (keyspace.Division, string) {
+	h, known := c.division.Holder(c.settings.Instance.Name())
+	_, seen := c.tracker.Known()
+	switch {
+	case !known:
+		return c.division, ""
+	case seen && c.tracker.Ended() || c.quiet():
+		return c.division.Drop(h.Name()), "upstreamEnded"
+	case c.tracker.Leaving() && !h.Leaving():
+		return c.division.Leave(h.Name()), "leave"
+	case h.Leaving() && len(c.division.Owned(h.Name())) == 0:
+		return c.division.Drop(h.Name()), "left"
+	default:
+		return c.division, ""
+	}
+}
+
+// hand passes released keys to their next owners.
+func (c *Custodian) hand() (keyspace.Division, string) {
+	if _, ok := c.self(); !ok || len(c.released) == 0 {
+		return c.division, ""
+	}
+	name := c.settings.Instance.Name()
+	moving := slices.ContainsFunc(c.division.Owned(name), func(r keyspace.Range) bool { return r.Next() != "" && c.isReleased(r.Span) })
+	if !moving {
+		return c.division, ""
+	}
+	return c.division.Handed(name, c.released), "handover"
+}
+
+// witnesses replaces witnesses that have stopped to answer, once the new ones
+// have promised.
+func (c *Custodian) witnesses() (keyspace.Division, string) {
+	h, ok := c.self()
+	if !ok {
+		return c.division, ""
+	}
+	if c.proposed != nil {
+		return c.confirm(h)
+	}
+	silent := c.lease.Silent(c.now, witnessPatience)
+	few := len(h.Lease().Witnesses()) < lease.WitnessCount
+	if !c.lease.Fenced() && len(silent) == 0 && !few {
+		return c.division, ""
+	}
+	chosen := c.choose(silent)
+	if len(chosen) < len(h.Lease().Witnesses()) || few && len(chosen) < lease.WitnessCount && len(silent) == 0 {
+		return c.division, ""
+	}
+	c.proposed, c.proposedAt = chosen, c.now
+	c.lease.Propose(c.generation+1, chosen)
+	return c.division, ""
+}
+
+func (c *Custodian) confirm(h keyspace.Holder) (keyspace.Division, string) {
+	if c.lease.ProposedEnd() < max(c.lease.End(), c.now+shortestHold) {
+		if c.now-c.proposedAt > proposalLife {
+			c.lease.Abandon()
+			c.proposed = nil
+		}
+		return c.division, ""
+	}
+	c.lease.Doubt()
+	row := membership.Restore(c.settings.Incarnation, c.settings.Instance, c.generation+1, c.proposed)
+	return c.division.Join(keyspace.NewHolder(row, h.Life(), h.Slots())), "witnesses"
+}
+
+// move carries out requested moves.
+func (c *Custodian) move() (keyspace.Division, string) {
+	if _, ok := c.self(); !ok || len(c.moves) == 0 {
+		c.moves = nil
+		return c.division, ""
+	}
+	d := c.division
+	for _, m := range c.moves {
+		if h, ok := d.Holder(m.to); ok && !h.Leaving() {
+			d = d.Move(c.settings.Instance.Name(), m.span, m.to)
+		}
+	}
+	c.moves = nil
+	return d, "move"
+}
+
+// deal assigns keys without an owner. The first holder in order does it at once,
+// the others if it does not.
+func (c *Custodian) deal() (keyspace.Division, string) {
+	if _, ok := c.self(); !ok || !c.division.Undealt() {
+		c.undealtSince = 0
+		return c.division, ""
+	}
+	if c.undealtSince == 0 {
+		c.undealtSince = c.now
+	}
+	wait := rankDelay * clock.Millis(c.rank())
+	if len(c.division.Ranges()) == 0 && c.now-c.holdersChanged < dealDelay || c.now-c.undealtSince < wait {
+		return c.division, ""
+	}
+	return c.division.Deal(), "deal"
+}
+
+// even brings the numbers of ranges closer to each other after a holder joined.
+func (c *Custodian) even() (keyspace.Division, string) {
+	if _, ok := c.self(); !ok || c.rank() != 0 || c.now-max(c.holdersChanged, c.evened) < evenInterval {
+		return c.division, ""
+	}
+	if slices.ContainsFunc(c.division.Ranges(), func(r keyspace.Range) bool { return r.Next() != "" }) {
+		return c.division, ""
+	}
+	c.evened = c.now
+	d, moved := c.division.Even()
+	if !moved {
+		return c.division, ""
+	}
+	return d, "even"
+}
+
+// rank returns the own place among the holders that stay.
+func (c *Custodian) rank() int {
+	rank := 0
+	for _, h := range c.division.Holders() {
+		if h.Name() == c.settings.Instance.Name() {
+			break
+		}
+		if !h.Leaving() {
+			rank++
+		}
+	}
+	return rank
+}
--- a/daemon/logs/logs.go
+++ b/core/logs/logs.go
@@ -1,32 +1,55 @@
-// Package logs makes the daemon's logger: one line of key=value pairs for each
-// event.
+// Package logs makes the daemons' logger: one line of key=value pairs for each
+// event. Logging never waits for the writer.
 package logs
 
 import (
 	"io"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"github.com/phuslu/log"
 )
 
-// bufferedLines is how many lines may wait for the writer. A caller blocks
-// when it is full, since a decision must not go unlogged.
+// bufferedLines is how many lines may wait for the writer. Further ones are
+// dropped and counted, so that no request waits for a slow reader of the log.
 const bufferedLines = 4096
 
 // lineCapacity is the initial size of a line's buffer in bytes.
 const lineCapacity = 256
 
-// New returns a logger that writes lines of the given level or above to out,
-// and a closer that writes what is still buffered.
-func New(out io.Writer, level string) (*log.Logger, io.Closer) {
-	writer := &log.AsyncWriter{
-		ChannelSize: bufferedLines,
-		Writer:      &log.ConsoleWriter{Formatter: format, Writer: out},
+// Writer buffers lines and counts the dropped ones.
+type Writer struct {
+	async   log.AsyncWriter
+	dropped atomic.Int64
+}
+
+// New returns a logger that writes lines of the given level or above to out, and
+// its writer, which must be closed to write what is still buffered.
+func New(out io.Writer, level string) (*log.Logger, *Writer) {
+	w := &Writer{async: log.AsyncWriter{
+		ChannelSize:   bufferedLines,
+		DiscardOnFull: true,
+		Writer:        &log.ConsoleWriter{Formatter: format, Writer: out},
+	}}
+	return &log.Logger{Level: log.ParseLevel(level), Writer: w}, w
+}
+
+// WriteEntry buffers a line or drops it.
+func (w *Writer) WriteEntry(e *log.Entry) (int, error) {
+	n, err := w.async.WriteEntry(e)
+	if err != nil {
+		w.dropped.Add(1)
 	}
-	return &log.Logger{Level: log.ParseLevel(level), Writer: writer}, writer
+	return n, err
 }
 
+// Dropped returns the number of lines that were dropped.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes the buffered lines.
+func (w *Writer) Close() error { return w.async.Close() }
+
 // format writes "time=... level=... event=... key=value ...". The formatter of
 // the library prints true as a bare key and the message without one.
 func format(out io.Writer, args *log.FormatterArgs) (int, error) {
--- a/daemon/logs/logs_test.go
+++ b/core/logs/logs_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"briarwell.dev/daemon/logs"
+	"briarwell.dev/core/logs"
 )
 
 // TestLine guards against lines that a key=value reader can't split.
--- a/core/membership/member.go
+++ b/core/membership/member.go
@@ -110,6 +110,12 @@
 	return Member{incarnation: incarnation, instance: instance, state: StateJoining}
 }
 
+// Restore returns an active member with a witness set that was read from the
+// table.
+func Restore(incarnation identity.Incarnation, instance Instance, generation uint64, witnesses []Witness) Member {
+	return Member{incarnation: incarnation, instance: instance, state: StateActive, generation: generation, witnesses: witnesses}
+}
+
 // Pending returns a member that is not registered yet; its state is "".
 func Pending(incarnation identity.Incarnation, instance Instance) Member {
 	return Member{incarnation: incarnation, instance: instance}
--- /dev/null
+++ b/core/report/report.go
@@ -0,0 +1,120 @@
+// Package report holds what an upstream says of itself to the daemon on its
+// instance, and decides which of its reports count.
+package report
+
+import (
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/keyspace"
+)
+
+// Held is a span of keys that an upstream holds or still works on.
+type Held struct {
+	keyspace.Span
+
+	epoch identity.Epoch
+}
+
+// NewHeld returns a span held under an epoch.
+func NewHeld(span keyspace.Span, epoch identity.Epoch) Held { return Held{Span: span, epoch: epoch} }
+
+// Epoch returns the epoch under which the span is held.
+func (h Held) Epoch() identity.Epoch { return h.epoch }
+
+// Report is a liveness report. Fields that the upstream does not send are zero.
+type Report struct {
+	// Life is the upstream's ID and start.
+	Life keyspace.Life
+	// Sequence increases with each report of a life.
+	Sequence int64
+	// Service and Address are those under which the upstream serves.
+	Service string
+	Address string
+	// Slots is how many requests the upstream runs at once.
+	Slots int
+	// Leaving tells that it finishes its work and ends soon.
+	Leaving bool
+	// Cold is how much longer it stays slow after its start, in milliseconds.
+	Cold clock.Millis
+	// Holds are its keys, and Released those that it gave up since its last
+	// acknowledged report.
+	Holds    []Held
+	Released []keyspace.Released
+}
+
+// Verdict is what became of a report.
+type Verdict string
+
+// Verdicts of a report.
+const (
+	// Accepted means that the report is the newest of the upstream.
+	Accepted Verdict = "accepted"
+	// Started means that the report is the first of a new life.
+	Started Verdict = "started"
+	// Late means that a newer report or a newer life is known.
+	Late Verdict = "late"
+	// Foreign means that the report names no upstream of this instance.
+	Foreign Verdict = "foreign"
+)
+
+// Tracker follows the lives of the upstream at one address. The zero value knows
+// no upstream. It is not safe for concurrent use.
+type Tracker struct {
+	service string
+	address string
+	last    Report
+	seen    bool
+	heard   clock.Millis
+	leaving bool
+	ended   bool
+}
+
+// NewTracker returns a tracker of the upstream of a service at an address.
+func NewTracker(service, address string) *Tracker {
+	return &Tracker{service: service, address: address}
+}
+
+// Take takes a report received at now.
+func (t *Tracker) Take(now clock.Millis, r Report) Verdict {
+	if r.Service != t.service || r.Address != t.address || r.Life.ID() == "" || r.Life.Born() <= 0 {
+		return Foreign
+	}
+	known := t.last.Life
+	switch {
+	case !t.seen || r.Life.Born() > known.Born():
+		t.last, t.seen, t.heard = r, true, now
+		t.leaving, t.ended = r.Leaving, false
+		return Started
+	case r.Life != known || r.Sequence <= t.last.Sequence:
+		return Late
+	default:
+		t.last, t.heard, t.ended = r, now, false
+		t.leaving = t.leaving || r.Leaving
+		return Accepted
+	}
+}
+
+// Depart takes the message of an upstream that it is leaving for good. It
+// returns false if the ID is not that of the known life.
+func (t *Tracker) Depart(id string) bool {
+	if !t.seen || t.last.Life.ID() != id {
+		return false
+	}
+	t.leaving = true
+	return true
+}
+
+// End takes the certain knowledge that the upstream's process has ended.
+func (t *Tracker) End() { t.ended = t.seen }
+
+// Known returns the newest report, or false if there was none.
+func (t *Tracker) Known() (Report, bool) { return t.last, t.seen }
+
+// Heard returns when the newest report came.
+func (t *Tracker) Heard() clock.Millis { return t.heard }
+
+// Leaving tells whether the known life is leaving.
+func (t *Tracker) Leaving() bool { return t.leaving }
+
+// Ended tells whether the known life has ended.
+func (t *Tracker) Ended() bool { return t.ended }
--- a/core/upstream/httpupstream/conn.go
+++ b/core/upstream/httpupstream/conn.go
@@ -4,8 +4,9 @@
 	"io"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"briarwell.dev/core/internal/idle"
 )
 
 // trackedConn counts the bytes that were given to the kernel for an order, and
@@ -69,20 +70,8 @@
 }
 
 // usable tells whether an idle connection is still open and has no unexpected
-// byte waiting. It looks at the next byte without taking it or waiting for it.
-func (c *trackedConn) usable() bool {
-	raw, err := c.tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Control(func(fd uintptr) {
-		var next [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
-	})
-	return err == nil && open
-}
+// byte waiting.
+func (c *trackedConn) usable() bool { return idle.Clean(c.tcp) }
 
 // callerBody is the body of an order. A caller who is slow to send it is not
 // taken for an inactive upstream.
--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -34,7 +34,7 @@
 	"briarwell.dev/daemon/control"
 	"briarwell.dev/daemon/edge"
 	"briarwell.dev/daemon/local"
-	"briarwell.dev/daemon/logs"
+	"briarwell.dev/core/logs"
 )
 
 // tableTimeout bounds one call to the table service.
--- a/daemon/backend/backend_test.go
+++ b/daemon/backend/backend_test.go
@@ -20,7 +20,7 @@
 	"briarwell.dev/core/upstream"
 	"briarwell.dev/daemon/backend"
 	"briarwell.dev/daemon/control"
-	"briarwell.dev/daemon/logs"
+	"briarwell.dev/core/logs"
 )
 
 // driver records the events for the node and holds the catalog.
--- a/daemon/control/loop_test.go
+++ b/daemon/control/loop_test.go
@@ -26,7 +26,7 @@
 	"briarwell.dev/core/template"
 	"briarwell.dev/core/upstream"
 	"briarwell.dev/daemon/control"
-	"briarwell.dev/daemon/logs"
+	"briarwell.dev/core/logs"
 )
 
 const (
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -22,7 +22,7 @@
 	"briarwell.dev/core/template"
 	"briarwell.dev/core/upstream"
 	"briarwell.dev/daemon/edge"
-	"briarwell.dev/daemon/logs"
+	"briarwell.dev/core/logs"
 )
 
 // view is a control snapshot without members.
--- /dev/null
+++ b/sidecar/app/app.go
@@ -0,0 +1,208 @@
+// Package app wires the parts of the sidecar together.
+package app
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"briarwell.dev/core/admission"
+	"briarwell.dev/core/balance"
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/clock/system"
+	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/exchange"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/logs"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/replica"
+	"briarwell.dev/core/routes"
+	"briarwell.dev/platform/manifest"
+	"briarwell.dev/platform/store"
+	"briarwell.dev/sidecar/settings"
+)
+
+const (
+	// callersLeave is the time in milliseconds after a signal to stop in which
+	// callers see that this instance is not ready, after two questions a second
+	// apart, and send no more.
+	callersLeave clock.Millis = 2600
+	// graceMargin is the time in milliseconds before the kill at which the sidecar
+	// ends, whatever is still in flight.
+	graceMargin clock.Millis = 600
+	// sidecars is the number of sidecars that share the budget of requests sent
+	// again, until the real number is known.
+	sidecars = 18
+	// budgetShare is the part of the budget that the sidecars use: the windows in
+	// which it is measured slide.
+	budgetShare = 0.5
+	// millisPerSecond converts the window of the budget.
+	millisPerSecond = 1000
+)
+
+// App is one sidecar. Use New.
+type App struct {
+	settings settings.Sidecar
+	clock    system.Clock
+	log      *log.Logger
+	lines    *logs.Writer
+	localIP  net.IP
+
+	store    *store.Store
+	rows     replica.Rows
+	manifest atomic.Pointer[routes.Manifest]
+	state    *state
+	upstream *upstream
+	gate     *admission.Gate
+	owner    *dispatch.Owner
+	entry    *dispatch.Entry
+	peers    *peers
+
+	wake      chan struct{}
+	started   clock.Millis
+	listeners []*listener
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
+}
+
+type listener struct {
+	name   string
+	net    net.Listener
+	server *http.Server
+}
+
+// New binds the addresses of a sidecar and prepares its parts. The error says
+// which address can't be bound.
+func New(s settings.Sidecar, out io.Writer) (*App, error) {
+	incarnation, err := randomIncarnation()
+	if err != nil {
+		return nil, err
+	}
+	a := &App{settings: s, localIP: net.ParseIP(s.IP()), wake: make(chan struct{}, 1)}
+	a.started = a.clock.Now()
+	a.log, a.lines = logs.New(out, s.LogLevel())
+	a.manifest.Store(&routes.Manifest{})
+	a.store = store.New(s.StoreAddress(), a.localIP)
+	instance := membership.NewInstance(s.Instance(), s.RequestAddress(), s.PeerAddress(), s.Location())
+	a.state = newState(a.clock.Now(), s, instance, incarnation)
+	a.gate = admission.NewGate(a.clock, admission.Settings{})
+	a.peers = newPeers(a.localIP)
+	a.upstream = &upstream{app: a, client: exchange.New(s.UpstreamAddress(), a.localIP)}
+	a.owner = dispatch.NewOwner(a.clock, a.upstream, a.gate)
+	share := s.RetryShare() * budgetShare
+	floor := float64(s.RetrySlack()) * budgetShare * millisPerSecond / float64(s.RetryWindow()) / sidecars
+	a.entry = dispatch.NewEntry(a.clock, a.state, &sender{app: a}, balance.New(s.Location()), share, floor)
+	return a, a.listen()
+}
+
+func randomIncarnation() (identity.Incarnation, error) {
+	var seed [8]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return 0, eris.Wrap(err, "random incarnation")
+	}
+	return identity.Incarnation(binary.LittleEndian.Uint64(seed[:])), nil
+}
+
+func (a *App) listen() error {
+	for _, l := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"peers", a.settings.PeerAddress(), a.controlHandler()},
+		{"requests", a.settings.RequestAddress(), http.HandlerFunc(a.serveRequest)},
+		{"reports", a.settings.ReportAddress(), http.HandlerFunc(a.serveReport)},
+		{"callers", a.settings.CallerAddress(), http.HandlerFunc(a.serveCaller)},
+		{"ready", a.settings.ReadyAddress(), http.HandlerFunc(a.serveReady)},
+	} {
+		bound, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return eris.Wrap(err, l.name+" address")
+		}
+		a.listeners = append(a.listeners, &listener{name: l.name, net: bound, server: newServer(l.handler)})
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then leaves gracefully.
+func (a *App) Run(ctx context.Context) {
+	background, cancel := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	for _, l := range a.listeners {
+		tasks.Go(func() {
+			if err := l.server.Serve(l.net); err != nil && background.Err() == nil {
+				a.log.Error().Err(err).Str("listener", l.name).Msg("listenerFailed")
+			}
+		})
+	}
+	tasks.Go(func() { a.follow(background, store.OperatorRows) })
+	tasks.Go(func() { a.follow(background, store.OwnRows) })
+	tasks.Go(func() { a.control(background) })
+	tasks.Go(func() { a.synchronise(background) })
+	a.log.Info().Str("instance", a.settings.Instance()).Str("incarnation", a.state.incarnation.String()).
+		Str("service", a.settings.Service()).Msg("started")
+	<-ctx.Done()
+	a.stop()
+	cancel()
+	for _, l := range a.listeners {
+		_ = l.server.Close()
+	}
+	tasks.Wait()
+	a.log.Info().Int64("droppedLines", a.lines.Dropped()).Msg("stopped")
+	_ = a.lines.Close()
+}
+
+// stop waits until callers have seen that this instance is not ready, and until
+// no request is in flight.
+func (a *App) stop() {
+	a.stopping.Store(true)
+	began := a.clock.Now()
+	a.log.Info().Int64("inFlight", a.inFlight.Load()).Msg("stopping")
+	for {
+		waited := a.clock.Now() - began
+		if waited >= a.settings.Grace()-graceMargin || waited >= callersLeave && a.inFlight.Load() == 0 {
+			return
+		}
+		time.Sleep(stopPoll)
+	}
+}
+
+// stopPoll is the time between two looks at the requests in flight.
+const stopPoll = 20 * time.Millisecond
+
+// Reload takes settings that were read again. Those of a running sidecar do not
+// change: its addresses are bound, and the platform starts it anew for others.
+func (a *App) Reload(s settings.Sidecar, err error) {
+	if err != nil {
+		a.log.Error().Err(err).Msg("reloadFailed")
+		return
+	}
+	a.log.Info().Bool("changed", s != a.settings).Msg("reloaded")
+}
+
+// takeManifest puts a newer manifest in force.
+func (a *App) takeManifest(value []byte) {
+	m, err := manifest.Decode(value)
+	if err != nil {
+		a.log.Error().Err(err).Msg("manifestRejected")
+		return
+	}
+	for {
+		old := a.manifest.Load()
+		if m.Version() <= old.Version() {
+			return
+		}
+		if a.manifest.CompareAndSwap(old, m) {
+			a.log.Info().Uint64("version", m.Version()).Uint64("before", old.Version()).Msg("manifestInForce")
+			return
+		}
+	}
+}
--- /dev/null
+++ b/sidecar/app/control.go
@@ -0,0 +1,256 @@
+package app
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/fleet"
+	"briarwell.dev/core/holding"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/lease/holder"
+	"briarwell.dev/core/lease/replacer"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/peer"
+	"briarwell.dev/core/table"
+	"briarwell.dev/platform/store"
+)
+
+// firstReport is the time in milliseconds in which the first report of a running
+// upstream comes. The first row waits for it, so that it is written once.
+const firstReport clock.Millis = 1500
+
+// controlInterval is the time between two looks at what is due.
+const controlInterval = 50 * time.Millisecond
+
+// control drives the state machines: it sends what they ask for and writes the
+// changes that they want, one at a time.
+func (a *App) control(ctx context.Context) {
+	ticker := time.NewTicker(controlInterval)
+	defer ticker.Stop()
+	writing := make(chan struct{}, 1)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-a.wake:
+		}
+		a.renewals(ctx)
+		a.replacements(ctx, writing)
+		a.write(ctx, writing)
+	}
+}
+
+// publishSoon makes the control loop look at once.
+func (a *App) publishSoon() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (a *App) renewals(ctx context.Context) {
+	s := a.state
+	s.mu.Lock()
+	due := s.custodian.Renewals(a.clock.Now())
+	s.mu.Unlock()
+	for _, request := range due {
+		go a.askPromise(ctx, request)
+	}
+}
+
+func (a *App) askPromise(ctx context.Context, request holder.Request) {
+	s, to := a.state, request.Witness()
+	message := renewMessage{To: to.Incarnation(), Holder: s.incarnation, Generation: request.Generation(), Sequence: request.Sequence()}
+	var answer renewAnswer
+	if err := a.peers.ask(ctx, to.PeerAddress(), pathRenew, message, &answer); err != nil {
+		a.log.Debug().Err(err).Str("witness", to.Incarnation().String()).Msg("renewalFailed")
+		return
+	}
+	if answer.From != to.Incarnation() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := peer.NewRenewReply(request.Generation(), request.Sequence(), answer.Result, 0)
+	s.custodian.Promised(a.clock.Now(), answer.From, reply)
+}
+
+// replacements asks other witnesses about holders whose promises have lapsed,
+// and drops the holders that have certainly lost their leases.
+func (a *App) replacements(ctx context.Context, writing chan struct{}) {
+	s, now := a.state, a.clock.Now()
+	s.mu.Lock()
+	queries, ready := s.replacer.Check(now, s.incarnation, s.witness, func(i identity.Incarnation) bool { return s.gone(now, i) })
+	s.mu.Unlock()
+	for _, query := range queries {
+		go a.askLapse(ctx, query)
+	}
+	for _, row := range ready {
+		a.drop(ctx, writing, row)
+	}
+}
+
+// gone tells whether all promises of a witness have certainly expired, as its
+// address has answered as another incarnation for long enough.
+func (s *state) gone(now clock.Millis, i identity.Incarnation) bool {
+	since, ok := s.others[i]
+	return ok && now-since >= holding.Terms().WitnessLength()
+}
+
+func (a *App) askLapse(ctx context.Context, query replacer.Query) {
+	s, to := a.state, query.To()
+	message := lapseMessage{To: to.Incarnation(), Holder: query.Holder(), Generation: query.Generation()}
+	var answer lapseAnswer
+	if err := a.peers.ask(ctx, to.PeerAddress(), pathLapse, message, &answer); err != nil {
+		a.log.Debug().Err(err).Str("witness", to.Incarnation().String()).Msg("lapseQueryFailed")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if answer.From != to.Incarnation() {
+		if _, known := s.others[to.Incarnation()]; !known {
+			s.others[to.Incarnation()] = a.clock.Now()
+		}
+		return
+	}
+	if answer.Lapsed {
+		s.replacer.Reported(to.Incarnation(), query.Holder(), query.Generation())
+	}
+}
+
+// drop writes the division without a holder that has lost its lease.
+func (a *App) drop(ctx context.Context, writing chan struct{}, row membership.Member) {
+	s, now := a.state, a.clock.Now()
+	s.mu.Lock()
+	var change holding.Change
+	var service string
+	ok := s.witness.Report(now, row.Incarnation(), row.Generation())
+	if ok {
+		change, service, ok = s.lost(row)
+	}
+	s.mu.Unlock()
+	if ok {
+		a.log.Warn().Str("holder", row.Instance().Name()).Str("service", service).Msg("leaseLapsed")
+		a.commitDivision(ctx, writing, service, change, false)
+	}
+}
+
+// write asks the table for the changes of the own division and member row.
+func (a *App) write(ctx context.Context, writing chan struct{}) {
+	s := a.state
+	described, _ := a.manifest.Load().Service(s.service)
+	if described.Keyed {
+		s.mu.Lock()
+		var change holding.Change
+		due := len(writing) == 0
+		if due {
+			change, due = s.custodian.Next(a.clock.Now())
+		}
+		s.mu.Unlock()
+		if due {
+			a.commitDivision(ctx, writing, s.service, change, true)
+			return
+		}
+	}
+	a.publish(ctx, writing)
+}
+
+// commitDivision writes a division unless another write is in progress.
+func (a *App) commitDivision(ctx context.Context, writing chan struct{}, service string, change holding.Change, own bool) {
+	select {
+	case writing <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-writing }()
+		value, err := change.Division().Encode()
+		if err != nil {
+			a.log.Error().Err(err).Msg("divisionNotEncoded")
+			return
+		}
+		key := fleet.DivisionKey(service)
+		revision, committed := a.commit(ctx, key, change.Base(), value, change.Reason())
+		if !committed {
+			return
+		}
+		if own {
+			s := a.state
+			s.mu.Lock()
+			s.custodian.Committed(a.clock.Now(), revision, change)
+			s.mu.Unlock()
+		}
+		a.takeRows([]table.Row{table.NewRow(key, revision, value)})
+	}()
+}
+
+// commit writes a row in place of the version base. If the row has changed or
+// the outcome is not known, it reads the rows again before it returns.
+func (a *App) commit(ctx context.Context, key string, base table.Revision, value []byte, reason string) (table.Revision, bool) {
+	transaction := table.NewTransaction([]table.Condition{table.NewCondition(key, base)}, []table.Mutation{table.NewPut(key, value)})
+	revision, err := a.store.Commit(ctx, transaction)
+	if err == nil {
+		a.log.Info().Str("row", key).Str("reason", reason).Uint64("base", uint64(base)).Uint64("revision", uint64(revision)).Msg("rowWritten")
+		return revision, true
+	}
+	a.log.Warn().Err(err).Str("row", key).Str("reason", reason).Uint64("base", uint64(base)).Msg("rowNotWritten")
+	var refused *store.StatusError
+	if errors.As(err, &refused) {
+		pause(ctx, storeBackoff)
+		return 0, false
+	}
+	for ctx.Err() == nil {
+		rows, _, err := a.store.Load(ctx, store.OwnRows)
+		if err == nil {
+			a.takeRows(rows)
+			return 0, false
+		}
+		pause(ctx, storeBackoff)
+	}
+	return 0, false
+}
+
+// publish writes the own member row if it is not what the table has.
+func (a *App) publish(ctx context.Context, writing chan struct{}) {
+	s := a.state
+	member, known := s.member(a.stopping.Load())
+	if !known && a.clock.Now()-a.started < firstReport {
+		return
+	}
+	value, err := member.Encode()
+	if err != nil {
+		a.log.Error().Err(err).Msg("memberNotEncoded")
+		return
+	}
+	key := fleet.MemberKey(s.instance.Name())
+	row := a.rows.Get(key)
+	if bytes.Equal(row.Value(), value) {
+		return
+	}
+	select {
+	case writing <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-writing }()
+		if revision, ok := a.commit(ctx, key, row.Version(), value, "member"); ok {
+			a.takeRows([]table.Row{table.NewRow(key, revision, value)})
+		}
+	}()
+}
+
+// member returns what the own row should say, and whether the upstream is known.
+func (s *state) member(stopping bool) (fleet.Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, seen := s.tracker.Known()
+	return fleet.Member{
+		Instance: s.instance, Incarnation: s.incarnation, Service: s.service, Slots: known.Slots,
+		Serving: seen && !s.tracker.Ended() && !s.tracker.Leaving() && !stopping,
+	}, seen
+}
--- /dev/null
+++ b/sidecar/app/peers.go
@@ -0,0 +1,212 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/exchange"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/peer"
+	"briarwell.dev/core/table"
+)
+
+// Paths of the control messages between sidecars.
+const (
+	pathRenew = "/renew"
+	pathLapse = "/lapse"
+	pathSync  = "/sync"
+	pathRows  = "/rows"
+)
+
+const (
+	// messageTimeout bounds a control message: a trip between regions takes 40 ms.
+	messageTimeout = 600 * time.Millisecond
+	// maxMessageBytes bounds a control message.
+	maxMessageBytes = 4 << 20
+)
+
+type renewMessage struct {
+	// To is the incarnation of the witness that is asked.
+	To         identity.Incarnation `json:"to"`
+	Holder     identity.Incarnation `json:"holder"`
+	Generation uint64               `json:"generation"`
+	Sequence   uint64               `json:"sequence"`
+}
+
+type renewAnswer struct {
+	From   identity.Incarnation `json:"from"`
+	Result peer.RenewResult     `json:"result"`
+}
+
+type lapseMessage struct {
+	To         identity.Incarnation `json:"to"`
+	Holder     identity.Incarnation `json:"holder"`
+	Generation uint64               `json:"generation"`
+}
+
+type lapseAnswer struct {
+	From   identity.Incarnation `json:"from"`
+	Lapsed bool                 `json:"lapsed"`
+}
+
+type rowMessage struct {
+	Key     string         `json:"key"`
+	Version table.Revision `json:"version"`
+	Value   []byte         `json:"value"`
+}
+
+type syncMessage struct {
+	Versions map[string]table.Revision `json:"versions"`
+}
+
+type rowsMessage struct {
+	Rows []rowMessage `json:"rows"`
+	// Behind tells that the sender lacks rows of the receiver's.
+	Behind bool `json:"behind"`
+}
+
+func encodeRows(rows []table.Row) []rowMessage {
+	out := make([]rowMessage, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, rowMessage{Key: r.Key(), Version: r.Version(), Value: r.Value()})
+	}
+	return out
+}
+
+func decodeRows(messages []rowMessage) []table.Row {
+	out := make([]table.Row, 0, len(messages))
+	for _, m := range messages {
+		out = append(out, table.NewRow(m.Key, m.Version, m.Value))
+	}
+	return out
+}
+
+// peers keeps a client for each address of other sidecars.
+type peers struct {
+	localIP net.IP
+	mu      sync.Mutex
+	clients map[string]*exchange.Client
+}
+
+func newPeers(localIP net.IP) *peers {
+	return &peers{localIP: localIP, clients: make(map[string]*exchange.Client)}
+}
+
+func (p *peers) client(address string) *exchange.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.clients[address]
+	if !ok {
+		c = exchange.New(address, p.localIP)
+		p.clients[address] = c
+	}
+	return c
+}
+
+// messageError reports a control message without a usable answer.
+type messageError struct {
+	path   string
+	status int
+}
+
+func (e *messageError) Error() string {
+	return fmt.Sprintf("message %s was answered with status %d", e.path, e.status)
+}
+
+// ask sends a control message and reads its answer.
+func (p *peers) ask(ctx context.Context, address, path string, message, answer any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	got, err := p.client(address).Do(ctx, exchange.Request{Method: http.MethodPost, Target: path, Host: address, Body: body})
+	if err != nil {
+		return err
+	}
+	if got.Status != http.StatusOK {
+		return &messageError{path: path, status: got.Status}
+	}
+	return json.Unmarshal(got.Body, answer)
+}
+
+func (a *App) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	handle(mux, pathRenew, a.renew)
+	handle(mux, pathLapse, a.lapse)
+	handle(mux, pathSync, func(m syncMessage) rowsMessage {
+		return rowsMessage{Rows: encodeRows(a.rows.Newer(m.Versions)), Behind: a.rows.Older(m.Versions)}
+	})
+	handle(mux, pathRows, func(m rowsMessage) struct{} {
+		a.takeRows(decodeRows(m.Rows))
+		return struct{}{}
+	})
+	return mux
+}
+
+func handle[M, A any](mux *http.ServeMux, path string, answer func(M) A) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		var message M
+		body, err := io.ReadAll(io.LimitReader(r.Body, maxMessageBytes))
+		if err == nil {
+			err = json.Unmarshal(body, &message)
+		}
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		out, err := json.Marshal(answer(message))
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(out) // The other sidecar may have given up.
+	})
+}
+
+// renew answers a holder that asks this sidecar for a promise.
+func (a *App) renew(m renewMessage) renewAnswer {
+	s, now := a.state, a.clock.Now()
+	if m.To != s.incarnation {
+		return renewAnswer{From: s.incarnation, Result: peer.RenewRefused}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.witness.Extend(now)
+	return renewAnswer{From: s.incarnation, Result: s.witness.Renew(now, m.Holder, m.Generation)}
+}
+
+// lapse answers another witness that asks whether a promise has expired.
+func (a *App) lapse(m lapseMessage) lapseAnswer {
+	s, now := a.state, a.clock.Now()
+	if m.To != s.incarnation {
+		return lapseAnswer{From: s.incarnation}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return lapseAnswer{From: s.incarnation, Lapsed: s.witness.Report(now, m.Holder, m.Generation)}
+}
+
+func (s *state) hasMembers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.view.Members()) > 0
+}
+
+func (s *state) depart(now clock.Millis, id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := s.tracker.Depart(id)
+	if left && s.leftAt == 0 {
+		s.leftAt = now
+	}
+	return left
+}
--- /dev/null
+++ b/sidecar/app/server.go
@@ -0,0 +1,186 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/dispatch/peerhttp"
+	"briarwell.dev/core/exchange"
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/report"
+	"briarwell.dev/core/routes"
+	"briarwell.dev/platform/callers"
+	"briarwell.dev/platform/reports"
+)
+
+const (
+	// headerTime bounds the reading of a head; the manifest's limit is checked by
+	// callers themselves and changes while a server runs.
+	headerTime = 10 * time.Second
+	// idleTime is longer than any idle time that the manifest allows callers, so
+	// that no request crosses the close of its connection.
+	idleTime = 120 * time.Second
+	// maxHeaderBytes bounds a head.
+	maxHeaderBytes = 64 << 10
+	// maxReportBytes bounds the body of a report: 16,384 rows of 32 bytes.
+	maxReportBytes = 512 << 10
+	// slowRequest is the time in milliseconds from which a served request is
+	// logged.
+	slowRequest clock.Millis = 2000
+)
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// serveCaller handles a request that began on this instance.
+func (a *App) serveCaller(w http.ResponseWriter, r *http.Request) {
+	a.inFlight.Add(1)
+	defer a.inFlight.Add(-1)
+	if a.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	table := a.manifest.Load()
+	request, err := callers.Decode(r, a.clock.Now(), a.settings.Service(), table.Limits())
+	if err != nil {
+		status := callers.AnswerError(w, callers.RequestID(r), err)
+		a.log.Warn().Err(err).Str("request", callers.RequestID(r)).Int("status", status).Msg("requestRejected")
+		return
+	}
+	result := a.handle(r.Context(), table, request)
+	status := callers.Answer(w, request.ID, result)
+	a.logResult(r.Context(), request, result, status)
+}
+
+func (a *App) handle(ctx context.Context, table *routes.Manifest, request *dispatch.Request) dispatch.Result {
+	if table.Version() == 0 {
+		return dispatch.Result{Reply: dispatch.Reply{RetryAfter: manifestWait}}
+	}
+	return a.entry.Handle(ctx, table, request)
+}
+
+// manifestWait is the time in milliseconds after which a sidecar without a
+// manifest is worth another attempt.
+const manifestWait clock.Millis = 500
+
+// logResult writes a line for each request that was not served at once.
+func (a *App) logResult(ctx context.Context, r *dispatch.Request, result dispatch.Result, status int) {
+	took := a.clock.Now() - r.Arrived
+	text := "none"
+	if result.Outcome != nil {
+		text = result.Outcome.String()
+		if _, done := result.Outcome.(outcome.Done); done && result.Attempts == 1 && took < slowRequest && status < http.StatusInternalServerError {
+			return
+		}
+	}
+	a.log.Info().Str("request", r.ID).Str("route", result.Route).Str("service", result.Service).
+		Uint64("manifest", result.Version).Str("instance", result.Instance).Int("attempts", result.Attempts).
+		Bool("keyed", r.Keyed).Int("key", int(r.Key)).Bool("nested", r.Nested).
+		Str("outcome", text).Str("reason", string(outcome.ReasonOf(result.Outcome))).Int("status", status).
+		Int64("allowedMillis", int64(r.Deadline-r.Arrived)).Int64("tookMillis", int64(took)).
+		Int64("returnMillis", int64(result.RetryAfter)).Bool("callerLeft", ctx.Err() != nil).Msg("requestEnded")
+}
+
+// serveRequest handles a request that another sidecar sent on.
+func (a *App) serveRequest(w http.ResponseWriter, r *http.Request) {
+	a.inFlight.Add(1)
+	defer a.inFlight.Add(-1)
+	request, service, rules, err := peerhttp.Decode(r, a.clock.Now())
+	if err != nil {
+		a.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("peerRequestRejected")
+		peerhttp.Answer(w, dispatch.NotRun(outcome.ReasonMalformed))
+		return
+	}
+	peerhttp.Answer(w, a.owner.Serve(r.Context(), service, request, rules))
+}
+
+// sender sends requests to other sidecars, or to the own upstream.
+type sender struct{ app *App }
+
+// Send sends the request and waits for its reply.
+func (s *sender) Send(ctx context.Context, to dispatch.Target, service string, r *dispatch.Request, rules dispatch.Rules) dispatch.Reply {
+	a := s.app
+	if to.Name == a.settings.Instance() {
+		return a.owner.Serve(ctx, service, r, rules)
+	}
+	left := r.Deadline - a.clock.Now()
+	if left <= 0 {
+		return dispatch.NotRun(outcome.ReasonDeadlineExceeded)
+	}
+	answer, err := a.peers.client(to.Address).Do(ctx, peerhttp.Encode(r, service, rules, left))
+	if err == nil {
+		return peerhttp.DecodeReply(answer)
+	}
+	var failed *exchange.Error
+	switch {
+	case errors.As(err, &failed) && !failed.Sent():
+		return dispatch.NotRun(outcome.ReasonUnreachable)
+	case ctx.Err() != nil:
+		return dispatch.Unknown(outcome.ReasonTimeout)
+	default:
+		return dispatch.Unknown(outcome.ReasonConnectionLost)
+	}
+}
+
+// serveReady tells whether callers may be sent to this instance.
+func (a *App) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != callers.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if a.stopping.Load() || a.manifest.Load().Version() == 0 || !a.state.hasMembers() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveReport handles a call of the upstream on this instance.
+func (a *App) serveReport(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != reports.Path || r.Method != http.MethodPost {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxReportBytes))
+	if err == nil {
+		var call reports.Call
+		if call, err = reports.Decode(r.URL.Query(), body); err == nil {
+			a.answerReport(w, call)
+			return
+		}
+	}
+	a.log.Warn().Err(err).Msg("reportRejected")
+	w.WriteHeader(http.StatusBadRequest)
+	_, _ = io.WriteString(w, err.Error()+"\n") // The upstream may have gone.
+}
+
+func (a *App) answerReport(w http.ResponseWriter, call reports.Call) {
+	answer := []byte("{}")
+	switch call := call.(type) {
+	case reports.Report:
+		content := call.Content()
+		grant, verdict := a.upstream.reported(a.clock.Now(), content)
+		if verdict == report.Foreign {
+			a.log.Warn().Str("life", content.Life.String()).Str("service", content.Service).Str("address", content.Address).Msg("reportOfOtherUpstream")
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		if verdict != report.Accepted || content.Leaving {
+			a.log.Info().Str("life", content.Life.String()).Str("verdict", string(verdict)).Bool("leaving", content.Leaving).Msg("report")
+		}
+		answer = reports.EncodeGrant(grant)
+	case reports.Departure:
+		left := a.state.depart(a.clock.Now(), call.ID())
+		a.log.Info().Str("upstream", call.ID()).Bool("known", left).Msg("upstreamDeparts")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(answer) // The upstream may have gone.
+	a.publishSoon()
+}
--- /dev/null
+++ b/sidecar/app/upstream.go
@@ -0,0 +1,126 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"briarwell.dev/core/admission"
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/exchange"
+	"briarwell.dev/core/holding"
+	"briarwell.dev/core/keyspace"
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/report"
+	"briarwell.dev/platform/backend"
+)
+
+const (
+	// leaveMargin is how long before the bound in milliseconds a leaving upstream
+	// gets its last request.
+	leaveMargin clock.Millis = 500
+	// confirmEnd is the time after which a refused connection is tried again
+	// before the upstream counts as ended.
+	confirmEnd = 100 * time.Millisecond
+)
+
+// upstream is the port of dispatch.Owner to the upstream of this instance.
+type upstream struct {
+	app    *App
+	client *exchange.Client
+}
+
+// Local returns what is known of the upstream.
+func (u *upstream) Local(now clock.Millis) dispatch.Local {
+	s := u.app.state
+	described, _ := u.app.manifest.Load().Service(s.service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, seen := s.tracker.Known()
+	return dispatch.Local{
+		Service: s.service,
+		Life:    known.Life,
+		Up:      seen && !s.tracker.Ended(),
+		Leaving: s.tracker.Leaving() || u.app.stopping.Load(),
+		Closed:  s.leftAt != 0 && now-s.leftAt >= u.app.settings.Drain()-leaveMargin,
+		Keyed:   described.Keyed,
+	}
+}
+
+// Admits tells whether the upstream holds the key at now.
+func (u *upstream) Admits(now clock.Millis, key keyspace.Key) bool {
+	s := u.app.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.custodian.Admits(now, key)
+	return ok
+}
+
+// Call sends the request to the upstream and waits for its answer.
+func (u *upstream) Call(ctx context.Context, life keyspace.Life, r *dispatch.Request, left clock.Millis) dispatch.Reply {
+	answer, err := u.client.Do(ctx, backend.Encode(r, life, left))
+	if err == nil {
+		return backend.Decode(answer)
+	}
+	var failed *exchange.Error
+	if !errors.As(err, &failed) || failed.Sent() {
+		if ctx.Err() != nil {
+			return dispatch.Unknown(outcome.ReasonTimeout)
+		}
+		return dispatch.Unknown(outcome.ReasonConnectionLost)
+	}
+	if failed.Refused() {
+		go u.confirmEnded(life)
+	}
+	return dispatch.NotRun(outcome.ReasonUnreachable)
+}
+
+// confirmEnded notes the end of the upstream's life if its address still refuses
+// connections after a moment.
+func (u *upstream) confirmEnded(life keyspace.Life) {
+	time.Sleep(confirmEnd)
+	ctx, cancel := context.WithTimeout(context.Background(), confirmEnd)
+	defer cancel()
+	if !u.client.Refuses(ctx) {
+		return
+	}
+	s := u.app.state
+	s.mu.Lock()
+	known, _ := s.tracker.Known()
+	ended := known.Life == life && !s.tracker.Ended()
+	if ended {
+		s.tracker.End()
+		s.custodian.Restarted(u.app.clock.Now())
+	}
+	s.mu.Unlock()
+	if ended {
+		u.app.log.Warn().Str("life", life.String()).Msg("upstreamEnded")
+		u.app.publishSoon()
+	}
+}
+
+// reported takes a report of the upstream.
+func (u *upstream) reported(now clock.Millis, r report.Report) (holding.Grant, report.Verdict) {
+	s := u.app.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, seen := s.tracker.Known()
+	verdict := s.tracker.Take(now, r)
+	switch verdict {
+	case report.Started:
+		s.custodian.Restarted(now)
+		s.leftAt = 0
+		u.client.CloseIdle()
+	case report.Accepted:
+	default:
+		return holding.Grant{}, verdict
+	}
+	if !seen || before.Slots != r.Slots {
+		u.app.gate.Announce(admission.Settings{Slots: r.Slots})
+	}
+	if s.tracker.Leaving() && s.leftAt == 0 {
+		s.leftAt = now
+	}
+	return s.custodian.Reported(now, r), verdict
+}
--- /dev/null
+++ b/sidecar/command/command.go
@@ -0,0 +1,112 @@
+// Package command is the command line of the sidecar.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"briarwell.dev/platform"
+	"briarwell.dev/sidecar/app"
+	"briarwell.dev/sidecar/settings"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitBadInput = 2
+)
+
+const version = "0.1"
+
+// memoryLimit is the size in bytes of the runtime's memory from which the
+// collector runs more often: the users want 40 MB at most.
+const memoryLimit = 40 << 20
+
+// Run runs the sidecar with the given arguments and returns the exit code: 2 for
+// wrong arguments or settings, 1 if an address can't be bound.
+func Run(arguments []string, out io.Writer) int {
+	parser := flaggy.NewParser("sidecar")
+	parser.Description = "Routes requests to the upstreams that own their keys, from beside one of them."
+	parser.Version = version
+	parser.ShowHelpOnUnexpected = false
+	path := platform.SettingsPath()
+	var checkOnly bool
+	parser.String(&path, "s", "settings", "path of the JSON settings file")
+	parser.Bool(&checkOnly, "c", "check", "check the settings and exit")
+	if err := parser.ParseArgs(arguments); err != nil {
+		return fail(out, exitBadInput, err)
+	}
+	sidecar, err := read(path)
+	if err != nil {
+		return fail(out, exitBadInput, err)
+	}
+	if checkOnly {
+		return exitOK
+	}
+	return serve(sidecar, path, out)
+}
+
+func read(path string) (settings.Sidecar, error) {
+	if path == "" {
+		return settings.Sidecar{}, &MissingFlagError{flag: "settings"}
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return settings.Sidecar{}, err
+	}
+	return settings.Parse(data)
+}
+
+func serve(s settings.Sidecar, path string, out io.Writer) int {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	a, err := app.New(s, out)
+	if err != nil {
+		return fail(out, exitFailed, err)
+	}
+	go reload(ctx, a, path)
+	a.Run(ctx)
+	return exitOK
+}
+
+// reload reads the settings file again at each SIGHUP.
+func reload(ctx context.Context, a *app.App, path string) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			s, err := read(path)
+			a.Reload(s, err)
+		}
+	}
+}
+
+func fail(out io.Writer, code int, err error) int {
+	_, _ = fmt.Fprintln(out, "sidecar:", err)
+	return code
+}
+
+// MissingFlagError reports a required flag that was not given.
+type MissingFlagError struct {
+	flag string
+}
+
+// Flag returns the flag's name.
+func (e *MissingFlagError) Flag() string { return e.flag }
+
+func (e *MissingFlagError) Error() string { return "flag --" + e.flag + " is required" }
--- /dev/null
+++ b/sidecar/settings/settings.go
@@ -0,0 +1,155 @@
+// Package settings reads the settings of a sidecar.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/settings"
+)
+
+// Sidecar holds the settings of one sidecar.
+type Sidecar struct {
+	instance        string
+	location        identity.Location
+	ip              string
+	service         string
+	upstreamAddress string
+	callerAddress   string
+	requestAddress  string
+	readyAddress    string
+	reportAddress   string
+	peerPort        int64
+	metricsPort     int64
+	storeAddress    string
+	holdMax         clock.Millis
+	drain           clock.Millis
+	grace           clock.Millis
+	retryShare      float64
+	retrySlack      int64
+	retryWindow     clock.Millis
+	logLevel        string
+}
+
+// maxPort is the largest TCP port.
+const maxPort = 65535
+
+// Parse reads the settings. It returns a *settings.ListError with all errors.
+func Parse(data []byte) (Sidecar, error) {
+	collector := &settings.Collector{}
+	object := settings.Read(data, collector).Object()
+	s := Sidecar{
+		instance:        object.Required("instance").Text(settings.NonEmpty()),
+		location:        identity.NewLocation(object.Required("region").Text(settings.NonEmpty()), object.Required("failureDomain").Text(settings.NonEmpty())),
+		ip:              object.Required("ip").Text(settings.NonEmpty()),
+		service:         object.Required("service").Text(settings.NonEmpty()),
+		upstreamAddress: object.Required("upstreamAddress").Text(settings.IPPort()),
+		callerAddress:   object.Required("callerAddress").Text(settings.IPPort()),
+		requestAddress:  object.Required("requestAddress").Text(settings.IPPort()),
+		readyAddress:    object.Required("readyAddress").Text(settings.IPPort()),
+		reportAddress:   object.Required("reportAddress").Text(settings.IPPort()),
+		peerPort:        object.Required("peerPort").Int(settings.NewRange(1, maxPort, "")),
+		metricsPort:     object.Required("metricsPort").Int(settings.NewRange(1, maxPort, "")),
+		storeAddress:    object.Required("storeAddress").Text(settings.HostPort()),
+		holdMax:         duration(object, "holdMax"),
+		drain:           duration(object, "drain"),
+		grace:           duration(object, "grace"),
+		retryShare:      share(object, "retryShare"),
+		retrySlack:      object.Required("retrySlack").Int(settings.NewRange(0, 1_000_000, "requests")),
+		retryWindow:     duration(object, "retryWindow"),
+		logLevel:        object.Optional("logLevel").TextOr(settings.DefaultLogLevel, settings.OneOf("debug", "info", "warn", "error")),
+	}
+	object.Close()
+	if err := collector.Err(); err != nil {
+		return Sidecar{}, err
+	}
+	return s, nil
+}
+
+// duration reads a text such as "2500ms" or "10s".
+func duration(object *settings.Object, name string) clock.Millis {
+	value := object.Required(name)
+	text := value.Text(settings.NonEmpty())
+	d, err := time.ParseDuration(text)
+	if text != "" && (err != nil || d <= 0) {
+		value.Reject(`a positive time such as "2500ms"`)
+	}
+	return clock.FromDuration(d)
+}
+
+// share reads a number from 0 to 1.
+func share(object *settings.Object, name string) float64 {
+	value := object.Required(name)
+	number, ok := value.Raw().(json.Number)
+	share, err := number.Float64()
+	if value.Present() && (!ok || err != nil || share < 0 || share > 1) {
+		value.Reject("a number from 0 to 1")
+	}
+	if !value.Present() {
+		value.Int(settings.NewRange(0, 1, "")) // Reports the missing field.
+	}
+	return share
+}
+
+// Instance returns the name of the instance.
+func (s Sidecar) Instance() string { return s.instance }
+
+// Location returns the region and the failure domain.
+func (s Sidecar) Location() identity.Location { return s.location }
+
+// IP returns the instance's address, to which outgoing connections are bound.
+func (s Sidecar) IP() string { return s.ip }
+
+// Service returns the service of the upstream on this instance.
+func (s Sidecar) Service() string { return s.service }
+
+// UpstreamAddress returns the address of the upstream.
+func (s Sidecar) UpstreamAddress() string { return s.upstreamAddress }
+
+// CallerAddress returns the address for the requests that begin on this instance.
+func (s Sidecar) CallerAddress() string { return s.callerAddress }
+
+// RequestAddress returns the address for requests that other sidecars send on.
+func (s Sidecar) RequestAddress() string { return s.requestAddress }
+
+// ReadyAddress returns the address at which readiness is told.
+func (s Sidecar) ReadyAddress() string { return s.readyAddress }
+
+// ReportAddress returns the address for the upstream's reports.
+func (s Sidecar) ReportAddress() string { return s.reportAddress }
+
+// PeerAddress returns the address for control messages of other sidecars.
+func (s Sidecar) PeerAddress() string { return fmt.Sprintf("%s:%d", s.ip, s.peerPort) }
+
+// MetricsAddress returns the address for metrics.
+func (s Sidecar) MetricsAddress() string { return fmt.Sprintf("%s:%d", s.ip, s.metricsPort) }
+
+// StoreAddress returns the address of the platform's store.
+func (s Sidecar) StoreAddress() string { return s.storeAddress }
+
+// HoldMax returns the longest hold that an upstream takes, in milliseconds.
+func (s Sidecar) HoldMax() clock.Millis { return s.holdMax }
+
+// Drain returns for how long in milliseconds a leaving upstream may still get
+// requests after its leave was acknowledged.
+func (s Sidecar) Drain() clock.Millis { return s.drain }
+
+// Grace returns the time in milliseconds from the signal to stop to the kill.
+func (s Sidecar) Grace() clock.Millis { return s.grace }
+
+// RetryShare returns the share of requests that may be sent again by all
+// sidecars.
+func (s Sidecar) RetryShare() float64 { return s.retryShare }
+
+// RetrySlack returns how many requests may be sent again in any window beyond
+// that share.
+func (s Sidecar) RetrySlack() int64 { return s.retrySlack }
+
+// RetryWindow returns the length of that window in milliseconds.
+func (s Sidecar) RetryWindow() clock.Millis { return s.retryWindow }
+
+// LogLevel returns "debug", "info", "warn" or "error".
+func (s Sidecar) LogLevel() string { return s.logLevel }
