sidecar: take no new work before the end of a stop

Ruled out: a longer wait; load on a key's owner does not stop by itself. Change: 2.6 s after the signal no more work for the upstream, 3.6 s after it callers are refused, then the sidecar waits for what is in flight. A restarted daemon admits what its upstream says it holds.

--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -212,7 +212,8 @@
 	case outcome.NotRun:
 		if a.keyed {
 			switch o.Reason() {
-			case outcome.ReasonMoved, outcome.ReasonNoLease, outcome.ReasonUnreachable, outcome.ReasonUpstreamRefused:
+			case outcome.ReasonMoved, outcome.ReasonNoLease, outcome.ReasonUnreachable, outcome.ReasonDraining,
+				outcome.ReasonUpstreamRefused:
 				return !a.last.Arrived || a.mayArrive()
 			default:
 				return false
--- a/core/holding/grant.go
+++ b/core/holding/grant.go
@@ -15,6 +15,10 @@
 	rowBytes = 24
 )
 
+// trustTime is the time in milliseconds for which a report tells what an
+// upstream holds: the next one comes after 870 ms.
+const trustTime clock.Millis = 1000
+
 // Grant answers a report.
 type Grant struct {
 	rows   []keyspace.Range
@@ -36,6 +40,7 @@
 	c.now = now
 	c.noteReleased(r)
 	if _, ok := c.self(); !ok {
+		c.trust(now, r)
 		return Grant{}
 	}
 	hold := (c.lease.End() - now) * 100 / (100 + upstreamDriftPercent)
@@ -48,6 +53,19 @@
 	return Grant{rows: rows, hold: hold, renews: true}
 }
 
+// trust admits what the upstream says that it holds. A daemon that was restarted
+// has not granted it, but an upstream refuses by itself what it does not hold.
+func (c *Custodian) trust(now clock.Millis, r report.Report) {
+	if c.tracker.Leaving() {
+		return
+	}
+	c.granted = c.granted[:0]
+	for _, h := range r.Holds {
+		c.granted = append(c.granted, grantedRow{Range: keyspace.NewRange(h.Span, h.Epoch())})
+	}
+	c.grantedUntil = now + trustTime
+}
+
 // noteReleased keeps what the upstream has given up of the keys that move. What
 // it neither holds nor was told to hold any more counts as given up: the daemon
 // that took its word may have been restarted since.
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -98,6 +98,9 @@
 	handover string
 }
 
+// NewRange returns a range whose owner is not named.
+func NewRange(span Span, epoch identity.Epoch) Range { return Range{Span: span, epoch: epoch} }
+
 // Owner returns the instance of the owner, "" if there is none.
 func (r Range) Owner() string { return r.owner }
 
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -36,6 +36,10 @@
 	// callers see that this instance is not ready, after two questions a second
 	// apart, and send no more.
 	callersLeave clock.Millis = 2600
+	// callersClose is the time in milliseconds after a signal to stop from which
+	// requests of callers are refused: some still come while most of the other
+	// instances of the failure domain are away, and those in flight must end.
+	callersClose clock.Millis = 3600
 	// graceMargin is the time in milliseconds before the kill at which the sidecar
 	// ends, whatever is still in flight.
 	graceMargin clock.Millis = 600
@@ -70,8 +74,12 @@
 	wake      chan struct{}
 	started   clock.Millis
 	listeners []*listener
-	stopping  atomic.Bool
-	inFlight  atomic.Int64
+	// stopping tells that callers should go elsewhere, closing that the upstream
+	// gets no more requests from this process, refusing that callers are refused.
+	stopping atomic.Bool
+	closing  atomic.Bool
+	refusing atomic.Bool
+	inFlight atomic.Int64
 }
 
 type listener struct {
@@ -160,21 +168,32 @@
 	_ = a.lines.Close()
 }
 
-// stop waits until callers have seen that this instance is not ready, and until
-// no request is in flight.
+// stop waits until callers have seen that this instance is not ready, then takes
+// no more requests for its upstream and waits for those in flight.
 func (a *App) stop() {
 	a.stopping.Store(true)
 	began := a.clock.Now()
 	a.log.Info().Int64("inFlight", a.inFlight.Load()).Msg("stopping")
 	for {
 		waited := a.clock.Now() - began
-		if waited >= a.settings.Grace()-graceMargin || waited >= callersLeave && a.inFlight.Load() == 0 {
+		if waited >= callersLeave {
+			a.closing.Store(true)
+		}
+		if waited >= callersClose {
+			a.refusing.Store(true)
+		}
+		if waited >= a.settings.Grace()-graceMargin || waited >= callersLeave+closeDelay && a.inFlight.Load() == 0 {
+			a.log.Info().Int64("inFlight", a.inFlight.Load()).Int64("waitedMillis", int64(waited)).Msg("leaving")
 			return
 		}
 		time.Sleep(stopPoll)
 	}
 }
 
+// closeDelay is the time in milliseconds in which requests that other sidecars
+// have sent already arrive and are refused.
+const closeDelay clock.Millis = 60
+
 // stopPoll is the time between two looks at the requests in flight.
 const stopPoll = 20 * time.Millisecond
 
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -60,12 +60,20 @@
 }
 
 func (a *App) handle(ctx context.Context, table *routes.Manifest, request *dispatch.Request) dispatch.Result {
+	if a.refusing.Load() {
+		reply := dispatch.NotRun(outcome.ReasonDraining).After(restartTime)
+		return dispatch.Result{Reply: reply, Found: true, Version: table.Version()}
+	}
 	if table.Version() == 0 {
 		return dispatch.Result{Reply: dispatch.Reply{RetryAfter: manifestWait}}
 	}
 	return a.entry.Handle(ctx, table, request)
 }
 
+// restartTime is the time in milliseconds in which a sidecar ends and is started
+// again.
+const restartTime clock.Millis = 800
+
 // manifestWait is the time in milliseconds after which a sidecar without a
 // manifest is worth another attempt.
 const manifestWait clock.Millis = 500
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -43,7 +43,7 @@
 		Life:    known.Life,
 		Up:      seen && !s.tracker.Ended(),
 		Leaving: s.tracker.Leaving() || u.app.stopping.Load(),
-		Closed:  s.leftAt != 0 && now-s.leftAt >= u.app.settings.Drain()-leaveMargin,
+		Closed:  u.app.closing.Load() || s.leftAt != 0 && now-s.leftAt >= u.app.settings.Drain()-leaveMargin,
 		Keyed:   described.Keyed,
 	}
 }
