sidecar: drop holders whose witnesses have ended; choose living witnesses

New holders chose witnesses by rows that named the ended processes and waited 2.5 s for them, and chose a lost machine again. Ruled out: a missing lease renewal; restarted upstreams rejoined at once. Change: an address that answers as another incarnation proves the end of the old one; a holder with a lapse quorum of ended witnesses, each for the length of a promise, is dropped; daemons that did not answer are no witnesses for 5 s.

--- a/core/holding/change.go
+++ b/core/holding/change.go
@@ -76,7 +76,7 @@
 func (c *Custodian) install(row membership.Member) {
 	c.generation = row.Generation()
 	c.lease.Install(row.Generation(), row.Witnesses())
-	c.proposed = nil
+	c.proposed, c.doubted = nil, false
 }
 
 // settleProposal ends a proposal of witnesses once the table shows its outcome.
@@ -86,9 +86,10 @@
 	case !ok:
 	case h.Lease().Generation() > c.generation:
 		c.install(h.Lease())
-	case c.proposed != nil:
+	case c.proposed != nil && c.doubted:
+		// Another change came first, so that the proposal's can't take effect.
 		c.lease.Abandon()
-		c.proposed = nil
+		c.proposed, c.doubted = nil, false
 	}
 }
 
@@ -112,7 +113,7 @@
 	if c.tracker.Leaving() && !known {
 		return c.division, ""
 	}
-	witnesses := c.choose(nil)
+	witnesses := c.choose(c.gone)
 	if len(witnesses) == 0 {
 		return c.division, ""
 	}
@@ -125,7 +126,7 @@
 // choose returns witnesses among the members but the excluded ones.
 func (c *Custodian) choose(excluded []identity.Incarnation) []membership.Witness {
 	candidates := slices.DeleteFunc(slices.Clone(c.members), func(m membership.Member) bool {
-		return slices.Contains(excluded, m.Incarnation())
+		return slices.Contains(excluded, m.Incarnation()) || c.now < c.avoided[m.Incarnation()]
 	})
 	self := membership.Restore(c.settings.Incarnation, c.settings.Instance, 0, nil)
 	return membership.ChooseWitnesses(self, candidates, lease.WitnessCount)
@@ -172,13 +173,13 @@
 	if c.proposed != nil {
 		return c.confirm(h)
 	}
-	silent := c.lease.Silent(c.now, witnessPatience)
+	silent := append(c.lease.Silent(c.now, witnessPatience), c.gone...)
 	few := len(h.Lease().Witnesses()) < lease.WitnessCount
-	if !c.lease.Fenced() && len(silent) == 0 && !few {
+	if !c.lease.Fenced() && !c.missing(h, silent) && !few {
 		return c.division, ""
 	}
 	chosen := c.choose(silent)
-	if len(chosen) < len(h.Lease().Witnesses()) || few && len(chosen) < lease.WitnessCount && len(silent) == 0 {
+	if len(chosen) == 0 || len(chosen) <= len(h.Lease().Witnesses()) && !c.missing(h, silent) && !c.lease.Fenced() {
 		return c.division, ""
 	}
 	c.proposed, c.proposedAt = chosen, c.now
@@ -186,15 +187,21 @@
 	return c.division, ""
 }
 
+// missing tells whether any witness of the holder is among the given ones.
+func (c *Custodian) missing(h keyspace.Holder, ended []identity.Incarnation) bool {
+	return slices.ContainsFunc(h.Lease().Witnesses(), func(w membership.Witness) bool { return slices.Contains(ended, w.Incarnation()) })
+}
+
 func (c *Custodian) confirm(h keyspace.Holder) (keyspace.Division, string) {
 	if c.lease.ProposedEnd() < max(c.lease.End(), c.now+shortestHold) {
-		if c.now-c.proposedAt > proposalLife {
+		if c.now-c.proposedAt > proposalLife && !c.doubted {
 			c.lease.Abandon()
 			c.proposed = nil
 		}
 		return c.division, ""
 	}
 	c.lease.Doubt()
+	c.doubted = true
 	row := membership.Restore(c.settings.Incarnation, c.settings.Instance, c.generation+1, c.proposed)
 	return c.division.Join(keyspace.NewHolder(row, h.Life(), h.Slots())), "witnesses"
 }
--- a/core/holding/holding.go
+++ b/core/holding/holding.go
@@ -4,6 +4,8 @@
 package holding
 
 import (
+	"slices"
+
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyspace"
@@ -44,6 +46,9 @@
 	// witnessPatience is the time in milliseconds without a promise after which a
 	// witness is replaced.
 	witnessPatience = 2*renewInterval + renewInterval/2
+	// avoidTime is the time in milliseconds for which a daemon that did not answer
+	// is not chosen as a witness.
+	avoidTime clock.Millis = 5000
 	// proposalLife is the time in milliseconds that proposed witnesses have for
 	// their promises.
 	proposalLife = 2 * renewInterval
@@ -81,15 +86,19 @@
 	lease      *holder.Holder
 	generation uint64
 	proposed   []membership.Witness
+	// gone are witnesses whose processes have ended.
+	gone []identity.Incarnation
+	// avoided are daemons that did not answer lately, with the end of that time.
+	avoided    map[identity.Incarnation]clock.Millis
 	proposedAt clock.Millis
+	doubted    bool
 
 	granted      []grantedRow
 	grantedUntil clock.Millis
 	// holdEnd is when the upstream's hold has certainly run out.
 	holdEnd  clock.Millis
 	released []keyspace.Released
-	// handedAt is the revision on which the last handover was based.
-	moves []Move
+	moves    []Move
 }
 
 type grantedRow struct {
@@ -120,6 +129,22 @@
 // Members takes the daemons that may be witnesses.
 func (c *Custodian) Members(members []membership.Member) { c.members = members }
 
+// Gone takes the knowledge that the process of a witness has ended.
+func (c *Custodian) Gone(i identity.Incarnation) {
+	if !slices.Contains(c.gone, i) {
+		c.gone = append(c.gone, i)
+	}
+}
+
+// Avoid takes the news that a daemon did not answer at now: it is not chosen as
+// a witness for a while.
+func (c *Custodian) Avoid(now clock.Millis, i identity.Incarnation) {
+	if c.avoided == nil {
+		c.avoided = make(map[identity.Incarnation]clock.Millis)
+	}
+	c.avoided[i] = now + avoidTime
+}
+
 // Divided takes the division that the table had at a revision.
 func (c *Custodian) Divided(now clock.Millis, revision table.Revision, d keyspace.Division) {
 	c.now = now
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -68,13 +68,15 @@
 	var answer renewAnswer
 	if err := a.peers.ask(ctx, to.PeerAddress(), pathRenew, message, &answer); err != nil {
 		a.log.Debug().Err(err).Str("witness", to.Incarnation().String()).Msg("renewalFailed")
+		s.avoid(a.clock.Now(), to.Incarnation())
 		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if answer.From != to.Incarnation() {
+		s.answered(a.clock.Now(), to.PeerAddress(), to.Incarnation(), answer.From)
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	reply := peer.NewRenewReply(request.Generation(), request.Sequence(), answer.Result, 0)
 	s.custodian.Promised(a.clock.Now(), answer.From, reply)
 }
@@ -85,6 +87,7 @@
 	s, now := a.state, a.clock.Now()
 	s.mu.Lock()
 	queries, ready := s.replacer.Check(now, s.incarnation, s.witness, func(i identity.Incarnation) bool { return s.gone(now, i) })
+	ready = append(ready, s.orphans(now)...)
 	s.mu.Unlock()
 	for _, query := range queries {
 		go a.askLapse(ctx, query)
@@ -94,13 +97,6 @@
 	}
 }
 
-// gone tells whether all promises of a witness have certainly expired, as its
-// address has answered as another incarnation for long enough.
-func (s *state) gone(now clock.Millis, i identity.Incarnation) bool {
-	since, ok := s.others[i]
-	return ok && now-since >= holding.Terms().WitnessLength()
-}
-
 func (a *App) askLapse(ctx context.Context, query replacer.Query) {
 	s, to := a.state, query.To()
 	message := lapseMessage{To: to.Incarnation(), Holder: query.Holder(), Generation: query.Generation()}
@@ -112,9 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if answer.From != to.Incarnation() {
-		if _, known := s.others[to.Incarnation()]; !known {
-			s.others[to.Incarnation()] = a.clock.Now()
-		}
+		s.answered(a.clock.Now(), to.PeerAddress(), to.Incarnation(), answer.From)
 		return
 	}
 	if answer.Lapsed {
--- a/sidecar/app/rows.go
+++ b/sidecar/app/rows.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/table"
 	"briarwell.dev/platform/store"
 )
@@ -91,17 +92,19 @@
 func (a *App) synchronise(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, syncInterval*2/3)
-		if address, ok := a.state.anyPeer(); ok {
-			a.compare(ctx, address)
+		if m, ok := a.state.anyPeer(); ok {
+			a.compare(ctx, m)
 		}
 	}
 }
 
-func (a *App) compare(ctx context.Context, address string) {
+func (a *App) compare(ctx context.Context, with fleet.Member) {
+	address := with.Instance.PeerAddress()
 	digest := a.rows.Digest()
 	var theirs rowsMessage
 	if err := a.peers.ask(ctx, address, pathSync, syncMessage{Versions: digest}, &theirs); err != nil {
 		a.log.Debug().Err(err).Str("peer", address).Msg("syncFailed")
+		a.state.avoid(a.clock.Now(), with.Incarnation)
 		return
 	}
 	a.takeRows(decodeRows(theirs.Rows))
@@ -117,16 +120,16 @@
 	}
 }
 
-// anyPeer returns the control address of another sidecar at random.
-func (s *state) anyPeer() (string, bool) {
+// anyPeer returns another sidecar at random.
+func (s *state) anyPeer() (fleet.Member, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	members := s.view.Members()
 	for range members {
 		m := members[rand.IntN(len(members))] //nolint:gosec // It only spreads calls.
 		if m.Instance.Name() != s.instance.Name() {
-			return m.Instance.PeerAddress(), true
+			return m, true
 		}
 	}
-	return "", false
+	return fleet.Member{}, false
 }
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -9,6 +9,7 @@
 	"briarwell.dev/core/holding"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyspace"
+	"briarwell.dev/core/lease"
 	"briarwell.dev/core/lease/replacer"
 	"briarwell.dev/core/lease/witness"
 	"briarwell.dev/core/membership"
@@ -30,9 +31,12 @@
 	custodian *holding.Custodian
 	witness   *witness.Witness
 	replacer  replacer.Replacer
-	// others is when a witness's address was first seen to answer as another
-	// incarnation.
-	others map[identity.Incarnation]clock.Millis
+	// succeeded is when an incarnation was first known to have a successor at its
+	// address, which proves that its process has ended.
+	succeeded map[identity.Incarnation]clock.Millis
+	// current are the incarnations that have answered, by control address. They
+	// are newer than the rows of daemons that were just started.
+	current map[string]identity.Incarnation
 	// leftAt is when the upstream's leave was acknowledged, 0 if it was not.
 	leftAt clock.Millis
 }
@@ -45,8 +49,9 @@
 		custodian: holding.New(now, holding.Settings{
 			Instance: instance, Incarnation: incarnation, HoldMax: s.HoldMax(),
 		}, tracker),
-		witness: witness.With(holding.Terms()),
-		others:  make(map[identity.Incarnation]clock.Millis),
+		witness:   witness.With(holding.Terms()),
+		succeeded: make(map[identity.Incarnation]clock.Millis),
+		current:   make(map[string]identity.Incarnation),
 	}
 }
 
@@ -70,7 +75,8 @@
 func (s *state) take(now clock.Millis, row table.Row) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	view, err := s.view.With(row)
+	before := s.view
+	view, err := before.With(row)
 	if err != nil {
 		return err
 	}
@@ -83,10 +89,65 @@
 		s.watch(now)
 		return nil
 	}
-	s.custodian.Members(witnesses(view))
+	for _, m := range view.Members() {
+		old, known := before.Member(m.Instance.Name())
+		if known && old.Incarnation != m.Incarnation {
+			s.succeed(now, old.Incarnation)
+			s.current[m.Instance.PeerAddress()] = m.Incarnation
+		}
+	}
+	s.custodian.Members(s.candidates())
 	return nil
 }
 
+// succeed notes that an incarnation's process has ended.
+func (s *state) succeed(now clock.Millis, ended identity.Incarnation) {
+	if _, known := s.succeeded[ended]; !known {
+		s.succeeded[ended] = now
+	}
+}
+
+// answered takes the incarnation that answered at the control address of
+// another, whose process has therefore ended.
+func (s *state) answered(now clock.Millis, address string, asked, from identity.Incarnation) {
+	s.succeed(now, asked)
+	s.current[address] = from
+	s.custodian.Members(s.candidates())
+	s.custodian.Gone(asked)
+}
+
+// gone tells whether all promises of a witness have certainly expired.
+func (s *state) gone(now clock.Millis, i identity.Incarnation) bool {
+	since, ok := s.succeeded[i]
+	return ok && now-since >= holding.Terms().WitnessLength()
+}
+
+// avoid notes that a daemon did not answer.
+func (s *state) avoid(now clock.Millis, i identity.Incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.custodian.Avoid(now, i)
+}
+
+// orphans returns the holders of the own service that nobody watches, as most of
+// their witnesses have ended. The first holders in order look after them.
+func (s *state) orphans(now clock.Millis) []membership.Member {
+	var orphans []membership.Member
+	for _, h := range s.view.Division(s.service).Division.Holders() {
+		witnesses := h.Lease().Witnesses()
+		ended := 0
+		for _, w := range witnesses {
+			if s.gone(now, w.Incarnation()) {
+				ended++
+			}
+		}
+		if h.Name() != s.instance.Name() && ended >= lease.LapseQuorum(len(witnesses)) {
+			orphans = append(orphans, h.Lease())
+		}
+	}
+	return orphans
+}
+
 // loaded takes the knowledge that all rows were read: a division that is not
 // known does not exist.
 func (s *state) loaded(now clock.Millis) {
@@ -96,12 +157,18 @@
 	s.custodian.Divided(now, divided.Revision, divided.Division)
 }
 
-func witnesses(view fleet.View) []membership.Member {
-	var members []membership.Member
-	for _, m := range view.Members() {
-		members = append(members, membership.Restore(m.Incarnation, m.Instance, 0, nil))
+// candidates returns the daemons that may be witnesses.
+func (s *state) candidates() []membership.Member {
+	members := s.view.Members()
+	candidates := make([]membership.Member, 0, len(members))
+	for _, m := range members {
+		incarnation := m.Incarnation
+		if current, ok := s.current[m.Instance.PeerAddress()]; ok {
+			incarnation = current
+		}
+		candidates = append(candidates, membership.Restore(incarnation, m.Instance, 0, nil))
 	}
-	return members
+	return candidates
 }
 
 // watch follows the holders that name this sidecar as a witness.
