admission, rebalance: order waiting by what can be in time; spread load by keys

Ruled out: longer queues (they only make late answers); moves by the number of ranges (speed 0.5 to 1.6 and skewed keys decide the load). Change: a request that can be answered when it is wanted goes before one that can't; none waits longer than helps, with the service time measured for each route; a refusal comes at once. Owners measure the demand for their keys, tell it with each reply, and those above the mean give busy spans to those below, each by the same rule. Evening by number only serves new holders.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -39,7 +39,13 @@
 // Acquire waits for a slot until the deadline. It returns a *RefusedError if
 // the request is refused, or the error of ctx.
 func (g *Gate) Acquire(ctx context.Context, priority template.Priority, deadline clock.Millis) (*Slot, error) {
-	slot := &Slot{gate: g, ticket: Ticket{priority: priority, deadline: deadline}}
+	return g.Enter(ctx, NewTicket(priority, deadline))
+}
+
+// Enter waits for a slot for a new ticket. It returns a *RefusedError if the
+// request is refused, or the error of ctx.
+func (g *Gate) Enter(ctx context.Context, ticket *Ticket) (*Slot, error) {
+	slot := &Slot{gate: g, ticket: *ticket}
 	waits, reason := g.submit(&slot.ticket)
 	switch {
 	case waits:
--- a/core/admission/machine.go
+++ b/core/admission/machine.go
@@ -26,6 +26,11 @@
 	reportLife clock.Millis = 2000
 	// serviceWeight is the weight of the newest sample in the service time.
 	serviceWeight = 0.1
+	// maxClasses bounds the classes whose service times are measured.
+	maxClasses = 64
+	// lateWait is how long in milliseconds a request waits whose answer can't be
+	// there when it is wanted: it takes slots that nobody else wants.
+	lateWait clock.Millis = 60
 )
 
 // Settings are those of one upstream.
@@ -43,8 +48,15 @@
 type Ticket struct {
 	priority template.Priority
 	deadline clock.Millis
-	sequence uint64
-	admitted clock.Millis
+	// wanted is when the answer should be there, 0 for the deadline.
+	wanted clock.Millis
+	// class names requests of about the same service time.
+	class string
+	// late tells that the answer can't be there when it is wanted.
+	late      bool
+	submitted clock.Millis
+	sequence  uint64
+	admitted  clock.Millis
 	// wake tells the waiting goroutine of a Gate the verdict.
 	wake chan outcome.Reason
 }
@@ -54,6 +66,14 @@
 	return &Ticket{priority: priority, deadline: deadline}
 }
 
+// Wanted sets when the answer should be there, and the class of requests of about
+// the same service time. Requests that can be answered in time go before those
+// that can't, and none waits longer than helps. It returns t.
+func (t *Ticket) Wanted(wanted clock.Millis, class string) *Ticket {
+	t.wanted, t.class = wanted, class
+	return t
+}
+
 // Deadline returns the request's deadline.
 func (t *Ticket) Deadline() clock.Millis { return t.deadline }
 
@@ -102,6 +122,8 @@
 	reduced   clock.Millis
 	// service is the measured time for which an order holds its slot.
 	service float64
+	// classes are the service times of classes.
+	classes map[string]float64
 	// excess is what a report names beyond the orders that this daemon sent.
 	excess        int
 	reportedSlots int
@@ -182,7 +204,8 @@
 		return append(actions, m.admit(now, ticket))
 	}
 	m.sequence++
-	ticket.sequence = m.sequence
+	ticket.sequence, ticket.submitted = m.sequence, now
+	ticket.late = m.misses(now, ticket)
 	index, _ := slices.BinarySearchFunc(m.queue, ticket, compare)
 	m.queue = slices.Insert(m.queue, index, ticket)
 	waiting := len(m.queue)
@@ -195,17 +218,48 @@
 func (m *Machine) Release(now clock.Millis, ticket *Ticket, actions []Action) []Action {
 	m.leave(now, ticket)
 	held := float64(max(now-ticket.admitted, 0))
-	if m.service == 0 {
-		m.service = held
-	} else {
-		m.service += serviceWeight * (held - m.service)
-	}
+	m.service = smooth(m.service, held)
+	m.measure(ticket.class, held)
 	if m.reduction > 0 && now-m.reduced > decreaseInterval {
 		m.reduction = max(0, m.reduction-1/float64(m.Limit(now)))
 	}
 	return m.dispatch(now, actions)
 }
 
+func smooth(mean, sample float64) float64 {
+	if mean == 0 {
+		return sample
+	}
+	return mean + serviceWeight*(sample-mean)
+}
+
+func (m *Machine) measure(class string, held float64) {
+	if class == "" {
+		return
+	}
+	if _, known := m.classes[class]; !known && len(m.classes) >= maxClasses {
+		return
+	}
+	if m.classes == nil {
+		m.classes = make(map[string]float64)
+	}
+	m.classes[class] = smooth(m.classes[class], held)
+}
+
+// serviceOf returns the expected service time of a request.
+func (m *Machine) serviceOf(ticket *Ticket) float64 {
+	if measured, ok := m.classes[ticket.class]; ok {
+		return measured
+	}
+	return m.service
+}
+
+// misses tells whether a request that starts at now is expected to end after its
+// answer is wanted.
+func (m *Machine) misses(now clock.Millis, ticket *Ticket) bool {
+	return ticket.wanted != 0 && float64(now)+m.serviceOf(ticket) > float64(ticket.wanted)
+}
+
 // Refused takes the end of an admitted request that the upstream refused.
 func (m *Machine) Refused(now clock.Millis, ticket *Ticket, actions []Action) []Action {
 	m.leave(now, ticket)
@@ -257,6 +311,7 @@
 // dispatch admits waiting requests to free slots, and refuses those that can't
 // be answered in time any more.
 func (m *Machine) dispatch(now clock.Millis, actions []Action) []Action {
+	actions = m.sweep(now, actions)
 	for len(m.queue) > 0 && m.inFlight < m.Limit(now) {
 		next := m.queue[0]
 		m.queue = slices.Delete(m.queue, 0, 1)
@@ -269,6 +324,33 @@
 	return actions
 }
 
+// sweep refuses the requests that have waited for as long as helps, and moves
+// those behind the others that have come to be late.
+func (m *Machine) sweep(now clock.Millis, actions []Action) []Action {
+	var overdue []*Ticket
+	kept := m.queue[:0]
+	for _, ticket := range m.queue {
+		switch {
+		case ticket.wanted == 0:
+			kept = append(kept, ticket)
+		case !ticket.late && m.misses(now, ticket):
+			ticket.late = true
+			overdue = append(overdue, ticket)
+		case ticket.late && now-ticket.submitted > lateWait:
+			actions = append(actions, Refuse{ticket: ticket, reason: outcome.ReasonOverloaded})
+		default:
+			kept = append(kept, ticket)
+		}
+	}
+	clear(m.queue[len(kept):])
+	m.queue = kept
+	for _, ticket := range overdue {
+		index, _ := slices.BinarySearchFunc(m.queue, ticket, compare)
+		m.queue = slices.Insert(m.queue, index, ticket)
+	}
+	return actions
+}
+
 // shed refuses the waiting requests from index on whose expected wait exceeds
 // their deadline, and the last one if the queue is too long.
 func (m *Machine) shed(now clock.Millis, index int, actions []Action) []Action {
@@ -276,7 +358,8 @@
 	kept := m.queue[:index]
 	for _, ticket := range m.queue[index:] {
 		full := len(kept) >= m.queueLimit()
-		if full || m.late(now, ticket, wait*float64(len(kept)+1)) {
+		ahead := wait * float64(len(kept)+1)
+		if full || m.late(now, ticket, ahead) || m.hopeless(now, ticket, ahead) {
 			actions = append(actions, Refuse{ticket: ticket, reason: outcome.ReasonOverloaded})
 			continue
 		}
@@ -287,10 +370,21 @@
 	return actions
 }
 
+// hopeless tells whether a request has to wait longer than helps.
+func (m *Machine) hopeless(now clock.Millis, ticket *Ticket, wait float64) bool {
+	if ticket.wanted == 0 {
+		return false
+	}
+	if ticket.late {
+		return wait > float64(ticket.submitted+lateWait-now)
+	}
+	return float64(now)+wait+m.serviceOf(ticket) > float64(ticket.wanted)
+}
+
 // late tells whether a request that starts after wait milliseconds is expected
 // to end after its deadline.
 func (m *Machine) late(now clock.Millis, ticket *Ticket, wait float64) bool {
-	return ticket.deadline <= now || float64(now)+wait+m.service > float64(ticket.deadline)
+	return ticket.deadline <= now || float64(now)+wait+m.serviceOf(ticket) > float64(ticket.deadline)
 }
 
 func (m *Machine) queueLimit() int {
@@ -304,6 +398,11 @@
 	switch {
 	case a.priority != b.priority:
 		return int(b.priority - a.priority)
+	case a.late != b.late:
+		if a.late {
+			return 1
+		}
+		return -1
 	case a.deadline < b.deadline:
 		return -1
 	case a.deadline > b.deadline:
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -48,6 +48,9 @@
 	Slots   int
 	// Service is the time in milliseconds for which a request holds a slot.
 	Service clock.Millis
+	// Demand is the share of its slots in percent that all requests for its keys
+	// would take, also those that it refused.
+	Demand int
 }
 
 // Candidate is an upstream that may run a request.
@@ -105,6 +108,17 @@
 	p.pause, p.until = 0, 0
 }
 
+// Loads returns the loads that were reported lately, by instance.
+func (b *Balancer) Loads(now clock.Millis) map[string]Load {
+	loads := make(map[string]Load)
+	for name, p := range b.peers {
+		if p.known && now-p.loadAt < reportLife && now >= p.until {
+			loads[name] = p.load
+		}
+	}
+	return loads
+}
+
 // Unreachable pauses requests to an instance whose daemon does not answer.
 func (b *Balancer) Unreachable(now clock.Millis, name string) {
 	p := b.peer(name)
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -27,6 +27,9 @@
 	// leastTime is the time in milliseconds below which a request is not sent any
 	// more: a trip between regions and back takes 40 ms.
 	leastTime clock.Millis = 10
+	// freshTime is how much in milliseconds of a route's time may be missing in the
+	// first attempt of a caller that gives less time than the route.
+	freshTime clock.Millis = 150
 	// maxSends bounds the daemons that one request is sent to.
 	maxSends = 6
 )
@@ -57,6 +60,10 @@
 type Rules struct {
 	Idempotent bool
 	Rank       int
+	// Wanted is the time in milliseconds from now in which the answer is wanted.
+	Wanted clock.Millis
+	// Class names requests of about the same service time.
+	Class string
 }
 
 // Entry handles the requests that begin on this instance. It is safe for
@@ -79,12 +86,11 @@
 	return &Entry{clock: c, fleet: fleet, sender: sender, balancer: balancer, budgets: make(map[string]*retry.Budget), share: share, floor: floor}
 }
 
-// Reported takes the load of an upstream that was told in another way than by a
-// reply.
-func (e *Entry) Reported(name string, load balance.Load) {
+// Loads returns the loads that instances have reported lately.
+func (e *Entry) Loads() map[string]balance.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.balancer.Reported(e.clock.Now(), name, load)
+	return e.balancer.Loads(e.clock.Now())
 }
 
 // Handle takes a request to its end. The manifest does not change while it runs.
@@ -163,7 +169,7 @@
 	e.mu.Unlock()
 	a.sends++
 	a.instance = target.Name
-	rules := Rules{Idempotent: a.route.Idempotent, Rank: a.route.Rank}
+	rules := Rules{Idempotent: a.route.Idempotent, Rank: a.route.Rank, Wanted: a.wanted(), Class: a.route.Name}
 	reply := e.sender.Send(ctx, target, a.service, a.request, rules)
 	if reply.Arrived {
 		a.arrivals++
@@ -179,6 +185,20 @@
 	return reply
 }
 
+// wanted returns how long from now the answer still counts as in time. What is
+// missing of the time that the route allows was used before the request came:
+// by an earlier attempt of the caller, which the objective includes.
+func (a *attempt) wanted() clock.Millis {
+	if a.request.Nested || a.route.Objective <= 0 {
+		return 0
+	}
+	used := a.route.Timeout - (a.request.Deadline - a.request.Arrived)
+	if used < freshTime {
+		used = 0
+	}
+	return max(a.request.Arrived+a.route.Objective-used-a.entry.clock.Now(), 1)
+}
+
 // judge remembers what a reply says of an instance; e.mu is held.
 func (e *Entry) judge(ctx context.Context, now clock.Millis, name string, reply Reply) {
 	switch o := reply.Outcome.(type) {
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"sync"
 
 	"briarwell.dev/core/admission"
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/rebalance"
 	"briarwell.dev/core/template"
 )
 
@@ -22,6 +24,9 @@
 	// a refused caller is told to come back.
 	shortestReturn clock.Millis = 60
 	longestReturn  clock.Millis = 800
+
+	millisPerSecond = 1000
+	percent         = 100
 )
 
 // Local is what the daemon knows of its own upstream at one moment.
@@ -53,6 +58,8 @@
 	clock    clock.Clock
 	upstream Upstream
 	gate     *admission.Gate
+	mu       sync.Mutex
+	meter    rebalance.Meter
 }
 
 // NewOwner returns an owner that admits requests through the gate.
@@ -60,11 +67,23 @@
 	return &Owner{clock: c, upstream: upstream, gate: gate}
 }
 
+// Demand returns the rates at which keys are asked for.
+func (o *Owner) Demand() []rebalance.Busy {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.meter.Rates(o.clock.Now())
+}
+
 // Load returns the load of the upstream.
 func (o *Owner) Load() balance.Load {
-	return balance.Load{
+	load := balance.Load{
 		Running: o.gate.InFlight(), Waiting: o.gate.Queued(), Slots: o.gate.Slots(), Service: o.gate.ServiceMillis(),
 	}
+	o.mu.Lock()
+	rate := o.meter.Total(o.clock.Now())
+	o.mu.Unlock()
+	load.Demand = int(rate * float64(load.Service) / millisPerSecond / float64(max(load.Slots, 1)) * percent)
+	return load
 }
 
 // Serve runs a request at the own upstream, if it may run it.
@@ -78,7 +97,15 @@
 	if refused, ok := o.check(service, r); !ok {
 		return refused
 	}
-	slot, err := o.gate.Acquire(ctx, priority(r, rules), r.Deadline)
+	var wanted clock.Millis
+	if rules.Wanted > 0 {
+		wanted = o.clock.Now() + rules.Wanted
+	}
+	ticket := admission.NewTicket(priority(r, rules), r.Deadline).Wanted(wanted, rules.Class)
+	o.mu.Lock()
+	o.meter.Observe(o.clock.Now(), r.Key)
+	o.mu.Unlock()
+	slot, err := o.gate.Enter(ctx, ticket)
 	if err != nil {
 		return o.refusal(err)
 	}
--- a/core/keyspace/change.go
+++ b/core/keyspace/change.go
@@ -267,15 +267,16 @@
 }
 
 // Even names new owners for ranges of the holders with the most, if another
-// holder has less than two thirds of its share; small differences move no keys.
-// It leaves ranges that move already, and tells whether it moved any.
+// holder has less than a quarter of its share, as one that just joined. It gives
+// that holder half of a share: its load shows what more it can take. It leaves
+// ranges that move already, and tells whether it moved any.
 func (d Division) Even() (Division, bool) {
 	t := d.takers()
 	if len(t.names) < 2 || len(d.ranges) == 0 {
 		return d, false
 	}
 	fair := len(d.ranges) / len(t.names)
-	if t.counts[t.poorest()]*3 >= fair*2 {
+	if t.counts[t.poorest()]*4 >= fair {
 		return d, false
 	}
 	d = d.clone()
@@ -283,7 +284,7 @@
 	for j := range d.ranges {
 		r := &d.ranges[j]
 		poorest := t.poorest()
-		if t.counts[poorest] >= fair {
+		if t.counts[poorest]*2 >= fair {
 			break
 		}
 		if r.owner == "" || r.next != "" || t.counts[r.owner] <= fair {
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -155,6 +155,7 @@
 	tasks.Go(func() { a.follow(background, store.OwnRows) })
 	tasks.Go(func() { a.control(background) })
 	tasks.Go(func() { a.synchronise(background) })
+	tasks.Go(func() { a.spread(background) })
 	a.log.Info().Str("instance", a.settings.Instance()).Str("incarnation", a.state.incarnation.String()).
 		Str("service", a.settings.Service()).Msg("started")
 	<-ctx.Done()
--- /dev/null
+++ b/sidecar/app/spread.go
@@ -0,0 +1,71 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/rebalance"
+)
+
+const (
+	// spreadInterval is the time between two looks at the load of the own keys.
+	spreadInterval = 500 * time.Millisecond
+	// spreadPause is the time in milliseconds after moves in which their effect
+	// on the loads shows.
+	spreadPause clock.Millis = 2000
+	// percent converts shares.
+	percent = 100
+)
+
+// spread gives keys to other holders while their load is too much for the own
+// upstream.
+func (a *App) spread(ctx context.Context) {
+	ticker := time.NewTicker(spreadInterval)
+	defer ticker.Stop()
+	var last clock.Millis
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		described, _ := a.manifest.Load().Service(a.settings.Service())
+		now := a.clock.Now()
+		if described.Keyed && !a.stopping.Load() && now-last >= spreadPause && a.spreadOnce() {
+			last = now
+		}
+	}
+}
+
+func (a *App) spreadOnce() bool {
+	load := a.owner.Load()
+	self := rebalance.Holder{Name: a.settings.Instance(), Demand: float64(load.Demand) / percent, Capacity: capacity(load.Slots, load.Service)}
+	loads := a.entry.Loads()
+	s := a.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, _ := s.custodian.Division()
+	var others []rebalance.Holder
+	for _, h := range d.Holders() {
+		l, ok := loads[h.Name()]
+		if h.Name() == self.Name || h.Leaving() || !ok || l.Service == 0 {
+			continue
+		}
+		others = append(others, rebalance.Holder{
+			Name: h.Name(), Demand: float64(l.Demand) / percent, Capacity: capacity(l.Slots, l.Service), Ranges: len(d.Owned(h.Name())),
+		})
+	}
+	moves := rebalance.Plan(self, others, d.Owned(self.Name), a.owner.Demand())
+	if len(moves) == 0 {
+		return false
+	}
+	a.log.Info().Int("moves", len(moves)).Int("demandPercent", load.Demand).Int("holders", len(others)+1).Msg("keysSpread")
+	s.custodian.Request(moves)
+	return true
+}
+
+// capacity returns the requests that can run in a second.
+func capacity(slots int, service clock.Millis) float64 {
+	return float64(slots) * millisPerSecond / float64(max(service, 1))
+}
