retry: bound the repeats that a quiet time saves up

Ruled out: the share of 0.1 for each first request, half of what is allowed. Change: two repeats saved at most; the floor is divided by the number of known sidecars in place of a constant.

--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -49,6 +49,8 @@
 	Owner(service string, r *Request) (Target, bool)
 	// Instances returns the instances that may run requests without a key.
 	Instances(service string) []Target
+	// Entries returns the number of instances on which requests begin.
+	Entries() int
 }
 
 // Sender sends a request to the daemon of a target, or to the own upstream.
@@ -75,15 +77,21 @@
 	mu       sync.Mutex
 	balancer *balance.Balancer
 	budgets  map[string]*retry.Budget
-	// share and floor bound the requests that are sent again.
-	share float64
-	floor float64
+	repeats  Repeats
 }
 
-// NewEntry returns an entry. The requests to a service that are sent again stay
-// below share of its first ones and floor a second.
-func NewEntry(c clock.Clock, fleet Fleet, sender Sender, balancer *balance.Balancer, share, floor float64) *Entry {
-	return &Entry{clock: c, fleet: fleet, sender: sender, balancer: balancer, budgets: make(map[string]*retry.Budget), share: share, floor: floor}
+// Repeats bounds the requests to a service that are sent again by all entries
+// together.
+type Repeats struct {
+	// Share is that of the first requests, Floor how many in a second are allowed
+	// beyond it.
+	Share float64
+	Floor float64
+}
+
+// NewEntry returns an entry.
+func NewEntry(c clock.Clock, fleet Fleet, sender Sender, balancer *balance.Balancer, repeats Repeats) *Entry {
+	return &Entry{clock: c, fleet: fleet, sender: sender, balancer: balancer, budgets: make(map[string]*retry.Budget), repeats: repeats}
 }
 
 // Loads returns the loads that instances have reported lately.
@@ -120,16 +128,26 @@
 }
 
 func (e *Entry) budget(service string) *retry.Budget {
+	// Each entry uses its part of what all may use, without asking the others.
+	floor := max(e.repeats.Floor/float64(max(e.fleet.Entries(), 1)), leastFloor)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b, ok := e.budgets[service]
 	if !ok {
-		b = retry.NewBudget(e.share, e.floor)
+		b = retry.NewBudget(e.repeats.Share, floor).Burst(repeatBurst)
 		e.budgets[service] = b
 	}
+	b.SetFloor(floor)
 	return b
 }
 
+const (
+	// repeatBurst bounds the repeats of one entry that a quiet time saves up.
+	repeatBurst = 2
+	// leastFloor is a floor in repeats a second that is next to none.
+	leastFloor = 0.001
+)
+
 // attempt is a request on its way.
 type attempt struct {
 	entry   *Entry
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -138,6 +138,9 @@
 	return members
 }
 
+// Size returns the number of members.
+func (v View) Size() int { return len(v.members) }
+
 // Member returns the member on an instance.
 func (v View) Member(name string) (Member, bool) {
 	m, ok := v.members[name]
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	share   float64
 	floor   float64
+	burst   float64
 	tokens  float64
 	updated clock.Millis
 	started bool
@@ -38,12 +39,26 @@
 	return &Budget{share: share, floor: floor}
 }
 
+// Burst bounds the retries that a quiet time saves up. It returns b, which must
+// not be in use yet.
+func (b *Budget) Burst(limit float64) *Budget {
+	b.burst = limit
+	return b
+}
+
+// SetFloor changes the retries a second that are allowed in any case.
+func (b *Budget) SetFloor(floor float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.floor = floor
+}
+
 // First records a first attempt.
 func (b *Budget) First(now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	b.tokens = min(b.tokens+orDefault(b.share, defaultShare), maxTokens)
+	b.tokens = min(b.tokens+orDefault(b.share, defaultShare), orDefault(b.burst, maxTokens))
 }
 
 // Take tells whether a retry is allowed now, and counts it if so.
@@ -61,13 +76,13 @@
 func (b *Budget) refill(now clock.Millis) {
 	floor := orDefault(b.floor, defaultFloor)
 	if !b.started {
-		b.started, b.updated, b.tokens = true, now, floor
+		b.started, b.updated, b.tokens = true, now, min(floor, orDefault(b.burst, maxTokens))
 		return
 	}
 	if now <= b.updated {
 		return
 	}
-	b.tokens = min(b.tokens+floor*float64(now-b.updated)/millisPerSecond, maxTokens)
+	b.tokens = min(b.tokens+floor*float64(now-b.updated)/millisPerSecond, orDefault(b.burst, maxTokens))
 	b.updated = now
 }
 
--- /dev/null
+++ b/core/retry/budget_test.go
@@ -0,0 +1,32 @@
+package retry_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/retry"
+)
+
+// TestBudgetBurst replays a service that fails half of its requests after a quiet
+// time, seen by 18 daemons that share one bound of 0.2 times the requests and 56
+// in 10 s. Without a bound on what a quiet time saves up, they pass it.
+func TestBudgetBurst(t *testing.T) {
+	is := is.New(t)
+	const daemons, perSecond, window = 18, 25, 10
+	repeats := 0
+	for range daemons {
+		b := retry.NewBudget(0.1, 56*0.5/window/daemons).Burst(2)
+		now := clock.Millis(0)
+		for i := range 60 * perSecond {
+			now += 1000 / perSecond
+			b.First(now)
+			if i >= 50*perSecond && b.Take(now) {
+				repeats++
+			}
+		}
+	}
+	is.True(repeats <= daemons*perSecond*window/5+56)
+	is.True(repeats >= daemons*perSecond*window/20)
+}
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -43,9 +43,6 @@
 	// graceMargin is the time in milliseconds before the kill at which the sidecar
 	// ends, whatever is still in flight.
 	graceMargin clock.Millis = 600
-	// sidecars is the number of sidecars that share the budget of requests sent
-	// again, until the real number is known.
-	sidecars = 18
 	// budgetShare is the part of the budget that the sidecars use: the windows in
 	// which it is measured slide.
 	budgetShare = 0.5
@@ -106,9 +103,10 @@
 	a.peers = newPeers(a.localIP)
 	a.upstream = &upstream{app: a, client: exchange.New(s.UpstreamAddress(), a.localIP)}
 	a.owner = dispatch.NewOwner(a.clock, a.upstream, a.gate)
-	share := s.RetryShare() * budgetShare
-	floor := float64(s.RetrySlack()) * budgetShare * millisPerSecond / float64(s.RetryWindow()) / sidecars
-	a.entry = dispatch.NewEntry(a.clock, a.state, &sender{app: a}, balance.New(s.Location()), share, floor)
+	a.entry = dispatch.NewEntry(a.clock, a.state, &sender{app: a}, balance.New(s.Location()), dispatch.Repeats{
+		Share: s.RetryShare() * budgetShare,
+		Floor: float64(s.RetrySlack()) * budgetShare * millisPerSecond / float64(s.RetryWindow()),
+	})
 	return a, a.listen()
 }
 
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -71,6 +71,13 @@
 	return view.Instances(service)
 }
 
+// Entries returns the number of known sidecars.
+func (s *state) Entries() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Size()
+}
+
 // take takes a changed row. The error says that it can't be read.
 func (s *state) take(now clock.Millis, row table.Row) error {
 	s.mu.Lock()
