sidecar: two sidecars of a region follow the store

Ruled out: fewer changes alone; members and manifests have to reach all. Change: the first two sidecars of a region that answer follow the feeds and send what is new to the others. The others compare a sum of versions with both readers each 0.6 s and follow the store themselves while neither is well; each third time they compare with a sidecar of any region. Connections to the store notice silence within 1.1 s.

--- a/core/exchange/client.go
+++ b/core/exchange/client.go
@@ -27,6 +27,11 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
+	// watchfulIdle, watchfulInterval and watchfulCount are those of connections
+	// on which an answer may be awaited for long.
+	watchfulIdle     = 500 * time.Millisecond
+	watchfulInterval = 300 * time.Millisecond
+	watchfulCount    = 2
 	// defaultIdle is for how long an unused connection is kept if the receiver
 	// does not say.
 	defaultIdle = 8 * time.Second
@@ -82,6 +87,15 @@
 	return c
 }
 
+// Watchful makes the client find a connection that went silent within 1.1 s also
+// while it only waits. It returns c, which must not be in use yet.
+func (c *Client) Watchful() *Client {
+	c.dialer.KeepAliveConfig = net.KeepAliveConfig{
+		Enable: true, Idle: watchfulIdle, Interval: watchfulInterval, Count: watchfulCount,
+	}
+	return c
+}
+
 // control bounds the time in which sent bytes must be acknowledged.
 func control(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -4,8 +4,11 @@
 package replica
 
 import (
+	"strconv"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"briarwell.dev/core/table"
 )
 
@@ -39,6 +42,18 @@
 	return r.rows[key]
 }
 
+// Sum returns a number that differs, but for chance, between copies with other
+// rows or versions.
+func (r *Rows) Sum() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var sum uint64
+	for key, row := range r.rows {
+		sum += xxhash.Sum64String(key + "@" + strconv.FormatUint(uint64(row.Version()), 10))
+	}
+	return sum
+}
+
 // Digest returns the version of each row.
 func (r *Rows) Digest() map[string]table.Revision {
 	r.mu.Lock()
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -71,6 +71,10 @@
 	wake      chan struct{}
 	started   clock.Millis
 	listeners []*listener
+	// reading tells that this sidecar follows the store itself, following whether
+	// each feed is answered.
+	reading   atomic.Bool
+	following [store.Feeds]atomic.Bool
 	// stopping tells that callers should go elsewhere, closing that the upstream
 	// gets no more requests from this process, refusing that callers are refused.
 	stopping atomic.Bool
@@ -94,6 +98,7 @@
 	}
 	a := &App{settings: s, localIP: net.ParseIP(s.IP()), wake: make(chan struct{}, 1)}
 	a.started = a.clock.Now()
+	a.reading.Store(true)
 	a.log, a.lines = logs.New(out, s.LogLevel())
 	a.manifest.Store(&routes.Manifest{})
 	a.store = store.New(s.StoreAddress(), a.localIP)
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -62,16 +62,28 @@
 	Value   []byte         `json:"value"`
 }
 
+// syncMessage compares rows: first by their sum, then, if that differs, by their
+// versions.
 type syncMessage struct {
-	Versions map[string]table.Revision `json:"versions"`
+	Sum      uint64                    `json:"sum"`
+	Versions map[string]table.Revision `json:"versions,omitempty"`
 }
 
-type rowsMessage struct {
-	Rows []rowMessage `json:"rows"`
+type syncAnswer struct {
+	// Same tells that the sums are equal.
+	Same bool `json:"same"`
+	// Reading tells that the sender follows the store.
+	Reading bool `json:"reading"`
+	// Rows are newer than the versions that were sent.
+	Rows []rowMessage `json:"rows,omitempty"`
 	// Behind tells that the sender lacks rows of the receiver's.
 	Behind bool `json:"behind"`
 }
 
+type rowsMessage struct {
+	Rows []rowMessage `json:"rows"`
+}
+
 func encodeRows(rows []table.Row) []rowMessage {
 	out := make([]rowMessage, 0, len(rows))
 	for _, r := range rows {
@@ -142,9 +154,7 @@
 	mux := http.NewServeMux()
 	handle(mux, pathRenew, a.renew)
 	handle(mux, pathLapse, a.lapse)
-	handle(mux, pathSync, func(m syncMessage) rowsMessage {
-		return rowsMessage{Rows: encodeRows(a.rows.Newer(m.Versions)), Behind: a.rows.Older(m.Versions)}
-	})
+	handle(mux, pathSync, a.answerSync)
 	handle(mux, pathRows, func(m rowsMessage) struct{} {
 		a.takeRows(decodeRows(m.Rows))
 		return struct{}{}
--- a/sidecar/app/rows.go
+++ b/sidecar/app/rows.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"briarwell.dev/core/clock"
-	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/table"
 	"briarwell.dev/platform/store"
 )
@@ -19,9 +18,11 @@
 	// storeBackoff is the shortest time between two failed calls to the store;
 	// as much again is added at random.
 	storeBackoff = 250 * time.Millisecond
-	// syncInterval is the mean time between two comparisons of rows with another
-	// sidecar.
-	syncInterval = time.Second
+	// watchGap is the shortest time between two calls that wait for changes; as
+	// much again is added at random. It joins changes that come together.
+	watchGap = 20 * time.Millisecond
+	// readerPoll is the time between two looks at whether to follow the store.
+	readerPoll = 50 * time.Millisecond
 )
 
 // follow keeps the rows of a feed up to date.
@@ -29,6 +30,10 @@
 	var after table.Revision
 	loaded, reachable := false, true
 	for ctx.Err() == nil {
+		if loaded && !a.reading.Load() {
+			pause(ctx, readerPoll)
+			continue
+		}
 		var rows []table.Row
 		var revision table.Revision
 		var err error
@@ -49,17 +54,22 @@
 		}
 		if (err == nil) != reachable {
 			reachable = err == nil
+			a.following[feed].Store(reachable)
 			a.log.Warn().Bool("reachable", reachable).Err(err).Int("feed", int(feed)).Msg("storeReachable")
 		}
 		if err != nil {
 			pause(ctx, storeBackoff)
 			continue
 		}
-		a.takeRows(rows)
+		if changed := a.takeRows(rows); loaded && len(changed) > 0 {
+			a.spreadRows(ctx, changed)
+		}
 		if feed == store.OwnRows && !loaded {
 			a.state.loaded(a.clock.Now())
 		}
 		after, loaded = revision, true
+		a.following[feed].Store(true)
+		pause(ctx, watchGap)
 	}
 }
 
@@ -71,10 +81,12 @@
 	}
 }
 
-// takeRows takes rows from the store or another sidecar.
-func (a *App) takeRows(rows []table.Row) {
+// takeRows takes rows from the store or another sidecar, and returns those that
+// were news.
+func (a *App) takeRows(rows []table.Row) []table.Row {
 	now := a.clock.Now()
-	for _, row := range a.rows.Apply(rows) {
+	changed := a.rows.Apply(rows)
+	for _, row := range changed {
 		if row.Key() == store.ManifestKey {
 			a.takeManifest(row.Value())
 			continue
@@ -83,54 +95,8 @@
 			a.log.Error().Err(err).Msg("rowRejected")
 		}
 	}
-	if len(rows) > 0 {
+	if len(changed) > 0 {
 		a.publishSoon()
 	}
-}
-
-// synchronise compares rows with other sidecars, so that those that the store
-// turns away learn of changes too.
-func (a *App) synchronise(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause(ctx, syncInterval*2/3)
-		if m, ok := a.state.anyPeer(); ok {
-			a.compare(ctx, m)
-		}
-	}
-}
-
-func (a *App) compare(ctx context.Context, with fleet.Member) {
-	address := with.Instance.PeerAddress()
-	digest := a.rows.Digest()
-	var theirs rowsMessage
-	if err := a.peers.ask(ctx, address, pathSync, syncMessage{Versions: digest}, &theirs); err != nil {
-		a.log.Debug().Err(err).Str("peer", address).Msg("syncFailed")
-		a.state.avoid(a.clock.Now(), with.Incarnation)
-		return
-	}
-	a.takeRows(decodeRows(theirs.Rows))
-	if !theirs.Behind {
-		return
-	}
-	// The other sidecar's digest is not known: all rows go out, and it keeps the
-	// newer ones.
-	var done struct{}
-	message := rowsMessage{Rows: encodeRows(a.rows.Newer(nil))}
-	if err := a.peers.ask(ctx, address, pathRows, message, &done); err != nil {
-		a.log.Debug().Err(err).Str("peer", address).Msg("syncFailed")
-	}
-}
-
-// anyPeer returns another sidecar at random.
-func (s *state) anyPeer() (fleet.Member, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	members := s.view.Members()
-	for range members {
-		m := members[rand.IntN(len(members))] //nolint:gosec // It only spreads calls.
-		if m.Instance.Name() != s.instance.Name() {
-			return m, true
-		}
-	}
-	return fleet.Member{}, false
+	return changed
 }
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -26,6 +26,9 @@
 	tracker   *report.Tracker
 	custodian *holding.Custodian
 	guard     *holding.Guard
+	// absentUntil are the ends of the times for which sidecars that did not answer
+	// count as no readers, by instance.
+	absentUntil map[string]clock.Millis
 	// leftAt is when the upstream's leave was acknowledged, 0 if it was not.
 	leftAt clock.Millis
 }
@@ -38,7 +41,8 @@
 		custodian: holding.New(now, holding.Settings{
 			Instance: instance, Incarnation: incarnation, HoldMax: s.HoldMax(),
 		}, tracker),
-		guard: holding.NewGuard(incarnation),
+		guard:       holding.NewGuard(incarnation),
+		absentUntil: make(map[string]clock.Millis),
 	}
 }
 
