tests: replays of the load decisions, stand-ins and whole paths; logs never wait

Cause: the decisions of the sidecar had no tests of their own, and the logger waited when its buffer was full. The log drops and counts lines when its reader is slow. The library's own discarding writer reads an entry after it gave it away (race detector), so the buffer is ours.

--- a/core/admission/machine.go
+++ b/core/admission/machine.go
@@ -28,6 +28,9 @@
 	serviceWeight = 0.1
 	// maxClasses bounds the classes whose service times are measured.
 	maxClasses = 64
+	// patienceShare is the part of the time until the answer is wanted for which a
+	// request waits, as its divisor.
+	patienceShare = 4
 	// lateWait is how long in milliseconds a request waits whose answer can't be
 	// there when it is wanted: it takes slots that nobody else wants.
 	lateWait clock.Millis = 60
@@ -329,15 +332,16 @@
 func (m *Machine) sweep(now clock.Millis, actions []Action) []Action {
 	var overdue []*Ticket
 	kept := m.queue[:0]
+	wait := m.service / float64(m.Limit(now))
 	for _, ticket := range m.queue {
 		switch {
 		case ticket.wanted == 0:
 			kept = append(kept, ticket)
+		case m.impatient(now, ticket, wait*float64(len(kept))):
+			actions = append(actions, Refuse{ticket: ticket, reason: outcome.ReasonOverloaded})
 		case !ticket.late && m.misses(now, ticket):
 			ticket.late = true
 			overdue = append(overdue, ticket)
-		case ticket.late && now-ticket.submitted > lateWait:
-			actions = append(actions, Refuse{ticket: ticket, reason: outcome.ReasonOverloaded})
 		default:
 			kept = append(kept, ticket)
 		}
@@ -375,10 +379,24 @@
 	if ticket.wanted == 0 {
 		return false
 	}
-	if ticket.late {
-		return wait > float64(ticket.submitted+lateWait-now)
+	if m.impatient(now, ticket, wait) {
+		return true
+	}
+	return !ticket.late && float64(now)+wait+m.serviceOf(ticket) > float64(ticket.wanted)
+}
+
+// impatient tells whether a request would wait longer than its patience.
+func (m *Machine) impatient(now clock.Millis, ticket *Ticket, wait float64) bool {
+	return wait > float64(ticket.submitted+ticket.patience()-now)
+}
+
+// patience returns for how long a request waits in all. One that is refused later
+// has lost time that it could have used elsewhere.
+func (t *Ticket) patience() clock.Millis {
+	if t.late {
+		return lateWait
 	}
-	return float64(now)+wait+m.serviceOf(ticket) > float64(ticket.wanted)
+	return max((t.wanted-t.submitted)/patienceShare, lateWait)
 }
 
 // late tells whether a request that starts after wait milliseconds is expected
--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,73 @@
+package balance_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/core/balance"
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/identity"
+)
+
+var (
+	here    = identity.NewLocation("lagos", "ikeja")
+	near    = identity.NewLocation("lagos", "yaba")
+	distant = identity.NewLocation("kano", "fagge")
+)
+
+func candidates() []balance.Candidate {
+	return []balance.Candidate{
+		{Name: "here", Location: here, Slots: 12}, {Name: "near", Location: near, Slots: 12}, {Name: "distant", Location: distant, Slots: 12},
+	}
+}
+
+func half() float64 { return 0.5 }
+
+// TestPlace guards against a trip to another region while the own one has room,
+// and against staying while it has none.
+func TestPlace(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	list := candidates()
+	is.Equal(list[b.Pick(0, list, false, nil, half)].Name, "here")
+	b.Reported(0, "here", balance.Load{Running: 12, Waiting: 6, Slots: 12, Service: 100})
+	is.Equal(list[b.Pick(0, list, false, nil, half)].Name, "near")
+	b.Reported(0, "near", balance.Load{Running: 12, Waiting: 12, Slots: 12, Service: 100})
+	is.Equal(list[b.Pick(0, list, false, nil, half)].Name, "distant")
+	is.Equal(list[b.Pick(0, list, true, nil, half)].Name, "here") // a large answer stays
+}
+
+// TestGreyUpstream replays an upstream that refuses half of its requests with a
+// good probe. The naive rule, the fewest in flight, sends it the most.
+func TestGreyUpstream(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	list := candidates()[:2]
+	rng := rand.New(rand.NewPCG(1, 1))
+	grey := 0
+	for now := clock.Millis(0); now < 8000; now += 20 {
+		i := b.Pick(now, list, false, nil, rng.Float64)
+		failed := list[i].Name == "here" && rng.IntN(2) == 0
+		if list[i].Name == "here" {
+			grey++
+		}
+		b.Served(now, list[i].Name, !failed)
+	}
+	is.True(grey < 400/5)
+	is.True(grey > 0) // it is tried again
+}
+
+// TestSilentDaemon guards against requests to a daemon that does not answer.
+func TestSilentDaemon(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	list := candidates()
+	b.Unreachable(0, "here")
+	is.Equal(list[b.Pick(100, list, false, nil, half)].Name, "near")
+	is.True(b.Reachable(5000, "here"))
+	b.Reported(5000, "here", balance.Load{Slots: 12, Service: 100})
+	is.True(b.Reachable(5000, "here"))
+	is.Equal(b.Pick(0, list, false, map[string]bool{"here": true, "near": true, "distant": true}, half), -1)
+}
--- a/core/exchange/client.go
+++ b/core/exchange/client.go
@@ -62,7 +62,7 @@
 type countingWriter struct{ c *connection }
 
 func (w countingWriter) Write(p []byte) (int, error) {
-	n, err := w.c.Conn.Write(p)
+	n, err := w.c.Write(p)
 	w.c.sent += n
 	return n, err
 }
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -115,7 +115,7 @@
 	default:
 		// The rest of the body would be taken for the next request.
 		c.interrupt()
-		<-written
+		_ = <-written // It failed because of the interruption, or was whole.
 		keep = false
 	}
 	return answer, keep, err
--- a/core/holding/holding.go
+++ b/core/holding/holding.go
@@ -240,3 +240,9 @@
 	r, ok := c.division.Find(key)
 	return ok && (r.Next() != "" || r.Owner() == c.settings.Instance.Name())
 }
+
+// Span returns the keys that move.
+func (m Move) Span() keyspace.Span { return m.span }
+
+// To returns the instance of the next owner.
+func (m Move) To() string { return m.to }
--- a/core/holding/sim_test.go
+++ b/core/holding/sim_test.go
@@ -218,7 +218,7 @@
 }
 
 func leases(d keyspace.Division) []membership.Member {
-	var rows []membership.Member
+	rows := make([]membership.Member, 0, len(d.Holders()))
 	for _, h := range d.Holders() {
 		rows = append(rows, h.Lease())
 	}
--- a/core/logs/logs.go
+++ b/core/logs/logs.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"github.com/phuslu/log"
@@ -18,37 +19,65 @@
 // lineCapacity is the initial size of a line's buffer in bytes.
 const lineCapacity = 256
 
-// Writer buffers lines and counts the dropped ones.
+// Writer buffers lines for a slower reader and counts the dropped ones.
 type Writer struct {
-	async   log.AsyncWriter
+	lines   chan []byte
+	written chan struct{}
 	dropped atomic.Int64
+	// mu is held for reading while a line is buffered, so that Close waits for it.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // New returns a logger that writes lines of the given level or above to out, and
 // its writer, which must be closed to write what is still buffered.
 func New(out io.Writer, level string) (*log.Logger, *Writer) {
-	w := &Writer{async: log.AsyncWriter{
-		ChannelSize:   bufferedLines,
-		DiscardOnFull: true,
-		Writer:        &log.ConsoleWriter{Formatter: format, Writer: out},
-	}}
-	return &log.Logger{Level: log.ParseLevel(level), Writer: w}, w
+	w := &Writer{lines: make(chan []byte, bufferedLines), written: make(chan struct{})}
+	go w.drain(out)
+	return &log.Logger{Level: log.ParseLevel(level), Writer: &log.ConsoleWriter{Formatter: format, Writer: w}}, w
 }
 
-// WriteEntry buffers a line or drops it.
-func (w *Writer) WriteEntry(e *log.Entry) (int, error) {
-	n, err := w.async.WriteEntry(e)
-	if err != nil {
-		w.dropped.Add(1)
+// drain writes the buffered lines until Close.
+func (w *Writer) drain(out io.Writer) {
+	defer close(w.written)
+	for line := range w.lines {
+		if _, err := out.Write(line); err != nil {
+			// There is nowhere else to tell it.
+			w.dropped.Add(1)
+		}
 	}
-	return n, err
+}
+
+// Write buffers a line or drops it.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if !w.closed {
+		select {
+		case w.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
+	}
+	w.dropped.Add(1)
+	return len(line), nil
 }
 
 // Dropped returns the number of lines that were dropped.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the buffered lines.
-func (w *Writer) Close() error { return w.async.Close() }
+// Close writes the buffered lines. Later ones are dropped.
+func (w *Writer) Close() error {
+	w.mu.Lock()
+	open := !w.closed
+	w.closed = true
+	w.mu.Unlock()
+	if open {
+		close(w.lines)
+	}
+	<-w.written
+	return nil
+}
 
 // format writes "time=... level=... event=... key=value ...". The formatter of
 // the library prints true as a bare key and the message without one.
--- a/core/logs/logs_test.go
+++ b/core/logs/logs_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -23,3 +24,27 @@
 	is.True(strings.HasSuffix(line, ` level=info event=route key="gele bundle" local=true shard=7`+"\n"))
 	is.Equal(strings.Count(line, "\n"), 1)
 }
+
+// stuck is a reader of the log that takes nothing.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// TestFullBuffer guards against a request that waits for the log.
+func TestFullBuffer(t *testing.T) {
+	is := is.New(t)
+	out := stuck{release: make(chan struct{})}
+	logger, closer := logs.New(out, "info")
+	began := time.Now()
+	for range 10_000 {
+		logger.Info().Msg("line")
+	}
+	is.True(time.Since(began) < 5*time.Second)
+	is.True(closer.Dropped() > 5000)
+	close(out.release)
+	is.NoErr(closer.Close())
+	logger.Info().Msg("after the end")
+}
--- /dev/null
+++ b/sidecar/app/app_test.go
@@ -0,0 +1,223 @@
+package app_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/platform/standin"
+	"briarwell.dev/sidecar/app"
+	"briarwell.dev/sidecar/settings"
+)
+
+const operatorManifest = `{"version":"%08x","routes":{
+	"browse":{"host":"h","prefix":"/browse/","kind":"idempotent","timeout":"2000ms","target_latency":"1000ms","priority":2,"service":"wardrobe","max_attempts":2},
+	"book":{"host":"h","prefix":"/book/","kind":"non_idempotent","timeout":"2000ms","target_latency":"1000ms","priority":1,"service":"ledger","max_attempts":2}%s},
+	"services":{"wardrobe":{"max_connections":110,"sharded":true},"ledger":{"max_connections":110}},"limits":{}}`
+
+// instance is a sidecar with its upstream.
+type instance struct {
+	name     string
+	ip       string
+	upstream *standin.Upstream
+	stop     context.CancelFunc
+	done     chan struct{}
+	text     string
+}
+
+// cluster is a store and instances on loopback addresses.
+type cluster struct {
+	t         *testing.T
+	store     *standin.Store
+	address   string
+	instances []*instance
+	logs      syncBuffer
+}
+
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func newCluster(t *testing.T, net1 int, services ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: &standin.Store{}}
+	c.store.Put("op", "config", fmt.Appendf(nil, operatorManifest, 4, ""))
+	server := httptest.NewServer(c.store)
+	t.Cleanup(server.Close)
+	c.address = server.Listener.Addr().String()
+	for i, service := range services {
+		ip := fmt.Sprintf("127.%d.0.%d", net1, i+1)
+		u := &standin.Upstream{
+			ID: fmt.Sprintf("u%d", i), Service: service, Address: ip + ":9000", Slots: 4, Work: 5 * time.Millisecond, Keyed: service == "wardrobe",
+		}
+		l, err := net.Listen("tcp", u.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		web := &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
+		go func() { _ = web.Serve(l) }()
+		t.Cleanup(func() { _ = web.Close() })
+		in := &instance{name: fmt.Sprintf("i%d", i), ip: ip, upstream: u}
+		in.text = fmt.Sprintf(`{"instance":%q,"region":"r","failureDomain":"d%d","ip":%q,"service":%q,"upstreamAddress":"%s:9000",
+			"callerAddress":"%s:9001","requestAddress":"%s:9002","readyAddress":"%s:9003","reportAddress":"%s:9004","peerPort":9005,
+			"metricsPort":9006,"storeAddress":%q,"holdMax":"10000ms","drain":"2500ms","grace":"1s","retryShare":0.2,"retrySlack":56,
+			"retryWindow":"10s"}`, in.name, i%2, ip, service, ip, ip, ip, ip, ip, c.address)
+		c.instances = append(c.instances, in)
+		c.start(in)
+	}
+	go c.report()
+	return c
+}
+
+func (c *cluster) start(in *instance) {
+	s, err := settings.Parse([]byte(in.text))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	a, err := app.New(s, &c.logs)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	in.stop, in.done = cancel, make(chan struct{})
+	done := in.done
+	go func() {
+		a.Run(ctx)
+		close(done)
+	}()
+	c.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// report makes the upstreams report until the test ends.
+func (c *cluster) report() {
+	for c.t.Context().Err() == nil {
+		for _, in := range c.instances {
+			// A daemon that is away takes no report.
+			_ = in.upstream.Report(in.ip + ":9004")
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func (c *cluster) call(in *instance, method, path string, key int) (int, string) {
+	r, err := http.NewRequestWithContext(c.t.Context(), method, "http://"+in.ip+":9001"+path, strings.NewReader("body"))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("X-Request-Id", fmt.Sprintf("%s-%s-%d", in.name, path, key))
+	r.Header.Set("X-Deadline-Ms", "2000")
+	r.Header.Set("X-Shard-Key", fmt.Sprint(key))
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return answer.StatusCode, string(body)
+}
+
+// eventually waits for a condition.
+func (c *cluster) eventually(what string, holds func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(15 * time.Second); !holds(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			c.logs.mu.Lock()
+			defer c.logs.mu.Unlock()
+			c.t.Fatalf("%s did not happen; logs:\n%s", what, c.logs.buf.String())
+		}
+	}
+}
+
+func (c *cluster) allHeld() bool {
+	keys := 0
+	for _, in := range c.instances {
+		if in.upstream.Keyed {
+			keys += in.upstream.Holds()
+		}
+	}
+	return keys == 65536
+}
+
+// TestWholePath serves requests with and without keys from each instance, through
+// a change of the manifest, an outage of the store and a restart of a sidecar.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 41, "wardrobe", "wardrobe", "ledger")
+	c.eventually("the deal of all keys", c.allHeld)
+	for _, in := range c.instances {
+		for _, key := range []int{0, 30000, 65535} {
+			status, body := c.call(in, http.MethodGet, "/browse/x?q=1", key)
+			is.Equal(status, http.StatusOK)
+			is.True(strings.Contains(body, "GET /browse/x?q=1 from "+in.upstream.Service))
+		}
+		status, body := c.call(in, http.MethodPost, "/book/y", 7)
+		is.Equal(status, http.StatusOK)
+		is.True(strings.HasPrefix(body, "u2 POST"))
+		status, _ = c.call(in, http.MethodGet, "/nowhere/", 7)
+		is.Equal(status, http.StatusNotFound)
+	}
+
+	c.store.Put("op", "config", fmt.Appendf(nil, operatorManifest, 5, `,"new":{"host":"h","prefix":"/new/","kind":"idempotent","timeout":"2s","target_latency":"1s","service":"ledger","max_attempts":1}`))
+	for _, in := range c.instances {
+		c.eventually("the new manifest at "+in.name, func() bool {
+			status, _ := c.call(in, http.MethodGet, "/new/", 1)
+			return status == http.StatusOK
+		})
+	}
+	c.store.Put("op", "config", []byte("no manifest")) // The one in force stays.
+	status, _ := c.call(c.instances[0], http.MethodGet, "/new/", 1)
+	is.Equal(status, http.StatusOK)
+
+	c.store.Fail(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+	time.Sleep(4500 * time.Millisecond) // longer than a hold
+	status, _ = c.call(c.instances[2], http.MethodGet, "/browse/x", 30000)
+	is.Equal(status, http.StatusOK)
+	c.store.Fail(standin.StoreFaults{})
+
+	restarted := c.instances[0]
+	restarted.stop()
+	<-restarted.done
+	c.start(restarted)
+	c.eventually("the return of the restarted owner", func() bool {
+		for _, key := range []int{0, 500, 30000, 65535} {
+			if status, _ := c.call(c.instances[2], http.MethodGet, "/browse/z", key); status != http.StatusOK {
+				return false
+			}
+		}
+		return c.allHeld()
+	})
+}
+
+// TestLeave guards against keys that stay with an upstream that leaves.
+func TestLeave(t *testing.T) {
+	c := newCluster(t, 42, "wardrobe", "wardrobe", "ledger")
+	c.eventually("the deal of all keys", c.allHeld)
+	c.instances[0].upstream.Leave()
+	c.eventually("the handover of all keys", func() bool {
+		return c.instances[0].upstream.Holds() == 0 && c.instances[1].upstream.Holds() == 65536
+	})
+}
--- /dev/null
+++ b/sidecar/settings/settings_test.go
@@ -0,0 +1,68 @@
+package settings_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/sidecar/settings"
+)
+
+const good = `{"instance":"i1","region":"r","failureDomain":"d","ip":"10.0.0.1","service":"s","upstreamAddress":"10.0.0.1:1",
+	"callerAddress":"10.0.0.1:2","requestAddress":"10.0.0.1:3","readyAddress":"10.0.0.1:4","reportAddress":"10.0.0.1:5",
+	"peerPort":7600,"metricsPort":7615,"storeAddress":"10.0.0.9:80","holdMax":"10000ms","drain":"2500ms","grace":"6s",
+	"retryShare":0.2,"retrySlack":56,"retryWindow":"10s","logLevel":"info"}`
+
+// TestParse guards against values that are read wrongly.
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	s, err := settings.Parse([]byte(good))
+	is.NoErr(err)
+	is.Equal(s.PeerAddress(), "10.0.0.1:7600")
+	is.Equal(s.Grace(), clock.Millis(6000))
+	is.Equal(s.RetryShare(), 0.2)
+	is.Equal(s.RetrySlack(), int64(56))
+}
+
+// TestParseRejects guards against a wrong file that is taken in part. Each error
+// names its field.
+func TestParseRejects(t *testing.T) {
+	for field, change := range map[string][2]string{
+		"instance":        {`"i1"`, `""`},
+		"upstreamAddress": {`"10.0.0.1:1"`, `"here"`},
+		"peerPort":        {`7600`, `70000`},
+		"drain":           {`"2500ms"`, `"soon"`},
+		"grace":           {`"6s"`, `6`},
+		"retryShare":      {`0.2`, `2`},
+		"storeAddress":    {`"storeAddress":"10.0.0.9:80",`, ``},
+		"other":           {`"logLevel"`, `"other":1,"logLevel"`},
+	} {
+		_, err := settings.Parse([]byte(strings.Replace(good, change[0], change[1], 1)))
+		if err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: got error %v", field, err)
+		}
+	}
+}
+
+// TestTemplate guards against a field of the settings that the platform's
+// template does not fill, or the other way round.
+func TestTemplate(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("../../deploy/settings.json.tmpl")
+	is.NoErr(err)
+	text := string(data)
+	values := strings.NewReplacer(
+		"{{node_name|json}}", `"i1"`, "{{region|json}}", `"r"`, "{{zone|json}}", `"d"`, "{{ip|json}}", `"10.0.0.1"`,
+		"{{service|json}}", `"s"`, "{{app_address|json}}", `"10.0.0.1:1"`, "{{listen_addresses.outbound|json}}", `"10.0.0.1:2"`,
+		"{{listen_addresses.inbound|json}}", `"10.0.0.1:3"`, "{{listen_addresses.ready|json}}", `"10.0.0.1:4"`,
+		"{{listen_addresses.control_plane|json}}", `"10.0.0.1:5"`, "{{internal_port_range.0|json}}", "7600",
+		"{{internal_port_range.1|json}}", "7615", "{{platform.address|json}}", `"10.0.0.9:80"`,
+		"{{bounds.hold_max|json}}", `"10000ms"`, "{{bounds.drain|json}}", `"2500ms"`, "{{bounds.grace|json}}", `"6s"`,
+		"{{bounds.retry_budget_ratio|json}}", "0.2", "{{bounds.budget_slack|json}}", "56", "{{bounds.retry_window|json}}", `"10s"`,
+	)
+	_, err = settings.Parse([]byte(values.Replace(text)))
+	is.NoErr(err)
+}
