sidecar: metrics, bounded lines for both sides of a request, explain

Cause: only the caller's side of a request was logged, without the inputs that decided it, without a bound under load; there were no metrics. A conflict of the store brings the rows, so that they are not read again.

--- a/core/logs/logs_test.go
+++ b/core/logs/logs_test.go
@@ -48,3 +48,20 @@
 	is.NoErr(closer.Close())
 	logger.Info().Msg("after the end")
 }
+
+// TestLimit guards against a log that grows with the load, and against lines that
+// are omitted without a count.
+func TestLimit(t *testing.T) {
+	is := is.New(t)
+	limit := logs.NewLimit(2)
+	taken := 0
+	for range 10 {
+		if ok, _ := limit.Take(1500); ok {
+			taken++
+		}
+	}
+	is.Equal(taken, 2)
+	ok, omitted := limit.Take(2600)
+	is.True(ok)
+	is.Equal(omitted, int64(8))
+}
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -122,6 +122,7 @@
 	key      string
 	expected Revision
 	actual   Revision
+	current  []Row
 }
 
 // NewConflictError returns a conflict at key.
@@ -129,6 +130,16 @@
 	return &ConflictError{key: key, expected: expected, actual: actual}
 }
 
+// With adds the rows as they are now, if the table told them. It returns e.
+func (e *ConflictError) With(current []Row) *ConflictError {
+	e.current = current
+	return e
+}
+
+// Current returns the rows of the conditions as they are now, nil if the table
+// did not tell them.
+func (e *ConflictError) Current() []Row { return e.current }
+
 // Key returns the key whose condition did not hold.
 func (e *ConflictError) Key() string { return e.key }
 
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -67,6 +68,7 @@
 	owner    *dispatch.Owner
 	entry    *dispatch.Entry
 	peers    *peers
+	observer *observer
 
 	wake      chan struct{}
 	started   clock.Millis
@@ -100,6 +102,7 @@
 	a.started = a.clock.Now()
 	a.reading.Store(true)
 	a.log, a.lines = logs.New(out, s.LogLevel())
+	a.observer = newObserver()
 	a.manifest.Store(&routes.Manifest{})
 	a.store = store.New(s.StoreAddress(), a.localIP)
 	instance := membership.NewInstance(s.Instance(), s.RequestAddress(), s.PeerAddress(), s.Location())
@@ -133,6 +136,7 @@
 		{"reports", a.settings.ReportAddress(), http.HandlerFunc(a.serveReport)},
 		{"callers", a.settings.CallerAddress(), http.HandlerFunc(a.serveCaller)},
 		{"ready", a.settings.ReadyAddress(), http.HandlerFunc(a.serveReady)},
+		{"metrics", a.settings.MetricsAddress(), http.HandlerFunc(a.serveMetrics)},
 	} {
 		bound, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -159,6 +163,7 @@
 	tasks.Go(func() { a.control(background) })
 	tasks.Go(func() { a.synchronise(background) })
 	tasks.Go(func() { a.spread(background) })
+	tasks.Go(func() { a.gauge(background) })
 	a.log.Info().Str("instance", a.settings.Instance()).Str("incarnation", a.state.incarnation.String()).
 		Str("service", a.settings.Service()).Msg("started")
 	<-ctx.Done()
@@ -169,7 +174,9 @@
 	}
 	tasks.Wait()
 	a.log.Info().Int64("droppedLines", a.lines.Dropped()).Msg("stopped")
-	_ = a.lines.Close()
+	if err := errors.Join(a.observer.closer.Close(), a.lines.Close()); err != nil {
+		a.log.Error().Err(err).Msg("closeFailed")
+	}
 }
 
 // stop waits until callers have seen that this instance is not ready, then takes
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -21,6 +21,11 @@
 // upstream comes. The first row waits for it, so that it is written once.
 const firstReport clock.Millis = 4000
 
+// conflictPause is the shortest time before a change is tried again whose row was
+// changed by another; as much again is added at random, so that many that start
+// together come one after another.
+const conflictPause = 60 * time.Millisecond
+
 // controlInterval is the time between two looks at what is due.
 const controlInterval = 50 * time.Millisecond
 
@@ -190,6 +195,12 @@
 		pause(ctx, storeBackoff)
 		return 0, false
 	}
+	var conflict *table.ConflictError
+	if errors.As(err, &conflict) && len(conflict.Current()) > 0 && conflict.Current()[0].Version() > 0 {
+		a.takeRows(conflict.Current())
+		pause(ctx, conflictPause)
+		return 0, false
+	}
 	for ctx.Err() == nil {
 		rows, _, err := a.store.Load(ctx, store.OwnRows)
 		if err == nil {
--- /dev/null
+++ b/sidecar/app/observe.go
@@ -0,0 +1,186 @@
+package app
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/logs"
+	"briarwell.dev/core/metrics"
+	"briarwell.dev/core/outcome"
+)
+
+const (
+	// linesPerSecond bounds the lines about requests in a second, for each of the
+	// two sides of a request.
+	linesPerSecond = 60
+	// gaugeInterval is the time between two readings of the gauges.
+	gaugeInterval = time.Second
+	// metricsPath is the path at which metrics are served.
+	metricsPath = "/metrics"
+	// maxSeries bounds the series of requests; routes come and go.
+	maxSeries = 512
+)
+
+// observer writes the lines and metrics of requests.
+type observer struct {
+	scope     tally.Scope
+	collector *metrics.Collector
+	closer    io.Closer
+	callers   *logs.Limit
+	owners    *logs.Limit
+
+	mu     sync.Mutex
+	series map[seriesKey]requestSeries
+}
+
+type seriesKey struct {
+	service string
+	outcome string
+	reason  outcome.Reason
+}
+
+type requestSeries struct {
+	count   tally.Counter
+	latency tally.Histogram
+}
+
+func newObserver() *observer {
+	o := &observer{callers: logs.NewLimit(linesPerSecond), owners: logs.NewLimit(linesPerSecond), series: make(map[seriesKey]requestSeries)}
+	o.scope, o.collector, o.closer = metrics.New()
+	return o
+}
+
+// latencies are the bounds of the latency histogram.
+func latencies() tally.DurationBuckets {
+	return tally.DurationBuckets{
+		10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+		400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond, 3200 * time.Millisecond,
+	}
+}
+
+// count counts a request that a caller was answered.
+func (o *observer) count(result dispatch.Result, took clock.Millis) {
+	key := seriesKey{service: result.Service, outcome: "no-route"}
+	if result.Outcome != nil {
+		key.outcome, key.reason = result.Outcome.String(), outcome.ReasonOf(result.Outcome)
+	}
+	o.mu.Lock()
+	s, ok := o.series[key]
+	if !ok && len(o.series) < maxSeries {
+		scope := o.scope.Tagged(map[string]string{"service": key.service, "outcome": key.outcome, "reason": string(key.reason)})
+		s = requestSeries{count: scope.Counter("requests"), latency: scope.Histogram("request_latency", latencies())}
+		o.series[key] = s
+	}
+	o.mu.Unlock()
+	if s.count != nil {
+		s.count.Inc(1)
+		s.latency.RecordDuration(took.Duration())
+	}
+}
+
+// ended writes a line for a request of a caller that was not simply served.
+func (a *App) ended(ctx context.Context, r *dispatch.Request, result dispatch.Result, status int) {
+	took := a.clock.Now() - r.Arrived
+	a.observer.count(result, took)
+	text := "none"
+	if result.Outcome != nil {
+		text = result.Outcome.String()
+		if _, done := result.Outcome.(outcome.Done); done && result.Attempts == 1 && took < slowRequest && status < http.StatusInternalServerError {
+			return
+		}
+	}
+	ok, omitted := a.observer.callers.Take(a.clock.Now())
+	if !ok {
+		return
+	}
+	a.log.Info().Str("request", r.ID).Str("route", result.Route).Str("service", result.Service).
+		Uint64("manifest", result.Version).Str("instance", result.Instance).Int("attempts", result.Attempts).
+		Bool("keyed", r.Keyed).Int("key", int(r.Key)).Bool("nested", r.Nested).
+		Str("outcome", text).Str("reason", string(outcome.ReasonOf(result.Outcome))).Int("status", status).
+		Int64("allowedMillis", int64(r.Deadline-r.Arrived)).Int64("tookMillis", int64(took)).
+		Int64("returnMillis", int64(result.RetryAfter)).Bool("callerLeft", ctx.Err() != nil).
+		Int64("omitted", omitted).Msg("requestEnded")
+}
+
+// decided writes a line for a request that the own upstream did not serve, with
+// what decided it.
+func (a *App) decided(r *dispatch.Request, service string, reply dispatch.Reply) {
+	if _, done := reply.Outcome.(outcome.Done); done {
+		return
+	}
+	ok, omitted := a.observer.owners.Take(a.clock.Now())
+	if !ok {
+		return
+	}
+	s := a.state
+	s.mu.Lock()
+	epoch, held := s.custodian.Admits(a.clock.Now(), r.Key)
+	_, revision := s.custodian.Division()
+	lease := s.custodian.LeaseEnd() - a.clock.Now()
+	known, _ := s.tracker.Known()
+	s.mu.Unlock()
+	a.log.Info().Str("request", r.ID).Str("service", service).Str("life", known.Life.String()).
+		Bool("keyed", r.Keyed).Int("key", int(r.Key)).Bool("held", held).Uint64("epoch", uint64(epoch)).
+		Uint64("revision", uint64(revision)).Int64("leaseMillis", int64(lease)).
+		Str("outcome", reply.Outcome.String()).Str("reason", string(outcome.ReasonOf(reply.Outcome))).Bool("arrived", reply.Arrived).
+		Int("running", reply.Load.Running).Int("waiting", reply.Load.Waiting).Int("slots", reply.Load.Slots).
+		Int64("serviceMillis", int64(reply.Load.Service)).Int("demandPercent", reply.Load.Demand).
+		Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
+}
+
+// gauge reads the gauges until ctx ends.
+func (a *App) gauge(ctx context.Context) {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		a.readGauges()
+	}
+}
+
+func (a *App) readGauges() {
+	scope, load, s := a.observer.scope, a.owner.Load(), a.state
+	s.mu.Lock()
+	division, revision := s.custodian.Division()
+	lease := s.custodian.LeaseEnd() - a.clock.Now()
+	ranges, holders, members := len(division.Owned(a.settings.Instance())), len(division.Holders()), s.view.Size()
+	s.mu.Unlock()
+	for name, value := range map[string]float64{
+		"manifest_version": float64(a.manifest.Load().Version()), "division_revision": float64(revision),
+		"lease_milliseconds": float64(max(lease, 0)), "owned_ranges": float64(ranges), "holders": float64(holders), "members": float64(members),
+		"running": float64(load.Running), "waiting": float64(load.Waiting), "slots": float64(load.Slots),
+		"service_milliseconds": float64(load.Service), "demand_percent": float64(load.Demand),
+		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.lines.Dropped()),
+		"follows_store": truth(a.reading.Load()),
+	} {
+		scope.Gauge(name).Update(value)
+	}
+}
+
+func truth(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// serveMetrics writes the metrics as text.
+func (a *App) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != metricsPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	_, _ = w.Write(a.observer.collector.Render()) // The reader may have left.
+}
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -56,7 +56,7 @@
 	}
 	result := a.handle(r.Context(), table, request)
 	status := callers.Answer(w, request.ID, result)
-	a.logResult(r.Context(), request, result, status)
+	a.ended(r.Context(), request, result, status)
 }
 
 func (a *App) handle(ctx context.Context, table *routes.Manifest, request *dispatch.Request) dispatch.Result {
@@ -78,24 +78,6 @@
 // manifest is worth another attempt.
 const manifestWait clock.Millis = 500
 
-// logResult writes a line for each request that was not served at once.
-func (a *App) logResult(ctx context.Context, r *dispatch.Request, result dispatch.Result, status int) {
-	took := a.clock.Now() - r.Arrived
-	text := "none"
-	if result.Outcome != nil {
-		text = result.Outcome.String()
-		if _, done := result.Outcome.(outcome.Done); done && result.Attempts == 1 && took < slowRequest && status < http.StatusInternalServerError {
-			return
-		}
-	}
-	a.log.Info().Str("request", r.ID).Str("route", result.Route).Str("service", result.Service).
-		Uint64("manifest", result.Version).Str("instance", result.Instance).Int("attempts", result.Attempts).
-		Bool("keyed", r.Keyed).Int("key", int(r.Key)).Bool("nested", r.Nested).
-		Str("outcome", text).Str("reason", string(outcome.ReasonOf(result.Outcome))).Int("status", status).
-		Int64("allowedMillis", int64(r.Deadline-r.Arrived)).Int64("tookMillis", int64(took)).
-		Int64("returnMillis", int64(result.RetryAfter)).Bool("callerLeft", ctx.Err() != nil).Msg("requestEnded")
-}
-
 // serveRequest handles a request that another sidecar sent on.
 func (a *App) serveRequest(w http.ResponseWriter, r *http.Request) {
 	a.inFlight.Add(1)
@@ -106,7 +88,9 @@
 		peerhttp.Answer(w, dispatch.NotRun(outcome.ReasonMalformed))
 		return
 	}
-	peerhttp.Answer(w, a.owner.Serve(r.Context(), service, request, rules))
+	reply := a.owner.Serve(r.Context(), service, request, rules)
+	a.decided(request, service, reply)
+	peerhttp.Answer(w, reply)
 }
 
 // sender sends requests to other sidecars, or to the own upstream.
@@ -116,7 +100,9 @@
 func (s *sender) Send(ctx context.Context, to dispatch.Target, service string, r *dispatch.Request, rules dispatch.Rules) dispatch.Reply {
 	a := s.app
 	if to.Name == a.settings.Instance() {
-		return a.owner.Serve(ctx, service, r, rules)
+		reply := a.owner.Serve(ctx, service, r, rules)
+		a.decided(r, service, reply)
+		return reply
 	}
 	left := r.Deadline - a.clock.Now()
 	if left <= 0 {
--- a/sidecar/command/command.go
+++ b/sidecar/command/command.go
@@ -14,6 +14,7 @@
 
 	"briarwell.dev/platform"
 	"briarwell.dev/sidecar/app"
+	"briarwell.dev/sidecar/explain"
 	"briarwell.dev/sidecar/settings"
 )
 
@@ -41,9 +42,19 @@
 	var checkOnly bool
 	parser.String(&path, "s", "settings", "path of the JSON settings file")
 	parser.Bool(&checkOnly, "c", "check", "check the settings and exit")
+	why := flaggy.NewSubcommand("explain")
+	why.Description = "Shows what the collected logs say of one request."
+	var request string
+	var files []string
+	why.String(&request, "r", "request", "ID of the request")
+	why.StringSlice(&files, "l", "log", "file with collected log lines; may be given several times")
+	parser.AttachSubcommand(why, 1)
 	if err := parser.ParseArgs(arguments); err != nil {
 		return fail(out, exitBadInput, err)
 	}
+	if why.Used {
+		return explainRequest(out, request, files)
+	}
 	sidecar, err := read(path)
 	if err != nil {
 		return fail(out, exitBadInput, err)
@@ -54,6 +65,30 @@
 	return serve(sidecar, path, out)
 }
 
+func explainRequest(out io.Writer, request string, files []string) int {
+	switch {
+	case request == "":
+		return fail(out, exitBadInput, &MissingFlagError{flag: "request"})
+	case len(files) == 0:
+		return fail(out, exitBadInput, &MissingFlagError{flag: "log"})
+	}
+	var readers []io.Reader
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return fail(out, exitBadInput, err)
+		}
+		defer file.Close()
+		readers = append(readers, file)
+	}
+	story, err := explain.Read(request, readers...)
+	if err != nil {
+		return fail(out, exitFailed, err)
+	}
+	story.Write(out)
+	return exitOK
+}
+
 func read(path string) (settings.Sidecar, error) {
 	if path == "" {
 		return settings.Sidecar{}, &MissingFlagError{flag: "settings"}
