balance, dispatch: large answers wait for the links of instances

Change: each sidecar follows the bytes that wait for its link and those that are being made; above 160 ms it begins no more large answers, and it tells the wait with each reply, which the choice of an instance adds to the trip. TestSlowLinks replays it beside the naive rule.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -36,6 +36,8 @@
 	// that did not answer gets no requests; it doubles with each failure.
 	firstPause clock.Millis = 400
 	maxPause   clock.Millis = 3000
+	// smallAnswer is the size in bytes of an answer that is not large.
+	smallAnswer = 4000
 	// jitterShare spreads equal choices of many daemons.
 	jitterShare = 0.15
 )
@@ -51,6 +53,11 @@
 	// Demand is the share of its slots in percent that all requests for its keys
 	// would take, also those that it refused.
 	Demand int
+	// LinkMbps is the bandwidth of the instance's link in Mbit/s, 0 if it has no
+	// limit, and LinkWait the time in milliseconds that it needs for the answers
+	// that wait for it.
+	LinkMbps int
+	LinkWait clock.Millis
 }
 
 // Candidate is an upstream that may run a request.
@@ -78,6 +85,8 @@
 type Balancer struct {
 	own   identity.Location
 	peers map[string]*peerState
+	// large is the mean size of large answers in bytes.
+	large float64
 }
 
 // New returns a balancer of a daemon at a location.
@@ -119,6 +128,9 @@
 	return loads
 }
 
+// Answered takes the size of a large answer in bytes.
+func (b *Balancer) Answered(bytes int) { b.large = mean(b.large, bytes) }
+
 // Unreachable pauses requests to an instance whose daemon does not answer.
 func (b *Balancer) Unreachable(now clock.Millis, name string) {
 	p := b.peer(name)
@@ -181,6 +193,14 @@
 			}
 		}
 		cost += failureCost * p.decayed(now)
+		if p.known && now-p.loadAt < reportLife {
+			size := float64(smallAnswer)
+			if large {
+				// Answers that were asked for since the report share the link.
+				size = orFirst(b.large) * float64(1+max(p.inFlight-p.atReport, 0))
+			}
+			cost += transfer(p.load, size)
+		}
 	}
 	waiting := float64(max(load+1-slots, 0)) / float64(slots) * service
 	// Some upstreams slow down when they are nearly full.
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -71,3 +71,30 @@
 	is.True(b.Reachable(5000, "here"))
 	is.Equal(b.Pick(0, list, false, map[string]bool{"here": true, "near": true, "distant": true}, half), -1)
 }
+
+// TestSlowLinks replays large answers from upstreams on links of 15 and 100
+// Mbit/s. The naive rule, by slots alone, gives both the same and fills the slow
+// link.
+func TestSlowLinks(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	list := []balance.Candidate{{Name: "slow", Location: here, Slots: 6}, {Name: "fast", Location: here, Slots: 6}}
+	links := map[string]*balance.Link{}
+	for name, mbps := range map[string]float64{"slow": 15, "fast": 100} {
+		link := balance.NewLink(mbps)
+		links[name] = &link
+	}
+	rng := rand.New(rand.NewPCG(2, 2))
+	counts := map[string]int{}
+	longest := clock.Millis(0)
+	for now := clock.Millis(0); now < 10_000; now += 20 { // 50 answers of 90 KB a second: 36 Mbit/s
+		name := list[b.Pick(now, list, true, nil, rng.Float64)].Name
+		counts[name]++
+		link := links[name]
+		link.Sent(now, 90_000)
+		longest = max(longest, link.Wait(now))
+		b.Reported(now, name, balance.Load{Slots: 6, Service: 80, LinkMbps: int(link.Mbps()), LinkWait: link.Wait(now)})
+	}
+	is.True(longest < 400)
+	is.True(counts["fast"] > 3*counts["slow"])
+}
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -62,6 +62,8 @@
 type Rules struct {
 	Idempotent bool
 	Rank       int
+	// Large tells that the answer is large.
+	Large bool
 	// Wanted is the time in milliseconds from now in which the answer is wanted.
 	Wanted clock.Millis
 	// Class names requests of about the same service time.
@@ -187,7 +189,7 @@
 	e.mu.Unlock()
 	a.sends++
 	a.instance = target.Name
-	rules := Rules{Idempotent: a.route.Idempotent, Rank: a.route.Rank, Wanted: a.wanted(), Class: a.route.Name}
+	rules := Rules{Idempotent: a.route.Idempotent, Rank: a.route.Rank, Large: a.route.Large, Wanted: a.wanted(), Class: a.route.Name}
 	reply := e.sender.Send(ctx, target, a.service, a.request, rules)
 	if reply.Arrived {
 		a.arrivals++
@@ -199,7 +201,7 @@
 	if reply.HasLoad {
 		e.balancer.Reported(now, target.Name, reply.Load)
 	}
-	e.judge(ctx, now, target.Name, reply)
+	e.judge(ctx, now, target.Name, rules, reply)
 	return reply
 }
 
@@ -218,10 +220,13 @@
 }
 
 // judge remembers what a reply says of an instance; e.mu is held.
-func (e *Entry) judge(ctx context.Context, now clock.Millis, name string, reply Reply) {
+func (e *Entry) judge(ctx context.Context, now clock.Millis, name string, rules Rules, reply Reply) {
 	switch o := reply.Outcome.(type) {
 	case outcome.Done:
 		e.balancer.Served(now, name, reply.Response.Status < 500)
+		if rules.Large {
+			e.balancer.Answered(len(reply.Response.Body))
+		}
 	case outcome.NotRun:
 		if o.Reason() == outcome.ReasonUnreachable {
 			e.balancer.Unreachable(now, name)
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -25,6 +25,11 @@
 	shortestReturn clock.Millis = 60
 	longestReturn  clock.Millis = 800
 
+	// linkPatience is the time in milliseconds for which answers may wait for the
+	// link before no more large ones are begun: they delay the small ones, for
+	// which other requests wait.
+	linkPatience clock.Millis = 160
+
 	millisPerSecond = 1000
 	percent         = 100
 )
@@ -60,11 +65,13 @@
 	gate     *admission.Gate
 	mu       sync.Mutex
 	meter    rebalance.Meter
+	link     balance.Link
 }
 
-// NewOwner returns an owner that admits requests through the gate.
-func NewOwner(c clock.Clock, upstream Upstream, gate *admission.Gate) *Owner {
-	return &Owner{clock: c, upstream: upstream, gate: gate}
+// NewOwner returns an owner that admits requests through the gate and answers over
+// a link of the given bandwidth in Mbit/s, 0 for no limit.
+func NewOwner(c clock.Clock, upstream Upstream, gate *admission.Gate, mbps float64) *Owner {
+	return &Owner{clock: c, upstream: upstream, gate: gate, link: balance.NewLink(mbps)}
 }
 
 // Demand returns the rates at which keys are asked for.
@@ -81,6 +88,8 @@
 	}
 	o.mu.Lock()
 	rate := o.meter.Total(o.clock.Now())
+	load.LinkMbps = int(o.link.Mbps())
+	load.LinkWait = o.link.Wait(o.clock.Now())
 	o.mu.Unlock()
 	load.Demand = int(rate * float64(load.Service) / millisPerSecond / float64(max(load.Slots, 1)) * percent)
 	return load
@@ -89,10 +98,18 @@
 // Serve runs a request at the own upstream, if it may run it.
 func (o *Owner) Serve(ctx context.Context, service string, r *Request, rules Rules) Reply {
 	reply := o.serve(ctx, service, r, rules)
+	o.linked(func(l *balance.Link) { l.Sent(o.clock.Now(), len(reply.Response.Body)) })
 	reply.Load, reply.HasLoad = o.Load(), true
 	return reply
 }
 
+// linked changes the link's state.
+func (o *Owner) linked(change func(*balance.Link)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	change(&o.link)
+}
+
 func (o *Owner) serve(ctx context.Context, service string, r *Request, rules Rules) Reply {
 	if refused, ok := o.check(service, r); !ok {
 		return refused
@@ -104,7 +121,11 @@
 	ticket := admission.NewTicket(priority(r, rules), r.Deadline).Wanted(wanted, rules.Class)
 	o.mu.Lock()
 	o.meter.Observe(o.clock.Now(), r.Key)
+	wait := o.link.Wait(o.clock.Now())
 	o.mu.Unlock()
+	if rules.Large && wait > linkPatience {
+		return NotRun(outcome.ReasonOverloaded).After(min(max(wait-linkPatience, shortestReturn), longestReturn))
+	}
 	slot, err := o.gate.Enter(ctx, ticket)
 	if err != nil {
 		return o.refusal(err)
@@ -124,7 +145,13 @@
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), (r.Deadline - now).Duration())
 		defer cancel()
 	}
+	if rules.Large {
+		o.linked(func(l *balance.Link) { l.Begin() })
+	}
 	reply := o.upstream.Call(ctx, o.upstream.Local(now).Life, r, r.Deadline-now)
+	if rules.Large {
+		o.linked(func(l *balance.Link) { l.End(len(reply.Response.Body)) })
+	}
 	if _, done := reply.Outcome.(outcome.Done); done {
 		slot.Release()
 	} else {
--- a/core/dispatch/owner_test.go
+++ b/core/dispatch/owner_test.go
@@ -40,7 +40,7 @@
 
 func newOwner(l *local, slots int) *dispatch.Owner {
 	c := system.Clock{}
-	return dispatch.NewOwner(c, l, admission.NewGate(c, admission.Settings{Slots: slots}))
+	return dispatch.NewOwner(c, l, admission.NewGate(c, admission.Settings{Slots: slots}), 0)
 }
 
 func keyed() *dispatch.Request {
--- a/core/dispatch/peerhttp/peerhttp.go
+++ b/core/dispatch/peerhttp/peerhttp.go
@@ -58,7 +58,7 @@
 	if r.Keyed {
 		header.Set(outcome.HeaderKey, strconv.Itoa(int(r.Key)))
 	}
-	header.Set(headerRules, fmt.Sprintf("%t,%t,%d,%d,%s", rules.Idempotent, r.Nested, rules.Rank, rules.Wanted, rules.Class))
+	header.Set(headerRules, fmt.Sprintf("%t,%t,%t,%d,%d,%s", rules.Idempotent, r.Nested, rules.Large, rules.Rank, rules.Wanted, rules.Class))
 	return exchange.Request{Method: r.Method, Target: r.Target, Host: r.Host, Header: header, Body: r.Body}
 }
 
@@ -83,7 +83,7 @@
 		d.Key, d.Keyed = keyspace.Key(key), true
 	}
 	text := r.Header.Get(headerRules)
-	if _, err := fmt.Sscanf(text, "%t,%t,%d,%d,", &rules.Idempotent, &d.Nested, &rules.Rank, &rules.Wanted); err != nil {
+	if _, err := fmt.Sscanf(text, "%t,%t,%t,%d,%d,", &rules.Idempotent, &d.Nested, &rules.Large, &rules.Rank, &rules.Wanted); err != nil {
 		return nil, "", rules, &Error{field: headerRules, value: text}
 	}
 	rules.Class = text[strings.LastIndexByte(text, ',')+1:]
@@ -117,7 +117,7 @@
 	header.Set(headerArrived, strconv.FormatBool(reply.Arrived))
 	header.Set(headerReturn, strconv.FormatInt(int64(reply.RetryAfter), 10))
 	l := reply.Load
-	header.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d,%d", l.Running, l.Waiting, l.Slots, l.Service, l.Demand))
+	header.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d", l.Running, l.Waiting, l.Slots, l.Service, l.Demand, l.LinkMbps, l.LinkWait))
 	header.Set("Content-Length", strconv.Itoa(len(reply.Response.Body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(reply.Response.Body) // The other daemon may have given up.
@@ -144,7 +144,9 @@
 		reply.RetryAfter = clock.Millis(after)
 	}
 	l := balance.Load{}
-	if _, err := fmt.Sscanf(header.Get(headerLoad), "%d,%d,%d,%d,%d", &l.Running, &l.Waiting, &l.Slots, &l.Service, &l.Demand); err == nil {
+	_, err := fmt.Sscanf(header.Get(headerLoad), "%d,%d,%d,%d,%d,%d,%d",
+		&l.Running, &l.Waiting, &l.Slots, &l.Service, &l.Demand, &l.LinkMbps, &l.LinkWait)
+	if err == nil {
 		reply.Load, reply.HasLoad = l, true
 	}
 	return reply
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -110,7 +110,7 @@
 	a.gate = admission.NewGate(a.clock, admission.Settings{})
 	a.peers = newPeers(a.localIP)
 	a.upstream = &upstream{app: a, client: exchange.New(s.UpstreamAddress(), a.localIP)}
-	a.owner = dispatch.NewOwner(a.clock, a.upstream, a.gate)
+	a.owner = dispatch.NewOwner(a.clock, a.upstream, a.gate, s.LinkMbps())
 	a.entry = dispatch.NewEntry(a.clock, a.state, &sender{app: a}, balance.New(s.Location()), dispatch.Repeats{
 		Share: s.RetryShare() * budgetShare,
 		Floor: float64(s.RetrySlack()) * budgetShare * millisPerSecond / float64(s.RetryWindow()),
--- a/sidecar/app/app_test.go
+++ b/sidecar/app/app_test.go
@@ -78,7 +78,7 @@
 		in.text = fmt.Sprintf(`{"instance":%q,"region":"r","failureDomain":"d%d","ip":%q,"service":%q,"upstreamAddress":"%s:9000",
 			"callerAddress":"%s:9001","requestAddress":"%s:9002","readyAddress":"%s:9003","reportAddress":"%s:9004","peerPort":9005,
 			"metricsPort":9006,"storeAddress":%q,"holdMax":"10000ms","drain":"2500ms","grace":"1s","retryShare":0.2,"retrySlack":56,
-			"retryWindow":"10s"}`, in.name, i%2, ip, service, ip, ip, ip, ip, ip, c.address)
+			"retryWindow":"10s","linkMbps":0}`, in.name, i%2, ip, service, ip, ip, ip, ip, ip, c.address)
 		c.instances = append(c.instances, in)
 		c.start(in)
 	}
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -31,9 +31,13 @@
 	retryShare      float64
 	retrySlack      int64
 	retryWindow     clock.Millis
+	linkMbps        float64
 	logLevel        string
 }
 
+// maxMbps is the largest bandwidth of a link in Mbit/s.
+const maxMbps = 1e6
+
 // maxPort is the largest TCP port.
 const maxPort = 65535
 
@@ -57,9 +61,10 @@
 		holdMax:         duration(object, "holdMax"),
 		drain:           duration(object, "drain"),
 		grace:           duration(object, "grace"),
-		retryShare:      share(object, "retryShare"),
+		retryShare:      number(object, "retryShare", 1),
 		retrySlack:      object.Required("retrySlack").Int(settings.NewRange(0, 1_000_000, "requests")),
 		retryWindow:     duration(object, "retryWindow"),
+		linkMbps:        number(object, "linkMbps", maxMbps),
 		logLevel:        object.Optional("logLevel").TextOr(settings.DefaultLogLevel, settings.OneOf("debug", "info", "warn", "error")),
 	}
 	object.Close()
@@ -80,18 +85,18 @@
 	return clock.FromDuration(d)
 }
 
-// share reads a number from 0 to 1.
-func share(object *settings.Object, name string) float64 {
+// number reads a number from 0 to most.
+func number(object *settings.Object, name string, most float64) float64 {
 	value := object.Required(name)
-	number, ok := value.Raw().(json.Number)
-	share, err := number.Float64()
-	if value.Present() && (!ok || err != nil || share < 0 || share > 1) {
-		value.Reject("a number from 0 to 1")
+	raw, ok := value.Raw().(json.Number)
+	n, err := raw.Float64()
+	if value.Present() && (!ok || err != nil || n < 0 || n > most) {
+		value.Reject(fmt.Sprintf("a number from 0 to %g", most))
 	}
 	if !value.Present() {
-		value.Int(settings.NewRange(0, 1, "")) // Reports the missing field.
+		value.Int(settings.NewRange(0, int64(most), "")) // Reports the missing field.
 	}
-	return share
+	return n
 }
 
 // Instance returns the name of the instance.
@@ -151,5 +156,8 @@
 // RetryWindow returns the length of that window in milliseconds.
 func (s Sidecar) RetryWindow() clock.Millis { return s.retryWindow }
 
+// LinkMbps returns the bandwidth of the instance's link in Mbit/s, 0 for no limit.
+func (s Sidecar) LinkMbps() float64 { return s.linkMbps }
+
 // LogLevel returns "debug", "info", "warn" or "error".
 func (s Sidecar) LogLevel() string { return s.logLevel }
--- a/sidecar/settings/settings_test.go
+++ b/sidecar/settings/settings_test.go
@@ -14,7 +14,7 @@
 const good = `{"instance":"i1","region":"r","failureDomain":"d","ip":"10.0.0.1","service":"s","upstreamAddress":"10.0.0.1:1",
 	"callerAddress":"10.0.0.1:2","requestAddress":"10.0.0.1:3","readyAddress":"10.0.0.1:4","reportAddress":"10.0.0.1:5",
 	"peerPort":7600,"metricsPort":7615,"storeAddress":"10.0.0.9:80","holdMax":"10000ms","drain":"2500ms","grace":"6s",
-	"retryShare":0.2,"retrySlack":56,"retryWindow":"10s","logLevel":"info"}`
+	"retryShare":0.2,"retrySlack":56,"retryWindow":"10s","linkMbps":100.5,"logLevel":"info"}`
 
 // TestParse guards against values that are read wrongly.
 func TestParse(t *testing.T) {
@@ -62,6 +62,7 @@
 		"{{platform.address|json}}", `"10.0.0.9:80"`,
 		"{{bounds.hold_max|json}}", `"10000ms"`, "{{bounds.drain|json}}", `"2500ms"`, "{{bounds.grace|json}}", `"6s"`,
 		"{{bounds.retry_budget_ratio|json}}", "0.2", "{{bounds.budget_slack|json}}", "56", "{{bounds.retry_window|json}}", `"10s"`,
+		"{{limits.bandwidth_mbps|json}}", "1000.0",
 	)
 	_, err = settings.Parse([]byte(values.Replace(text)))
 	is.NoErr(err)
