rebalance: move keys for a larger excess only

Ruled out: a longer pause between plans as the only means; hot keys need quick ones. Change: a holder's demand must exceed the mean by 0.2 in place of 0.12.

--- a/core/rebalance/rebalance.go
+++ b/core/rebalance/rebalance.go
@@ -16,7 +16,7 @@
 	// requests seldom wait.
 	busyDemand = 0.7
 	// leastExcess is by how much a holder's demand must exceed the mean.
-	leastExcess = 0.12
+	leastExcess = 0.2
 	// maxMoves bounds the moves of one plan: each leaves its keys unserved for a
 	// moment.
 	maxMoves = 16
