sidecar: spread out a crowd of entering holders

Ruled out: a row for each holder now; it is the way to go with hundreds of holders and is named in docs/CAPACITY.md. Change: after a conflict an entering holder waits 10 ms longer for each holder.

--- a/core/holding/change.go
+++ b/core/holding/change.go
@@ -11,6 +11,9 @@
 	"briarwell.dev/core/table"
 )
 
+// ReasonJoin names the change by which an upstream enters the division.
+const ReasonJoin = "join"
+
 // Change is a division that this daemon asks the table for.
 type Change struct {
 	division keyspace.Division
@@ -113,7 +116,7 @@
 	c.proposed, c.doubted = nil, false
 	row := membership.Restore(c.settings.Incarnation, c.settings.Instance, c.nextGeneration(), witnesses)
 	c.granted, c.released = nil, nil
-	return c.division.Join(keyspace.NewHolder(row, r.Life, r.Slots)), "join"
+	return c.division.Join(keyspace.NewHolder(row, r.Life, r.Slots)), ReasonJoin
 }
 
 // nextGeneration numbers a witness set. A number is never used for two sets: the
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -21,10 +21,14 @@
 // upstream comes. The first row waits for it, so that it is written once.
 const firstReport clock.Millis = 4000
 
-// conflictPause is the shortest time before a change is tried again whose row was
-// changed by another; as much again is added at random, so that many that start
-// together come one after another.
-const conflictPause = 60 * time.Millisecond
+const (
+	// conflictPause is the shortest time before a change is tried again whose row
+	// was changed by another; as much again is added at random.
+	conflictPause = 60 * time.Millisecond
+	// crowdPause is the time that each holder adds to it when it enters: many
+	// start together, and a write takes 45 ms from the farthest region.
+	crowdPause = 10 * time.Millisecond
+)
 
 // controlInterval is the time between two looks at what is due.
 const controlInterval = 50 * time.Millisecond
@@ -198,7 +202,7 @@
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) && len(conflict.Current()) > 0 && conflict.Current()[0].Version() > 0 {
 		a.takeRows(conflict.Current())
-		pause(ctx, conflictPause)
+		pause(ctx, a.conflictPause(reason))
 		return 0, false
 	}
 	for ctx.Err() == nil {
@@ -212,6 +216,16 @@
 	return 0, false
 }
 
+// conflictPause returns the time before a change is tried again.
+func (a *App) conflictPause(reason string) time.Duration {
+	if reason != holding.ReasonJoin {
+		return conflictPause
+	}
+	a.state.mu.Lock()
+	defer a.state.mu.Unlock()
+	return conflictPause + time.Duration(len(a.state.holders(a.settings.Service())))*crowdPause
+}
+
 // publish writes the own member row if it is not what the table has.
 func (a *App) publish(ctx context.Context, writing chan struct{}) {
 	s := a.state
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -112,7 +112,8 @@
 	s.custodian.Avoid(now, i)
 }
 
-// holders returns the leases of the holders of a service, of all if it is "".
+// holders returns the leases of the holders of a service, of all if it is "";
+// s.mu is held.
 func (s *state) holders(service string) []membership.Member {
 	var rows []membership.Member
 	for name, divided := range s.view.Divisions() {
