--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -308,9 +308,13 @@
 	for {
 		now := e.clock.Now()
 		if look {
-			if target, ok := e.fleet.Owner(a.service, a.request); ok && e.reachable(now, target.Name) {
+			target, ok := e.fleet.Owner(a.service, a.request)
+			if ok && e.reachable(now, target.Name) {
 				return target, true
 			}
+			if ok && a.sends == 0 {
+				a.instance, a.last = target.Name, NotRun(outcome.ReasonUnreachable).After(comeBack)
+			}
 		}
 		if now >= until {
 			return Target{}, false
