settings, command: one copy of the missing flag error; lint

Cause: the linter with all its findings, and the same error type in two programs. Change: settings.MissingFlagError; balance.cost split; an interrupted body is read out with its error. Ruled out: nothing.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -178,34 +178,37 @@
 }
 
 // cost is the expected time of a request in milliseconds: its trip, its wait for
-// a slot and its run.
+// a slot, its run and its way over the link.
 func (b *Balancer) cost(now clock.Millis, c Candidate, large bool) float64 {
 	cost := b.trip(c.Location, large)
-	service, load := firstService, 0
-	slots := max(c.Slots, 1)
-	if p, ok := b.peers[c.Name]; ok {
-		load = p.inFlight
-		if p.known {
-			service = max(float64(p.load.Service), 1)
-			slots = max(p.load.Slots, 1)
-			if now-p.loadAt < reportLife {
-				load = max(p.load.Running+p.load.Waiting+p.inFlight-p.atReport, p.inFlight)
-			}
-		}
-		cost += failureCost * p.decayed(now)
-		if p.known && now-p.loadAt < reportLife {
-			size := float64(smallAnswer)
-			if large {
-				// Answers that were asked for since the report share the link.
-				size = orFirst(b.large) * float64(1+max(p.inFlight-p.atReport, 0))
-			}
-			cost += transfer(p.load, size)
-		}
+	p, ok := b.peers[c.Name]
+	if !ok {
+		return cost + queueing(firstService, 0, c.Slots)
+	}
+	cost += failureCost * p.decayed(now)
+	if !p.known {
+		return cost + queueing(firstService, p.inFlight, c.Slots)
 	}
+	service := max(float64(p.load.Service), 1)
+	if now-p.loadAt >= reportLife {
+		return cost + queueing(service, p.inFlight, p.load.Slots)
+	}
+	load := max(p.load.Running+p.load.Waiting+p.inFlight-p.atReport, p.inFlight)
+	size := float64(smallAnswer)
+	if large {
+		// Answers that were asked for since the report share the link.
+		size = orFirst(b.large) * float64(1+max(p.inFlight-p.atReport, 0))
+	}
+	return cost + queueing(service, load, p.load.Slots) + transfer(p.load, size)
+}
+
+// queueing returns the expected time in milliseconds for a slot and the run.
+func queueing(service float64, load, slots int) float64 {
+	slots = max(slots, 1)
 	waiting := float64(max(load+1-slots, 0)) / float64(slots) * service
 	// Some upstreams slow down when they are nearly full.
 	crowding := math.Pow(min(float64(load)/float64(slots), 1), 2) * service / 2
-	return cost + service + waiting + crowding
+	return service + waiting + crowding
 }
 
 func (b *Balancer) trip(to identity.Location, large bool) float64 {
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -109,16 +109,16 @@
 		go func() { written <- c.write(r) }()
 	}
 	answer, keep, err := c.read(r)
+	var writeErr error
 	select {
-	case writeErr := <-written:
-		keep = keep && writeErr == nil
+	case writeErr = <-written:
 	default:
 		// The rest of the body would be taken for the next request.
-		c.interrupt()
-		_ = <-written // It failed because of the interruption, or was whole.
 		keep = false
+		c.interrupt()
+		writeErr = <-written
 	}
-	return answer, keep, err
+	return answer, keep && writeErr == nil, err
 }
 
 // inlineBody is the size of a body in bytes that the kernel surely buffers.
--- a/daemon/app/app.go
+++ b/daemon/app/app.go
@@ -18,6 +18,7 @@
 
 	"briarwell.dev/core/clock/system"
 	"briarwell.dev/core/identity"
+	"briarwell.dev/core/logs"
 	"briarwell.dev/core/membership"
 	"briarwell.dev/core/metrics"
 	"briarwell.dev/core/node"
@@ -34,7 +35,6 @@
 	"briarwell.dev/daemon/control"
 	"briarwell.dev/daemon/edge"
 	"briarwell.dev/daemon/local"
-	"briarwell.dev/core/logs"
 )
 
 // tableTimeout bounds one call to the table service.
--- a/daemon/backend/backend_test.go
+++ b/daemon/backend/backend_test.go
@@ -15,12 +15,12 @@
 
 	"briarwell.dev/core/clock/manual"
 	"briarwell.dev/core/identity"
+	"briarwell.dev/core/logs"
 	"briarwell.dev/core/node"
 	"briarwell.dev/core/template"
 	"briarwell.dev/core/upstream"
 	"briarwell.dev/daemon/backend"
 	"briarwell.dev/daemon/control"
-	"briarwell.dev/core/logs"
 )
 
 // driver records the events for the node and holds the catalog.
--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -61,7 +61,7 @@
 
 func read(path string) (settings.Daemon, error) {
 	if path == "" {
-		return settings.Daemon{}, &MissingFlagError{flag: "settings"}
+		return settings.Daemon{}, settings.NewMissingFlagError("settings")
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -98,13 +98,3 @@
 	_, _ = fmt.Fprintln(out, "briarwelld:", err)
 	return code
 }
-
-// MissingFlagError reports a required flag that was not given.
-type MissingFlagError struct {
-	flag string
-}
-
-// Flag returns the flag's name.
-func (e *MissingFlagError) Flag() string { return e.flag }
-
-func (e *MissingFlagError) Error() string { return "flag --" + e.flag + " is required" }
--- a/daemon/control/loop_test.go
+++ b/daemon/control/loop_test.go
@@ -15,6 +15,7 @@
 
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/identity"
+	"briarwell.dev/core/logs"
 	"briarwell.dev/core/membership"
 	"briarwell.dev/core/node"
 	objects "briarwell.dev/core/object/memory"
@@ -26,7 +27,6 @@
 	"briarwell.dev/core/template"
 	"briarwell.dev/core/upstream"
 	"briarwell.dev/daemon/control"
-	"briarwell.dev/core/logs"
 )
 
 const (
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -16,13 +16,13 @@
 
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/identity"
+	"briarwell.dev/core/logs"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/router"
 	"briarwell.dev/core/shard"
 	"briarwell.dev/core/template"
 	"briarwell.dev/core/upstream"
 	"briarwell.dev/daemon/edge"
-	"briarwell.dev/core/logs"
 )
 
 // view is a control snapshot without members.
--- a/sidecar/command/command.go
+++ b/sidecar/command/command.go
@@ -2,6 +2,7 @@
 package command
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 
 	"github.com/integrii/flaggy"
 
+	flags "briarwell.dev/core/settings"
 	"briarwell.dev/platform"
 	"briarwell.dev/sidecar/app"
 	"briarwell.dev/sidecar/explain"
@@ -68,20 +70,19 @@
 func explainRequest(out io.Writer, request string, files []string) int {
 	switch {
 	case request == "":
-		return fail(out, exitBadInput, &MissingFlagError{flag: "request"})
+		return fail(out, exitBadInput, flags.NewMissingFlagError("request"))
 	case len(files) == 0:
-		return fail(out, exitBadInput, &MissingFlagError{flag: "log"})
+		return fail(out, exitBadInput, flags.NewMissingFlagError("log"))
 	}
-	var readers []io.Reader
+	var logs []io.Reader
 	for _, name := range files {
-		file, err := os.Open(name)
+		data, err := os.ReadFile(name)
 		if err != nil {
 			return fail(out, exitBadInput, err)
 		}
-		defer file.Close()
-		readers = append(readers, file)
+		logs = append(logs, bytes.NewReader(data))
 	}
-	story, err := explain.Read(request, readers...)
+	story, err := explain.Read(request, logs...)
 	if err != nil {
 		return fail(out, exitFailed, err)
 	}
@@ -91,7 +92,7 @@
 
 func read(path string) (settings.Sidecar, error) {
 	if path == "" {
-		return settings.Sidecar{}, &MissingFlagError{flag: "settings"}
+		return settings.Sidecar{}, flags.NewMissingFlagError("settings")
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -135,13 +136,3 @@
 	_, _ = fmt.Fprintln(out, "sidecar:", err)
 	return code
 }
-
-// MissingFlagError reports a required flag that was not given.
-type MissingFlagError struct {
-	flag string
-}
-
-// Flag returns the flag's name.
-func (e *MissingFlagError) Flag() string { return e.flag }
-
-func (e *MissingFlagError) Error() string { return "flag --" + e.flag + " is required" }
