holding: give up no key for a move while the store does not answer

A sidecar that had joined again after a restart refused what its upstream still held until its next grant. Ruled out: leaving the moves to the planner; the store may go away at any time. Change: a moving range is granted on while the store has not answered within 1.2 s; a sidecar with keys to move asks it. After a restart the upstream's own word counts until the first grant.

--- a/core/holding/change.go
+++ b/core/holding/change.go
@@ -115,7 +115,7 @@
 	c.lease.Abandon()
 	c.proposed, c.doubted = nil, false
 	row := membership.Restore(c.settings.Incarnation, c.settings.Instance, c.nextGeneration(), witnesses)
-	c.granted, c.released = nil, nil
+	c.released = nil
 	return c.division.Join(keyspace.NewHolder(row, r.Life, r.Slots)), ReasonJoin
 }
 
--- a/core/holding/grant.go
+++ b/core/holding/grant.go
@@ -19,6 +19,10 @@
 // upstream holds: the next one comes after 870 ms.
 const trustTime clock.Millis = 1000
 
+// answerAge is the age in milliseconds at which an answer of the store says
+// nothing any more: a little more than the time between two reports.
+const answerAge clock.Millis = 1200
+
 // Grant answers a report.
 type Grant struct {
 	rows   []keyspace.Range
@@ -44,11 +48,13 @@
 		return Grant{}
 	}
 	if c.resigned {
+		c.granted = nil
 		return Grant{}
 	}
 	hold := (c.lease.End() - now) * 100 / (100 + upstreamDriftPercent)
 	hold = min(hold, c.settings.HoldMax)
 	if hold < shortestHold {
+		c.trust(now, r)
 		return Grant{}
 	}
 	rows := c.rows(r)
@@ -107,7 +113,7 @@
 	var held, fresh []keyspace.Range
 	for _, owned := range c.division.Owned(c.settings.Instance.Name()) {
 		switch {
-		case owned.Next() != "":
+		case owned.Next() != "" && c.storeAnswers():
 		case c.holds(r, owned):
 			held = append(held, owned.WithoutHandover())
 		default:
@@ -126,6 +132,10 @@
 	return keyspace.Merge(held)
 }
 
+// storeAnswers tells whether the store has answered lately. A span that is given
+// up while it does not stays unserved until it does again.
+func (c *Custodian) storeAnswers() bool { return c.now-c.answered <= answerAge }
+
 // holds tells whether the upstream holds the whole range under its epoch.
 func (c *Custodian) holds(r report.Report, owned keyspace.Range) bool {
 	return slices.ContainsFunc(r.Holds, func(h report.Held) bool {
--- a/core/holding/holding.go
+++ b/core/holding/holding.go
@@ -100,6 +100,8 @@
 	// holdEnd is when the upstream's hold has certainly run out.
 	holdEnd  clock.Millis
 	released []keyspace.Released
+	// answered is when the store answered last.
+	answered clock.Millis
 	// resigned tells that the keys were given up on the base of resignedAt, with
 	// an outcome that is not known yet.
 	resigned   bool
@@ -132,6 +134,17 @@
 	}
 }
 
+// Answered takes the news that the store answered at now.
+func (c *Custodian) Answered(now clock.Millis) { c.answered = now }
+
+// Asks tells whether an answer of the store is wanted, as own keys are to move.
+func (c *Custodian) Asks(now clock.Millis) bool {
+	if now-c.answered <= answerAge/2 {
+		return false
+	}
+	return slices.ContainsFunc(c.division.Owned(c.settings.Instance.Name()), func(r keyspace.Range) bool { return r.Next() != "" })
+}
+
 // Members takes the daemons that may be witnesses.
 func (c *Custodian) Members(members []membership.Member) { c.members = members }
 
--- a/core/holding/holding_test.go
+++ b/core/holding/holding_test.go
@@ -138,3 +138,30 @@
 	is.Equal(s.failure, "")
 	is.True(len(joined.upstream.holds) > 0)
 }
+
+// TestMovesIntoOutage guards against keys that are given up for a move while the
+// store is away, and stay unserved until it is back.
+func TestMovesIntoOutage(t *testing.T) {
+	is := is.New(t)
+	s := newSim(11, 4)
+	s.run(calmTime)
+	for _, h := range s.hosts {
+		division, _ := h.daemon.custodian.Division()
+		for _, r := range division.Owned(h.instance.Name())[:8] {
+			h.daemon.custodian.Request([]holding.Move{holding.NewMove(r.Span, s.hosts[(h.index+1)%4].instance.Name())})
+		}
+	}
+	// The moves are written, then the store goes away before the next reports.
+	s.run(s.t + 120)
+	s.storeDown = true
+	s.run(s.t + 3000)
+	s.served, s.looks = 0, 0
+	s.run(s.t + 5000)
+	is.Equal(s.failure, "")
+	is.Equal(s.served, s.looks)
+	s.storeDown = false
+	s.run(s.t + 4000)
+	s.served, s.looks = 0, 0
+	s.run(s.t + 1000)
+	is.Equal(s.served, s.looks)
+}
--- a/core/holding/sim_test.go
+++ b/core/holding/sim_test.go
@@ -211,6 +211,7 @@
 	}
 	division, revision := s.division, s.revision
 	s.after(s.rng.Int64N(30), func() {
+		d.custodian.Answered(d.now())
 		if d.alive && (revision > d.seen || revision == 0) {
 			d.take(revision, division)
 		}
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -140,6 +140,7 @@
 	s := a.state
 	described, _ := a.manifest.Load().Service(s.service)
 	if described.Keyed {
+		a.probe(ctx, writing)
 		s.mu.Lock()
 		var change holding.Change
 		due := len(writing) == 0
@@ -155,6 +156,33 @@
 	a.publish(ctx, writing)
 }
 
+// probe reads the rows if keys are to move and the store has not answered lately.
+func (a *App) probe(ctx context.Context, writing chan struct{}) {
+	s := a.state
+	s.mu.Lock()
+	asks := s.custodian.Asks(a.clock.Now())
+	s.mu.Unlock()
+	if !asks {
+		return
+	}
+	select {
+	case writing <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-writing }()
+		rows, _, err := a.store.Load(ctx, store.OwnRows)
+		if err != nil {
+			a.log.Debug().Err(err).Msg("probeFailed")
+			pause(ctx, storeBackoff)
+			return
+		}
+		s.storeAnswered(a.clock.Now())
+		a.takeRows(rows)
+	}()
+}
+
 // commitDivision writes a division unless another write is in progress.
 func (a *App) commitDivision(ctx context.Context, writing chan struct{}, service string, change holding.Change, own bool) {
 	select {
@@ -190,6 +218,7 @@
 	transaction := table.NewTransaction([]table.Condition{table.NewCondition(key, base)}, []table.Mutation{table.NewPut(key, value)})
 	revision, err := a.store.Commit(ctx, transaction)
 	if err == nil {
+		a.state.storeAnswered(a.clock.Now())
 		a.log.Info().Str("row", key).Str("reason", reason).Uint64("base", uint64(base)).Uint64("revision", uint64(revision)).Msg("rowWritten")
 		return revision, true
 	}
@@ -200,6 +229,9 @@
 		return 0, false
 	}
 	var conflict *table.ConflictError
+	if errors.As(err, &conflict) {
+		a.state.storeAnswered(a.clock.Now())
+	}
 	if errors.As(err, &conflict) && len(conflict.Current()) > 0 && conflict.Current()[0].Version() > 0 {
 		a.takeRows(conflict.Current())
 		pause(ctx, a.conflictPause(reason))
--- a/sidecar/app/rows.go
+++ b/sidecar/app/rows.go
@@ -61,6 +61,7 @@
 			pause(ctx, storeBackoff)
 			continue
 		}
+		a.state.storeAnswered(a.clock.Now())
 		if changed := a.takeRows(rows); loaded && len(changed) > 0 {
 			a.spreadRows(ctx, changed)
 		}
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -105,6 +105,13 @@
 	s.custodian.Gone(asked)
 }
 
+// storeAnswered notes that the store answered.
+func (s *state) storeAnswered(now clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.custodian.Answered(now)
+}
+
 // avoid notes that a daemon did not answer.
 func (s *state) avoid(now clock.Millis, i identity.Incarnation) {
 	s.mu.Lock()
