holding, balance: joiners get keys from any holder, and are tried

An upstream without a known service time counted as slower than fast known ones. Change: the next holders even after a second each; an unmeasured upstream counts as faster than any. Measured: TestNewUpstream fails with the old figure.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -25,8 +25,8 @@
 	// nothing.
 	reportLife clock.Millis = 2000
 	// firstService is the service time in milliseconds of an upstream that has
-	// not been measured.
-	firstService = 100.0
+	// not been measured. It is shorter than any, so that a new one is tried.
+	firstService = 20.0
 	// failureWeight is the weight of the newest request in the share of failures.
 	failureWeight = 0.15
 	// failureCost is what a share of failures of 1 counts in milliseconds.
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -42,6 +42,18 @@
 	is.Equal(list[b.Pick(0, list, true, nil, half)].Name, "distant") // unless nobody is there
 }
 
+// TestNewUpstream replays an upstream that joins beside a fast one with room. The
+// naive rule, the least known time, never asks it.
+func TestNewUpstream(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	list := candidates()[:2]
+	b.Reported(0, "here", balance.Load{Running: 1, Slots: 12, Service: 40})
+	is.Equal(list[b.Pick(0, list, false, nil, half)].Name, "near")
+	b.Reported(0, "near", balance.Load{Slots: 12, Service: 90})
+	is.Equal(list[b.Pick(0, list, false, nil, half)].Name, "here")
+}
+
 // TestGreyUpstream replays an upstream that refuses half of its requests with a
 // good probe. The naive rule, the fewest in flight, sends it the most.
 func TestGreyUpstream(t *testing.T) {
--- a/core/holding/change.go
+++ b/core/holding/change.go
@@ -258,15 +258,23 @@
 }
 
 // even brings the numbers of ranges closer to each other after a holder joined.
+// The first holder in order does it, the others if it does not.
 func (c *Custodian) even() (keyspace.Division, string) {
-	if _, ok := c.self(); !ok || c.rank() != 0 || c.now-max(c.holdersChanged, c.evened) < evenInterval {
+	if _, ok := c.self(); !ok || c.now-max(c.holdersChanged, c.evened) < evenInterval {
 		return c.division, ""
 	}
-	c.evened = c.now
 	d, moved := c.division.Even()
 	if !moved {
+		c.unevenSince = 0
 		return c.division, ""
 	}
+	if c.unevenSince == 0 {
+		c.unevenSince = c.now
+	}
+	if c.now-c.unevenSince < rankDelay*clock.Millis(c.rank()) {
+		return c.division, ""
+	}
+	c.evened, c.unevenSince = c.now, 0
 	return d, "even"
 }
 
--- a/core/holding/holding.go
+++ b/core/holding/holding.go
@@ -41,7 +41,7 @@
 	// numbers of ranges, and after a change of the holders.
 	evenInterval clock.Millis = 1500
 	// rankDelay is the time in milliseconds after which the next holder in order
-	// deals keys in place of the one before it.
+	// deals or evens in place of the one before it.
 	rankDelay clock.Millis = 1000
 	// witnessPatience is the time in milliseconds without a promise after which a
 	// witness is replaced.
@@ -82,6 +82,7 @@
 	holdersChanged clock.Millis
 	evened         clock.Millis
 	undealtSince   clock.Millis
+	unevenSince    clock.Millis
 
 	lease      *holder.Holder
 	generation uint64
