--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -143,6 +143,15 @@
 	p.until = now + p.pause
 }
 
+// Silent takes that a request sent at since got no answer of the daemon until now.
+// A daemon that has answered nothing else in that time counts as unreachable: it
+// may be frozen.
+func (b *Balancer) Silent(now clock.Millis, name string, since clock.Millis) {
+	if p := b.peer(name); !p.known || p.loadAt < since {
+		b.Unreachable(now, name)
+	}
+}
+
 // Reachable tells whether requests to the instance are not paused.
 func (b *Balancer) Reachable(now clock.Millis, name string) bool {
 	p, ok := b.peers[name]
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -113,3 +113,16 @@
 	is.True(longest < 400)
 	is.True(counts["fast"] > 3*counts["slow"])
 }
+
+// TestFrozenDaemon replays a daemon that accepts requests and answers none. The
+// naive rule goes on sending: only refused connections count.
+func TestFrozenDaemon(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	b.Reported(100, "here", balance.Load{Slots: 12, Service: 50})
+	b.Silent(900, "here", 50) // it has answered another since
+	is.True(b.Reachable(900, "here"))
+	b.Silent(1300, "here", 400)
+	is.True(!b.Reachable(1300, "here"))
+	is.True(b.Reachable(4000, "here"))
+}
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -30,6 +30,9 @@
 	// freshTime is how much in milliseconds of a route's time may be missing in the
 	// first attempt of a caller that gives less time than the route.
 	freshTime clock.Millis = 150
+	// silentTime is the time in milliseconds without an answer after which a daemon
+	// may be frozen: many requests that it answers end within it.
+	silentTime clock.Millis = 600
 	// maxSends bounds the daemons that one request is sent to.
 	maxSends = 6
 )
@@ -189,6 +192,7 @@
 	e.mu.Unlock()
 	a.sends++
 	a.instance = target.Name
+	began := e.clock.Now()
 	rules := Rules{Idempotent: a.route.Idempotent, Rank: a.route.Rank, Large: a.route.Large, Wanted: a.wanted(), Class: a.route.Name}
 	reply := e.sender.Send(ctx, target, a.service, a.request, rules)
 	if reply.Arrived {
@@ -201,7 +205,7 @@
 	if reply.HasLoad {
 		e.balancer.Reported(now, target.Name, reply.Load)
 	}
-	e.judge(ctx, now, target.Name, rules, reply)
+	e.judge(ctx, began, target.Name, rules, reply)
 	return reply
 }
 
@@ -220,7 +224,8 @@
 }
 
 // judge remembers what a reply says of an instance; e.mu is held.
-func (e *Entry) judge(ctx context.Context, now clock.Millis, name string, rules Rules, reply Reply) {
+func (e *Entry) judge(ctx context.Context, began clock.Millis, name string, rules Rules, reply Reply) {
+	now := e.clock.Now()
 	switch o := reply.Outcome.(type) {
 	case outcome.Done:
 		e.balancer.Served(now, name, reply.Response.Status < 500)
@@ -238,8 +243,12 @@
 		if ctx.Err() == nil {
 			e.balancer.Served(now, name, false)
 		}
-		if o.Reason() == outcome.ReasonConnectionLost && !reply.HasLoad {
+		switch {
+		case reply.HasLoad:
+		case o.Reason() == outcome.ReasonConnectionLost:
 			e.balancer.Unreachable(now, name)
+		case now-began >= silentTime:
+			e.balancer.Silent(now, name, began)
 		}
 	}
 }
