--- a/core/holding/holding.go
+++ b/core/holding/holding.go
@@ -69,7 +69,6 @@
 // Custodian keeps the keys of one upstream. It is not safe for concurrent use.
 type Custodian struct {
 	settings Settings
-	started  clock.Millis
 	now      clock.Millis
 
 	tracker *report.Tracker
@@ -129,7 +128,7 @@
 // started at now.
 func New(now clock.Millis, settings Settings, tracker *report.Tracker) *Custodian {
 	return &Custodian{
-		settings: settings, started: now, tracker: tracker, lease: holder.New(Terms()),
+		settings: settings, tracker: tracker, lease: holder.New(Terms()),
 		// A daemon that ran here before may have granted keys until then.
 		holdEnd: now + Terms().WitnessLength(),
 	}
@@ -249,12 +248,6 @@
 	return 0, false
 }
 
-// Moving tells whether the key passes from this upstream to another, or to it.
-func (c *Custodian) Moving(key keyspace.Key) bool {
-	r, ok := c.division.Find(key)
-	return ok && (r.Next() != "" || r.Owner() == c.settings.Instance.Name())
-}
-
 // Span returns the keys that move.
 func (m Move) Span() keyspace.Span { return m.span }
 
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// publishSoon makes the control loop look at once.
-func (a *App) publishSoon() {
+// wakeControl makes the control loop look at what is due at once.
+func (a *App) wakeControl() {
 	select {
 	case a.wake <- struct{}{}:
 	default:
--- a/sidecar/app/rows.go
+++ b/sidecar/app/rows.go
@@ -97,7 +97,7 @@
 		}
 	}
 	if len(changed) > 0 {
-		a.publishSoon()
+		a.wakeControl()
 	}
 	return changed
 }
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -176,5 +176,5 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(answer) // The upstream may have gone.
-	a.publishSoon()
+	a.wakeControl()
 }
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -96,7 +96,7 @@
 	s.mu.Unlock()
 	if ended {
 		u.app.log.Warn().Str("life", life.String()).Msg("upstreamEnded")
-		u.app.publishSoon()
+		u.app.wakeControl()
 	}
 }
 
