dispatch: a refusal after an unknown attempt stays unknown

Cause: an idempotent request whose first attempt may have been run and whose next one was refused ended with 503, which says that it was not run (read in the diff; TestRepeats shows it). Ruled out: requests that may be run once: they are never sent again after an unknown attempt. Change: the first unknown outcome is told. Measured: 'unknown, then refused' ends not-run before, unknown after.

--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -167,6 +167,8 @@
 	sends    int
 	instance string
 	last     Reply
+	// doubt is the first reply after which the request may have been run.
+	doubt *Reply
 }
 
 func (a *attempt) run(ctx context.Context) Result {
@@ -177,10 +179,18 @@
 			break
 		}
 		a.last = a.send(ctx, target)
+		if _, unknown := a.last.Outcome.(outcome.Unknown); unknown && a.doubt == nil {
+			first := a.last
+			a.doubt = &first
+		}
 		if !a.again(ctx) {
 			break
 		}
 	}
+	if _, refused := a.last.Outcome.(outcome.NotRun); refused && a.doubt != nil {
+		// The last instance did not run it, but an earlier one may have.
+		a.last = *a.doubt
+	}
 	expired := a.entry.clock.Now() >= a.request.Deadline
 	return Result{Reply: a.last, Expired: expired, Instance: a.instance, Attempts: a.sends}
 }
--- a/core/dispatch/entry_test.go
+++ b/core/dispatch/entry_test.go
@@ -86,6 +86,7 @@
 		outcome    string
 	}{
 		"unknown, once only":    {false, 3, []dispatch.Reply{dispatch.Unknown(outcome.ReasonConnectionLost), done()}, 1, "unknown"},
+		"unknown, then refused": {true, 3, []dispatch.Reply{dispatch.Unknown(outcome.ReasonConnectionLost), dispatch.NotRun(outcome.ReasonOverloaded)}, 3, "unknown"},
 		"unknown, idempotent":   {true, 3, []dispatch.Reply{dispatch.Unknown(outcome.ReasonConnectionLost), done()}, 2, "done"},
 		"refused by upstream":   {false, 2, []dispatch.Reply{shed(), done()}, 2, "done"},
 		"refused too often":     {false, 2, []dispatch.Reply{shed(), shed(), done()}, 2, "not-run"},
--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,75 @@
+package fleet_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/fleet"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/keyspace"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/table"
+)
+
+func member(name, service string, serving bool) fleet.Member {
+	location := identity.NewLocation("r", "d")
+	return fleet.Member{Instance: membership.NewInstance(name, "http-"+name, "peer-"+name, location), Incarnation: 7, Service: service, Slots: 3, Serving: serving}
+}
+
+func row(t *testing.T, m fleet.Member, version table.Revision) table.Row {
+	t.Helper()
+	value, err := m.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table.NewRow(fleet.MemberKey(m.Instance.Name()), version, value)
+}
+
+// TestView guards against members that are lost in rows, and against requests for
+// an upstream that does not serve.
+func TestView(t *testing.T) {
+	is := is.New(t)
+	var v fleet.View
+	for i, m := range []fleet.Member{member("a", "s", true), member("b", "s", false), member("c", "t", true)} {
+		next, err := v.With(row(t, m, table.Revision(i+1)))
+		is.NoErr(err)
+		v = next
+	}
+	is.Equal(v.Size(), 3)
+	got, ok := v.Member("a")
+	is.True(ok)
+	is.Equal(got, member("a", "s", true))
+	targets := v.Instances("s")
+	is.Equal(len(targets), 1)
+	is.Equal(targets[0].Address, "http-a")
+
+	var d keyspace.Division
+	d = d.Join(keyspace.NewHolder(membership.Restore(7, got.Instance, 1, nil), keyspace.NewLife("u", 1), 3)).Deal()
+	value, err := d.Encode()
+	is.NoErr(err)
+	v, err = v.With(table.NewRow(fleet.DivisionKey("s"), 9, value))
+	is.NoErr(err)
+	owner, ok := v.Owner("s", &dispatch.Request{Key: 40000})
+	is.True(ok)
+	is.Equal(owner.Name, "a")
+	is.Equal(v.Division("s").Revision, table.Revision(9))
+	_, ok = v.Owner("t", &dispatch.Request{Key: 1})
+	is.True(!ok)
+}
+
+// TestRejects guards against a row of another writer that replaces a good one.
+func TestRejects(t *testing.T) {
+	is := is.New(t)
+	v, err := fleet.View{}.With(row(t, member("a", "s", true), 1))
+	is.NoErr(err)
+	for _, key := range []string{fleet.MemberKey("a"), fleet.DivisionKey("s")} {
+		after, err := v.With(table.NewRow(key, 2, []byte("\x00")))
+		var rejected *fleet.RowError
+		is.True(errors.As(err, &rejected))
+		is.Equal(rejected.Key(), key)
+		is.Equal(after.Size(), 1)
+	}
+}
