sidecar: answer an upstream's first report with its keys

Ruled out: shorter reports: the platform sets their interval. Change: the answer to a life's first report waits up to 600 ms for the lease; proposed witnesses that ended or don't answer are replaced at once; a daemon that did not answer is avoided for 2 s in place of 5 s.

--- a/core/holding/change.go
+++ b/core/holding/change.go
@@ -210,9 +210,21 @@
 	return slices.ContainsFunc(h.Lease().Witnesses(), func(w membership.Witness) bool { return slices.Contains(ended, w.Incarnation()) })
 }
 
+// unlikely tells whether so many of the proposed witnesses have ended or did not
+// answer that they won't promise.
+func (c *Custodian) unlikely() bool {
+	failed := 0
+	for _, w := range c.proposed {
+		if slices.Contains(c.gone, w.Incarnation()) || c.now < c.avoided[w.Incarnation()] {
+			failed++
+		}
+	}
+	return failed >= lease.LapseQuorum(len(c.proposed))
+}
+
 func (c *Custodian) confirm(h keyspace.Holder) (keyspace.Division, string) {
 	if c.lease.ProposedEnd() < max(c.lease.End(), c.now+shortestHold) {
-		if c.now-c.proposedAt > proposalLife && !c.doubted {
+		if !c.doubted && (c.now-c.proposedAt > proposalLife || c.unlikely()) {
 			c.lease.Abandon()
 			c.proposed = nil
 		}
--- a/core/holding/holding.go
+++ b/core/holding/holding.go
@@ -48,7 +48,7 @@
 	witnessPatience = 2*renewInterval + renewInterval/2
 	// avoidTime is the time in milliseconds for which a daemon that did not answer
 	// is not chosen as a witness.
-	avoidTime clock.Millis = 5000
+	avoidTime clock.Millis = 2000
 	// proposalLife is the time in milliseconds that proposed witnesses have for
 	// their promises.
 	proposalLife = 2 * renewInterval
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -11,6 +11,7 @@
 	"briarwell.dev/core/dispatch"
 	"briarwell.dev/core/dispatch/peerhttp"
 	"briarwell.dev/core/exchange"
+	"briarwell.dev/core/holding"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/report"
 	"briarwell.dev/core/routes"
@@ -29,6 +30,11 @@
 	maxHeaderBytes = 64 << 10
 	// maxReportBytes bounds the body of a report: 16,384 rows of 32 bytes.
 	maxReportBytes = 512 << 10
+	// answerWait is for how long in milliseconds the answer to an upstream's first
+	// report is held back. An upstream takes answers that come within a second.
+	answerWait clock.Millis = 600
+	// answerPoll is the time between two looks at the lease meanwhile.
+	answerPoll = 20 * time.Millisecond
 	// slowRequest is the time in milliseconds from which a served request is
 	// logged.
 	slowRequest clock.Millis = 2000
@@ -155,12 +161,28 @@
 	_, _ = io.WriteString(w, err.Error()+"\n") // The upstream may have gone.
 }
 
+// awaitGrant holds the answer to the first report of an upstream back until its
+// sidecar has a lease, so that its keys don't wait for the next report.
+func (a *App) awaitGrant(r report.Report, grant holding.Grant) holding.Grant {
+	described, _ := a.manifest.Load().Service(a.settings.Service())
+	until := a.clock.Now() + answerWait
+	for described.Keyed && !grant.Renews() && a.clock.Now() < until {
+		a.wakeControl()
+		time.Sleep(answerPoll)
+		grant = a.upstream.grant(a.clock.Now(), r)
+	}
+	return grant
+}
+
 func (a *App) answerReport(w http.ResponseWriter, call reports.Call) {
 	answer := []byte("{}")
 	switch call := call.(type) {
 	case reports.Report:
 		content := call.Content()
 		grant, verdict := a.upstream.reported(a.clock.Now(), content)
+		if verdict == report.Started {
+			grant = a.awaitGrant(content, grant)
+		}
 		if verdict == report.Foreign {
 			a.log.Warn().Str("life", content.Life.String()).Str("service", content.Service).Str("address", content.Address).Msg("reportOfOtherUpstream")
 			w.WriteHeader(http.StatusBadRequest)
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -100,6 +100,17 @@
 	}
 }
 
+// grant returns the answer to the newest report, which was taken before.
+func (u *upstream) grant(now clock.Millis, r report.Report) holding.Grant {
+	s := u.app.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known, _ := s.tracker.Known(); known.Life != r.Life || known.Sequence != r.Sequence {
+		return holding.Grant{}
+	}
+	return s.custodian.Reported(now, r)
+}
+
 // reported takes a report of the upstream.
 func (u *upstream) reported(now clock.Millis, r report.Report) (holding.Grant, report.Verdict) {
 	s := u.app.state
