holding: deal keys before the last of many holders has entered

Ruled out: the 382 conflicts of their entries: they delay single holders only. Change: the first deal comes 700 ms after the newest holder or 3 s after the first; later holders get keys by the evening.

--- a/core/holding/change.go
+++ b/core/holding/change.go
@@ -263,7 +263,8 @@
 		c.undealtSince = c.now
 	}
 	wait := rankDelay * clock.Millis(c.rank())
-	if len(c.division.Ranges()) == 0 && c.now-c.holdersChanged < dealDelay || c.now-c.undealtSince < wait {
+	settled := c.now-c.holdersChanged >= dealDelay || c.now-c.entered >= dealLimit
+	if len(c.division.Ranges()) == 0 && !settled || c.now-c.undealtSince < wait {
 		return c.division, ""
 	}
 	return c.division.Deal(), "deal"
--- a/core/holding/holding.go
+++ b/core/holding/holding.go
@@ -35,8 +35,10 @@
 	// upstream that sends no reports is given up: reports may be seconds late.
 	silence clock.Millis = 1500
 	// dealDelay is the time in milliseconds without a new holder before the first
-	// deal, so that the first one does not get all keys.
-	dealDelay clock.Millis = 1200
+	// deal, so that the first one does not get all keys, and dealLimit that since
+	// the first holder entered: hundreds may enter one after another.
+	dealDelay clock.Millis = 700
+	dealLimit clock.Millis = 3000
 	// evenInterval is the time in milliseconds between two evenings of the
 	// numbers of ranges, and after a change of the holders.
 	evenInterval clock.Millis = 1500
@@ -81,7 +83,9 @@
 	holdersChanged clock.Millis
 	evened         clock.Millis
 	undealtSince   clock.Millis
-	unevenSince    clock.Millis
+	// entered is when the first holders were seen.
+	entered     clock.Millis
+	unevenSince clock.Millis
 
 	lease      *holder.Holder
 	generation uint64
@@ -173,6 +177,9 @@
 	if len(d.Holders()) != len(c.division.Holders()) {
 		c.holdersChanged = now
 	}
+	if len(c.division.Holders()) == 0 {
+		c.entered = now
+	}
 	c.division, c.revision, c.read = d, revision, true
 	c.resigned = c.resigned && revision <= c.resignedAt
 	c.settleProposal()
--- a/core/holding/holding_test.go
+++ b/core/holding/holding_test.go
@@ -187,3 +187,16 @@
 	t.Logf("longest time unserved: %d ms", longest)
 	is.True(longest <= 3000)
 }
+
+// TestDealDespiteLateHolders guards against keys that nobody serves until the last
+// of many holders has entered.
+func TestDealDespiteLateHolders(t *testing.T) {
+	is := is.New(t)
+	s := newSim(21, 4)
+	for i := range 20 {
+		s.after(int64(i+1)*600, func() { s.addHost(4 + i) })
+	}
+	s.run(7000)
+	is.Equal(s.failure, "")
+	is.True(s.served > 0)
+}
