--- a/core/holding/holding_test.go
+++ b/core/holding/holding_test.go
@@ -193,8 +193,8 @@
 func TestDealDespiteLateHolders(t *testing.T) {
 	is := is.New(t)
 	s := newSim(21, 4)
-	for i := range 20 {
-		s.after(int64(i+1)*600, func() { s.addHost(4 + i) })
+	for i := range 30 {
+		s.after(int64(i+1)*300, func() { s.addHost(4 + i) })
 	}
 	s.run(7000)
 	is.Equal(s.failure, "")
