--- a/sidecar/app/app_test.go
+++ b/sidecar/app/app_test.go
@@ -20,11 +20,6 @@
 	"briarwell.dev/sidecar/settings"
 )
 
-const operatorManifest = `{"version":"%08x","routes":{
-	"browse":{"host":"h","prefix":"/browse/","kind":"idempotent","timeout":"2000ms","target_latency":"1000ms","priority":2,"service":"wardrobe","max_attempts":2},
-	"book":{"host":"h","prefix":"/book/","kind":"non_idempotent","timeout":"2000ms","target_latency":"1000ms","priority":1,"service":"ledger","max_attempts":2}%s},
-	"services":{"wardrobe":{"max_connections":110,"sharded":true},"ledger":{"max_connections":110}},"limits":{}}`
-
 // instance is a sidecar with its upstream.
 type instance struct {
 	name     string
@@ -58,7 +53,7 @@
 func newCluster(t *testing.T, net1 int, services ...string) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: &standin.Store{}}
-	c.store.Put("op", "config", fmt.Appendf(nil, operatorManifest, 4, ""))
+	c.store.WriteManifest(4)
 	server := httptest.NewServer(c.store)
 	t.Cleanup(server.Close)
 	c.address = server.Listener.Addr().String()
@@ -120,14 +115,13 @@
 }
 
 func (c *cluster) call(in *instance, method, path string, key int) (int, string) {
-	r, err := http.NewRequestWithContext(c.t.Context(), method, "http://"+in.ip+":9001"+path, strings.NewReader("body"))
+	r, err := standin.Call{
+		ID: fmt.Sprintf("%s-%s-%d", in.name, path, key), Method: method, Address: in.ip + ":9001", Host: "h", Path: path,
+		Key: key, Wait: 2 * time.Second, Body: "body",
+	}.Request(c.t.Context())
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	r.Host = "h"
-	r.Header.Set("X-Request-Id", fmt.Sprintf("%s-%s-%d", in.name, path, key))
-	r.Header.Set("X-Deadline-Ms", "2000")
-	r.Header.Set("X-Shard-Key", fmt.Sprint(key))
 	answer, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, err.Error()
@@ -181,14 +175,14 @@
 		is.Equal(status, http.StatusNotFound)
 	}
 
-	c.store.Put("op", "config", fmt.Appendf(nil, operatorManifest, 5, `,"new":{"host":"h","prefix":"/new/","kind":"idempotent","timeout":"2s","target_latency":"1s","service":"ledger","max_attempts":1}`))
+	c.store.WriteManifest(5, "/new/")
 	for _, in := range c.instances {
 		c.eventually("the new manifest at "+in.name, func() bool {
 			status, _ := c.call(in, http.MethodGet, "/new/", 1)
 			return status == http.StatusOK
 		})
 	}
-	c.store.Put("op", "config", []byte("no manifest")) // The one in force stays.
+	c.store.WriteUnreadableManifest() // The one in force stays.
 	status, _ := c.call(c.instances[0], http.MethodGet, "/new/", 1)
 	is.Equal(status, http.StatusOK)
 
