balance, dispatch: slow links, herds of daemons and calls of upstreams

The link counted answers that were still being made (200 ms) as if they waited for it, so that a third of it stayed unused. Now the time of making counts, answers go out in pieces by the link's rate, so that small ones get between them, a large answer stays in its region while anyone there can be reached, and a caller is refused after two refusals in place of six. Calls of upstreams were never known as such: they carry a key like all requests, and the decoder took the lack of one as their mark. They waited for 62 ms only and were refused, which wasted their parents' work. Their IDs begin with that of the request that the upstream runs; the sidecar beside it knows which it runs. Busiest upstream of the ledger at 4.3 times the mean: each entry asked the upstream that seemed the best by loads up to 2 s old, and took an upstream that had just run short calls for a fast one. Two are drawn by capacity and compared, and upstreams are compared class by class.

Ruled out: processor time (0.03 of 0.16 cores), slots of the pattern service.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -153,6 +153,14 @@
 	return g.machine.ServiceMillis()
 }
 
+// Expected returns the measured time for which an order of a class holds its slot,
+// that of all orders if the class is not known.
+func (g *Gate) Expected(class string) clock.Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return clock.Millis(g.machine.serviceOf(&Ticket{class: class}))
+}
+
 // BusySlotMillis returns the slot-milliseconds of the released requests since
 // the Gate was made.
 func (g *Gate) BusySlotMillis() uint64 {
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -4,7 +4,9 @@
 package balance
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/identity"
@@ -16,17 +18,21 @@
 	sameDomainTrip  = 0.4
 	sameRegionTrip  = 3.0
 	otherRegionTrip = 41.0
-	// regionPremium is what a large answer from another region counts in
-	// milliseconds beyond its trip. Traffic between regions is paid by volume: one
-	// such answer costs the users more than it is worth to them, so that another
-	// region is asked only where the own one has nobody.
-	regionPremium = 1e6
 	// reportLife is the age in milliseconds at which a load report counts
 	// nothing.
 	reportLife clock.Millis = 2000
 	// firstService is the service time in milliseconds of an upstream that has
 	// not been measured. It is shorter than any, so that a new one is tried.
 	firstService = 20.0
+	// serviceWeight is the weight of the newest sample in service times.
+	serviceWeight = 0.1
+	// maxClasses bounds the classes whose service times are kept.
+	maxClasses = 64
+	// loadLife is the age in milliseconds at which a third of a reported load is
+	// expected to be left: a few service times.
+	loadLife = 400.0
+	// choices is the number of upstreams that are compared for a request.
+	choices = 2
 	// failureWeight is the weight of the newest request in the share of failures.
 	failureWeight = 0.15
 	// failureCost is what a share of failures of 1 counts in milliseconds.
@@ -50,8 +56,10 @@
 	Running int
 	Waiting int
 	Slots   int
-	// Service is the time in milliseconds for which a request holds a slot.
+	// Service is the time in milliseconds for which a request of any class holds a
+	// slot, Own that of a request of the class that was answered, 0 if not known.
 	Service clock.Millis
+	Own     clock.Millis
 	// Demand is the share of its slots in percent that all requests for its keys
 	// would take, also those that it refused.
 	Demand int
@@ -76,6 +84,9 @@
 	// atReport is inFlight when the load was reported.
 	atReport int
 	known    bool
+	// slowness is how long the upstream takes in comparison with all, 0 if it is not
+	// known.
+	slowness float64
 	failures float64
 	failedAt clock.Millis
 	pause    clock.Millis
@@ -89,6 +100,16 @@
 	peers map[string]*peerState
 	// large is the mean size of large answers in bytes.
 	large float64
+	// usual are the mean service times of classes at all upstreams in milliseconds.
+	usual map[string]float64
+}
+
+// Ask is what a request says of itself.
+type Ask struct {
+	// Class names requests of about the same service time.
+	Class string
+	// Large tells that the answer is large.
+	Large bool
 }
 
 // New returns a balancer of a daemon at a location.
@@ -112,11 +133,33 @@
 // Ended counts the end of a request.
 func (b *Balancer) Ended(name string) { b.peer(name).inFlight-- }
 
-// Reported takes the load of an upstream.
-func (b *Balancer) Reported(now clock.Millis, name string, load Load) {
+// Reported takes the load of an upstream that came with the answer to a request of a
+// class. Upstreams are compared class by class: the mean service time of one depends
+// on what it was sent.
+func (b *Balancer) Reported(now clock.Millis, name, class string, load Load) {
 	p := b.peer(name)
 	p.load, p.loadAt, p.known, p.atReport = load, now, true, p.inFlight
 	p.pause, p.until = 0, 0
+	if load.Own <= 0 {
+		return
+	}
+	if b.usual == nil {
+		b.usual = make(map[string]float64)
+	}
+	own := float64(load.Own)
+	if _, ok := b.usual[class]; !ok && len(b.usual) >= maxClasses {
+		return
+	}
+	b.usual[class] = smooth(b.usual[class], own)
+	p.slowness = smooth(p.slowness, own/b.usual[class])
+}
+
+// smooth returns the mean with a new sample, the first one if there was none.
+func smooth(mean, sample float64) float64 {
+	if mean == 0 {
+		return sample
+	}
+	return mean + serviceWeight*(sample-mean)
 }
 
 // Loads returns the loads that were reported lately, by instance.
@@ -172,64 +215,143 @@
 	return p.failures * math.Exp2(-float64(now-p.failedAt)/failureHalfLife)
 }
 
-// Pick returns the position of the candidate with the least expected time, -1 if
-// none is left. Random gives numbers in [0, 1).
-func (b *Balancer) Pick(now clock.Millis, candidates []Candidate, large bool, excluded map[string]bool, random func() float64) int {
-	best, lowest := -1, math.Inf(1)
+// Pick returns the position of the candidate for a request, -1 if none is left. It
+// compares two candidates of the own region, drawn by their capacity: the loads that
+// a daemon knows are old where many share an upstream, and all would ask the one that
+// seemed the best. Other regions are asked where both would let the request wait for
+// longer than the trip. A large answer stays in the region while anyone there can be
+// reached: traffic between regions is paid by volume, and one such answer costs the
+// users more than it is worth to them. Random gives numbers in [0, 1).
+func (b *Balancer) Pick(now clock.Millis, candidates []Candidate, ask Ask, excluded map[string]bool, random func() float64) int {
+	var near, far []int
+	stays := ask.Large && b.regional(now, candidates)
 	for i, c := range candidates {
-		if excluded[c.Name] || !b.Reachable(now, c.Name) {
+		switch {
+		case excluded[c.Name] || !b.Reachable(now, c.Name):
+		case c.Location.Region() == b.own.Region():
+			near = append(near, i)
+		case !stays:
+			far = append(far, i)
+		}
+	}
+	best, cost, wait := b.better(now, candidates, near, ask, random)
+	if best >= 0 && wait <= otherRegionTrip {
+		return best
+	}
+	if other, farCost, _ := b.better(now, candidates, far, ask, random); other >= 0 && (best < 0 || farCost < cost) {
+		return other
+	}
+	return best
+}
+
+// better draws two of the candidates at the given positions and returns the one with
+// the lower cost, that cost and the expected wait in it; -1 if there is none.
+func (b *Balancer) better(now clock.Millis, candidates []Candidate, positions []int, ask Ask, random func() float64) (int, float64, float64) {
+	best, lowest, shortest := -1, math.Inf(1), 0.0
+	for range choices {
+		i := b.draw(now, candidates, positions, best, random)
+		if i < 0 {
+			break
+		}
+		cost, wait := b.cost(now, candidates[i], ask)
+		if cost *= 1 + jitterShare*random(); cost < lowest {
+			best, lowest, shortest = i, cost, wait
+		}
+	}
+	return best, lowest, shortest
+}
+
+// draw returns one of the positions other than taken, by the candidates' capacities.
+func (b *Balancer) draw(now clock.Millis, candidates []Candidate, positions []int, taken int, random func() float64) int {
+	total := 0.0
+	for _, i := range positions {
+		if i != taken {
+			total += b.capacity(now, candidates[i])
+		}
+	}
+	drawn := -1
+	at := random() * total
+	for _, i := range positions {
+		if i == taken {
 			continue
 		}
-		cost := b.cost(now, c, large) * (1 + jitterShare*random())
-		if cost < lowest {
-			best, lowest = i, cost
+		drawn = i
+		if at -= b.capacity(now, candidates[i]); at < 0 {
+			break
 		}
 	}
-	return best
+	return drawn
 }
 
-// cost is the expected time of a request in milliseconds: its trip, its wait for
-// a slot, its run and its way over the link.
-func (b *Balancer) cost(now clock.Millis, c Candidate, large bool) float64 {
-	cost := b.trip(c.Location, large)
+// capacity returns how much a candidate can be expected to serve in comparison with
+// others. One that is not known counts as a usual one.
+func (b *Balancer) capacity(now clock.Millis, c Candidate) float64 {
+	slots := float64(max(c.Slots, 1))
 	p, ok := b.peers[c.Name]
 	if !ok {
-		return cost + queueing(firstService, 0, c.Slots)
+		return slots
+	}
+	served := 1 - p.decayed(now)
+	return slots * served * served / cmp.Or(p.slowness, 1)
+}
+
+// regional tells whether any candidate of the own region can be reached.
+func (b *Balancer) regional(now clock.Millis, candidates []Candidate) bool {
+	return slices.ContainsFunc(candidates, func(c Candidate) bool {
+		return c.Location.Region() == b.own.Region() && b.Reachable(now, c.Name)
+	})
+}
+
+// cost returns the expected time of a request in milliseconds, with its trip, its
+// run and its way over the link, and the part of it that is a wait for a slot.
+func (b *Balancer) cost(now clock.Millis, c Candidate, ask Ask) (float64, float64) {
+	cost := b.trip(c.Location)
+	p, ok := b.peers[c.Name]
+	if !ok {
+		return cost + firstService, 0
 	}
 	cost += failureCost * p.decayed(now)
-	if !p.known {
-		return cost + queueing(firstService, p.inFlight, c.Slots)
+	// What waits is of all classes; the request itself is of one.
+	service, slots, run := firstService, c.Slots, firstService
+	if p.known {
+		service, slots = max(float64(p.load.Service), 1), p.load.Slots
+		run = service
+	}
+	if usual, ok := b.usual[ask.Class]; ok && p.slowness > 0 {
+		run = usual * p.slowness
 	}
-	service := max(float64(p.load.Service), 1)
-	if now-p.loadAt >= reportLife {
-		return cost + queueing(service, p.inFlight, p.load.Slots)
+	age := float64(now - p.loadAt)
+	if !p.known || age >= float64(reportLife) {
+		wait := queueing(service, float64(p.inFlight), slots)
+		return cost + run + wait, wait
 	}
-	load := max(p.load.Running+p.load.Waiting+p.inFlight-p.atReport, p.inFlight)
+	// What was running at the report has ended by and by.
+	known := float64(p.load.Running+p.load.Waiting) * math.Exp(-age/loadLife)
+	load := max(known+float64(max(p.inFlight-p.atReport, 0)), float64(p.inFlight))
 	size := float64(smallAnswer)
-	if large {
+	if ask.Large {
 		// Answers that were asked for since the report share the link.
 		size = orFirst(b.large) * float64(1+max(p.inFlight-p.atReport, 0))
 	}
-	return cost + queueing(service, load, p.load.Slots) + transfer(p.load, size)
+	wait := queueing(service, load, slots) + transfer(p.load, size)
+	return cost + run + wait, wait
 }
 
-// queueing returns the expected time in milliseconds for a slot and the run.
-func queueing(service float64, load, slots int) float64 {
-	slots = max(slots, 1)
-	waiting := float64(max(load+1-slots, 0)) / float64(slots) * service
+// queueing returns the time in milliseconds by which a load delays a request.
+func queueing(service, load float64, slots int) float64 {
+	free := float64(max(slots, 1))
+	waiting := max(load+1-free, 0) / free * service
 	// Some upstreams slow down when they are nearly full.
-	crowding := math.Pow(min(float64(load)/float64(slots), 1), 2) * service / 2
-	return service + waiting + crowding
+	crowding := math.Pow(min(load/free, 1), 2) * service / 2
+	return waiting + crowding
 }
 
-func (b *Balancer) trip(to identity.Location, large bool) float64 {
+func (b *Balancer) trip(to identity.Location) float64 {
 	switch {
 	case to == b.own:
 		return sameDomainTrip
 	case to.Region() == b.own.Region():
 		return sameRegionTrip
-	case large:
-		return otherRegionTrip + regionPremium
 	default:
 		return otherRegionTrip
 	}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -31,15 +31,15 @@
 	is := is.New(t)
 	b := balance.New(here)
 	list := candidates()
-	is.Equal(list[b.Pick(0, list, false, nil, half)].Name, "here")
-	b.Reported(0, "here", balance.Load{Running: 12, Waiting: 6, Slots: 12, Service: 100})
-	is.Equal(list[b.Pick(0, list, false, nil, half)].Name, "near")
-	b.Reported(0, "near", balance.Load{Running: 12, Waiting: 12, Slots: 12, Service: 100})
-	is.Equal(list[b.Pick(0, list, false, nil, half)].Name, "distant")
-	is.Equal(list[b.Pick(0, list, true, nil, half)].Name, "here") // a large answer stays
+	is.Equal(list[b.Pick(0, list, balance.Ask{}, nil, half)].Name, "here")
+	b.Reported(0, "here", "", balance.Load{Running: 12, Waiting: 6, Slots: 12, Service: 100})
+	is.Equal(list[b.Pick(0, list, balance.Ask{}, nil, half)].Name, "near")
+	b.Reported(0, "near", "", balance.Load{Running: 12, Waiting: 12, Slots: 12, Service: 100})
+	is.Equal(list[b.Pick(0, list, balance.Ask{}, nil, half)].Name, "distant")
+	is.Equal(list[b.Pick(0, list, balance.Ask{Large: true}, nil, half)].Name, "here") // a large answer stays
 	b.Unreachable(0, "here")
 	b.Unreachable(0, "near")
-	is.Equal(list[b.Pick(0, list, true, nil, half)].Name, "distant") // unless nobody is there
+	is.Equal(list[b.Pick(0, list, balance.Ask{Large: true}, nil, half)].Name, "distant") // unless nobody is there
 }
 
 // TestNewUpstream replays an upstream that joins beside a fast one with room. The
@@ -48,10 +48,10 @@
 	is := is.New(t)
 	b := balance.New(here)
 	list := candidates()[:2]
-	b.Reported(0, "here", balance.Load{Running: 1, Slots: 12, Service: 40})
-	is.Equal(list[b.Pick(0, list, false, nil, half)].Name, "near")
-	b.Reported(0, "near", balance.Load{Slots: 12, Service: 90})
-	is.Equal(list[b.Pick(0, list, false, nil, half)].Name, "here")
+	b.Reported(0, "here", "", balance.Load{Running: 1, Slots: 12, Service: 40})
+	is.Equal(list[b.Pick(0, list, balance.Ask{}, nil, half)].Name, "near")
+	b.Reported(0, "near", "", balance.Load{Slots: 12, Service: 90})
+	is.Equal(list[b.Pick(0, list, balance.Ask{}, nil, half)].Name, "here")
 }
 
 // TestGreyUpstream replays an upstream that refuses half of its requests with a
@@ -63,7 +63,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	grey := 0
 	for now := clock.Millis(0); now < 8000; now += 20 {
-		i := b.Pick(now, list, false, nil, rng.Float64)
+		i := b.Pick(now, list, balance.Ask{}, nil, rng.Float64)
 		failed := list[i].Name == "here" && rng.IntN(2) == 0
 		if list[i].Name == "here" {
 			grey++
@@ -80,11 +80,11 @@
 	b := balance.New(here)
 	list := candidates()
 	b.Unreachable(0, "here")
-	is.Equal(list[b.Pick(100, list, false, nil, half)].Name, "near")
+	is.Equal(list[b.Pick(100, list, balance.Ask{}, nil, half)].Name, "near")
 	is.True(b.Reachable(5000, "here"))
-	b.Reported(5000, "here", balance.Load{Slots: 12, Service: 100})
+	b.Reported(5000, "here", "", balance.Load{Slots: 12, Service: 100})
 	is.True(b.Reachable(5000, "here"))
-	is.Equal(b.Pick(0, list, false, map[string]bool{"here": true, "near": true, "distant": true}, half), -1)
+	is.Equal(b.Pick(0, list, balance.Ask{}, map[string]bool{"here": true, "near": true, "distant": true}, half), -1)
 }
 
 // TestSlowLinks replays large answers from upstreams on links of 15 and 100
@@ -103,12 +103,12 @@
 	counts := map[string]int{}
 	longest := clock.Millis(0)
 	for now := clock.Millis(0); now < 10_000; now += 20 { // 50 answers of 90 KB a second: 36 Mbit/s
-		name := list[b.Pick(now, list, true, nil, rng.Float64)].Name
+		name := list[b.Pick(now, list, balance.Ask{Large: true}, nil, rng.Float64)].Name
 		counts[name]++
 		link := links[name]
 		link.Sent(now, 90_000)
 		longest = max(longest, link.Wait(now))
-		b.Reported(now, name, balance.Load{Slots: 6, Service: 80, LinkMbps: int(link.Mbps()), LinkWait: link.Wait(now)})
+		b.Reported(now, name, "", balance.Load{Slots: 6, Service: 80, LinkMbps: int(link.Mbps()), LinkWait: link.Wait(now)})
 	}
 	is.True(longest < 400)
 	is.True(counts["fast"] > 3*counts["slow"])
@@ -119,7 +119,7 @@
 func TestFrozenDaemon(t *testing.T) {
 	is := is.New(t)
 	b := balance.New(here)
-	b.Reported(100, "here", balance.Load{Slots: 12, Service: 50})
+	b.Reported(100, "here", "", balance.Load{Slots: 12, Service: 50})
 	b.Silent(900, "here", 50) // it has answered another since
 	is.True(b.Reachable(900, "here"))
 	b.Silent(1300, "here", 400)
--- a/core/balance/link.go
+++ b/core/balance/link.go
@@ -5,23 +5,35 @@
 const (
 	// linkShare is the share of a link that answers may use; the rest is for the
 	// requests themselves, acknowledgements and control.
-	linkShare = 0.8
+	linkShare = 0.9
 	// firstLarge is the size in bytes of a large answer before any was seen.
 	firstLarge = 90_000
 	// sizeWeight is the weight of the newest answer in the mean size.
 	sizeWeight = 0.05
+	// linkPatience is the time in milliseconds for which any large answer may wait
+	// for its link.
+	linkPatience clock.Millis = 160
+	// patienceShare is the part of the time that an answer has left over for which
+	// it may wait for its link: sizes and service times vary.
+	patienceShare = 0.5
+	// pieceTime is the time in milliseconds that a piece of a large answer takes on
+	// its link: a small answer waits for one piece only.
+	pieceTime = 10.0
+	// leastPiece is the size in bytes of the smallest piece that is worth a write.
+	leastPiece = 8 << 10
 	// bitsPerByte and bitsPerMegabit convert figures.
 	bitsPerByte    = 8
 	bitsPerMegabit = 1_000_000
 	millisPerSec   = 1000
 )
 
-// Link follows the answers that wait for an instance's link. The zero value has a
-// link without a limit. It is not safe for concurrent use.
+// Link follows the answers that an instance's link carries. Load pattern: large
+// answers that need more than a slow link has, beside small ones that can't wait.
+// The zero value has a link without a limit. It is not safe for concurrent use.
 type Link struct {
-	mbps    float64
-	at      clock.Millis
-	backlog float64
+	mbps float64
+	// free is when the link has sent all answers that were given to it.
+	free float64
 	// large is the mean size of large answers in bytes, and coming the number of
 	// those that are being made.
 	large  float64
@@ -45,10 +57,15 @@
 	}
 }
 
-// Sent counts an answer that is sent at now.
-func (l *Link) Sent(now clock.Millis, bytes int) {
-	l.drain(now)
-	l.backlog += float64(bytes)
+// Sent takes an answer that is sent at now, and returns when its pieces go.
+func (l *Link) Sent(now clock.Millis, bytes int) Schedule {
+	if l.mbps <= 0 {
+		return Schedule{}
+	}
+	rate := perMilli(l.mbps)
+	start := max(l.free, float64(now))
+	l.free = start + float64(bytes)/rate
+	return Schedule{start: start, rate: rate}
 }
 
 // Wait returns the time in milliseconds until the link has sent what waits for it
@@ -57,15 +74,40 @@
 	if l.mbps <= 0 {
 		return 0
 	}
-	l.drain(now)
-	return clock.Millis((l.backlog + float64(l.coming)*orFirst(l.large)) / perMilli(l.mbps))
+	return clock.Millis(max(l.free-float64(now), 0) + float64(l.coming)*orFirst(l.large)/perMilli(l.mbps))
+}
+
+// Refuses returns how long in milliseconds a large answer should be put off that is
+// wanted within the given time and takes service to be made, 0 if it may be begun.
+// The link goes on sending others while it is made.
+func (l *Link) Refuses(now, service, within clock.Millis) clock.Millis {
+	if l.mbps <= 0 {
+		return 0
+	}
+	transfer := clock.Millis(orFirst(l.large) / perMilli(l.mbps))
+	patience := max(clock.Millis(float64(within-service-transfer)*patienceShare), linkPatience)
+	return max(l.Wait(now)-service-patience, 0)
+}
+
+// Schedule says when the pieces of an answer go over a link. The zero value sends
+// all at once.
+type Schedule struct {
+	start float64
+	rate  float64
 }
 
-func (l *Link) drain(now clock.Millis) {
-	l.backlog = max(l.backlog-float64(now-l.at)*perMilli(l.mbps), 0)
-	l.at = now
+// Due returns for how long in milliseconds to wait at now before the piece that
+// begins after sent bytes.
+func (s Schedule) Due(now clock.Millis, sent int) clock.Millis {
+	if s.rate <= 0 {
+		return 0
+	}
+	return max(clock.Millis(s.start+float64(sent)/s.rate)-now, 0)
 }
 
+// Piece returns the number of bytes that are sent at once.
+func (s Schedule) Piece() int { return max(int(s.rate*pieceTime), leastPiece) }
+
 // perMilli returns the bytes that answers may take of a link in a millisecond.
 func perMilli(mbps float64) float64 {
 	return mbps * linkShare * bitsPerMegabit / bitsPerByte / millisPerSec
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -27,6 +27,8 @@
 	// Key is the key of the request if Keyed.
 	Key   keyspace.Key
 	Keyed bool
+	// Parent is the ID of the request that the caller says to run, "" if none.
+	Parent string
 	// Nested tells that an upstream makes the request while it runs another.
 	Nested bool
 	// Arrived and Deadline are points on the daemon's clock.
@@ -52,6 +54,8 @@
 	RetryAfter clock.Millis
 	Load       balance.Load
 	HasLoad    bool
+	// Schedule says when the answer goes over the link of the instance that has it.
+	Schedule balance.Schedule
 }
 
 // Served returns the reply with an upstream's answer.
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -35,6 +35,11 @@
 	silentTime clock.Millis = 600
 	// maxSends bounds the daemons that one request is sent to.
 	maxSends = 6
+	// maxRefusals is the number of overloaded daemons after which a caller is
+	// refused: the loads that chose them say that the others are no better. A call
+	// of an upstream, which wastes its parent's work, is offered to more.
+	maxRefusals       = 2
+	maxNestedRefusals = 4
 )
 
 // Target is an instance that may run a request.
@@ -149,6 +154,8 @@
 const (
 	// repeatBurst bounds the repeats of one entry that a quiet time saves up.
 	repeatBurst = 2
+	// nestedReserve is the part of it that is kept for the calls of upstreams.
+	nestedReserve = 0.5
 	// leastFloor is a floor in repeats a second that is next to none.
 	leastFloor = 0.001
 )
@@ -165,6 +172,8 @@
 	// arrivals counts the upstreams that were asked.
 	arrivals int
 	sends    int
+	// refusals counts the daemons that refused it as overloaded.
+	refusals int
 	instance string
 	last     Reply
 	// doubt is the first reply after which the request may have been run.
@@ -213,7 +222,7 @@
 	defer e.mu.Unlock()
 	e.balancer.Ended(target.Name)
 	if reply.HasLoad {
-		e.balancer.Reported(now, target.Name, reply.Load)
+		e.balancer.Reported(now, target.Name, rules.Class, reply.Load)
 	}
 	e.judge(ctx, began, target.Name, rules, reply)
 	return reply
@@ -282,7 +291,10 @@
 			}
 		}
 		a.tried[a.instance] = true
-		return !a.last.Arrived || a.mayArrive()
+		if o.Reason() == outcome.ReasonOverloaded {
+			a.refusals++
+		}
+		return a.refusals < a.maxRefusals() && (!a.last.Arrived || a.mayArrive())
 	case outcome.Unknown:
 		a.tried[a.instance] = true
 		return a.route.Idempotent && a.mayArrive()
@@ -291,10 +303,25 @@
 	}
 }
 
+func (a *attempt) maxRefusals() int {
+	if a.request.Nested {
+		return maxNestedRefusals
+	}
+	return maxRefusals
+}
+
 // mayArrive tells whether another upstream may be asked, within the route's
-// attempts and the shared budget of repeats.
+// attempts and the shared budget of repeats. What callers ask leaves a part of the
+// budget to the calls of upstreams: a caller comes back without it.
 func (a *attempt) mayArrive() bool {
-	return a.arrivals < max(a.route.Attempts, 1) && a.entry.budget(a.service).Take(a.entry.clock.Now())
+	if a.arrivals >= max(a.route.Attempts, 1) {
+		return false
+	}
+	reserve := nestedReserve
+	if a.request.Nested {
+		reserve = 0
+	}
+	return a.entry.budget(a.service).TakeAbove(a.entry.clock.Now(), reserve)
 }
 
 // target returns where the request goes next. It waits a little for the owner of
@@ -311,7 +338,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	i := e.balancer.Pick(e.clock.Now(), candidates, a.route.Large, a.tried, rand.Float64)
+	i := e.balancer.Pick(e.clock.Now(), candidates, balance.Ask{Class: a.route.Name, Large: a.route.Large}, a.tried, rand.Float64)
 	if i < 0 {
 		return Target{}, false
 	}
--- a/core/dispatch/entry_test.go
+++ b/core/dispatch/entry_test.go
@@ -138,3 +138,14 @@
 	is.True(!result.Found)
 	is.Equal(result.Version, uint64(1))
 }
+
+// TestOverloadedService replays a service that is overloaded everywhere. The naive
+// rule asks each instance in turn, six messages for one refusal.
+func TestOverloadedService(t *testing.T) {
+	is := is.New(t)
+	overloaded := dispatch.NotRun(outcome.ReasonOverloaded).After(200)
+	s := &script{replies: map[string][]dispatch.Reply{"any": {overloaded}}}
+	result := run(s, manifest(true, false, 3))
+	is.Equal(len(s.sent), 2)
+	is.Equal(result.RetryAfter, clock.Millis(200))
+}
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -25,11 +25,6 @@
 	shortestReturn clock.Millis = 60
 	longestReturn  clock.Millis = 800
 
-	// linkPatience is the time in milliseconds for which answers may wait for the
-	// link before no more large ones are begun: they delay the small ones, for
-	// which other requests wait.
-	linkPatience clock.Millis = 160
-
 	millisPerSecond = 1000
 	percent         = 100
 )
@@ -66,12 +61,14 @@
 	mu       sync.Mutex
 	meter    rebalance.Meter
 	link     balance.Link
+	// running counts the requests at the upstream by ID: a caller may use one twice.
+	running map[string]int
 }
 
 // NewOwner returns an owner that admits requests through the gate and answers over
 // a link of the given bandwidth in Mbit/s, 0 for no limit.
 func NewOwner(c clock.Clock, upstream Upstream, gate *admission.Gate, mbps float64) *Owner {
-	return &Owner{clock: c, upstream: upstream, gate: gate, link: balance.NewLink(mbps)}
+	return &Owner{clock: c, upstream: upstream, gate: gate, link: balance.NewLink(mbps), running: make(map[string]int)}
 }
 
 // Demand returns the rates at which keys are asked for.
@@ -98,11 +95,19 @@
 // Serve runs a request at the own upstream, if it may run it.
 func (o *Owner) Serve(ctx context.Context, service string, r *Request, rules Rules) Reply {
 	reply := o.serve(ctx, service, r, rules)
-	o.linked(func(l *balance.Link) { l.Sent(o.clock.Now(), len(reply.Response.Body)) })
+	o.linked(func(l *balance.Link) { reply.Schedule = l.Sent(o.clock.Now(), len(reply.Response.Body)) })
 	reply.Load, reply.HasLoad = o.Load(), true
+	if _, done := reply.Outcome.(outcome.Done); done {
+		reply.Load.Own = o.gate.Expected(rules.Class)
+	}
 	return reply
 }
 
+// Relayed counts an answer that this instance passes on from another.
+func (o *Owner) Relayed(bytes int) {
+	o.linked(func(l *balance.Link) { l.Sent(o.clock.Now(), bytes) })
+}
+
 // linked changes the link's state.
 func (o *Owner) linked(change func(*balance.Link)) {
 	o.mu.Lock()
@@ -121,10 +126,10 @@
 	ticket := admission.NewTicket(priority(r, rules), r.Deadline).Wanted(wanted, rules.Class)
 	o.mu.Lock()
 	o.meter.Observe(o.clock.Now(), r.Key)
-	wait := o.link.Wait(o.clock.Now())
+	putOff := o.link.Refuses(o.clock.Now(), o.gate.Expected(rules.Class), rules.Wanted)
 	o.mu.Unlock()
-	if rules.Large && wait > linkPatience {
-		return NotRun(outcome.ReasonOverloaded).After(min(max(wait-linkPatience, shortestReturn), longestReturn))
+	if rules.Large && putOff > 0 {
+		return NotRun(outcome.ReasonOverloaded).After(min(max(putOff, shortestReturn), longestReturn))
 	}
 	slot, err := o.gate.Enter(ctx, ticket)
 	if err != nil {
@@ -148,7 +153,9 @@
 	if rules.Large {
 		o.linked(func(l *balance.Link) { l.Begin() })
 	}
+	o.began(r.ID)
 	reply := o.upstream.Call(ctx, o.upstream.Local(now).Life, r, r.Deadline-now)
+	o.ended(r.ID)
 	if rules.Large {
 		o.linked(func(l *balance.Link) { l.End(len(reply.Response.Body)) })
 	}
@@ -160,6 +167,28 @@
 	return reply
 }
 
+// Runs tells whether a request with the ID is at the upstream: only then can the
+// upstream make calls for it.
+func (o *Owner) Runs(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.running[id] > 0
+}
+
+func (o *Owner) began(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.running[id]++
+}
+
+func (o *Owner) ended(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.running[id]--; o.running[id] == 0 {
+		delete(o.running, id)
+	}
+}
+
 // check refuses a request that the upstream may not run.
 func (o *Owner) check(service string, r *Request) (Reply, bool) {
 	now := o.clock.Now()
--- a/core/dispatch/owner_test.go
+++ b/core/dispatch/owner_test.go
@@ -99,3 +99,23 @@
 	time.Sleep(120 * time.Millisecond)
 	is.Equal(l.calls.Load(), int64(1))
 }
+
+// TestRuns guards against a call of an upstream that is taken for a caller's
+// request, and against a caller that only claims to be one.
+func TestRuns(t *testing.T) {
+	is := is.New(t)
+	l := &local{state: dispatch.Local{Service: "s", Up: true}, admits: true, work: 50 * time.Millisecond}
+	o := newOwner(l, 2)
+	is.True(!o.Runs("1"))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		o.Serve(context.Background(), "s", keyed(), dispatch.Rules{})
+	}()
+	time.Sleep(20 * time.Millisecond)
+	is.True(o.Runs("1"))
+	is.True(!o.Runs("2"))
+	is.True(!o.Runs(""))
+	<-done
+	is.True(!o.Runs("1"))
+}
--- a/core/dispatch/peerhttp/peerhttp.go
+++ b/core/dispatch/peerhttp/peerhttp.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
@@ -96,8 +97,8 @@
 	return d, r.Header.Get(headerService), rules, err
 }
 
-// Answer writes a reply.
-func Answer(w http.ResponseWriter, reply dispatch.Reply) {
+// Answer writes a reply, its body by the reply's schedule.
+func Answer(w http.ResponseWriter, reply dispatch.Reply, c clock.Clock) {
 	header := w.Header()
 	status := http.StatusOK
 	if _, done := reply.Outcome.(outcome.Done); done {
@@ -117,10 +118,27 @@
 	header.Set(headerArrived, strconv.FormatBool(reply.Arrived))
 	header.Set(headerReturn, strconv.FormatInt(int64(reply.RetryAfter), 10))
 	l := reply.Load
-	header.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d", l.Running, l.Waiting, l.Slots, l.Service, l.Demand, l.LinkMbps, l.LinkWait))
+	header.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d", l.Running, l.Waiting, l.Slots, l.Service, l.Own, l.Demand, l.LinkMbps, l.LinkWait))
 	header.Set("Content-Length", strconv.Itoa(len(reply.Response.Body)))
 	w.WriteHeader(status)
-	_, _ = w.Write(reply.Response.Body) // The other daemon may have given up.
+	send(w, reply.Response.Body, reply.Schedule, c)
+}
+
+// send writes a body in pieces, so that other answers get between them.
+func send(w http.ResponseWriter, body []byte, schedule balance.Schedule, c clock.Clock) {
+	flusher, _ := w.(http.Flusher)
+	piece := schedule.Piece()
+	for sent := 0; sent < len(body); sent += piece {
+		if wait := schedule.Due(c.Now(), sent); wait > 0 {
+			time.Sleep(wait.Duration())
+		}
+		if _, err := w.Write(body[sent:min(sent+piece, len(body))]); err != nil {
+			return // The other daemon has given up.
+		}
+		if flusher != nil && len(body) > piece {
+			flusher.Flush()
+		}
+	}
 }
 
 // DecodeReply reads a reply. An answer that no daemon wrote makes an unknown
@@ -144,8 +162,8 @@
 		reply.RetryAfter = clock.Millis(after)
 	}
 	l := balance.Load{}
-	_, err := fmt.Sscanf(header.Get(headerLoad), "%d,%d,%d,%d,%d,%d,%d",
-		&l.Running, &l.Waiting, &l.Slots, &l.Service, &l.Demand, &l.LinkMbps, &l.LinkWait)
+	_, err := fmt.Sscanf(header.Get(headerLoad), "%d,%d,%d,%d,%d,%d,%d,%d",
+		&l.Running, &l.Waiting, &l.Slots, &l.Service, &l.Own, &l.Demand, &l.LinkMbps, &l.LinkWait)
 	if err == nil {
 		reply.Load, reply.HasLoad = l, true
 	}
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -62,11 +62,14 @@
 }
 
 // Take tells whether a retry is allowed now, and counts it if so.
-func (b *Budget) Take(now clock.Millis) bool {
+func (b *Budget) Take(now clock.Millis) bool { return b.TakeAbove(now, 0) }
+
+// TakeAbove is Take for a retry that leaves a reserve of retries to others.
+func (b *Budget) TakeAbove(now clock.Millis, reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	if b.tokens < 1 {
+	if b.tokens < 1+reserve {
 		return false
 	}
 	b.tokens--
--- a/core/retry/budget_test.go
+++ b/core/retry/budget_test.go
@@ -30,3 +30,27 @@
 	is.True(repeats <= daemons*perSecond*window/5+56)
 	is.True(repeats >= daemons*perSecond*window/20)
 }
+
+// TestReserve replays callers that press beside the calls of upstreams. Without a
+// reserve, callers take every repeat and each refused call wastes its parent's work.
+func TestReserve(t *testing.T) {
+	is := is.New(t)
+	share := func(reserve float64) (calls int) {
+		b := retry.NewBudget(0.1, 0.001).Burst(2)
+		now := clock.Millis(0)
+		for i := range 1000 {
+			now += 10
+			b.First(now)
+			if i%7 == 6 && b.Take(now) { // one call to six requests of callers
+				calls++
+			}
+			if i%7 != 6 {
+				b.TakeAbove(now, reserve)
+			}
+		}
+		return calls
+	}
+	naive, own := share(0), share(0.5)
+	t.Logf("calls repeated: %d without a reserve, %d with it", naive, own)
+	is.True(naive < own/2)
+}
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -60,8 +60,12 @@
 		a.log.Warn().Err(err).Str("request", callers.RequestID(r)).Int("status", status).Msg("requestRejected")
 		return
 	}
+	request.Nested = a.owner.Runs(request.Parent)
 	result := a.handle(r.Context(), table, request)
 	status := callers.Answer(w, request.ID, result)
+	if result.Instance != a.settings.Instance() {
+		a.owner.Relayed(len(result.Response.Body))
+	}
 	a.ended(r.Context(), request, result, status)
 }
 
@@ -91,12 +95,12 @@
 	request, service, rules, err := peerhttp.Decode(r, a.clock.Now())
 	if err != nil {
 		a.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("peerRequestRejected")
-		peerhttp.Answer(w, dispatch.NotRun(outcome.ReasonMalformed))
+		peerhttp.Answer(w, dispatch.NotRun(outcome.ReasonMalformed), a.clock)
 		return
 	}
 	reply := a.owner.Serve(r.Context(), service, request, rules)
 	a.decided(request, service, reply)
-	peerhttp.Answer(w, reply)
+	peerhttp.Answer(w, reply, a.clock)
 }
 
 // sender sends requests to other sidecars, or to the own upstream.
