keyspace, sidecar: smaller division rows, one reader of own rows, senders that left

Ruled out: processor time of ikeja-14 (0.04 of 0.16 cores), queues of its upstream. Change: ranges are written by columns (6.7 KB with 200 moves); only the first reader of a region follows the own rows, readers pass on to their listeners what is news; a request whose sender has closed its connection is not run; large answers count their packets. Tests: TestEncodedSize, TestLeft.

--- a/core/balance/link.go
+++ b/core/balance/link.go
@@ -6,6 +6,11 @@
 	// linkShare is the share of a link that answers may use; the rest is for the
 	// requests themselves, acknowledgements and control.
 	linkShare = 0.9
+	// overhead is the size in bytes of an answer's head and of its acknowledgements
+	// and packet heads, for a small one.
+	overhead = 800
+	// packetShare is what the packets of a large answer add to it.
+	packetShare = 0.04
 	// firstLarge is the size in bytes of a large answer before any was seen.
 	firstLarge = 90_000
 	// sizeWeight is the weight of the newest answer in the mean size.
@@ -64,7 +69,7 @@
 	}
 	rate := perMilli(l.mbps)
 	start := max(l.free, float64(now))
-	l.free = start + float64(bytes)/rate
+	l.free = start + (overhead+float64(bytes)*(1+packetShare))/rate
 	return Schedule{start: start, rate: rate}
 }
 
--- a/core/exchange/client.go
+++ b/core/exchange/client.go
@@ -131,6 +131,13 @@
 	return ok && idle.Clean(tcp)
 }
 
+// Left tells whether the sender of a request that was read from conn has closed it:
+// nobody waits for the answer any more.
+func Left(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	return ok && idle.Closed(tcp)
+}
+
 func (c *Client) pop() *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -204,3 +204,28 @@
 	is.True(errors.As(err, &failed))
 	is.True(!failed.Sent())
 }
+
+// TestLeft replays a request that was delayed until its sender had given up: both the
+// request and the end of its connection are there at once.
+func TestLeft(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	sender, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	received, err := l.Accept()
+	is.NoErr(err)
+	defer received.Close()
+	is.True(!exchange.Left(received)) // waits for a request
+	_, err = sender.Write([]byte("x"))
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	is.True(!exchange.Left(received)) // has one to read
+	_, err = received.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.True(!exchange.Left(received))
+	is.NoErr(sender.Close())
+	time.Sleep(20 * time.Millisecond)
+	is.True(exchange.Left(received))
+}
--- a/core/internal/idle/idle.go
+++ b/core/internal/idle/idle.go
@@ -4,17 +4,33 @@
 import "syscall"
 
 // Clean tells whether a connection is still open and has no unexpected byte
-// waiting. It looks at the next byte without taking it or waiting for it.
+// waiting.
 func Clean(conn syscall.Conn) bool {
+	_, err := peek(conn)
+	return err == syscall.EAGAIN //nolint:errorlint // The system call's own number.
+}
+
+// Closed tells whether the other end has closed a connection and all that it sent
+// has been read.
+func Closed(conn syscall.Conn) bool {
+	n, err := peek(conn)
+	return n == 0 && err == nil
+}
+
+// peek looks at the next byte without taking it or waiting for it. It returns 0 and
+// no error at the end of the stream.
+func peek(conn syscall.Conn) (int, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	clean := false
-	err = raw.Control(func(fd uintptr) {
-		var next [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		clean = err == syscall.EAGAIN
+	var n int
+	var next [1]byte
+	controlErr := raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && clean
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
 }
--- a/core/keyspace/encode.go
+++ b/core/keyspace/encode.go
@@ -34,38 +34,38 @@
 	Leaving       bool                 `json:"leaving,omitempty"`
 }
 
-type encodedRange struct {
-	Last     Key            `json:"l"`
-	Owner    int            `json:"o"`
-	Epoch    identity.Epoch `json:"e"`
-	Next     int            `json:"n,omitempty"`
-	Handover string         `json:"h,omitempty"`
+// encodedRanges are the ranges in ascending order, a column for each of their parts:
+// equal neighbours compress well.
+type encodedRanges struct {
+	// Lengths are the numbers of keys.
+	Lengths []int `json:"lengths"`
+	// Owners and Nexts name holders by their position from 1, 0 for none.
+	Owners []int `json:"owners"`
+	Nexts  []int `json:"nexts"`
+	// Epochs are differences from the range before.
+	Epochs []int64 `json:"epochs"`
+	// Handovers are those that are not empty, by position.
+	Handovers map[int]string `json:"handovers,omitempty"`
 }
 
 type encodedDivision struct {
 	Epoch   identity.Epoch  `json:"epoch"`
 	Holders []encodedHolder `json:"holders"`
-	// Ranges name holders by their position from 1, 0 for none.
-	Ranges []encodedRange `json:"ranges"`
+	Ranges  encodedRanges   `json:"ranges"`
 }
 
 // Encode returns the form that the table keeps: compressed JSON.
 func (d Division) Encode() ([]byte, error) {
-	e := encodedDivision{Epoch: d.epoch}
+	e := encodedDivision{Epoch: d.epoch, Ranges: d.encodeRanges()}
 	for _, h := range d.holders {
 		e.Holders = append(e.Holders, h.encode())
 	}
-	for _, r := range d.ranges {
-		e.Ranges = append(e.Ranges, encodedRange{
-			Last: r.last, Owner: d.number(r.owner), Epoch: r.epoch, Next: d.number(r.next), Handover: r.handover,
-		})
-	}
 	text, err := json.Marshal(e)
 	if err != nil {
 		return nil, err
 	}
 	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	w, err := flate.NewWriter(&out, flate.DefaultCompression)
 	if err != nil {
 		return nil, err
 	}
@@ -78,6 +78,29 @@
 	return out.Bytes(), nil
 }
 
+func (d Division) encodeRanges() encodedRanges {
+	numbers := make(map[string]int, len(d.holders))
+	for i, h := range d.holders {
+		numbers[h.Name()] = i + 1
+	}
+	var e encodedRanges
+	var epoch identity.Epoch
+	for i, r := range d.ranges {
+		e.Lengths = append(e.Lengths, int(r.last)-int(r.first)+1)
+		e.Owners = append(e.Owners, numbers[r.owner])
+		e.Nexts = append(e.Nexts, numbers[r.next])
+		e.Epochs = append(e.Epochs, int64(r.epoch)-int64(epoch)) //nolint:gosec // Epochs count changes.
+		epoch = r.epoch
+		if r.handover != "" {
+			if e.Handovers == nil {
+				e.Handovers = make(map[int]string)
+			}
+			e.Handovers[i] = r.handover
+		}
+	}
+	return e
+}
+
 func (h Holder) encode() encodedHolder {
 	instance := h.lease.Instance()
 	e := encodedHolder{
@@ -92,14 +115,6 @@
 	return e
 }
 
-// number returns the position of a holder from 1, or 0.
-func (d Division) number(name string) int {
-	if i, ok := d.position(name); ok {
-		return i + 1
-	}
-	return 0
-}
-
 // DecodeError reports a division that can't be read.
 type DecodeError struct{ cause error }
 
@@ -122,26 +137,41 @@
 	for _, h := range e.Holders {
 		d.holders = append(d.holders, h.decode())
 	}
+	if d.ranges, err = e.Ranges.decode(d.holders); err != nil {
+		return Division{}, &DecodeError{cause: err}
+	}
+	return d, nil
+}
+
+func (e encodedRanges) decode(holders []Holder) ([]Range, error) {
+	count := len(e.Lengths)
+	if len(e.Owners) != count || len(e.Nexts) != count || len(e.Epochs) != count {
+		return nil, fmt.Errorf("ranges have columns of %d, %d, %d and %d", count, len(e.Owners), len(e.Nexts), len(e.Epochs))
+	}
 	name := func(number int) string {
-		if number < 1 || number > len(d.holders) {
+		if number < 1 || number > len(holders) {
 			return ""
 		}
-		return d.holders[number-1].Name()
-	}
-	first := 0
-	for _, r := range e.Ranges {
-		if int(r.Last) < first {
-			return Division{}, &DecodeError{cause: fmt.Errorf("range to %d begins at %d", r.Last, first)}
+		return holders[number-1].Name()
+	}
+	ranges := make([]Range, 0, count)
+	first, epoch := 0, int64(0)
+	for i, length := range e.Lengths {
+		end := first + length
+		if length < 1 || end > int(LastKey)+1 {
+			return nil, fmt.Errorf("range from %d has %d keys", first, length)
 		}
-		d.ranges = append(d.ranges, Range{
-			Span: NewSpan(Key(first), r.Last), owner: name(r.Owner), epoch: r.Epoch, next: name(r.Next), handover: r.Handover,
+		epoch += e.Epochs[i]
+		ranges = append(ranges, Range{
+			Span: NewSpan(Key(first), Key(end-1)), owner: name(e.Owners[i]), epoch: identity.Epoch(epoch), //nolint:gosec // It was encoded from one.
+			next: name(e.Nexts[i]), handover: e.Handovers[i],
 		})
-		first = int(r.Last) + 1
+		first = end
 	}
-	if len(d.ranges) > 0 && first != int(LastKey)+1 {
-		return Division{}, &DecodeError{cause: fmt.Errorf("ranges end at %d", first-1)}
+	if count > 0 && first != int(LastKey)+1 {
+		return nil, fmt.Errorf("ranges end at %d", first-1)
 	}
-	return d, nil
+	return ranges, nil
 }
 
 func (e encodedHolder) decode() Holder {
--- a/core/keyspace/keyspace_test.go
+++ b/core/keyspace/keyspace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/matryer/is"
@@ -148,3 +149,35 @@
 	_, err := keyspace.Decode([]byte("not a division"))
 	is.True(err != nil)
 }
+
+// TestEncodedSize guards against rows that grow with the fleet: each change writes the
+// whole row, and every daemon gets it. As JSON objects it took 24 KB.
+func TestEncodedSize(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	const holders = 50
+	members := make([]membership.Member, holders)
+	for i := range members {
+		instance := membership.NewInstance(fmt.Sprintf("instance-%d", i), "", fmt.Sprintf("10.1.0.%d:7600", i), identity.NewLocation("r", fmt.Sprintf("d%d", i%6)))
+		members[i] = membership.Restore(identity.Incarnation(rng.Uint64()), instance, 1, nil)
+	}
+	var d keyspace.Division
+	for i, m := range members {
+		row := membership.Restore(m.Incarnation(), m.Instance(), 1, membership.ChooseWitnesses(m, members, 3))
+		d = d.Join(keyspace.NewHolder(row, keyspace.NewLife(fmt.Sprintf("i-%08x", rng.Uint32()), 1_700_000_000_000), 12))
+		is.Equal(len(d.Holders()), i+1)
+	}
+	d = d.Deal()
+	for range 200 {
+		r := d.Ranges()[rng.IntN(len(d.Ranges()))]
+		d = d.Move(r.Owner(), r.Span, members[rng.IntN(holders)].Instance().Name())
+		d = d.Handed(r.Owner(), []keyspace.Released{keyspace.NewReleased(r.Span, fmt.Sprintf("%016x", rng.Uint64()))})
+	}
+	data, err := d.Encode()
+	is.NoErr(err)
+	t.Logf("%d bytes for %d holders and %d ranges", len(data), holders, len(d.Ranges()))
+	is.True(len(data) < 12_000)
+	read, err := keyspace.Decode(data)
+	is.NoErr(err)
+	is.Equal(read, d)
+}
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -73,9 +73,9 @@
 	wake      chan struct{}
 	started   clock.Millis
 	listeners []*listener
-	// reading tells that this sidecar follows the store itself, following whether
-	// each feed is answered.
-	reading   atomic.Bool
+	// reading tells which feeds of the store this sidecar follows itself, following
+	// which of them are answered.
+	reading   [store.Feeds]atomic.Bool
 	following [store.Feeds]atomic.Bool
 	// stopping tells that callers should go elsewhere, closing that the upstream
 	// gets no more requests from this process, refusing that callers are refused.
@@ -100,7 +100,9 @@
 	}
 	a := &App{settings: s, localIP: net.ParseIP(s.IP()), wake: make(chan struct{}, 1)}
 	a.started = a.clock.Now()
-	a.reading.Store(true)
+	for i := range a.reading {
+		a.reading[i].Store(true)
+	}
 	a.log, a.lines = logs.New(out, s.LogLevel())
 	a.observer = newObserver()
 	a.manifest.Store(&routes.Manifest{})
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -25,9 +25,10 @@
 	// conflictPause is the shortest time before a change is tried again whose row
 	// was changed by another; as much again is added at random.
 	conflictPause = 60 * time.Millisecond
-	// crowdPause is the time that each holder adds to it when it enters: many
-	// start together, and a write takes 45 ms from the farthest region.
-	crowdPause = 10 * time.Millisecond
+	// crowdPause is the time that each instance of the service that has not entered
+	// yet adds to it: all start together, and a write takes 45 ms from the farthest
+	// region.
+	crowdPause = 20 * time.Millisecond
 )
 
 // controlInterval is the time between two looks at what is due.
@@ -253,9 +254,14 @@
 	if reason != holding.ReasonJoin {
 		return conflictPause
 	}
-	a.state.mu.Lock()
-	defer a.state.mu.Unlock()
-	return conflictPause + time.Duration(len(a.state.holders(a.settings.Service())))*crowdPause
+	return conflictPause + time.Duration(a.state.outside())*crowdPause
+}
+
+// outside returns the number of instances of the own service that are no holders.
+func (s *state) outside() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(len(s.view.Instances(s.service))-len(s.holders(s.service)), 0)
 }
 
 // publish writes the own member row if it is not what the table has.
--- a/sidecar/app/observe.go
+++ b/sidecar/app/observe.go
@@ -14,6 +14,7 @@
 	"briarwell.dev/core/logs"
 	"briarwell.dev/core/metrics"
 	"briarwell.dev/core/outcome"
+	"briarwell.dev/platform/store"
 )
 
 const (
@@ -135,6 +136,14 @@
 		Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
 }
 
+// abandoned writes a line for a request that is not run, as its sender has left.
+func (a *App) abandoned(r *dispatch.Request) {
+	if ok, omitted := a.observer.owners.Take(a.clock.Now()); ok {
+		a.log.Info().Str("request", r.ID).Int64("allowedMillis", int64(r.Deadline-r.Arrived)).
+			Int64("omitted", omitted).Msg("requestAbandoned")
+	}
+}
+
 // gauge reads the gauges until ctx ends.
 func (a *App) gauge(ctx context.Context) {
 	ticker := time.NewTicker(gaugeInterval)
@@ -162,7 +171,7 @@
 		"running": float64(load.Running), "waiting": float64(load.Waiting), "slots": float64(load.Slots),
 		"service_milliseconds": float64(load.Service), "demand_percent": float64(load.Demand),
 		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.lines.Dropped()),
-		"follows_store": truth(a.reading.Load()),
+		"follows_store": truth(a.reading[store.OperatorRows].Load()),
 	} {
 		scope.Gauge(name).Update(value)
 	}
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -156,7 +156,7 @@
 	handle(mux, pathLapse, a.lapse)
 	handle(mux, pathSync, a.answerSync)
 	handle(mux, pathRows, func(m rowsMessage) struct{} {
-		a.takeRows(decodeRows(m.Rows))
+		a.spreadRows(context.Background(), a.takeRows(decodeRows(m.Rows)), false)
 		return struct{}{}
 	})
 	return mux
--- a/sidecar/app/readers.go
+++ b/sidecar/app/readers.go
@@ -12,11 +12,13 @@
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/table"
+	"briarwell.dev/platform/store"
 )
 
 const (
 	// readersPerRegion is the number of sidecars of a region that follow the
-	// store; the others learn from them. One may be lost without a delay.
+	// operator's rows; the others learn from them, and one may be lost without a
+	// delay. Only the first follows the own rows, which change more often.
 	readersPerRegion = 2
 	// checkInterval is the shortest time between two comparisons of rows with the
 	// readers; half as much is added at random. With the time in which a reader
@@ -36,12 +38,11 @@
 func (a *App) synchronise(ctx context.Context) {
 	for round := 1; ctx.Err() == nil; round++ {
 		pause(ctx, checkInterval*2/3)
-		readers, own := a.state.readers(a.clock.Now())
+		readers, place := a.state.readers(a.clock.Now())
 		well := a.checkAll(ctx, readers)
-		reading := own || !well
-		if a.reading.Swap(reading) != reading {
-			a.log.Info().Bool("reading", reading).Bool("reader", own).Int("readers", len(readers)).Msg("storeReading")
-		}
+		a.read(store.OperatorRows, !well || place >= 0)
+		// A later reader compares with those before it.
+		a.read(store.OwnRows, !well || place == 0)
 		if round%anyCheckEvery == 0 {
 			if m, ok := a.state.anyPeer(); ok {
 				a.compare(ctx, m)
@@ -50,6 +51,13 @@
 	}
 }
 
+// read starts or ends to follow a feed.
+func (a *App) read(feed store.Feed, reading bool) {
+	if a.reading[feed].Swap(reading) != reading {
+		a.log.Info().Int("feed", int(feed)).Bool("reading", reading).Msg("storeReading")
+	}
+}
+
 // checkAll compares rows with the readers and tells whether any of them follows
 // the store.
 func (a *App) checkAll(ctx context.Context, readers []fleet.Member) bool {
@@ -94,9 +102,9 @@
 
 // answerSync answers another sidecar that compares rows.
 func (a *App) answerSync(m syncMessage) syncAnswer {
-	reading := a.reading.Load()
+	reading := a.reading[store.OperatorRows].Load()
 	for i := range a.following {
-		reading = reading && a.following[i].Load()
+		reading = reading && (a.following[i].Load() || !a.reading[i].Load())
 	}
 	if m.Versions == nil {
 		return syncAnswer{Same: m.Sum == a.rows.Sum(), Reading: reading}
@@ -111,10 +119,13 @@
 	}
 }
 
-// spreadRows sends rows that the store has told to the sidecars of the region
-// that do not follow it. Readers share them.
-func (a *App) spreadRows(ctx context.Context, rows []table.Row) {
-	for _, m := range a.state.listeners(a.clock.Now()) {
+// spreadRows sends rows that are news to the sidecars of the region that learn from
+// this one. Those that the store has told go to the other readers too.
+func (a *App) spreadRows(ctx context.Context, rows []table.Row, fromStore bool) {
+	if len(rows) == 0 {
+		return
+	}
+	for _, m := range a.state.listeners(a.clock.Now(), fromStore) {
 		go a.sendRows(ctx, m, rows)
 	}
 }
@@ -132,22 +143,22 @@
 }
 
 // readers returns the other sidecars of the region that should follow the store,
-// and whether this one should.
-func (s *state) readers(now clock.Millis) ([]fleet.Member, bool) {
+// and the own place among the readers, -1 if this is none.
+func (s *state) readers(now clock.Millis) ([]fleet.Member, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	near := s.region(now)
 	near = near[:min(len(near), readersPerRegion)]
 	i := slices.IndexFunc(near, s.isSelf)
 	if i < 0 {
-		return near, false
+		return near, i
 	}
-	return slices.Delete(near, i, i+1), true
+	return slices.Delete(near, i, i+1), i
 }
 
-// listeners returns the sidecars of the region to which this reader sends rows.
-// One that follows the store although it is no reader sends none.
-func (s *state) listeners(now clock.Millis) []fleet.Member {
+// listeners returns the sidecars of the region to which this reader sends rows, with
+// the other readers if it should. One that is no reader sends none.
+func (s *state) listeners(now clock.Millis, readersToo bool) []fleet.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	near := s.region(now)
@@ -157,6 +168,11 @@
 		return nil
 	}
 	var listeners []fleet.Member
+	for i, m := range readers {
+		if readersToo && i != own {
+			listeners = append(listeners, m)
+		}
+	}
 	for i, m := range near[len(readers):] {
 		if i%len(readers) == own {
 			listeners = append(listeners, m)
--- a/sidecar/app/rows.go
+++ b/sidecar/app/rows.go
@@ -30,7 +30,7 @@
 	var after table.Revision
 	loaded, reachable := false, true
 	for ctx.Err() == nil {
-		if loaded && !a.reading.Load() {
+		if loaded && !a.reading[feed].Load() {
 			pause(ctx, readerPoll)
 			continue
 		}
@@ -63,7 +63,7 @@
 		}
 		a.state.storeAnswered(a.clock.Now())
 		if changed := a.takeRows(rows); loaded && len(changed) > 0 {
-			a.spreadRows(ctx, changed)
+			a.spreadRows(ctx, changed, true)
 		}
 		if feed == store.OwnRows && !loaded {
 			a.state.loaded(a.clock.Now())
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -43,9 +44,23 @@
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, conn)
+		},
 	}
 }
 
+// connectionKey is that of a request's connection in its context.
+type connectionKey struct{}
+
+// left tells whether the sender of a request has given up. A request that was held up
+// on its way may come together with the end of its connection, which the server sees
+// too late to keep it from the upstream.
+func left(ctx context.Context) bool {
+	conn, ok := ctx.Value(connectionKey{}).(net.Conn)
+	return ctx.Err() != nil || ok && exchange.Left(conn)
+}
+
 // serveCaller handles a request that began on this instance.
 func (a *App) serveCaller(w http.ResponseWriter, r *http.Request) {
 	a.inFlight.Add(1)
@@ -60,6 +75,10 @@
 		a.log.Warn().Err(err).Str("request", callers.RequestID(r)).Int("status", status).Msg("requestRejected")
 		return
 	}
+	if left(r.Context()) {
+		a.abandoned(request)
+		return
+	}
 	request.Nested = a.owner.Runs(request.Parent)
 	result := a.handle(r.Context(), table, request)
 	status := callers.Answer(w, request.ID, result)
@@ -98,6 +117,10 @@
 		peerhttp.Answer(w, dispatch.NotRun(outcome.ReasonMalformed), a.clock)
 		return
 	}
+	if left(r.Context()) {
+		a.abandoned(request)
+		return
+	}
 	reply := a.owner.Serve(r.Context(), service, request, rules)
 	a.decided(request, service, reply)
 	peerhttp.Answer(w, reply, a.clock)
