holding, sidecar: moves survive a conflict, pauses double with each

Change: moves are tried again for 1.5 s after a conflict (not after silence of the store); pauses double from 50 ms, or 200 ms on entering, with as much again at random; watches of the store keep a gap of 150 ms until a sidecar knows whether it is a reader. Test: TestMovesAfterConflict.

--- a/core/holding/change.go
+++ b/core/holding/change.go
@@ -41,8 +41,16 @@
 	return Change{division: d.Drop(h.Name()), base: base, reason: "lost"}, true
 }
 
-// Request asks for moves of own keys.
-func (c *Custodian) Request(moves []Move) { c.moves = append(c.moves, moves...) }
+// moveLife is the time in milliseconds for which requested moves are tried again when
+// another change came first. The loads that asked for them are older then.
+const moveLife clock.Millis = 1500
+
+const reasonMove = "move"
+
+// Request asks at now for moves of own keys, in place of those asked for before.
+func (c *Custodian) Request(now clock.Millis, moves []Move) {
+	c.moves, c.movesUntil = moves, now+moveLife
+}
 
 // Next returns the change of the division that is due at now, if any. Its result
 // must be told with Committed or Divided before the next call.
@@ -62,6 +70,9 @@
 // Committed takes the division that the table accepted from this daemon.
 func (c *Custodian) Committed(now clock.Millis, revision table.Revision, change Change) {
 	c.Divided(now, revision, change.division)
+	if change.reason == reasonMove {
+		c.moves = nil
+	}
 	if h, ok := c.self(); ok && h.Lease().Generation() != c.generation {
 		c.install(h.Lease())
 	}
@@ -236,9 +247,9 @@
 	return c.division.Join(keyspace.NewHolder(row, h.Life(), h.Slots())), "witnesses"
 }
 
-// move carries out requested moves.
+// move carries out requested moves. They stay until the table has accepted them.
 func (c *Custodian) move() (keyspace.Division, string) {
-	if _, ok := c.self(); !ok || len(c.moves) == 0 {
+	if _, ok := c.self(); !ok || len(c.moves) == 0 || c.now >= c.movesUntil {
 		c.moves = nil
 		return c.division, ""
 	}
@@ -248,8 +259,7 @@
 			d = d.Move(c.settings.Instance.Name(), m.span, m.to)
 		}
 	}
-	c.moves = nil
-	return d, "move"
+	return d, reasonMove
 }
 
 // deal assigns keys without an owner. The first holder in order does it at once,
--- a/core/holding/holding.go
+++ b/core/holding/holding.go
@@ -111,6 +111,7 @@
 	resigned   bool
 	resignedAt table.Revision
 	moves      []Move
+	movesUntil clock.Millis
 }
 
 type grantedRow struct {
--- a/core/holding/holding_test.go
+++ b/core/holding/holding_test.go
@@ -8,7 +8,11 @@
 	"github.com/matryer/is"
 
 	"briarwell.dev/core/holding"
+	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyspace"
+	"briarwell.dev/core/membership"
+	"briarwell.dev/core/report"
+	"briarwell.dev/core/table"
 )
 
 // schedules is the number of seeds of a run; BRIARWELL_SCHEDULES sets another.
@@ -68,7 +72,7 @@
 	case 11:
 		first := keyspace.Key(s.rng.IntN(60000))
 		to := s.hosts[s.rng.IntN(len(s.hosts))].instance.Name()
-		h.daemon.custodian.Request([]holding.Move{holding.NewMove(keyspace.NewSpan(first, first+500), to)})
+		h.daemon.custodian.Request(h.daemon.now(), []holding.Move{holding.NewMove(keyspace.NewSpan(first, first+500), to)})
 	}
 }
 
@@ -130,7 +134,7 @@
 			if len(owned) > 0 {
 				r := owned[s.rng.IntN(len(owned))]
 				to := s.hosts[(h.index+1)%3].instance.Name()
-				h.daemon.custodian.Request([]holding.Move{holding.NewMove(r.Span, to)})
+				h.daemon.custodian.Request(h.daemon.now(), []holding.Move{holding.NewMove(r.Span, to)})
 			}
 		}
 		s.run(s.t + 250)
@@ -148,7 +152,7 @@
 	for _, h := range s.hosts {
 		division, _ := h.daemon.custodian.Division()
 		for _, r := range division.Owned(h.instance.Name())[:8] {
-			h.daemon.custodian.Request([]holding.Move{holding.NewMove(r.Span, s.hosts[(h.index+1)%4].instance.Name())})
+			h.daemon.custodian.Request(h.daemon.now(), []holding.Move{holding.NewMove(r.Span, s.hosts[(h.index+1)%4].instance.Name())})
 		}
 	}
 	// The moves are written, then the store goes away before the next reports.
@@ -200,3 +204,50 @@
 	is.Equal(s.failure, "")
 	is.True(s.served > 0)
 }
+
+// TestMovesAfterConflict replays holders that all give keys away at once, as when the
+// load rises: one write in a few succeeds. Without another try a holder whose write
+// lost waits until it plans again, 2 s later.
+func TestMovesAfterConflict(t *testing.T) {
+	is := is.New(t)
+	c, d := custodian(t)
+	span := keyspace.NewSpan(0, 99)
+	c.Request(100, []holding.Move{holding.NewMove(span, "i1")})
+	first, ok := c.Next(110)
+	is.True(ok)
+	is.Equal(first.Reason(), "move")
+	c.Divided(150, 6, d) // another change came first
+	second, ok := c.Next(200)
+	is.True(ok)
+	is.Equal(second.Reason(), "move")
+	is.Equal(second.Base(), table.Revision(6))
+	c.Committed(250, 7, second)
+	moved, _ := second.Division().Find(50)
+	is.Equal(moved.Next(), "i1")
+	if third, ok := c.Next(300); ok {
+		is.True(third.Reason() != "move")
+	}
+	c.Request(300, []holding.Move{holding.NewMove(span, "i1")})
+	if late, ok := c.Next(2000); ok { // the store did not answer
+		is.True(late.Reason() != "move")
+	}
+}
+
+// custodian returns that of the holder i0 of a division with a second one.
+func custodian(t *testing.T) (*holding.Custodian, keyspace.Division) {
+	t.Helper()
+	is := is.New(t)
+	tracker := report.NewTracker("s", "a0")
+	var d keyspace.Division
+	for i, name := range []string{"i0", "i1"} {
+		instance := membership.NewInstance(name, "", "p"+name, identity.NewLocation("r", "d"))
+		row := membership.Restore(identity.Incarnation(i+1), instance, 1, []membership.Witness{membership.NewWitness(9, "w")})
+		d = d.Join(keyspace.NewHolder(row, keyspace.NewLife(name, 1), 2))
+	}
+	d = d.Deal()
+	instance := membership.NewInstance("i0", "", "pi0", identity.NewLocation("r", "d"))
+	c := holding.New(0, holding.Settings{Instance: instance, Incarnation: 1, HoldMax: 10_000}, tracker)
+	is.Equal(tracker.Take(50, report.Report{Life: keyspace.NewLife("i0", 1), Service: "s", Address: "a0", Slots: 2, Sequence: 1}), report.Started)
+	c.Divided(60, 5, d)
+	return c, d
+}
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -77,6 +77,11 @@
 	// which of them are answered.
 	reading   [store.Feeds]atomic.Bool
 	following [store.Feeds]atomic.Bool
+	// placed tells that this sidecar has compared rows with others, so that it knows
+	// whether it should follow the store.
+	placed atomic.Bool
+	// conflicts counts the writes in a row whose row was changed by another.
+	conflicts atomic.Int64
 	// stopping tells that callers should go elsewhere, closing that the upstream
 	// gets no more requests from this process, refusing that callers are refused.
 	stopping atomic.Bool
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -23,12 +23,15 @@
 
 const (
 	// conflictPause is the shortest time before a change is tried again whose row
-	// was changed by another; as much again is added at random.
-	conflictPause = 60 * time.Millisecond
-	// crowdPause is the time that each instance of the service that has not entered
-	// yet adds to it: all start together, and a write takes 45 ms from the farthest
-	// region.
-	crowdPause = 20 * time.Millisecond
+	// was changed by another. It doubles with each conflict in a row, and as much
+	// again is added at random: all holders of a service write the same row, and a
+	// write takes 45 ms from the farthest region.
+	conflictPause = 50 * time.Millisecond
+	// maxDoublings bounds how often it doubles: to 800 ms.
+	maxDoublings = 4
+	// joinDoublings is how often it has doubled already at the first conflict of a
+	// holder that enters: all start together.
+	joinDoublings = 2
 )
 
 // controlInterval is the time between two looks at what is due.
@@ -220,6 +223,7 @@
 	revision, err := a.store.Commit(ctx, transaction)
 	if err == nil {
 		a.state.storeAnswered(a.clock.Now())
+		a.conflicts.Store(0)
 		a.log.Info().Str("row", key).Str("reason", reason).Uint64("base", uint64(base)).Uint64("revision", uint64(revision)).Msg("rowWritten")
 		return revision, true
 	}
@@ -251,17 +255,11 @@
 
 // conflictPause returns the time before a change is tried again.
 func (a *App) conflictPause(reason string) time.Duration {
-	if reason != holding.ReasonJoin {
-		return conflictPause
+	doublings := int(a.conflicts.Add(1)) - 1
+	if reason == holding.ReasonJoin {
+		doublings += joinDoublings
 	}
-	return conflictPause + time.Duration(a.state.outside())*crowdPause
-}
-
-// outside returns the number of instances of the own service that are no holders.
-func (s *state) outside() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(len(s.view.Instances(s.service))-len(s.holders(s.service)), 0)
+	return conflictPause << min(doublings, maxDoublings)
 }
 
 // publish writes the own member row if it is not what the table has.
--- a/sidecar/app/readers.go
+++ b/sidecar/app/readers.go
@@ -43,6 +43,7 @@
 		a.read(store.OperatorRows, !well || place >= 0)
 		// A later reader compares with those before it.
 		a.read(store.OwnRows, !well || place == 0)
+		a.placed.Store(len(readers) > 0)
 		if round%anyCheckEvery == 0 {
 			if m, ok := a.state.anyPeer(); ok {
 				a.compare(ctx, m)
--- a/sidecar/app/rows.go
+++ b/sidecar/app/rows.go
@@ -21,6 +21,9 @@
 	// watchGap is the shortest time between two calls that wait for changes; as
 	// much again is added at random. It joins changes that come together.
 	watchGap = 20 * time.Millisecond
+	// firstWatchGap is watchGap at the start, when all sidecars follow the store and
+	// write their rows.
+	firstWatchGap = 150 * time.Millisecond
 	// readerPoll is the time between two looks at whether to follow the store.
 	readerPoll = 50 * time.Millisecond
 )
@@ -70,10 +73,17 @@
 		}
 		after, loaded = revision, true
 		a.following[feed].Store(true)
-		pause(ctx, watchGap)
+		pause(ctx, a.watchGap())
 	}
 }
 
+func (a *App) watchGap() time.Duration {
+	if a.placed.Load() {
+		return watchGap
+	}
+	return firstWatchGap
+}
+
 // pause waits for d and up to as much again.
 func pause(ctx context.Context, d time.Duration) {
 	select {
--- a/sidecar/app/spread.go
+++ b/sidecar/app/spread.go
@@ -61,7 +61,7 @@
 		return false
 	}
 	a.log.Info().Int("moves", len(moves)).Int("demandPercent", load.Demand).Int("holders", len(others)+1).Msg("keysSpread")
-	s.custodian.Request(moves)
+	s.custodian.Request(a.clock.Now(), moves)
 	return true
 }
 
