dispatch: only large answers wait for their turn on the link

Change: the schedule is set for large answers only; a small request's cost does not count the large answers that wait for the link. Test: TestSmallAnswersPass.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -44,8 +44,6 @@
 	// that did not answer gets no requests; it doubles with each failure.
 	firstPause clock.Millis = 400
 	maxPause   clock.Millis = 3000
-	// smallAnswer is the size in bytes of an answer that is not large.
-	smallAnswer = 4000
 	// jitterShare spreads equal choices of many daemons.
 	jitterShare = 0.15
 )
@@ -328,12 +326,12 @@
 	// What was running at the report has ended by and by.
 	known := float64(p.load.Running+p.load.Waiting) * math.Exp(-age/loadLife)
 	load := max(known+float64(max(p.inFlight-p.atReport, 0)), float64(p.inFlight))
-	size := float64(smallAnswer)
+	wait := queueing(service, load, slots)
 	if ask.Large {
-		// Answers that were asked for since the report share the link.
-		size = orFirst(b.large) * float64(1+max(p.inFlight-p.atReport, 0))
+		// Answers that were asked for since the report share the link. Small ones go
+		// between the pieces of large ones.
+		wait += transfer(p.load, orFirst(b.large)*float64(1+max(p.inFlight-p.atReport, 0)))
 	}
-	wait := queueing(service, load, slots) + transfer(p.load, size)
 	return cost + run + wait, wait
 }
 
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -95,7 +95,12 @@
 // Serve runs a request at the own upstream, if it may run it.
 func (o *Owner) Serve(ctx context.Context, service string, r *Request, rules Rules) Reply {
 	reply := o.serve(ctx, service, r, rules)
-	o.linked(func(l *balance.Link) { reply.Schedule = l.Sent(o.clock.Now(), len(reply.Response.Body)) })
+	o.linked(func(l *balance.Link) {
+		schedule := l.Sent(o.clock.Now(), len(reply.Response.Body))
+		if rules.Large {
+			reply.Schedule = schedule
+		}
+	})
 	reply.Load, reply.HasLoad = o.Load(), true
 	if _, done := reply.Outcome.(outcome.Done); done {
 		reply.Load.Own = o.gate.Expected(rules.Class)
--- a/core/dispatch/owner_test.go
+++ b/core/dispatch/owner_test.go
@@ -21,6 +21,7 @@
 	state  dispatch.Local
 	admits bool
 	work   time.Duration
+	body   []byte
 	calls  atomic.Int64
 	broken atomic.Int64
 }
@@ -31,16 +32,20 @@
 	l.calls.Add(1)
 	select {
 	case <-time.After(l.work):
-		return done()
+		reply := done()
+		reply.Response.Body = l.body
+		return reply
 	case <-ctx.Done():
 		l.broken.Add(1)
 		return dispatch.Unknown(outcome.ReasonTimeout)
 	}
 }
 
-func newOwner(l *local, slots int) *dispatch.Owner {
+func newOwner(l *local, slots int) *dispatch.Owner { return newLinkedOwner(l, slots, 0) }
+
+func newLinkedOwner(l *local, slots int, mbps float64) *dispatch.Owner {
 	c := system.Clock{}
-	return dispatch.NewOwner(c, l, admission.NewGate(c, admission.Settings{Slots: slots}), 0)
+	return dispatch.NewOwner(c, l, admission.NewGate(c, admission.Settings{Slots: slots}), mbps)
 }
 
 func keyed() *dispatch.Request {
@@ -119,3 +124,18 @@
 	<-done
 	is.True(!o.Runs("1"))
 }
+
+// TestSmallAnswersPass guards against small answers that wait behind large ones for
+// the link: other requests wait for them.
+func TestSmallAnswersPass(t *testing.T) {
+	is := is.New(t)
+	l := &local{state: dispatch.Local{Service: "s", Up: true}, admits: true, body: make([]byte, 90_000)}
+	o := newLinkedOwner(l, 4, 11)
+	now := system.Clock{}.Now()
+	o.Serve(context.Background(), "s", keyed(), dispatch.Rules{Large: true, Wanted: 1000})
+	large := o.Serve(context.Background(), "s", keyed(), dispatch.Rules{Large: true, Wanted: 1000})
+	is.True(large.Schedule.Due(now, 0) > 50)
+	l.body = make([]byte, 600)
+	small := o.Serve(context.Background(), "s", keyed(), dispatch.Rules{})
+	is.Equal(small.Schedule.Due(now, 0), clock.Millis(0))
+}
