holding, sidecar: holders that enter at once are written together

All write one row; one write in a few succeeds. An entry counts only where the division has what its sender saw in its place, is tried on one base only, and a lease counts only under the generation that the division names, so that an entry that comes late does nothing. The schedule of faults enters half of all holders so, some entries up to 9 s late.

--- /dev/null
+++ b/core/holding/entry_test.go
@@ -0,0 +1,52 @@
+package holding_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/core/holding"
+	"briarwell.dev/core/identity"
+	"briarwell.dev/core/keyspace"
+	"briarwell.dev/core/membership"
+)
+
+func holderOf(instance string, incarnation identity.Incarnation, generation uint64) keyspace.Holder {
+	row := membership.Restore(incarnation, membership.NewInstance(instance, "", "p"+instance, identity.NewLocation("r", "d")), generation,
+		[]membership.Witness{membership.NewWitness(99, "w")})
+	return keyspace.NewHolder(row, keyspace.NewLife(instance, 1), 2)
+}
+
+// TestCrowd replays 50 holders that enter at once: one write in place of 50.
+func TestCrowd(t *testing.T) {
+	is := is.New(t)
+	var entries []holding.Entry
+	for i := range 50 {
+		entries = append(entries, holding.NewEntry(holderOf(fmt.Sprintf("i%d", i), identity.Incarnation(i+1), 1), 0, 0))
+	}
+	change, admitted := holding.Admit(keyspace.Division{}, 0, entries)
+	is.Equal(len(change.Division().Holders()), 50)
+	for _, ok := range admitted {
+		is.True(ok)
+	}
+}
+
+// TestOldEntries guards against an entry that comes after a newer one of the same
+// instance: of a process that has ended since, or with witnesses that were replaced.
+func TestOldEntries(t *testing.T) {
+	is := is.New(t)
+	d := keyspace.Division{}.Join(holderOf("i0", 7, 2))
+	for _, e := range []holding.Entry{
+		holding.NewEntry(holderOf("i0", 7, 1), 0, 0), // its second set was entered already
+		holding.NewEntry(holderOf("i0", 6, 1), 5, 1), // the process before
+		holding.NewEntry(holderOf("i0", 7, 3), 7, 1), // saw an older set
+	} {
+		_, admitted := holding.Admit(d, 4, []holding.Entry{e})
+		is.True(!admitted[0])
+	}
+	change, admitted := holding.Admit(d, 4, []holding.Entry{holding.NewEntry(holderOf("i0", 8, 1), 7, 2)})
+	is.True(admitted[0])
+	h, _ := change.Division().Holder("i0")
+	is.Equal(h.Lease().Incarnation(), identity.Incarnation(8))
+}
--- a/core/holding/grant.go
+++ b/core/holding/grant.go
@@ -51,7 +51,7 @@
 		c.granted = nil
 		return Grant{}
 	}
-	hold := (c.lease.End() - now) * 100 / (100 + upstreamDriftPercent)
+	hold := (c.LeaseEnd() - now) * 100 / (100 + upstreamDriftPercent)
 	hold = min(hold, c.settings.HoldMax)
 	if hold < shortestHold {
 		c.trust(now, r)
--- a/core/holding/holding.go
+++ b/core/holding/holding.go
@@ -223,9 +223,10 @@
 	return h, true
 }
 
-// LeaseEnd returns the point until which nobody else may replace the upstream.
+// LeaseEnd returns the point until which nobody else may replace the upstream. The
+// division must name the witness set whose promises count.
 func (c *Custodian) LeaseEnd() clock.Millis {
-	if _, ok := c.self(); !ok {
+	if h, ok := c.self(); !ok || h.Lease().Generation() != c.generation {
 		return 0
 	}
 	return c.lease.End()
--- a/core/holding/sim_test.go
+++ b/core/holding/sim_test.go
@@ -202,11 +202,42 @@
 	if d.writing || s.storeDown || d.host.cut {
 		return
 	}
-	if change, ok := d.custodian.Next(d.now()); ok {
+	if change, ok := d.custodian.Next(d.now()); ok && (s.rng.IntN(2) > 0 || !d.enter(change)) {
 		d.commit(change, true)
 	}
 }
 
+// enter asks another daemon to write the entry of the own upstream. It tells whether
+// the change is one that others may write.
+func (d *daemon) enter(change holding.Change) bool {
+	s := d.host.s
+	division, _ := d.custodian.Division()
+	entry, ok := holding.EntryOf(division, change, d.host.instance.Name())
+	if !ok {
+		return false
+	}
+	d.writing = true
+	s.after(700, func() { d.writing = false })
+	to := s.hosts[s.rng.IntN(len(s.hosts))]
+	d.ask(to.instance.PeerAddress(), func(to *daemon) {
+		known, base := to.custodian.Division()
+		change, admitted := holding.Admit(known, base, []holding.Entry{entry})
+		if !admitted[0] {
+			return
+		}
+		wait := s.rng.Int64N(100)
+		if s.rng.IntN(5) == 0 {
+			wait += s.rng.Int64N(9000) // frozen meanwhile
+		}
+		s.after(wait, func() {
+			if to.alive && !to.writing && !s.storeDown && !to.host.cut {
+				to.commit(change, false)
+			}
+		})
+	}, func(*daemon) {})
+	return true
+}
+
 // read follows the division's row.
 func (d *daemon) read() {
 	s := d.host.s
--- a/core/keyspace/encode.go
+++ b/core/keyspace/encode.go
@@ -115,10 +115,25 @@
 	return e
 }
 
-// DecodeError reports a division that can't be read.
+// EncodeHolder returns a holder as messages between daemons carry it.
+func EncodeHolder(h Holder) ([]byte, error) { return json.Marshal(h.encode()) }
+
+// DecodeHolder reads what EncodeHolder returned. The error is a *DecodeError.
+func DecodeHolder(data []byte) (Holder, error) {
+	var e encodedHolder
+	if err := json.Unmarshal(data, &e); err != nil {
+		return Holder{}, &DecodeError{cause: err}
+	}
+	if e.Instance == "" || e.LifeID == "" || len(e.Witnesses) == 0 {
+		return Holder{}, &DecodeError{cause: fmt.Errorf("holder %q of life %q has %d witnesses", e.Instance, e.LifeID, len(e.Witnesses))}
+	}
+	return e.decode(), nil
+}
+
+// DecodeError reports a division or holder that can't be read.
 type DecodeError struct{ cause error }
 
-func (e *DecodeError) Error() string { return "division can't be read: " + e.cause.Error() }
+func (e *DecodeError) Error() string { return "division or holder can't be read: " + e.cause.Error() }
 
 // Unwrap returns the cause.
 func (e *DecodeError) Unwrap() error { return e.cause }
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -80,6 +80,10 @@
 	// placed tells that this sidecar has compared rows with others, so that it knows
 	// whether it should follow the store.
 	placed atomic.Bool
+	// writing is held by the one write to the store that is in progress.
+	writing chan struct{}
+	// entries are those that other sidecars asked this one to write.
+	entries entryQueue
 	// conflicts counts the writes in a row whose row was changed by another.
 	conflicts atomic.Int64
 	// stopping tells that callers should go elsewhere, closing that the upstream
@@ -103,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &App{settings: s, localIP: net.ParseIP(s.IP()), wake: make(chan struct{}, 1)}
+	a := &App{settings: s, localIP: net.ParseIP(s.IP()), wake: make(chan struct{}, 1), writing: make(chan struct{}, 1)}
 	a.started = a.clock.Now()
 	for i := range a.reading {
 		a.reading[i].Store(true)
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -42,7 +42,6 @@
 func (a *App) control(ctx context.Context) {
 	ticker := time.NewTicker(controlInterval)
 	defer ticker.Stop()
-	writing := make(chan struct{}, 1)
 	for {
 		select {
 		case <-ctx.Done():
@@ -51,8 +50,8 @@
 		case <-a.wake:
 		}
 		a.renewals(ctx)
-		a.replacements(ctx, writing)
-		a.write(ctx, writing)
+		a.replacements(ctx)
+		a.write(ctx)
 	}
 }
 
@@ -95,7 +94,7 @@
 
 // replacements asks other witnesses about holders whose promises have lapsed,
 // and drops the holders that have certainly lost their leases.
-func (a *App) replacements(ctx context.Context, writing chan struct{}) {
+func (a *App) replacements(ctx context.Context) {
 	s, now := a.state, a.clock.Now()
 	s.mu.Lock()
 	queries, lost := s.guard.Check(now, s.holders(s.service))
@@ -104,7 +103,7 @@
 		go a.askLapse(ctx, query)
 	}
 	for _, row := range lost {
-		a.drop(ctx, writing, row)
+		a.drop(ctx, row)
 	}
 }
 
@@ -128,40 +127,42 @@
 }
 
 // drop writes the division without a holder that has lost its lease.
-func (a *App) drop(ctx context.Context, writing chan struct{}, row membership.Member) {
+func (a *App) drop(ctx context.Context, row membership.Member) {
 	s := a.state
 	s.mu.Lock()
 	change, service, ok := s.lost(row)
 	s.mu.Unlock()
 	if ok {
 		a.log.Warn().Str("holder", row.Instance().Name()).Str("service", service).Msg("leaseLapsed")
-		a.commitDivision(ctx, writing, service, change, false)
+		a.commitDivision(ctx, service, change, false)
 	}
 }
 
 // write asks the table for the changes of the own division and member row.
-func (a *App) write(ctx context.Context, writing chan struct{}) {
+func (a *App) write(ctx context.Context) {
 	s := a.state
 	described, _ := a.manifest.Load().Service(s.service)
 	if described.Keyed {
-		a.probe(ctx, writing)
+		a.probe(ctx)
 		s.mu.Lock()
 		var change holding.Change
-		due := len(writing) == 0
+		due := len(a.writing) == 0
 		if due {
 			change, due = s.custodian.Next(a.clock.Now())
 		}
 		s.mu.Unlock()
 		if due {
-			a.commitDivision(ctx, writing, s.service, change, true)
+			if change.Reason() != holding.ReasonJoin || a.conflicts.Load() == 0 || !a.enter(ctx, change) {
+				a.commitDivision(ctx, s.service, change, true)
+			}
 			return
 		}
 	}
-	a.publish(ctx, writing)
+	a.publish(ctx)
 }
 
 // probe reads the rows if keys are to move and the store has not answered lately.
-func (a *App) probe(ctx context.Context, writing chan struct{}) {
+func (a *App) probe(ctx context.Context) {
 	s := a.state
 	s.mu.Lock()
 	asks := s.custodian.Asks(a.clock.Now())
@@ -170,12 +171,12 @@
 		return
 	}
 	select {
-	case writing <- struct{}{}:
+	case a.writing <- struct{}{}:
 	default:
 		return
 	}
 	go func() {
-		defer func() { <-writing }()
+		defer func() { <-a.writing }()
 		rows, _, err := a.store.Load(ctx, store.OwnRows)
 		if err != nil {
 			a.log.Debug().Err(err).Msg("probeFailed")
@@ -188,34 +189,41 @@
 }
 
 // commitDivision writes a division unless another write is in progress.
-func (a *App) commitDivision(ctx context.Context, writing chan struct{}, service string, change holding.Change, own bool) {
+func (a *App) commitDivision(ctx context.Context, service string, change holding.Change, own bool) {
 	select {
-	case writing <- struct{}{}:
+	case a.writing <- struct{}{}:
 	default:
 		return
 	}
 	go func() {
-		defer func() { <-writing }()
-		value, err := change.Division().Encode()
-		if err != nil {
-			a.log.Error().Err(err).Msg("divisionNotEncoded")
-			return
-		}
-		key := fleet.DivisionKey(service)
-		revision, committed := a.commit(ctx, key, change.Base(), value, change.Reason())
-		if !committed {
-			return
-		}
-		if own {
-			s := a.state
-			s.mu.Lock()
-			s.custodian.Committed(a.clock.Now(), revision, change)
-			s.mu.Unlock()
-		}
-		a.takeRows([]table.Row{table.NewRow(key, revision, value)})
+		defer func() { <-a.writing }()
+		a.commitNow(ctx, service, change, own)
 	}()
 }
 
+// commitNow writes a division and tells whether the store accepted it. The caller
+// holds a.writing.
+func (a *App) commitNow(ctx context.Context, service string, change holding.Change, own bool) bool {
+	value, err := change.Division().Encode()
+	if err != nil {
+		a.log.Error().Err(err).Msg("divisionNotEncoded")
+		return false
+	}
+	key := fleet.DivisionKey(service)
+	revision, committed := a.commit(ctx, key, change.Base(), value, change.Reason())
+	if !committed {
+		return false
+	}
+	if own {
+		s := a.state
+		s.mu.Lock()
+		s.custodian.Committed(a.clock.Now(), revision, change)
+		s.mu.Unlock()
+	}
+	a.takeRows([]table.Row{table.NewRow(key, revision, value)})
+	return true
+}
+
 // commit writes a row in place of the version base. If the row has changed or
 // the outcome is not known, it reads the rows again before it returns.
 func (a *App) commit(ctx context.Context, key string, base table.Revision, value []byte, reason string) (table.Revision, bool) {
@@ -263,7 +271,7 @@
 }
 
 // publish writes the own member row if it is not what the table has.
-func (a *App) publish(ctx context.Context, writing chan struct{}) {
+func (a *App) publish(ctx context.Context) {
 	s := a.state
 	member, known := s.member(a.stopping.Load())
 	if !known && a.clock.Now()-a.started < firstReport {
@@ -280,12 +288,12 @@
 		return
 	}
 	select {
-	case writing <- struct{}{}:
+	case a.writing <- struct{}{}:
 	default:
 		return
 	}
 	go func() {
-		defer func() { <-writing }()
+		defer func() { <-a.writing }()
 		if revision, ok := a.commit(ctx, key, row.Version(), value, "member"); ok {
 			a.takeRows([]table.Row{table.NewRow(key, revision, value)})
 		}
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -23,6 +23,7 @@
 	pathLapse = "/lapse"
 	pathSync  = "/sync"
 	pathRows  = "/rows"
+	pathEnter = "/enter"
 )
 
 const (
@@ -155,6 +156,7 @@
 	handle(mux, pathRenew, a.renew)
 	handle(mux, pathLapse, a.lapse)
 	handle(mux, pathSync, a.answerSync)
+	handle(mux, pathEnter, a.answerEnter)
 	handle(mux, pathRows, func(m rowsMessage) struct{} {
 		a.spreadRows(context.Background(), a.takeRows(decodeRows(m.Rows)), false)
 		return struct{}{}
