holding: grant no key again that a write in flight may give away

The write was on its way, and the next owner got the keys 350 ms later. Ruled out: the entries that others write (none in the trace; the code of the handover is older). Change: keys of a handover are not granted again while the table may still have the revision that the write is to replace.

--- a/core/holding/change.go
+++ b/core/holding/change.go
@@ -189,9 +189,16 @@
 	if !moving {
 		return c.division, ""
 	}
+	c.handing, c.handingAt = slices.Clone(c.released), c.revision
 	return c.division.Handed(name, c.released), "handover"
 }
 
+// isHanding tells whether a write may take effect that gives keys of the span to
+// others: the table still has the revision that it was to replace.
+func (c *Custodian) isHanding(span keyspace.Span) bool {
+	return c.revision == c.handingAt && slices.ContainsFunc(c.handing, func(r keyspace.Released) bool { return overlap(r.Span, span) })
+}
+
 // witnesses replaces witnesses that have stopped to answer, once the new ones
 // have promised.
 func (c *Custodian) witnesses() (keyspace.Division, string) {
--- a/core/holding/grant.go
+++ b/core/holding/grant.go
@@ -113,7 +113,7 @@
 	var held, fresh []keyspace.Range
 	for _, owned := range c.division.Owned(c.settings.Instance.Name()) {
 		switch {
-		case owned.Next() != "" && c.storeAnswers():
+		case owned.Next() != "" && c.storeAnswers(), c.isHanding(owned.Span):
 		case c.holds(r, owned):
 			held = append(held, owned.WithoutHandover())
 		default:
--- a/core/holding/holding.go
+++ b/core/holding/holding.go
@@ -104,6 +104,10 @@
 	// holdEnd is when the upstream's hold has certainly run out.
 	holdEnd  clock.Millis
 	released []keyspace.Released
+	// handing are the spans that a write to replace the revision handingAt gives to
+	// others; its outcome may not be known.
+	handing   []keyspace.Released
+	handingAt table.Revision
 	// answered is when the store answered last.
 	answered clock.Millis
 	// resigned tells that the keys were given up on the base of resignedAt, with
--- a/core/holding/holding_test.go
+++ b/core/holding/holding_test.go
@@ -7,10 +7,12 @@
 
 	"github.com/matryer/is"
 
+	"briarwell.dev/core/clock"
 	"briarwell.dev/core/holding"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/membership"
+	"briarwell.dev/core/peer"
 	"briarwell.dev/core/report"
 	"briarwell.dev/core/table"
 )
@@ -251,3 +253,35 @@
 	c.Divided(60, 5, d)
 	return c, d
 }
+
+// TestHandoverInFlight replays a report that comes while the write of a handover is on
+// its way and the store has been silent: the keys of a move are granted again in an
+// outage, but not once a write may have given them away. Seed 393 of TestSoleOwner
+// showed two owners.
+func TestHandoverInFlight(t *testing.T) {
+	is := is.New(t)
+	c, d := custodian(t)
+	for _, r := range c.Renewals(100) {
+		c.Promised(110, 9, peer.NewRenewReply(r.Generation(), r.Sequence(), peer.RenewGranted, 0))
+	}
+	owned := d.Owned("i0")[0].Span
+	life := keyspace.NewLife("i0", 1)
+	c.Divided(120, 6, d.Move("i0", owned, "i1"))
+	c.Answered(120)
+	c.Reported(130, report.Report{Life: life, Sequence: 2}) // holds nothing of it
+	change, ok := c.Next(140)
+	is.True(ok)
+	is.Equal(change.Reason(), "handover")
+	silent := clock.Millis(1500)
+	grant := c.Reported(silent, report.Report{Life: life, Sequence: 3})
+	is.True(grant.Renews())
+	for _, r := range grant.Rows() {
+		is.True(!r.Covers(owned))
+	}
+	c.Divided(silent, 7, d.Move("i0", owned, "i1")) // another change came first
+	granted := false
+	for _, r := range c.Reported(silent, report.Report{Life: life, Sequence: 4}).Rows() {
+		granted = granted || r.Covers(owned)
+	}
+	is.True(granted) // served in the outage
+}
