holding, sidecar: own row first, entries wait for three witnesses; repeats

Change: a sidecar writes its own row before it enters, an entry waits up to 1.5 s for three witnesses, and for 8 s after the start witnesses are chosen among those whose rows have changed since, as all may have ended. Second, small: three quarters (a half before) of the share of repeats; the upstreams of the ledger refuse a fifth of their requests from second 13 on, and only half of the calls could be sent again. The line of a refusal tells the wait for the link.

--- a/core/holding/change.go
+++ b/core/holding/change.go
@@ -112,14 +112,18 @@
 // join enters the upstream into the division.
 func (c *Custodian) join() (keyspace.Division, string) {
 	if _, ok := c.self(); ok || !c.alive() {
+		c.outsideSince = 0
 		return c.division, ""
 	}
 	_, known := c.division.Holder(c.settings.Instance.Name())
 	if c.tracker.Leaving() && !known {
 		return c.division, ""
 	}
+	if c.outsideSince == 0 {
+		c.outsideSince = c.now
+	}
 	witnesses := c.choose(c.gone)
-	if len(witnesses) == 0 {
+	if len(witnesses) == 0 || len(witnesses) < lease.WitnessCount && c.now-c.outsideSince < witnessWait {
 		return c.division, ""
 	}
 	r, _ := c.tracker.Known()
--- a/core/holding/holding.go
+++ b/core/holding/holding.go
@@ -48,6 +48,9 @@
 	// witnessPatience is the time in milliseconds without a promise after which a
 	// witness is replaced.
 	witnessPatience = 2*renewInterval + renewInterval/2
+	// witnessWait is the time in milliseconds for which a holder waits with its entry
+	// for enough witnesses: where all start together, it would have to change them.
+	witnessWait clock.Millis = 1500
 	// avoidTime is the time in milliseconds for which a daemon that did not answer
 	// is not chosen as a witness.
 	avoidTime clock.Millis = 2000
@@ -87,6 +90,9 @@
 	entered     clock.Millis
 	unevenSince clock.Millis
 
+	// outsideSince is since when the upstream should enter the division.
+	outsideSince clock.Millis
+
 	lease      *holder.Holder
 	generation uint64
 	// numbered is the generation of the witness set that was chosen last.
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -44,9 +44,11 @@
 	// graceMargin is the time in milliseconds before the kill at which the sidecar
 	// ends, whatever is still in flight.
 	graceMargin clock.Millis = 600
-	// budgetShare is the part of the budget that the sidecars use: the windows in
-	// which it is measured slide.
-	budgetShare = 0.5
+	// budgetShare and slackShare are the parts of the two terms of the budget that the
+	// sidecars use: the windows in which it is measured slide, and each sidecar saves
+	// up some repeats.
+	budgetShare = 0.75
+	slackShare  = 0.5
 	// millisPerSecond converts the window of the budget.
 	millisPerSecond = 1000
 )
@@ -124,7 +126,7 @@
 	a.owner = dispatch.NewOwner(a.clock, a.upstream, a.gate, s.LinkMbps())
 	a.entry = dispatch.NewEntry(a.clock, a.state, &sender{app: a}, balance.New(s.Location()), dispatch.Repeats{
 		Share: s.RetryShare() * budgetShare,
-		Floor: float64(s.RetrySlack()) * budgetShare * millisPerSecond / float64(s.RetryWindow()),
+		Floor: float64(s.RetrySlack()) * slackShare * millisPerSecond / float64(s.RetryWindow()),
 	})
 	return a, a.listen()
 }
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -141,6 +141,8 @@
 // write asks the table for the changes of the own division and member row.
 func (a *App) write(ctx context.Context) {
 	s := a.state
+	// The own row goes first: others choose their witnesses by it.
+	a.publish(ctx)
 	described, _ := a.manifest.Load().Service(s.service)
 	if described.Keyed {
 		a.probe(ctx)
@@ -155,10 +157,8 @@
 			if change.Reason() != holding.ReasonJoin || a.conflicts.Load() == 0 || !a.enter(ctx, change) {
 				a.commitDivision(ctx, s.service, change, true)
 			}
-			return
 		}
 	}
-	a.publish(ctx)
 }
 
 // probe reads the rows if keys are to move and the store has not answered lately.
--- a/sidecar/app/observe.go
+++ b/sidecar/app/observe.go
@@ -133,7 +133,7 @@
 		Str("outcome", reply.Outcome.String()).Str("reason", string(outcome.ReasonOf(reply.Outcome))).Bool("arrived", reply.Arrived).
 		Int("running", reply.Load.Running).Int("waiting", reply.Load.Waiting).Int("slots", reply.Load.Slots).
 		Int64("serviceMillis", int64(reply.Load.Service)).Int("demandPercent", reply.Load.Demand).
-		Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
+		Int64("linkMillis", int64(reply.Load.LinkWait)).Bool("nested", r.Nested).Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
 }
 
 // abandoned writes a line for a request that is not run, as its sender has left.
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -8,12 +8,18 @@
 	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/holding"
 	"briarwell.dev/core/identity"
+	"briarwell.dev/core/lease"
 	"briarwell.dev/core/membership"
 	"briarwell.dev/core/report"
 	"briarwell.dev/core/table"
 	"briarwell.dev/sidecar/settings"
 )
 
+// freshTime is the time in milliseconds after the start in which witnesses are chosen
+// among the daemons whose rows have changed since: after the end of all processes the
+// other rows name those that have ended.
+const freshTime clock.Millis = 8000
+
 // state holds the state machines of the sidecar under one lock, which is taken
 // alone and never held over a call.
 type state struct {
@@ -26,6 +32,11 @@
 	tracker   *report.Tracker
 	custodian *holding.Custodian
 	guard     *holding.Guard
+	// started is when this process was, fresh are the instances whose rows have
+	// changed since the first reading.
+	started clock.Millis
+	read    bool
+	fresh   map[string]bool
 	// absentUntil are the ends of the times for which sidecars that did not answer
 	// count as no readers, by instance.
 	absentUntil map[string]clock.Millis
@@ -43,6 +54,8 @@
 		}, tracker),
 		guard:       holding.NewGuard(incarnation),
 		absentUntil: make(map[string]clock.Millis),
+		started:     now,
+		fresh:       make(map[string]bool),
 	}
 }
 
@@ -89,11 +102,14 @@
 	}
 	for _, m := range view.Members() {
 		old, known := before.Member(m.Instance.Name())
+		if s.read && (!known || old != m) {
+			s.fresh[m.Instance.Name()] = true
+		}
 		if known && old.Incarnation != m.Incarnation {
 			s.guard.Answered(now, m.Instance.PeerAddress(), old.Incarnation, m.Incarnation)
 		}
 	}
-	s.custodian.Members(s.candidates())
+	s.custodian.Members(s.candidates(now))
 	return nil
 }
 
@@ -101,7 +117,7 @@
 // another.
 func (s *state) answered(now clock.Millis, address string, asked, from identity.Incarnation) {
 	s.guard.Answered(now, address, asked, from)
-	s.custodian.Members(s.candidates())
+	s.custodian.Members(s.candidates(now))
 	s.custodian.Gone(asked)
 }
 
@@ -139,15 +155,21 @@
 func (s *state) loaded(now clock.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.read = true
 	divided := s.view.Division(s.service)
 	s.custodian.Divided(now, divided.Revision, divided.Division)
 }
 
-// candidates returns the daemons that may be witnesses.
-func (s *state) candidates() []membership.Member {
+// candidates returns the daemons that may be witnesses: soon after the start those
+// that are known to live, if there are enough.
+func (s *state) candidates(now clock.Millis) []membership.Member {
 	members := s.view.Members()
+	freshOnly := now-s.started < freshTime && len(s.fresh) > lease.WitnessCount
 	candidates := make([]membership.Member, 0, len(members))
 	for _, m := range members {
+		if freshOnly && !s.fresh[m.Instance.Name()] {
+			continue
+		}
 		incarnation := s.guard.Current(m.Instance.PeerAddress(), m.Incarnation)
 		candidates = append(candidates, membership.Restore(incarnation, m.Instance, 0, nil))
 	}
