holding, sidecar: moves are written together; relayed answers off the own link

A move only names the next owner, so that another sidecar may write it: proposals are entries or transfers now. Test: TestTransfers.

--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -108,11 +108,6 @@
 	return reply
 }
 
-// Relayed counts an answer that this instance passes on from another.
-func (o *Owner) Relayed(bytes int) {
-	o.linked(func(l *balance.Link) { l.Sent(o.clock.Now(), bytes) })
-}
-
 // linked changes the link's state.
 func (o *Owner) linked(change func(*balance.Link)) {
 	o.mu.Lock()
--- a/core/holding/entry_test.go
+++ b/core/holding/proposal_test.go
@@ -21,7 +21,7 @@
 // TestCrowd replays 50 holders that enter at once: one write in place of 50.
 func TestCrowd(t *testing.T) {
 	is := is.New(t)
-	var entries []holding.Entry
+	var entries []holding.Proposal
 	for i := range 50 {
 		entries = append(entries, holding.NewEntry(holderOf(fmt.Sprintf("i%d", i), identity.Incarnation(i+1), 1), 0, 0))
 	}
@@ -42,11 +42,32 @@
 		holding.NewEntry(holderOf("i0", 6, 1), 5, 1), // the process before
 		holding.NewEntry(holderOf("i0", 7, 3), 7, 1), // saw an older set
 	} {
-		_, admitted := holding.Admit(d, 4, []holding.Entry{e})
+		_, admitted := holding.Admit(d, 4, []holding.Proposal{e})
 		is.True(!admitted[0])
 	}
-	change, admitted := holding.Admit(d, 4, []holding.Entry{holding.NewEntry(holderOf("i0", 8, 1), 7, 2)})
+	change, admitted := holding.Admit(d, 4, []holding.Proposal{holding.NewEntry(holderOf("i0", 8, 1), 7, 2)})
 	is.True(admitted[0])
 	h, _ := change.Division().Holder("i0")
 	is.Equal(h.Lease().Incarnation(), identity.Incarnation(8))
 }
+
+// TestTransfers replays holders that all give keys away at once: one write in place of
+// one each. That of a process that has ended since is left out.
+func TestTransfers(t *testing.T) {
+	is := is.New(t)
+	d := keyspace.Division{}.Join(holderOf("i0", 1, 1)).Join(holderOf("i1", 2, 1)).Join(holderOf("i2", 3, 1)).Deal()
+	moves := func(from, to string) []holding.Move {
+		return []holding.Move{holding.NewMove(d.Owned(from)[0].Span, to)}
+	}
+	change, admitted := holding.Admit(d, 4, []holding.Proposal{
+		holding.NewTransfer("i0", 1, moves("i0", "i2")),
+		holding.NewTransfer("i1", 2, moves("i1", "i2")),
+		holding.NewTransfer("i2", 9, moves("i2", "i0")),
+	})
+	is.Equal(admitted, []bool{true, true, false})
+	for owner, next := range map[string]string{"i0": "i2", "i1": "i2", "i2": ""} {
+		r, _ := change.Division().Find(d.Owned(owner)[0].First())
+		is.Equal(r.Owner(), owner)
+		is.Equal(r.Next(), next)
+	}
+}
--- a/core/holding/sim_test.go
+++ b/core/holding/sim_test.go
@@ -211,8 +211,7 @@
 // the change is one that others may write.
 func (d *daemon) enter(change holding.Change) bool {
 	s := d.host.s
-	division, _ := d.custodian.Division()
-	entry, ok := holding.EntryOf(division, change, d.host.instance.Name())
+	proposal, ok := d.custodian.Proposal(change)
 	if !ok {
 		return false
 	}
@@ -221,7 +220,7 @@
 	to := s.hosts[s.rng.IntN(len(s.hosts))]
 	d.ask(to.instance.PeerAddress(), func(to *daemon) {
 		known, base := to.custodian.Division()
-		change, admitted := holding.Admit(known, base, []holding.Entry{entry})
+		change, admitted := holding.Admit(known, base, []holding.Proposal{proposal})
 		if !admitted[0] {
 			return
 		}
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -84,8 +84,8 @@
 	placed atomic.Bool
 	// writing is held by the one write to the store that is in progress.
 	writing chan struct{}
-	// entries are those that other sidecars asked this one to write.
-	entries entryQueue
+	// proposals are the changes that other sidecars asked this one to write.
+	proposals proposalQueue
 	// conflicts counts the writes in a row whose row was changed by another.
 	conflicts atomic.Int64
 	// stopping tells that callers should go elsewhere, closing that the upstream
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -154,7 +154,7 @@
 		}
 		s.mu.Unlock()
 		if due {
-			if change.Reason() != holding.ReasonJoin || a.conflicts.Load() == 0 || !a.enter(ctx, change) {
+			if a.conflicts.Load() == 0 || !a.propose(ctx, change) {
 				a.commitDivision(ctx, s.service, change, true)
 			}
 		}
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -19,11 +19,11 @@
 
 // Paths of the control messages between sidecars.
 const (
-	pathRenew = "/renew"
-	pathLapse = "/lapse"
-	pathSync  = "/sync"
-	pathRows  = "/rows"
-	pathEnter = "/enter"
+	pathRenew   = "/renew"
+	pathLapse   = "/lapse"
+	pathSync    = "/sync"
+	pathRows    = "/rows"
+	pathPropose = "/propose"
 )
 
 const (
@@ -156,7 +156,7 @@
 	handle(mux, pathRenew, a.renew)
 	handle(mux, pathLapse, a.lapse)
 	handle(mux, pathSync, a.answerSync)
-	handle(mux, pathEnter, a.answerEnter)
+	handle(mux, pathPropose, a.answerPropose)
 	handle(mux, pathRows, func(m rowsMessage) struct{} {
 		a.spreadRows(context.Background(), a.takeRows(decodeRows(m.Rows)), false)
 		return struct{}{}
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -82,9 +82,6 @@
 	request.Nested = a.owner.Runs(request.Parent)
 	result := a.handle(r.Context(), table, request)
 	status := callers.Answer(w, request.ID, result)
-	if result.Instance != a.settings.Instance() {
-		a.owner.Relayed(len(result.Response.Body))
-	}
 	a.ended(r.Context(), request, result, status)
 }
 
