--- a/core/holding/proposal_test.go
+++ b/core/holding/proposal_test.go
@@ -21,7 +21,7 @@
 // TestCrowd replays 50 holders that enter at once: one write in place of 50.
 func TestCrowd(t *testing.T) {
 	is := is.New(t)
-	var entries []holding.Proposal
+	entries := make([]holding.Proposal, 0, 50)
 	for i := range 50 {
 		entries = append(entries, holding.NewEntry(holderOf(fmt.Sprintf("i%d", i), identity.Incarnation(i+1), 1), 0, 0))
 	}
