demo/soak: a fault soak of the sidecar's real processes

Ruled out: proxies between sidecars (they publish the addresses that they bind), so that links between them are harmed by pauses and kills only. Change: bwdemo soak starts sidecars as processes beside stand-ins of the store and of upstreams, with a loopback proxy before each store link, upstream and report address; a seeded plan of overlapping faults (pause, kill, restart, reload, crash of an upstream, delayed, silent, one-way, reset and stalled links, outage, lost and late answers, history, manifests, all killed); checks of sole ownership, at most once, true refusals, whole answers and recovery while it runs.

--- a/demo/harness/build.go
+++ b/demo/harness/build.go
@@ -28,12 +28,15 @@
 // Load returns the path of bwload.
 func (p Programs) Load() string { return filepath.Join(p.folder, "bwload") }
 
+// Sidecar returns the path of sidecar.
+func (p Programs) Sidecar() string { return filepath.Join(p.folder, "sidecar") }
+
 // Build builds all programs of the workspace at root into the folder.
 func (p Programs) Build(ctx context.Context, root string) error {
 	if err := os.MkdirAll(p.folder, 0o755); err != nil {
 		return err
 	}
-	modules := map[string]string{"daemon": p.Daemon(), "ctl": p.Control(), "standin": p.StandIn(), "load": p.Load()}
+	modules := map[string]string{"daemon": p.Daemon(), "ctl": p.Control(), "standin": p.StandIn(), "load": p.Load(), "sidecar": p.Sidecar()}
 	for module, program := range modules {
 		output, err := filepath.Abs(program)
 		if err != nil {
--- a/demo/main.go
+++ b/demo/main.go
@@ -49,6 +49,10 @@
 	shards  int
 	restart bool
 	json    string
+	// seeds, beside and instances are those of the soak.
+	seeds     int
+	beside    int
+	instances int
 }
 
 // job is a subcommand.
@@ -70,7 +74,10 @@
 }
 
 func run(ctx context.Context) error {
-	o := options{root: ".", build: true, regions: 3, upstreams: 6, logLevel: "info", seed: 1, minutes: 5, rounds: 5, sizes: "42,168,335,670", shards: 4096, restart: true}
+	o := options{
+		root: ".", build: true, regions: 3, upstreams: 6, logLevel: "info", seed: 1, minutes: 5, rounds: 5, sizes: "42,168,335,670", shards: 4096, restart: true,
+		seeds: 1, beside: 1, instances: 6,
+	}
 	flaggy.SetName("bwdemo")
 	flaggy.SetDescription("Starts briarwell and its stand-ins as processes on loopback addresses.")
 	flaggy.DisableCompletion()
@@ -134,6 +141,14 @@
 	sizes.String(&o.json, "", "json", "file for the results; standard output if empty")
 	sizes.UInt64(&o.seed, "", "seed", "seed of incarnations and starts")
 
+	soak := flaggy.NewSubcommand("soak")
+	soak.Description = "Injects overlapping faults into sidecars from outside and checks what callers and upstreams see."
+	soak.UInt64(&o.seed, "", "seed", "first seed")
+	soak.Int(&o.seeds, "", "seeds", "number of seeds")
+	soak.Int(&o.beside, "", "beside", "seeds that run at the same time")
+	soak.Int(&o.instances, "", "instances", "sidecars of a seed")
+	soak.Duration(&o.length, "", "length", "time with faults of a seed; 20s if 0")
+
 	for _, c := range []*flaggy.Subcommand{faults, outage, festival, bench} {
 		c.Float64(&o.rate, "", "rate", "requests a second; 400 for faults and outage, 1500 for festival and 3500 for bench if 0")
 		c.UInt64(&o.seed, "", "seed", "seed of faults and requests")
@@ -145,6 +160,7 @@
 		{command: festival, run: o.festivalJob},
 		{command: bench, run: o.benchJob},
 		{command: sizes, run: o.capacityJob, alone: true},
+		{command: soak, run: o.soakJob},
 	}
 }
 
--- /dev/null
+++ b/demo/soak/soak_test.go
@@ -0,0 +1,89 @@
+package soak_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/demo/soak"
+)
+
+// TestPlan guards against runs that can't be repeated by their seed, and kinds of
+// faults that never come.
+func TestPlan(t *testing.T) {
+	is := is.New(t)
+	is.Equal(soak.NewPlan(3, 6, time.Minute), soak.NewPlan(3, 6, time.Minute))
+	kinds := make(map[string]bool)
+	for _, e := range soak.NewPlan(3, 6, 5*time.Minute) {
+		kinds[e.Fault.String()] = true
+		is.True(e.Instance < 6 && e.Length <= 7*time.Second)
+	}
+	is.Equal(len(kinds), 13)
+}
+
+// TestProxy guards against a proxy that forwards what it should hold back.
+func TestProxy(t *testing.T) {
+	is := is.New(t)
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer echo.Close()
+	go func() {
+		for {
+			conn, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	proxy, err := soak.NewProxy("127.0.0.1:39871", echo.Addr().String())
+	is.NoErr(err)
+	defer proxy.Close()
+	conn, err := net.Dial("tcp", "127.0.0.1:39871")
+	is.NoErr(err)
+	answered := func(conn net.Conn, within time.Duration) error {
+		if _, err := conn.Write([]byte("x")); err != nil {
+			return err
+		}
+		if err := conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+			return err
+		}
+		_, err := conn.Read(make([]byte, 1))
+		return err
+	}
+	is.NoErr(answered(conn, time.Second))
+	proxy.Set(soak.OneWay)
+	is.True(answered(conn, 100*time.Millisecond) != nil)
+	proxy.Set(soak.Pass)
+	is.NoErr(answered(conn, time.Second)) // what was held back comes
+	proxy.Set(soak.Stall)
+	is.True(answered(conn, 100*time.Millisecond) != nil)
+	other, err := net.Dial("tcp", "127.0.0.1:39871")
+	is.NoErr(err)
+	is.NoErr(answered(other, time.Second))
+	proxy.Set(soak.Reset)
+	time.Sleep(50 * time.Millisecond)
+	is.True(answered(other, time.Second) != nil)
+}
+
+// TestSoak runs one seed for a short time.
+func TestSoak(t *testing.T) {
+	is := is.New(t)
+	program := filepath.Join(t.TempDir(), "sidecar")
+	build := exec.Command("go", "build", "-buildvcs=false", "-o", program, ".")
+	build.Dir = "../../sidecar"
+	text, err := build.CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, text)
+	}
+	err = soak.Run(context.Background(), soak.Options{
+		Program: program, Folder: filepath.Join(t.TempDir(), "run"), Seed: 1, Instances: 6, Length: 8 * time.Second, Out: t.Output(),
+	})
+	is.NoErr(err)
+}
