balance, dispatch: clearer names

Cause: read as a newcomer: Link.Refuses returned a time, Load.Own said nothing. PutOff and ClassService now.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -55,9 +55,9 @@
 	Waiting int
 	Slots   int
 	// Service is the time in milliseconds for which a request of any class holds a
-	// slot, Own that of a request of the class that was answered, 0 if not known.
-	Service clock.Millis
-	Own     clock.Millis
+	// slot, ClassService that of a request of the class that was answered, 0 if not known.
+	Service      clock.Millis
+	ClassService clock.Millis
 	// Demand is the share of its slots in percent that all requests for its keys
 	// would take, also those that it refused.
 	Demand int
@@ -138,13 +138,13 @@
 	p := b.peer(name)
 	p.load, p.loadAt, p.known, p.atReport = load, now, true, p.inFlight
 	p.pause, p.until = 0, 0
-	if load.Own <= 0 {
+	if load.ClassService <= 0 {
 		return
 	}
 	if b.usual == nil {
 		b.usual = make(map[string]float64)
 	}
-	own := float64(load.Own)
+	own := float64(load.ClassService)
 	if _, ok := b.usual[class]; !ok && len(b.usual) >= maxClasses {
 		return
 	}
--- a/core/balance/herd_test.go
+++ b/core/balance/herd_test.go
@@ -78,7 +78,7 @@
 			service[d.upstream] += 0.1 * (own - service[d.upstream])
 			load := balance.Load{
 				Running: min(running[d.upstream], slots), Waiting: max(running[d.upstream]-slots, 0), Slots: slots,
-				Service: clock.Millis(service[d.upstream]), Own: clock.Millis(own),
+				Service: clock.Millis(service[d.upstream]), ClassService: clock.Millis(own),
 			}
 			known[d.entry][d.upstream] = load
 			balancers[d.entry].Ended(list[d.upstream].Name)
--- a/core/balance/link.go
+++ b/core/balance/link.go
@@ -82,10 +82,10 @@
 	return clock.Millis(max(l.free-float64(now), 0) + float64(l.coming)*orFirst(l.large)/perMilli(l.mbps))
 }
 
-// Refuses returns how long in milliseconds a large answer should be put off that is
+// PutOff returns how long in milliseconds a large answer should be put off that is
 // wanted within the given time and takes service to be made, 0 if it may be begun.
 // The link goes on sending others while it is made.
-func (l *Link) Refuses(now, service, within clock.Millis) clock.Millis {
+func (l *Link) PutOff(now, service, within clock.Millis) clock.Millis {
 	if l.mbps <= 0 {
 		return 0
 	}
--- a/core/balance/link_test.go
+++ b/core/balance/link_test.go
@@ -46,7 +46,7 @@
 func TestBusyLink(t *testing.T) {
 	is := is.New(t)
 	naive, _ := carried(func(l *balance.Link, now clock.Millis) bool { return l.Wait(now) > 160 })
-	own, late := carried(func(l *balance.Link, now clock.Millis) bool { return l.Refuses(now, makingTime, largeWanted) > 0 })
+	own, late := carried(func(l *balance.Link, now clock.Millis) bool { return l.PutOff(now, makingTime, largeWanted) > 0 })
 	t.Logf("share of the link: naive %.2f, own %.2f, %d late", naive, own, late)
 	is.True(naive < 0.7)
 	is.True(own > 0.85)
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -154,7 +154,7 @@
 const (
 	// repeatBurst bounds the repeats of one entry that a quiet time saves up.
 	repeatBurst = 2
-	// nestedReserve is the part of it that is kept for the calls of upstreams.
+	// nestedReserve is the part of a repeat that is kept for the calls of upstreams.
 	nestedReserve = 0.5
 	// leastFloor is a floor in repeats a second that is next to none.
 	leastFloor = 0.001
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -103,7 +103,7 @@
 	})
 	reply.Load, reply.HasLoad = o.Load(), true
 	if _, done := reply.Outcome.(outcome.Done); done {
-		reply.Load.Own = o.gate.Expected(rules.Class)
+		reply.Load.ClassService = o.gate.Expected(rules.Class)
 	}
 	return reply
 }
@@ -126,7 +126,7 @@
 	ticket := admission.NewTicket(priority(r, rules), r.Deadline).Wanted(wanted, rules.Class)
 	o.mu.Lock()
 	o.meter.Observe(o.clock.Now(), r.Key)
-	putOff := o.link.Refuses(o.clock.Now(), o.gate.Expected(rules.Class), rules.Wanted)
+	putOff := o.link.PutOff(o.clock.Now(), o.gate.Expected(rules.Class), rules.Wanted)
 	o.mu.Unlock()
 	if rules.Large && putOff > 0 {
 		return NotRun(outcome.ReasonOverloaded).After(min(max(putOff, shortestReturn), longestReturn))
--- a/core/dispatch/peerhttp/peerhttp.go
+++ b/core/dispatch/peerhttp/peerhttp.go
@@ -118,7 +118,7 @@
 	header.Set(headerArrived, strconv.FormatBool(reply.Arrived))
 	header.Set(headerReturn, strconv.FormatInt(int64(reply.RetryAfter), 10))
 	l := reply.Load
-	header.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d", l.Running, l.Waiting, l.Slots, l.Service, l.Own, l.Demand, l.LinkMbps, l.LinkWait))
+	header.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d", l.Running, l.Waiting, l.Slots, l.Service, l.ClassService, l.Demand, l.LinkMbps, l.LinkWait))
 	header.Set("Content-Length", strconv.Itoa(len(reply.Response.Body)))
 	w.WriteHeader(status)
 	send(w, reply.Response.Body, reply.Schedule, c)
@@ -163,7 +163,7 @@
 	}
 	l := balance.Load{}
 	_, err := fmt.Sscanf(header.Get(headerLoad), "%d,%d,%d,%d,%d,%d,%d,%d",
-		&l.Running, &l.Waiting, &l.Slots, &l.Service, &l.Own, &l.Demand, &l.LinkMbps, &l.LinkWait)
+		&l.Running, &l.Waiting, &l.Slots, &l.Service, &l.ClassService, &l.Demand, &l.LinkMbps, &l.LinkWait)
 	if err == nil {
 		reply.Load, reply.HasLoad = l, true
 	}
