--- a/demo/soak/plan.go
+++ b/demo/soak/plan.go
@@ -74,7 +74,7 @@
 	// leastLength and meanLength shape the lengths of faults; maxLength is longer
 	// than a hold.
 	leastLength = 200 * time.Millisecond
-	meanLength  = 1500 * time.Millisecond
+	meanLength  = 2500 * time.Millisecond
 	maxLength   = 7 * time.Second
 )
 
