--- a/demo/soak/soak_test.go
+++ b/demo/soak/soak_test.go
@@ -62,6 +62,8 @@
 	is.True(answered(conn, 100*time.Millisecond) != nil)
 	proxy.Set(soak.Pass)
 	is.NoErr(answered(conn, time.Second)) // what was held back comes
+	_, err = conn.Read(make([]byte, 1))   // and the answer to this one
+	is.NoErr(err)
 	proxy.Set(soak.Stall)
 	is.True(answered(conn, 100*time.Millisecond) != nil)
 	other, err := net.Dial("tcp", "127.0.0.1:39871")
