--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -124,13 +124,19 @@
 		return Result{ManifestVersion: manifest.Version()}
 	}
 	service := route.PickService()
+	manifestService, _ := manifest.Service(service)
+	if route.Unusable || manifestService.Unusable {
+		return Result{
+			Reply:      NotRun(outcome.ReasonUnsupportedRoute),
+			RouteFound: true, ManifestVersion: manifest.Version(), Route: route.Name, Service: service,
+		}
+	}
 	deadline := r.Deadline
 	if route.Timeout > 0 {
 		deadline = min(deadline, r.ReceivedAt+route.Timeout)
 	}
 	bounded := *r
 	bounded.Deadline = deadline
-	manifestService, _ := manifest.Service(service)
 	bounded.Keyed = r.Keyed && manifestService.Keyed
 	ctx, cancel := context.WithTimeout(ctx, (deadline - d.clock.Now()).Duration())
 	defer cancel()
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -149,3 +149,19 @@
 	is.Equal(len(cluster.sentTo), 2)
 	is.Equal(result.RetryAfter, clock.Millis(200))
 }
+
+// TestUnusableRoute guards against a request of a route that the manifest leaves unclear and
+// that is sent to some service, or answered as if the route did not exist.
+func TestUnusableRoute(t *testing.T) {
+	is := is.New(t)
+	for _, unusableRoute := range []bool{true, false} {
+		cluster := &fakeCluster{replies: map[string][]dispatch.Reply{"any": {doneReply()}}}
+		m := routes.NewManifest(1, []routes.Route{{
+			Name: "r", Host: "h", Prefix: "/", TrafficSplit: []routes.WeightedService{{Service: "s", Weight: 1}}, Unusable: unusableRoute,
+		}}, []routes.Service{{Name: "s", Unusable: !unusableRoute}}, routes.Limits{})
+		result := handle(cluster, m)
+		is.True(result.RouteFound)
+		is.Equal(outcome.ReasonOf(result.Outcome), outcome.ReasonUnsupportedRoute)
+		is.Equal(len(cluster.sentTo), 0)
+	}
+}
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -53,6 +53,7 @@
 	ReasonDraining          Reason = "draining"
 	ReasonDeadlineExceeded  Reason = "deadline-exceeded"
 	ReasonConfigurationLags Reason = "configuration-lags"
+	ReasonUnsupportedRoute  Reason = "unsupported-route"
 )
 
 // Reasons of Unknown.
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -37,6 +37,8 @@
 	Rank int
 	// MaxAttempts is the largest number of upstreams that a request is sent to.
 	MaxAttempts int
+	// Unusable is true if it is unknown to which services the requests may go.
+	Unusable bool
 }
 
 // Service holds the settings of a service.
@@ -46,6 +48,8 @@
 	Keyed bool
 	// MaxConnections is the number of connections that an upstream accepts.
 	MaxConnections int
+	// Unusable is true if it is unknown how its requests are divided.
+	Unusable bool
 }
 
 // Limits bounds the requests and connections of callers.
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -239,7 +239,7 @@
 // applyManifest replaces the current manifest with the encoded one if that is valid and
 // newer.
 func (a *App) applyManifest(value []byte) {
-	m, err := manifest.Decode(value)
+	m, problems, err := manifest.Decode(value)
 	if err != nil {
 		a.log.Error().Err(err).Msg("manifestRejected")
 		return
@@ -250,8 +250,21 @@
 			return
 		}
 		if a.manifest.CompareAndSwap(old, m) {
-			a.log.Info().Uint64("version", m.Version()).Uint64("before", old.Version()).Msg("manifestInForce")
+			a.log.Info().Uint64("version", m.Version()).Uint64("before", old.Version()).Int("problems", len(problems)).Msg("manifestInForce")
+			a.reportManifestProblems(m.Version(), problems)
 			return
 		}
 	}
 }
+
+// maxManifestProblemLines bounds the log lines about one manifest.
+const maxManifestProblemLines = 20
+
+// reportManifestProblems counts and logs the parts of a manifest that this build does not
+// understand.
+func (a *App) reportManifestProblems(version uint64, problems []*manifest.Error) {
+	a.telemetry.scope.Counter("manifest_problems").Inc(int64(len(problems)))
+	for _, problem := range problems[:min(len(problems), maxManifestProblemLines)] {
+		a.log.Warn().Err(problem).Uint64("version", version).Str("field", problem.Field()).Msg("manifestPartNotUnderstood")
+	}
+}
