--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -78,6 +78,14 @@
 	return waiting, reason
 }
 
+// WouldRefuse reports whether the request would be refused if it were submitted now, and
+// why. It does not submit the request.
+func (g *Gate) WouldRefuse(request *Request) (outcome.Reason, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.WouldRefuse(g.clock.Now(), request)
+}
+
 func (g *Gate) wait(ctx context.Context, slot *Slot) (*Slot, error) {
 	timer := time.NewTimer((slot.request.deadline - g.clock.Now()).Duration())
 	defer timer.Stop()
--- a/core/admission/state.go
+++ b/core/admission/state.go
@@ -230,6 +230,24 @@
 	return s.shed(now, max(0, index-(waiting-len(s.queue))), actions)
 }
 
+// WouldRefuse reports whether Submit would refuse the request, and why. It changes
+// nothing.
+func (s *State) WouldRefuse(now clock.Millis, request *Request) (outcome.Reason, bool) {
+	if request.deadline <= now {
+		return outcome.ReasonQueueTimeout, true
+	}
+	if len(s.queue) == 0 && s.inFlight < s.Limit(now) {
+		return "", false
+	}
+	candidate := *request
+	candidate.sequence, candidate.submittedAt = s.sequence+1, now
+	candidate.missesSoftDeadline = s.willMissSoftDeadline(now, &candidate)
+	index, _ := slices.BinarySearchFunc(s.queue, &candidate, compareRequests)
+	wait := s.meanServiceMillis / float64(s.Limit(now)) * float64(index+1)
+	refused := index >= s.queueLimit() || s.willMissDeadline(now, &candidate, wait) || s.waitsTooLong(now, &candidate, wait)
+	return outcome.ReasonOverloaded, refused
+}
+
 // Release frees the slot of a request that the upstream accepted. The time for which
 // the slot was held is a sample of the service time.
 func (s *State) Release(now clock.Millis, request *Request, actions []Action) []Action {
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -19,6 +19,9 @@
 	sameDomainRTT  = 0.4
 	sameRegionRTT  = 3.0
 	otherRegionRTT = 41.0
+	// otherDomainBodyCost is the cost in milliseconds of a large request body that leaves
+	// the failure domain, which is paid by volume.
+	otherDomainBodyCost = 20.0
 	// loadReportTTL is the age in milliseconds from which a load report is out of date:
 	// of its values, Pick still uses the service time and the slots.
 	loadReportTTL clock.Millis = 2000
@@ -69,8 +72,11 @@
 	// LinkMbps is the bandwidth of the instance's link in Mbit/s, 0 if unlimited.
 	// LinkBacklog is the time in milliseconds that the link needs for the responses
 	// queued for it and for the large ones in progress.
-	LinkMbps    int
-	LinkBacklog clock.Millis
+	// InboundBacklog is the time that it needs for the large request bodies that it has
+	// accepted.
+	LinkMbps       int
+	LinkBacklog    clock.Millis
+	InboundBacklog clock.Millis
 }
 
 // Candidate is an upstream that may run a request.
@@ -119,8 +125,13 @@
 	Class string
 	// LargeResponse is true if a large response is expected.
 	LargeResponse bool
+	// BodyBytes is the size in bytes of a large request body, 0 if the body is small.
+	BodyBytes int
 }
 
+// isLarge reports whether the request or its response takes much of a link.
+func (r Request) isLarge() bool { return r.LargeResponse || r.BodyBytes > 0 }
+
 // New returns a balancer for a daemon at the location.
 func New(location identity.Location) *Balancer { return &Balancer{location: location} }
 
@@ -236,14 +247,14 @@
 // all would choose the one that seems best. Other regions are considered if the request
 // would wait at the chosen candidate for longer than the round trip there.
 //
-// A large response stays in the region while any candidate there is reachable: traffic
-// between regions is paid by volume, and one such response costs the users more than it
-// is worth to them.
+// A large request body or response stays in the region while any candidate there is
+// reachable: traffic between regions is paid by volume, and one such message costs the
+// users more than it is worth to them.
 //
 // random returns numbers in [0, 1).
 func (b *Balancer) Pick(now clock.Millis, candidates []Candidate, request Request, excluded map[string]bool, random func() float64) int {
 	var sameRegion, otherRegions []int
-	regionOnly := request.LargeResponse && b.regionReachable(now, candidates)
+	regionOnly := request.isLarge() && b.regionReachable(now, candidates)
 	for i, c := range candidates {
 		switch {
 		case excluded[c.Name] || !b.Reachable(now, c.Name):
@@ -328,6 +339,9 @@
 // result is the wait for a slot, and for a large response also for the link.
 func (b *Balancer) expectedCost(now clock.Millis, c Candidate, request Request) (float64, float64) {
 	cost := b.roundTripTime(c.Location)
+	if request.BodyBytes > 0 && c.Location != b.location {
+		cost += otherDomainBodyCost
+	}
 	u, ok := b.upstreams[c.Name]
 	if !ok {
 		return cost + defaultServiceMillis, 0
@@ -354,7 +368,10 @@
 	if request.LargeResponse {
 		// Responses to requests sent since the report share the link. Small responses
 		// don't count: they are sent between the chunks of large ones.
-		wait += transferTime(u.load, orDefaultSize(b.meanLargeBytes)*float64(1+max(u.inFlight-u.inFlightAtReport, 0)))
+		wait += transferTime(u.load, u.load.LinkBacklog, orDefaultSize(b.meanLargeBytes)*float64(1+max(u.inFlight-u.inFlightAtReport, 0)))
+	}
+	if request.BodyBytes > 0 {
+		wait += transferTime(u.load, u.load.InboundBacklog, float64(request.BodyBytes)*float64(1+max(u.inFlight-u.inFlightAtReport, 0)))
 	}
 	return cost + requestTime + wait, wait
 }
--- a/core/balance/link.go
+++ b/core/balance/link.go
@@ -33,7 +33,7 @@
 	millisPerSecond = 1000
 )
 
-// Link models the outbound queue of an instance's network link. Load pattern: large
+// Link models one direction of an instance's network link. Load pattern: large
 // responses that need more bandwidth than a slow link has, beside small ones that
 // can't wait. The zero value is a link of unlimited bandwidth. It is not safe for
 // concurrent use.
@@ -100,6 +100,18 @@
 	return max(l.Backlog(now)-serviceTime-waitLimit, 0)
 }
 
+// BodyDelay returns the time in milliseconds by which to delay a request with a large body,
+// 0 if the link may receive the body. The response should arrive within the given time, of
+// which the upstream needs serviceTime.
+func (l *Link) BodyDelay(now, serviceTime, within clock.Millis, bytes int64) clock.Millis {
+	if l.mbps <= 0 {
+		return 0
+	}
+	transfer := clock.Millis(float64(bytes) / linkBytesPerMilli(l.mbps))
+	waitLimit := max(clock.Millis(float64(within-serviceTime-transfer)*spareTimeShare), minLinkWaitLimit)
+	return max(l.Backlog(now)-waitLimit, 0)
+}
+
 // Schedule defines when the chunks of a response are sent over a link. With the zero
 // value, all are sent at once.
 type Schedule struct {
@@ -139,11 +151,11 @@
 	return mean + meanSizeWeight*(float64(bytes)-mean)
 }
 
-// transferTime returns the expected time in milliseconds until a link has sent its
-// backlog and another response of the given size.
-func transferTime(load Load, bytes float64) float64 {
+// transferTime returns the expected time in milliseconds until a link has transferred its
+// backlog and another message of the given size.
+func transferTime(load Load, backlog clock.Millis, bytes float64) float64 {
 	if load.LinkMbps <= 0 {
 		return 0
 	}
-	return float64(load.LinkBacklog) + bytes/linkBytesPerMilli(float64(load.LinkMbps))
+	return float64(backlog) + bytes/linkBytesPerMilli(float64(load.LinkMbps))
 }
--- a/core/balance/link_test.go
+++ b/core/balance/link_test.go
@@ -81,3 +81,70 @@
 	is.Equal(b.Pick(0, newCandidates(), balance.Request{LargeResponse: true}, refused, alwaysHalf), -1)
 	is.Equal(newCandidates()[b.Pick(0, newCandidates(), balance.Request{}, refused, alwaysHalf)].Name, "distant")
 }
+
+// simulateUploads sends request bodies of 60 kB to a link of 14 Mbit/s at twice its
+// bandwidth. It returns the bodies received within the time, those received late, and the
+// longest time for which a small message waited.
+func simulateUploads(refuses func(link *balance.Link, now clock.Millis) bool) (inTime, late int, smallWait clock.Millis) {
+	const (
+		bodyBytes = 60_000
+		within    = clock.Millis(800)
+		service   = clock.Millis(160)
+	)
+	link := balance.NewLink(14)
+	for now := clock.Millis(1); now < 20_000; now++ {
+		if now%17 != 0 || refuses(&link, now) { // 59 a second, 28 Mbit/s
+			continue
+		}
+		schedule := link.Reserve(now, bodyBytes)
+		arrival := schedule.Delay(now, bodyBytes) + service
+		if arrival <= within {
+			inTime++
+		} else {
+			late++
+		}
+		// A small message waits for the chunk that is being received.
+		smallWait = max(smallWait, schedule.Delay(now, schedule.ChunkBytes())-schedule.Delay(now, 0))
+	}
+	return inTime, late, smallWait
+}
+
+// TestUploadsOnThinLink guards against request bodies that are all received at once: they
+// share the link, so that all are late and small messages wait behind them.
+func TestUploadsOnThinLink(t *testing.T) {
+	is := is.New(t)
+	naiveInTime, naiveLate, _ := simulateUploads(func(*balance.Link, clock.Millis) bool { return false })
+	inTime, late, smallWait := simulateUploads(func(link *balance.Link, now clock.Millis) bool {
+		return link.BodyDelay(now, 160, 800, 60_000) > 0
+	})
+	t.Logf("naive: %d in time, %d late; with admission: %d in time, %d late, small messages wait %d ms", naiveInTime, naiveLate, inTime, late, smallWait)
+	is.True(naiveInTime < 60)
+	is.True(inTime > 450) // of 525 that the link can carry
+	is.Equal(late, 0)
+	is.True(smallWait <= 12)
+}
+
+// TestLargeBodyStaysInRegion guards against a large request body that leaves the region
+// although an instance there is reachable.
+func TestLargeBodyStaysInRegion(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	refused := map[string]bool{"here": true, "near": true}
+	is.Equal(b.Pick(0, newCandidates(), balance.Request{BodyBytes: 60_000}, refused, alwaysHalf), -1)
+	for range 10 {
+		b.RecordUnreachable(0, "here")
+		b.RecordUnreachable(0, "near")
+	}
+	is.Equal(newCandidates()[b.Pick(0, newCandidates(), balance.Request{BodyBytes: 60_000}, nil, alwaysHalf)].Name, "distant")
+}
+
+// TestLargeBodyAvoidsBusyLink guards against a choice of the upstream that ignores the
+// bodies which its link has still to receive.
+func TestLargeBodyAvoidsBusyLink(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	b.RecordLoad(0, "here", "upload", balance.Load{Slots: 9, ServiceTime: 160, LinkMbps: 14, InboundBacklog: 400})
+	b.RecordLoad(0, "near", "upload", balance.Load{Slots: 9, ServiceTime: 160, LinkMbps: 14})
+	is.Equal(newCandidates()[b.Pick(0, newCandidates(), balance.Request{Class: "upload", BodyBytes: 60_000}, nil, alwaysHalf)].Name, "near")
+	is.Equal(newCandidates()[b.Pick(0, newCandidates(), balance.Request{Class: "upload"}, nil, alwaysHalf)].Name, "here")
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/keyspace"
+	"briarwell.dev/core/memory"
 	"briarwell.dev/core/outcome"
 )
 
@@ -36,8 +37,18 @@
 	// ReceivedAt and Deadline are times on the daemon's clock.
 	ReceivedAt clock.Millis
 	Deadline   clock.Millis
+	// Memory is charged for the bodies of the request and of its response; nil for no
+	// limit.
+	Memory *memory.Account
 }
 
+// LargeBodyBytes is the size in bytes from which a body is large: it takes longer to send
+// than other messages should wait for a slow link.
+const LargeBodyBytes = 16 << 10
+
+// hasLargeBody reports whether the body of the request is large.
+func (r *Request) hasLargeBody() bool { return len(r.Body) >= LargeBodyBytes }
+
 // Response is the complete response of an upstream.
 type Response struct {
 	Status int
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -353,13 +353,22 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	i := d.balancer.Pick(d.clock.Now(), candidates, balance.Request{Class: p.route.Name, LargeResponse: p.route.LargeResponses}, p.excluded, rand.Float64)
+	i := d.balancer.Pick(d.clock.Now(), candidates, p.balanceRequest(), p.excluded, rand.Float64)
 	if i < 0 {
 		return Target{}, false
 	}
 	return targets[i], true
 }
 
+// balanceRequest describes the request to the balancer.
+func (p *pendingRequest) balanceRequest() balance.Request {
+	request := balance.Request{Class: p.route.Name, LargeResponse: p.route.LargeResponses}
+	if p.request.hasLargeBody() {
+		request.BodyBytes = len(p.request.Body)
+	}
+	return request
+}
+
 // awaitOwner returns the owner of the request's key once it is known and reachable, or
 // false if that takes longer than ownerWaitShare of the route's target latency or the
 // request ends.
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -61,7 +61,9 @@
 	gate     *admission.Gate
 	mu       sync.Mutex
 	keyMeter rebalance.Meter
-	link     balance.Link
+	// link is the outbound direction of the instance's link, inboundLink the other one.
+	link        balance.Link
+	inboundLink balance.Link
 	// running counts the requests at the upstream by ID: a caller may use an ID twice.
 	running map[string]int
 }
@@ -69,7 +71,7 @@
 // NewExecutor returns an executor that admits requests through the gate and sends the
 // responses over a link of the given bandwidth in Mbit/s, 0 if unlimited.
 func NewExecutor(c clock.Clock, upstream Upstream, gate *admission.Gate, linkMbps float64) *Executor {
-	return &Executor{clock: c, upstream: upstream, gate: gate, link: balance.NewLink(linkMbps), running: make(map[string]int)}
+	return &Executor{clock: c, upstream: upstream, gate: gate, link: balance.NewLink(linkMbps), inboundLink: balance.NewLink(linkMbps), running: make(map[string]int)}
 }
 
 // KeyRates returns the spans of keys that have requests, with their request rates.
@@ -88,6 +90,7 @@
 	rate := e.keyMeter.TotalRate(e.clock.Now())
 	load.LinkMbps = int(e.link.Mbps())
 	load.LinkBacklog = e.link.Backlog(e.clock.Now())
+	load.InboundBacklog = e.inboundLink.Backlog(e.clock.Now())
 	e.mu.Unlock()
 	load.DemandPercent = int(rate * float64(load.ServiceTime) / millisPerSecond / float64(max(load.Slots, 1)) * percent)
 	return load
@@ -110,6 +113,49 @@
 	return reply
 }
 
+// AcceptBody decides whether to receive the body of a request, and when its parts are to
+// be read, so that bodies for which there is no time or no slot take no bandwidth, and
+// those that do leave the link to small messages in between. It returns the reply to a
+// refused request and false.
+func (e *Executor) AcceptBody(service string, r *Request, policy RequestPolicy, bodyBytes int64) (balance.Schedule, Reply, bool) {
+	schedule, reply, ok := e.acceptBody(service, r, policy, bodyBytes)
+	if !ok {
+		reply.Load, reply.HasLoad = e.Load(), true
+	}
+	return schedule, reply, ok
+}
+
+func (e *Executor) acceptBody(service string, r *Request, policy RequestPolicy, bodyBytes int64) (balance.Schedule, Reply, bool) {
+	if refused, ok := e.checkEligible(service, r); !ok {
+		return balance.Schedule{}, refused, false
+	}
+	if reason, refused := e.gate.WouldRefuse(e.admissionRequest(r, policy)); refused {
+		return balance.Schedule{}, NotRun(reason).WithRetryAfter(e.queueDrainTime()), false
+	}
+	now := e.clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delay := e.inboundLink.BodyDelay(now, e.gate.ClassServiceMillis(policy.Class), policy.LatencyBudget, bodyBytes)
+	if delay > 0 {
+		return balance.Schedule{}, NotRun(outcome.ReasonOverloaded).WithRetryAfter(boundedRetryAfter(delay)), false
+	}
+	return e.inboundLink.Reserve(now, int(bodyBytes)), Reply{}, true
+}
+
+func (e *Executor) admissionRequest(r *Request, policy RequestPolicy) *admission.Request {
+	var softDeadline clock.Millis
+	if policy.LatencyBudget > 0 {
+		softDeadline = e.clock.Now() + policy.LatencyBudget
+	}
+	return admission.NewRequest(priority(r, policy), r.Deadline).WithSoftDeadline(softDeadline, policy.Class)
+}
+
+// boundedRetryAfter returns the time in milliseconds within minRetryAfter and
+// maxRetryAfter.
+func boundedRetryAfter(after clock.Millis) clock.Millis {
+	return min(max(after, minRetryAfter), maxRetryAfter)
+}
+
 // withLink calls f with the link while e.mu is held.
 func (e *Executor) withLink(f func(*balance.Link)) {
 	e.mu.Lock()
@@ -121,17 +167,13 @@
 	if refused, ok := e.checkEligible(service, r); !ok {
 		return refused
 	}
-	var softDeadline clock.Millis
-	if policy.LatencyBudget > 0 {
-		softDeadline = e.clock.Now() + policy.LatencyBudget
-	}
-	admissionRequest := admission.NewRequest(priority(r, policy), r.Deadline).WithSoftDeadline(softDeadline, policy.Class)
+	admissionRequest := e.admissionRequest(r, policy)
 	e.mu.Lock()
 	e.keyMeter.Observe(e.clock.Now(), r.Key)
 	delay := e.link.LargeResponseDelay(e.clock.Now(), e.gate.ClassServiceMillis(policy.Class), policy.LatencyBudget)
 	e.mu.Unlock()
 	if policy.LargeResponse && delay > 0 {
-		return NotRun(outcome.ReasonOverloaded).WithRetryAfter(min(max(delay, minRetryAfter), maxRetryAfter))
+		return NotRun(outcome.ReasonOverloaded).WithRetryAfter(boundedRetryAfter(delay))
 	}
 	slot, err := e.gate.AcquireFor(ctx, admissionRequest)
 	if err != nil {
@@ -234,5 +276,5 @@
 func (e *Executor) queueDrainTime() clock.Millis {
 	load := e.Load()
 	drainTime := clock.Millis(load.Waiting+1) * load.ServiceTime / clock.Millis(max(load.Slots, 1))
-	return min(max(drainTime, minRetryAfter), maxRetryAfter)
+	return boundedRetryAfter(drainTime)
 }
--- a/core/dispatch/executor_test.go
+++ b/core/dispatch/executor_test.go
@@ -141,3 +141,36 @@
 	small := e.Serve(context.Background(), "s", keyedRequest(), dispatch.RequestPolicy{})
 	is.Equal(small.Schedule.Delay(now, 0), clock.Millis(0))
 }
+
+// TestAcceptBody guards against receiving a large body for which there is no slot or no
+// time on the link: it takes the link from the others and is then refused.
+func TestAcceptBody(t *testing.T) {
+	is := is.New(t)
+	u := &fakeUpstream{state: dispatch.UpstreamState{Service: "s", Up: true}, holdsKey: true, serviceTime: 300 * time.Millisecond}
+	e := newExecutorWithLink(u, 1, 14)
+	policy := dispatch.RequestPolicy{LatencyBudget: 400}
+	accepted := 0
+	var reply dispatch.Reply
+	for range 100 { // 60 kB take 38 ms on the link
+		var ok bool
+		if _, reply, ok = e.AcceptBody("s", keyedRequest(), policy, 60_000); ok {
+			accepted++
+		}
+	}
+	is.True(accepted >= 4 && accepted <= 8) // it may wait for 160 to 200 ms
+	is.Equal(outcome.ReasonOf(reply.Outcome), outcome.ReasonOverloaded)
+	is.True(reply.RetryAfter > 0 && reply.HasLoad && !reply.ReachedUpstream)
+	_, reply, ok := e.AcceptBody("t", keyedRequest(), policy, 60_000)
+	is.True(!ok)
+	is.Equal(outcome.ReasonOf(reply.Outcome), outcome.ReasonMoved)
+
+	busy := newExecutorWithLink(u, 1, 0)
+	for range 3 {
+		go busy.Serve(context.Background(), "s", keyedRequest(), dispatch.RequestPolicy{})
+	}
+	time.Sleep(20 * time.Millisecond)
+	request := keyedRequest()
+	request.Deadline = request.ReceivedAt // too late for any wait
+	_, _, ok = busy.AcceptBody("s", request, policy, 60_000)
+	is.True(!ok)
+}
--- a/core/dispatch/peerhttp/peerhttp.go
+++ b/core/dispatch/peerhttp/peerhttp.go
@@ -33,7 +33,10 @@
 const headerPrefix = "Briarwell-"
 
 // maxBodyBytes bounds the body of a request.
-const maxBodyBytes = 8 << 20
+const maxBodyBytes = 64 << 20
+
+// minLoadFields is the number of fields of a load that every build sends.
+const minLoadFields = 8
 
 // Error reports an invalid header field in the request of another daemon.
 type Error struct {
@@ -63,11 +66,15 @@
 		header.Set(outcome.HeaderKey, strconv.Itoa(int(r.Key)))
 	}
 	header.Set(headerPolicy, fmt.Sprintf("%t,%t,%t,%d,%d,%s", policy.Idempotent, r.Nested, policy.LargeResponse, policy.Rank, policy.LatencyBudget, policy.Class))
-	return httpclient.Request{Method: r.Method, RequestURI: r.RequestURI, Host: r.Host, Header: header, Body: r.Body}
+	return httpclient.Request{
+		Method: r.Method, RequestURI: r.RequestURI, Host: r.Host, Header: header, Body: r.Body,
+		AwaitContinue:    len(r.Body) >= dispatch.LargeBodyBytes,
+		ResponseIDHeader: headerCallerID, ResponseID: r.ID, Memory: r.Memory,
+	}
 }
 
-// DecodeRequest returns a request received at now, its service and its policy. The error is
-// an *Error, or that of reading the body.
+// DecodeRequest returns a request received at now without its body, its service and its
+// policy. The error is an *Error.
 func DecodeRequest(r *http.Request, now clock.Millis) (*dispatch.Request, string, dispatch.RequestPolicy, error) {
 	var policy dispatch.RequestPolicy
 	request := &dispatch.Request{
@@ -96,13 +103,39 @@
 			request.Header[name] = values
 		}
 	}
-	request.Body, err = io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
-	return request, r.Header.Get(headerService), policy, err
+	return request, r.Header.Get(headerService), policy, nil
+}
+
+// ReadBody reads the body of a request at the times that the schedule defines. The error is
+// that of memory.Account.ReadAll.
+func ReadBody(r *http.Request, request *dispatch.Request, schedule balance.Schedule, c clock.Clock) error {
+	body, err := request.Memory.ReadAll(&pacedReader{reader: r.Body, schedule: schedule, clock: c}, r.ContentLength, maxBodyBytes)
+	request.Body = body
+	return err
+}
+
+// pacedReader reads no part of a body before the time that the schedule defines.
+type pacedReader struct {
+	reader   io.Reader
+	schedule balance.Schedule
+	clock    clock.Clock
+	read     int
+}
+
+func (p *pacedReader) Read(buffer []byte) (int, error) {
+	if wait := p.schedule.Delay(p.clock.Now(), p.read); wait > 0 {
+		time.Sleep(wait.Duration())
+	}
+	n, err := p.reader.Read(buffer[:min(len(buffer), p.schedule.ChunkBytes())])
+	p.read += n
+	return n, err
 }
 
-// WriteReply writes a reply, with its body paced by the reply's schedule.
-func WriteReply(w http.ResponseWriter, reply dispatch.Reply, c clock.Clock) {
+// WriteReply writes the reply to the request with the ID, with its body paced by the
+// reply's schedule.
+func WriteReply(w http.ResponseWriter, id string, reply dispatch.Reply, c clock.Clock) {
 	header := w.Header()
+	header.Set(headerCallerID, id)
 	status := http.StatusOK
 	if _, done := reply.Outcome.(outcome.Done); done {
 		status = reply.Response.Status
@@ -121,7 +154,7 @@
 	header.Set(headerReachedUpstream, strconv.FormatBool(reply.ReachedUpstream))
 	header.Set(headerRetryAfter, strconv.FormatInt(int64(reply.RetryAfter), 10))
 	load := reply.Load
-	header.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d", load.Running, load.Waiting, load.Slots, load.ServiceTime, load.ClassServiceTime, load.DemandPercent, load.LinkMbps, load.LinkBacklog))
+	header.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d,%d", load.Running, load.Waiting, load.Slots, load.ServiceTime, load.ClassServiceTime, load.DemandPercent, load.LinkMbps, load.LinkBacklog, load.InboundBacklog))
 	header.Set("Content-Length", strconv.Itoa(len(reply.Response.Body)))
 	w.WriteHeader(status)
 	writeBody(w, reply.Response.Body, reply.Schedule, c)
@@ -165,9 +198,9 @@
 		reply.RetryAfter = clock.Millis(after)
 	}
 	load := balance.Load{}
-	_, err := fmt.Sscanf(header.Get(headerLoad), "%d,%d,%d,%d,%d,%d,%d,%d",
-		&load.Running, &load.Waiting, &load.Slots, &load.ServiceTime, &load.ClassServiceTime, &load.DemandPercent, &load.LinkMbps, &load.LinkBacklog)
-	if err == nil {
+	n, _ := fmt.Sscanf(header.Get(headerLoad), "%d,%d,%d,%d,%d,%d,%d,%d,%d", &load.Running, &load.Waiting, &load.Slots,
+		&load.ServiceTime, &load.ClassServiceTime, &load.DemandPercent, &load.LinkMbps, &load.LinkBacklog, &load.InboundBacklog)
+	if n >= minLoadFields {
 		reply.Load, reply.HasLoad = load, true
 	}
 	return reply
--- a/core/httpclient/client.go
+++ b/core/httpclient/client.go
@@ -54,8 +54,13 @@
 	net.Conn
 
 	reader *bufio.Reader
-	// bytesSent counts the bytes sent for the current request.
-	bytesSent int
+	heads  *headReader
+	// bytesSent counts the bytes sent for the current request, requestComplete is true once
+	// all of them are sent.
+	bytesSent       int
+	requestComplete bool
+	// reused is true if the connection has carried a request before.
+	reused bool
 	// idleSince is valid while the connection is idle. It is not reused after idleTimeout.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -70,6 +75,28 @@
 	return n, err
 }
 
+// headReader reads from a connection. While limited is set, it reads no more than the
+// allowed bytes.
+type headReader struct {
+	conn    net.Conn
+	limited bool
+	allowed int
+}
+
+func (h *headReader) allow(bytes int) { h.allowed = bytes }
+
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.limited {
+		return h.conn.Read(p)
+	}
+	if h.allowed <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.conn.Read(p[:min(len(p), h.allowed)])
+	h.allowed -= n
+	return n, err
+}
+
 // interrupt ends all reads and writes by closing the connection.
 func (c *connection) interrupt() { _ = c.Close() }
 
@@ -126,7 +153,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: tcp, reader: bufio.NewReader(tcp), idleTimeout: defaultIdleTimeout}, nil
+	heads := &headReader{conn: tcp}
+	return &connection{Conn: tcp, reader: bufio.NewReader(heads), heads: heads, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // isReusable reports whether an idle connection is open and has no unexpected bytes to read.
--- a/core/httpclient/client_test.go
+++ b/core/httpclient/client_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"briarwell.dev/core/httpclient"
+	"briarwell.dev/core/memory"
 )
 
 // startServer accepts connections and returns its address. It runs handle for the nth
@@ -43,7 +45,7 @@
 func getRequest(id string) httpclient.Request {
 	return httpclient.Request{
 		Method: http.MethodGet, RequestURI: "/x", Host: "h", Header: http.Header{"Id": {id}},
-		MatchesResponse: func(h http.Header) bool { return h.Get("Id") == id },
+		ResponseIDHeader: "Id", ResponseID: id,
 	}
 }
 
@@ -233,3 +235,173 @@
 	time.Sleep(20 * time.Millisecond)
 	is.True(httpclient.ClosedByPeer(conn))
 }
+
+// TestAwaitContinue guards against sending the body of a request that the server refuses,
+// and against a request that the server waits for.
+func TestAwaitContinue(t *testing.T) {
+	is := is.New(t)
+	bodies := make(chan int, 4)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		if r.Header.Get("Id") == "refused" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		bodies <- len(body)
+	}), ReadHeaderTimeout: time.Second}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer server.Close()
+	go func() { _ = server.Serve(listener) }()
+	c := httpclient.New(listener.Addr().String(), nil)
+	for _, size := range []int{100, 60_000, 400_000} {
+		for _, id := range []string{"1", "refused", "2"} {
+			post := getRequest(id)
+			post.Method, post.Body, post.AwaitContinue = http.MethodPost, make([]byte, size), true
+			response, err := c.Do(context.Background(), post)
+			is.NoErr(err)
+			if id == "refused" {
+				is.Equal(response.Status, http.StatusServiceUnavailable)
+				continue
+			}
+			is.Equal(response.Status, http.StatusOK)
+			is.Equal(<-bodies, size)
+		}
+	}
+}
+
+// TestIncompleteRequest guards against reporting a request as complete whose body was not
+// sent: only a complete one may have been run by a server that reads all of it first.
+func TestIncompleteRequest(t *testing.T) {
+	for name, serve := range map[string]func(conn net.Conn, requests *bufio.Reader){
+		"closed before the body": func(net.Conn, *bufio.Reader) {},
+		"closed in the body": func(conn net.Conn, requests *bufio.Reader) {
+			_, _ = conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			_, _ = io.CopyN(io.Discard, requests, 1000)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		},
+	} {
+		address := startServer(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+			_, _ = http.ReadRequest(requests)
+			serve(conn, requests)
+		})
+		post := getRequest("1")
+		post.Method, post.Body, post.AwaitContinue = http.MethodPost, make([]byte, 32<<20), true
+		_, err := httpclient.New(address, nil).Do(context.Background(), post)
+		var failed *httpclient.Error
+		if !errors.As(err, &failed) || !failed.Sent() || failed.Complete() {
+			t.Errorf("%s: got error %v", name, err)
+		}
+	}
+}
+
+// TestResponseWithoutID guards against a late response to an earlier request that carries no
+// ID and is returned for the next request.
+func TestResponseWithoutID(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(requests); err != nil {
+				return
+			}
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+		}
+	})
+	c := httpclient.New(address, nil)
+	_, err := c.Do(context.Background(), getRequest("1"))
+	is.NoErr(err)
+	_, err = c.Do(context.Background(), getRequest("2"))
+	var failed *httpclient.Error
+	is.True(errors.As(err, &failed))
+	is.True(failed.Sent())
+	_, err = c.Do(context.Background(), getRequest("3"))
+	is.NoErr(err) // on a new connection
+}
+
+// TestLateCopyWhileRequestIsWritten guards against a second copy of the previous response,
+// shorter or longer than the own one, that arrives while the next request is written.
+func TestLateCopyWhileRequestIsWritten(t *testing.T) {
+	is := is.New(t)
+	for _, copyBody := range []string{"", "own 1", strings.Repeat("x", 100_000)} {
+		address := startServer(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+			for {
+				head, err := requests.Peek(1)
+				if err != nil || len(head) == 0 {
+					return
+				}
+				// The next request has begun: the copy can't be seen before it.
+				writeResponse(conn, "1", copyBody)
+				r, err := http.ReadRequest(requests)
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, r.Body); err != nil {
+					return
+				}
+				writeResponse(conn, r.Header.Get("Id"), "own "+r.Header.Get("Id"))
+			}
+		})
+		c := httpclient.New(address, nil)
+		for _, id := range []string{"2", "3", "4"} {
+			post := getRequest(id)
+			post.Method, post.Body = http.MethodPost, make([]byte, 200_000)
+			response, err := c.Do(context.Background(), post)
+			is.NoErr(err)
+			is.Equal(string(response.Body), "own "+id)
+		}
+	}
+}
+
+// TestResponseWithoutEnd guards against a server that sends bytes without end, in a head, in
+// interim responses, in a body with or without a length, or in a response to another
+// request, and that takes the client's memory or keeps the caller waiting.
+func TestResponseWithoutEnd(t *testing.T) {
+	const budgetBytes = 4 << 20
+	const ok = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	for name, raw := range map[string]struct{ first, repeated string }{
+		"head":           {ok, "X-Filler: " + strings.Repeat("x", 1000) + "\r\n"},
+		"header line":    {ok + "X-Filler: ", strings.Repeat("x", 1000)},
+		"status line":    {"HTTP/1.1 200 ", strings.Repeat("x", 1000)},
+		"interim":        {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"interim, large": {"", "HTTP/1.1 102 Processing\r\nX: " + strings.Repeat("x", 20_000) + "\r\n\r\n"},
+		"chunks":         {ok + "Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + strings.Repeat("x", 1000) + "\r\n"},
+		"until close":    {ok + "\r\n", strings.Repeat("x", 1000)},
+		"length":         {ok + "Content-Length: 9000000000\r\n\r\n", strings.Repeat("x", 1000)},
+		"other response": {"HTTP/1.1 200 OK\r\nId: 0\r\n\r\n", strings.Repeat("x", 1000)},
+		"chunk header":   {ok + "Transfer-Encoding: chunked\r\n\r\n3e8;", strings.Repeat("x", 1000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sent := make(chan int, 1)
+			address := startServer(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+				_, _ = http.ReadRequest(requests)
+				n, err := conn.Write([]byte(raw.first))
+				total := n
+				for err == nil && total < 256<<20 {
+					n, err = conn.Write([]byte(raw.repeated))
+					total += n
+				}
+				sent <- total
+			})
+			budget := memory.NewBudget(budgetBytes)
+			account := budget.Open()
+			request := getRequest("1")
+			request.Memory = account
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			_, err := httpclient.New(address, nil).Do(ctx, request)
+			var failed *httpclient.Error
+			is.True(errors.As(err, &failed))
+			is.True(failed.Sent())
+			is.NoErr(ctx.Err()) // given up by size, not by time
+			is.True(budget.Used() <= budgetBytes)
+			account.Close()
+			is.Equal(budget.Used(), int64(0))
+			is.True(<-sent < 64<<20) // the connection was closed
+		})
+	}
+}
--- a/core/httpclient/request.go
+++ b/core/httpclient/request.go
@@ -13,10 +13,19 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"briarwell.dev/core/memory"
 )
 
-// maxResponseBytes bounds the body of a response.
-const maxResponseBytes = 64 << 20
+const (
+	// maxResponseBytes bounds the body of a response.
+	maxResponseBytes = 64 << 20
+	// maxHeadBytes bounds the heads of the responses to one request, with those of
+	// interim responses and of responses to other requests.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes bounds the body of a response to another request, which is skipped.
+	maxSkippedBytes = 1 << 20
+)
 
 // maxUnmatchedResponses is the number of interim responses and of responses to other
 // requests after which the connection is closed.
@@ -31,9 +40,16 @@
 	// Header holds the fields to send, without Host and those of framing.
 	Header http.Header
 	Body   []byte
-	// MatchesResponse, if set, reports whether a response with the given header belongs to
-	// the request. A late response to an earlier request may arrive on the connection.
-	MatchesResponse func(http.Header) bool
+	// AwaitContinue makes the client send the body only after the server has asked for it,
+	// so that the server can refuse the request first.
+	AwaitContinue bool
+	// ResponseIDHeader, if set, is the header field in which the server repeats
+	// ResponseID. A response with another ID is a late response to an earlier request. One
+	// without an ID is accepted only on a connection that had no earlier request.
+	ResponseIDHeader string
+	ResponseID       string
+	// Memory is charged for the body of the response; nil for no limit.
+	Memory *memory.Account
 }
 
 // Response is a complete response.
@@ -46,6 +62,7 @@
 // Error reports a request without a complete response.
 type Error struct {
 	sent              bool
+	complete          bool
 	connectionRefused bool
 	cause             error
 }
@@ -53,6 +70,10 @@
 // Sent reports whether any byte of the request may have reached the server.
 func (e *Error) Sent() bool { return e.sent }
 
+// Complete reports whether the whole request may have reached the server. A server that
+// reads the whole request before it acts on it has not acted on an incomplete one.
+func (e *Error) Complete() bool { return e.complete }
+
 // ConnectionRefused reports whether no process listens at the address.
 func (e *Error) ConnectionRefused() bool { return e.connectionRefused }
 
@@ -67,6 +88,8 @@
 
 var (
 	errUnmatchedResponses = errors.New("server sent only interim responses or responses to other requests")
+	errMissingResponseID  = errors.New("response without a request ID on a reused connection")
+	errHeadTooLarge       = fmt.Errorf("response heads exceed %d bytes", maxHeadBytes)
 	errInvalidHead        = errors.New("method, URI or a header name of the request is empty, or the request head has an invalid character")
 )
 
@@ -88,7 +111,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return Response{}, &Error{sent: conn.bytesSent > 0, cause: err}
+		return Response{}, &Error{sent: conn.bytesSent > 0, complete: conn.requestComplete, cause: err}
 	}
 	c.release(conn, reusable && notInterrupted)
 	return response, nil
@@ -97,15 +120,26 @@
 // roundTrip writes the request while it reads the response, as a server may respond before
 // it has read a long body. It also reports whether the connection can be reused.
 func (c *connection) roundTrip(r Request) (Response, bool, error) {
-	c.bytesSent = 0
+	c.bytesSent, c.requestComplete = 0, false
+	defer func() { c.reused = true }()
+	c.heads.allow(maxHeadBytes)
+	if r.AwaitContinue && len(r.Body) > 0 {
+		if err := c.writeRequest(r, false); err != nil {
+			return Response{}, false, err
+		}
+		if response, final, err := c.awaitContinue(r); final || err != nil {
+			// The server would read the next request as the body of this one.
+			return response, false, err
+		}
+	}
 	written := make(chan error, 1)
 	if len(r.Body) <= maxInlineBodyBytes {
-		if err := c.writeRequest(r); err != nil {
+		if err := c.writeRest(r); err != nil {
 			return Response{}, false, err
 		}
 		written <- nil
 	} else {
-		go func() { written <- c.writeRequest(r) }()
+		go func() { written <- c.writeRest(r) }()
 	}
 	response, reusable, err := c.readResponse(r)
 	var writeErr error
@@ -120,11 +154,22 @@
 	return response, reusable && writeErr == nil, err
 }
 
+// writeRest writes the body if the head was written before, otherwise the whole request.
+func (c *connection) writeRest(r Request) error {
+	if !r.AwaitContinue || len(r.Body) == 0 {
+		return c.writeRequest(r, true)
+	}
+	_, err := countingWriter{c}.Write(r.Body)
+	c.requestComplete = err == nil
+	return err
+}
+
 // maxInlineBodyBytes is the size of the largest body that is written before the response is
 // read. The kernel buffers such a body even if the server doesn't read it.
 const maxInlineBodyBytes = 16 << 10
 
-func (c *connection) writeRequest(r Request) error {
+// writeRequest writes the head, and also the body if withBody is true.
+func (c *connection) writeRequest(r Request, withBody bool) error {
 	w := bufio.NewWriterSize(countingWriter{c}, writeBufferBytes)
 	_, _ = w.WriteString(r.Method + " " + r.RequestURI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
@@ -135,40 +180,112 @@
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
 		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
+	if !withBody {
+		_, _ = w.WriteString("Expect: 100-continue\r\n\r\n")
+		return w.Flush()
+	}
 	_, _ = w.WriteString("\r\n")
 	_, _ = w.Write(r.Body)
-	return w.Flush()
+	err := w.Flush()
+	c.requestComplete = err == nil
+	return err
 }
 
 const writeBufferBytes = 4 << 10
 
-// readResponse reads responses up to the one that matches the request, and reports whether
-// the server keeps the connection open.
-func (c *connection) readResponse(r Request) (Response, bool, error) {
+// awaitContinue reads responses until the server asks for the body or refuses the request.
+// It reports whether the server responded finally.
+func (c *connection) awaitContinue(r Request) (Response, bool, error) {
 	for range maxUnmatchedResponses {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		head, err := c.readHead(r)
 		if err != nil {
 			return Response{}, false, err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
+		if head.StatusCode == http.StatusContinue {
+			return Response{}, false, nil
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-		if err != nil {
-			return Response{}, false, fmt.Errorf("read response body: %w", err)
+		response, _, matched, err := c.finishResponse(r, head)
+		if matched || err != nil {
+			return response, true, err
 		}
-		if len(body) > maxResponseBytes {
-			return Response{}, false, fmt.Errorf("response body exceeds %d bytes", maxResponseBytes)
+	}
+	return Response{}, false, errUnmatchedResponses
+}
+
+// readResponse reads responses up to the one that matches the request, and reports whether
+// the server keeps the connection open.
+func (c *connection) readResponse(r Request) (Response, bool, error) {
+	for range maxUnmatchedResponses {
+		head, err := c.readHead(r)
+		if err != nil {
+			return Response{}, false, err
 		}
-		if r.MatchesResponse != nil && !r.MatchesResponse(response.Header) {
-			continue
+		response, reusable, matched, err := c.finishResponse(r, head)
+		if matched || err != nil {
+			return response, reusable, err
 		}
-		c.setIdleTimeout(response.Header.Get("Keep-Alive"))
-		return Response{Status: response.StatusCode, Header: response.Header, Body: body}, !response.Close, nil
 	}
 	return Response{}, false, errUnmatchedResponses
 }
 
+// readHead reads the head of a response within the limit for the heads of a request.
+func (c *connection) readHead(r Request) (*http.Response, error) {
+	c.heads.limited = true
+	defer func() { c.heads.limited = false }()
+	return http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+}
+
+// finishResponse reads the body that follows a head. It reports whether the server keeps
+// the connection open, and whether the response belongs to the request; if not, its body
+// was skipped.
+func (c *connection) finishResponse(r Request, head *http.Response) (Response, bool, bool, error) {
+	if head.StatusCode < http.StatusOK {
+		return Response{}, false, false, nil
+	}
+	if matched, err := c.matches(r, head.Header); !matched || err != nil {
+		if err == nil {
+			err = skipBody(head.Body)
+		}
+		return Response{}, false, false, err
+	}
+	size := head.ContentLength
+	if head.Body == http.NoBody {
+		size = 0 // A response to HEAD has the length of a body that it does not have.
+	}
+	body, err := r.Memory.ReadAll(head.Body, size, maxResponseBytes)
+	if err != nil {
+		return Response{}, false, false, fmt.Errorf("read response body: %w", err)
+	}
+	c.setIdleTimeout(head.Header.Get("Keep-Alive"))
+	return Response{Status: head.StatusCode, Header: head.Header, Body: body}, !head.Close, true, nil
+}
+
+// matches reports whether a response with the header belongs to the request.
+func (c *connection) matches(r Request, header http.Header) (bool, error) {
+	if r.ResponseIDHeader == "" {
+		return true, nil
+	}
+	switch id := header.Get(r.ResponseIDHeader); {
+	case id == r.ResponseID:
+		return true, nil
+	case id != "":
+		return false, nil
+	case c.reused:
+		return false, errMissingResponseID
+	default:
+		return true, nil
+	}
+}
+
+// skipBody reads the body of a response to another request.
+func skipBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
+	if err == nil && n > maxSkippedBytes {
+		err = &memory.TooLargeError{}
+	}
+	return err
+}
+
 // setIdleTimeout sets the idle timeout by the server's Keep-Alive header field, which has
 // it in whole seconds.
 func (c *connection) setIdleTimeout(keepAlive string) {
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/logs"
 	"briarwell.dev/core/membership"
+	"briarwell.dev/core/memory"
 	"briarwell.dev/core/replica"
 	"briarwell.dev/core/routes"
 	"briarwell.dev/platform/manifest"
@@ -52,6 +54,13 @@
 	retryShareFraction = 0.75
 	retrySlackFraction = 0.5
 	millisPerSecond    = 1000
+	// bodyMemoryDivisor is the part of the instance's memory for the bodies of messages:
+	// the garbage collector lets the heap grow to twice the memory in use.
+	bodyMemoryDivisor = 4
+	// heapShare is the share of the instance's memory from which on the garbage collector
+	// works harder.
+	heapShare  = 0.8
+	bytesPerMB = 1 << 20
 )
 
 // App is a sidecar. Create it with New.
@@ -72,6 +81,8 @@
 	dispatcher *dispatch.Dispatcher
 	peers      *peerClients
 	telemetry  *telemetry
+	// memory bounds the bodies of all requests and responses in progress.
+	memory *memory.Budget
 
 	controlWake chan struct{}
 	startedAt   clock.Millis
@@ -117,6 +128,10 @@
 	for i := range a.watching {
 		a.watching[i].Store(true)
 	}
+	a.memory = memory.NewBudget(int64(s.MemoryMB() * bytesPerMB / bodyMemoryDivisor))
+	if s.MemoryMB() > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryMB() * bytesPerMB * heapShare))
+	}
 	a.log, a.logWriter = logs.New(out, s.LogLevel())
 	a.telemetry = newTelemetry()
 	a.manifest.Store(&routes.Manifest{})
@@ -129,7 +144,7 @@
 	a.executor = dispatch.NewExecutor(a.clock, a.upstream, a.gate, s.LinkMbps())
 	a.dispatcher = dispatch.NewDispatcher(a.clock, a.state, &sender{app: a}, balance.New(s.Location()), dispatch.RetryLimits{
 		Ratio:        s.RetryShare() * retryShareFraction,
-		MinPerSecond: float64(s.RetrySlack()) * retrySlackFraction * millisPerSecond / float64(s.RetryWindow()),
+		MinPerSecond: s.RetrySlack() * retrySlackFraction * millisPerSecond / float64(s.RetryWindow()),
 	})
 	return a, a.listen()
 }
--- a/sidecar/app/app_test.go
+++ b/sidecar/app/app_test.go
@@ -76,7 +76,7 @@
 		in.settingsJSON = fmt.Sprintf(`{"instance":%q,"region":"r","failureDomain":"d%d","ip":%q,"service":%q,"upstreamAddress":"%s:9000",
 			"callerAddress":"%s:9001","requestAddress":"%s:9002","readyAddress":"%s:9003","reportAddress":"%s:9004","peerPort":9005,
 			"metricsPort":9006,"storeAddress":%q,"holdMax":"10000ms","drain":"2500ms","grace":"1s","retryShare":0.2,"retrySlack":56,
-			"retryWindow":"10s","linkMbps":0}`, in.name, i%2, ip, service, ip, ip, ip, ip, ip, c.address)
+			"retryWindow":"10s","linkMbps":0,"memoryMB":2}`, in.name, i%2, ip, service, ip, ip, ip, ip, ip, c.address)
 		c.instances = append(c.instances, in)
 		c.startInstance(in)
 	}
@@ -140,15 +140,27 @@
 // eventually waits until the condition holds, for at most 15 s.
 func (c *cluster) eventually(description string, condition func() bool) {
 	c.t.Helper()
-	for deadline := time.Now().Add(15 * time.Second); !condition(); time.Sleep(50 * time.Millisecond) {
+	c.within(15*time.Second, description, condition)
+}
+
+// within waits until the condition holds, and fails with the logs if it takes longer than
+// the limit.
+func (c *cluster) within(limit time.Duration, description string, condition func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(limit); !condition(); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			c.logs.mu.Lock()
 			defer c.logs.mu.Unlock()
-			c.t.Fatalf("%s did not happen within 15 s; logs:\n%s", description, c.logs.buf.String())
+			c.t.Fatalf("%s did not happen within %s; logs:\n%s", description, limit, c.logs.buf.String())
 		}
 	}
 }
 
+// ownersKnownWithin bounds the time after which every sidecar knows the owners of all keys:
+// keys are to be served within 3 s of a change, and a change reaches a sidecar that does not
+// watch the store in a sync round of at most 0.8 s.
+const ownersKnownWithin = 3 * time.Second
+
 // allKeysHeld reports whether the keyed upstreams together hold every key.
 func (c *cluster) allKeysHeld() bool {
 	keys := 0
@@ -167,6 +179,16 @@
 	is := is.New(t)
 	c := newCluster(t, 41, "wardrobe", "wardrobe", "ledger")
 	c.eventually("assignment of all keys", c.allKeysHeld)
+	c.within(ownersKnownWithin, "serving of all keys by every sidecar", func() bool {
+		for _, in := range c.instances {
+			for _, key := range []int{0, 30000, 65535} {
+				if status, _ := c.sendRequest(in, http.MethodGet, "/browse/first", key); status != http.StatusOK {
+					return false
+				}
+			}
+		}
+		return true
+	})
 	for _, in := range c.instances {
 		for _, key := range []int{0, 30000, 65535} {
 			status, body := c.sendRequest(in, http.MethodGet, "/browse/x?q=1", key)
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"time"
 
+	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/dispatch"
 	"briarwell.dev/core/dispatch/peerhttp"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/httpclient"
 	"briarwell.dev/core/keyowner"
+	"briarwell.dev/core/memory"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/routes"
 	"briarwell.dev/platform/callerhttp"
@@ -71,9 +73,18 @@
 		w.Header().Set("Connection", "close")
 	}
 	manifest := a.manifest.Load()
-	request, err := callerhttp.DecodeRequest(r, a.clock.Now(), a.settings.Service(), manifest.Limits())
+	account := a.memory.Open()
+	defer account.Close()
+	request, err := callerhttp.DecodeRequest(r, a.clock.Now(), a.settings.Service())
+	if err == nil {
+		request.Memory = account
+		err = a.withReadDeadline(w, request.Deadline, func() error {
+			return callerhttp.ReadBody(r, request, manifest.Limits(), a.memory.MaxBody())
+		})
+	}
 	if err != nil {
 		status := callerhttp.WriteError(w, callerhttp.RequestID(r), err)
+		a.telemetry.scope.Counter("requests_rejected").Inc(1)
 		a.log.Warn().Err(err).Str("request", callerhttp.RequestID(r)).Int("status", status).Msg("requestRejected")
 		return
 	}
@@ -87,6 +98,18 @@
 	a.recordCallerRequest(r.Context(), request, result, status)
 }
 
+// withReadDeadline calls read, which reads the body of a request. Reads fail from the
+// deadline on, so that a stalled body is given up.
+func (a *App) withReadDeadline(w http.ResponseWriter, deadline clock.Millis, read func() error) error {
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(time.Now().Add((deadline - a.clock.Now()).Duration())); err != nil {
+		return err
+	}
+	err := read()
+	// The server goes on reading, to notice that the sender disconnects.
+	return errors.Join(err, controller.SetReadDeadline(time.Time{}))
+}
+
 // handleCaller routes a caller's request. It refuses the request while the sidecar stops,
 // and returns a result without a route before the first manifest.
 func (a *App) handleCaller(ctx context.Context, manifest *routes.Manifest, request *dispatch.Request) dispatch.Result {
@@ -115,7 +138,16 @@
 	request, service, policy, err := peerhttp.DecodeRequest(r, a.clock.Now())
 	if err != nil {
 		a.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("peerRequestRejected")
-		peerhttp.WriteReply(w, dispatch.NotRun(outcome.ReasonMalformed), a.clock)
+		peerhttp.WriteReply(w, "", dispatch.NotRun(outcome.ReasonMalformed), a.clock)
+		return
+	}
+	account := a.memory.Open()
+	defer account.Close()
+	request.Memory = account
+	if refusal, ok := a.readPeerBody(w, r, request, service, policy); !ok {
+		a.logNotServed(request, service, refusal)
+		w.Header().Set("Connection", "close")
+		peerhttp.WriteReply(w, request.ID, refusal, a.clock)
 		return
 	}
 	if senderDisconnected(r.Context()) {
@@ -124,9 +156,40 @@
 	}
 	reply := a.executor.Serve(r.Context(), service, request, policy)
 	a.logNotServed(request, service, reply)
-	peerhttp.WriteReply(w, reply, a.clock)
+	peerhttp.WriteReply(w, request.ID, reply, a.clock)
 }
 
+// readPeerBody reads the body of a forwarded request, a large one only if the executor
+// accepts it. It returns the refusal and false if the body was not read; the request then
+// has not been run.
+func (a *App) readPeerBody(w http.ResponseWriter, r *http.Request, request *dispatch.Request, service string, policy dispatch.RequestPolicy) (dispatch.Reply, bool) {
+	if r.ContentLength == 0 {
+		return dispatch.Reply{}, true
+	}
+	var schedule balance.Schedule
+	if r.ContentLength >= dispatch.LargeBodyBytes {
+		var refusal dispatch.Reply
+		var ok bool
+		if schedule, refusal, ok = a.executor.AcceptBody(service, request, policy, r.ContentLength); !ok {
+			return refusal, false
+		}
+	}
+	err := a.withReadDeadline(w, request.Deadline, func() error { return peerhttp.ReadBody(r, request, schedule, a.clock) })
+	if err == nil {
+		return dispatch.Reply{}, true
+	}
+	a.log.Warn().Err(err).Str("request", request.ID).Str("peer", r.RemoteAddr).Int64("bytes", r.ContentLength).Msg("peerBodyNotRead")
+	var exhausted *memory.ExhaustedError
+	if errors.As(err, &exhausted) {
+		return dispatch.NotRun(outcome.ReasonOverloaded).WithRetryAfter(memoryRetryAfter), false
+	}
+	return dispatch.NotRun(outcome.ReasonMalformed), false
+}
+
+// memoryRetryAfter is the time in milliseconds after which a request for whose body there
+// was no memory may be sent again.
+const memoryRetryAfter clock.Millis = 300
+
 // sender sends requests to other sidecars, or to the upstream of this instance. It
 // implements dispatch.Sender.
 type sender struct{ app *App }
@@ -149,7 +212,8 @@
 	}
 	var clientErr *httpclient.Error
 	switch {
-	case errors.As(err, &clientErr) && !clientErr.Sent():
+	case errors.As(err, &clientErr) && !clientErr.Complete():
+		// The other sidecar runs a request only once it has read all of it.
 		return dispatch.NotRun(outcome.ReasonUnreachable)
 	case ctx.Err() != nil:
 		return dispatch.Unknown(outcome.ReasonTimeout)
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -29,9 +29,10 @@
 	drain           clock.Millis
 	grace           clock.Millis
 	retryShare      float64
-	retrySlack      int64
+	retrySlack      float64
 	retryWindow     clock.Millis
 	linkMbps        float64
+	memoryMB        float64
 	logLevel        string
 }
 
@@ -40,6 +41,12 @@
 
 const maxPort = 65535
 
+// maxRetrySlack is the largest accepted number of retries in a window.
+const maxRetrySlack = 1e6
+
+// maxMemoryMB is the largest accepted memory of an instance.
+const maxMemoryMB = 1 << 20
+
 // Parse decodes settings from JSON. If any field is invalid, missing or unknown, the error
 // is a *settings.ValidationError that lists all of these fields.
 func Parse(data []byte) (Sidecar, error) {
@@ -62,9 +69,10 @@
 		drain:           requiredDuration(object, "drain"),
 		grace:           requiredDuration(object, "grace"),
 		retryShare:      requiredNumber(object, "retryShare", 1),
-		retrySlack:      object.Required("retrySlack").Int(settings.NewIntRange(0, 1_000_000, "requests")),
+		retrySlack:      requiredNumber(object, "retrySlack", maxRetrySlack),
 		retryWindow:     requiredDuration(object, "retryWindow"),
 		linkMbps:        requiredNumber(object, "linkMbps", maxMbps),
+		memoryMB:        optionalNumber(object, "memoryMB", maxMemoryMB),
 		logLevel:        object.Optional("logLevel").TextOr(settings.DefaultLogLevel, settings.OneOf("debug", "info", "warn", "error")),
 	}
 	object.RejectUnknownFields()
@@ -99,6 +107,14 @@
 	return n
 }
 
+// optionalNumber reads a number from 0 to limit, 0 if the field is missing.
+func optionalNumber(object *settings.Object, name string, limit float64) float64 {
+	if !object.Optional(name).IsPresent() {
+		return 0
+	}
+	return requiredNumber(object, name, limit)
+}
+
 // Instance returns the name of the instance.
 func (s Sidecar) Instance() string { return s.instance }
 
@@ -151,7 +167,7 @@
 
 // RetrySlack returns the number of retries that all sidecars together may send beyond
 // RetryShare in any window of length RetryWindow.
-func (s Sidecar) RetrySlack() int64 { return s.retrySlack }
+func (s Sidecar) RetrySlack() float64 { return s.retrySlack }
 
 // RetryWindow returns the length in milliseconds of the window in which retries are
 // counted.
@@ -160,5 +176,8 @@
 // LinkMbps returns the bandwidth of the instance's network link in Mbit/s, 0 for no limit.
 func (s Sidecar) LinkMbps() float64 { return s.linkMbps }
 
+// MemoryMB returns the memory of the instance in megabytes, 0 for no limit.
+func (s Sidecar) MemoryMB() float64 { return s.memoryMB }
+
 // LogLevel returns the lowest level that is logged: "debug", "info", "warn" or "error".
 func (s Sidecar) LogLevel() string { return s.logLevel }
--- a/sidecar/settings/settings_test.go
+++ b/sidecar/settings/settings_test.go
@@ -14,7 +14,7 @@
 const validSettings = `{"instance":"i1","region":"r","failureDomain":"d","ip":"10.0.0.1","service":"s","upstreamAddress":"10.0.0.1:1",
 	"callerAddress":"10.0.0.1:2","requestAddress":"10.0.0.1:3","readyAddress":"10.0.0.1:4","reportAddress":"10.0.0.1:5",
 	"peerPort":7600,"metricsPort":7615,"storeAddress":"10.0.0.9:80","holdMax":"10000ms","drain":"2500ms","grace":"6s",
-	"retryShare":0.2,"retrySlack":56,"retryWindow":"10s","linkMbps":100.5,"logLevel":"info"}`
+	"retryShare":0.2,"retrySlack":56,"retryWindow":"10s","linkMbps":100.5,"memoryMB":184,"logLevel":"info"}`
 
 // TestParse guards against wrongly parsed values.
 func TestParse(t *testing.T) {
@@ -24,7 +24,24 @@
 	is.Equal(s.PeerAddress(), "10.0.0.1:7600")
 	is.Equal(s.Grace(), clock.Millis(6000))
 	is.Equal(s.RetryShare(), 0.2)
-	is.Equal(s.RetrySlack(), int64(56))
+	is.Equal(s.RetrySlack(), 56.0)
+	is.Equal(s.MemoryMB(), 184.0)
+}
+
+// TestParseNumbers guards against numbers that the platform renders as fractions or with
+// an exponent and that stop a sidecar from starting.
+func TestParseNumbers(t *testing.T) {
+	is := is.New(t)
+	for text, slack := range map[string]float64{"30.714285714285715": 30.714285714285715, "5.6e1": 56, "0": 0, "56.0": 56} {
+		s, err := settings.Parse([]byte(strings.Replace(validSettings, `"retrySlack":56`, `"retrySlack":`+text, 1)))
+		is.NoErr(err)
+		is.Equal(s.RetrySlack(), slack)
+	}
+	s, err := settings.Parse([]byte(strings.Replace(strings.Replace(validSettings, `"memoryMB":184`, `"memoryMB":1.84e2`, 1), "100.5", "0", 1)))
+	is.NoErr(err)
+	is.Equal(s.MemoryMB(), 184.0)
+	_, err = settings.Parse([]byte(strings.Replace(validSettings, `"memoryMB":184,`, ``, 1)))
+	is.NoErr(err)
 }
 
 // TestParseRejectsInvalidField guards against an invalid file that is accepted, and against
@@ -37,6 +54,8 @@
 		"drain":           {`"2500ms"`, `"soon"`},
 		"grace":           {`"6s"`, `6`},
 		"retryShare":      {`0.2`, `2`},
+		"retrySlack":      {`56`, `-1`},
+		"memoryMB":        {`184`, `"much"`},
 		"storeAddress":    {`"storeAddress":"10.0.0.9:80",`, ``},
 		"other":           {`"logLevel"`, `"other":1,"logLevel"`},
 	} {
@@ -62,7 +81,7 @@
 		"{{platform.address|json}}", `"10.0.0.9:80"`,
 		"{{bounds.hold_max|json}}", `"10000ms"`, "{{bounds.drain|json}}", `"2500ms"`, "{{bounds.grace|json}}", `"6s"`,
 		"{{bounds.retry_budget_ratio|json}}", "0.2", "{{bounds.budget_slack|json}}", "56", "{{bounds.retry_window|json}}", `"10s"`,
-		"{{limits.bandwidth_mbps|json}}", "1000.0",
+		"{{limits.bandwidth_mbps|json}}", "1000.0", "{{limits.memory_mb|json}}", "284",
 	)
 	_, err = settings.Parse([]byte(values.Replace(text)))
 	is.NoErr(err)
