sidecar: a panic ends one request, a failed task the process; a stop waits for what was read

Cause: a panic in the work of a request closed its connection without an answer and kept its slot; one in a loop (leases, rows, rebalancing) ended the loop without a word, as conc reports it only at the end of the process, and the sidecar went on without it; one in a goroutine of its own ended the process. At the end of a stop the listeners were closed at once, with requests that had been read since the last look at the count of those in flight.

A background task that panics stops the sidecar with exit code 1 and the reason. At a stop, listeners are shut down in order, up to the time at which the process must end.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -218,21 +218,17 @@
 
 func (p *pendingRequest) send(ctx context.Context, target Target) Reply {
 	d := p.dispatcher
-	d.mu.Lock()
-	d.balancer.RequestStarted(target.Name)
-	d.mu.Unlock()
 	p.sends++
 	p.lastInstance = target.Name
 	sentAt := d.clock.Now()
 	policy := RequestPolicy{Idempotent: p.route.Idempotent, Rank: p.route.Rank, LargeResponse: p.route.LargeResponses, LatencyBudget: p.latencyBudget(), Class: p.route.Name}
-	reply := d.sender.Send(ctx, target, p.service, p.request, policy)
+	reply := d.sendCounted(ctx, target, p.service, p.request, policy)
 	if reply.ReachedUpstream {
 		p.upstreamAttempts++
 	}
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.balancer.RequestEnded(target.Name)
 	if reply.HasLoad {
 		d.balancer.RecordLoad(now, target.Name, policy.Class, reply.Load)
 	}
@@ -240,6 +236,19 @@
 	return reply
 }
 
+// sendCounted sends a request and counts it as in flight meanwhile.
+func (d *Dispatcher) sendCounted(ctx context.Context, target Target, service string, r *Request, policy RequestPolicy) Reply {
+	d.mu.Lock()
+	d.balancer.RequestStarted(target.Name)
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.balancer.RequestEnded(target.Name)
+	}()
+	return d.sender.Send(ctx, target, service, r, policy)
+}
+
 // latencyBudget returns the time in milliseconds from now within which a response meets
 // the route's target latency, 0 if there is none or the request is nested. If the timeout
 // of the request is shorter than the route's, the difference was spent on an earlier
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -179,6 +179,8 @@
 	if err != nil {
 		return e.refusalReply(err)
 	}
+	// Only the first release counts; this one is for a panic.
+	defer slot.ReleaseWithoutSample()
 	if refused, ok := e.checkEligible(service, r); !ok {
 		slot.ReleaseWithoutSample()
 		return refused
@@ -194,15 +196,7 @@
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), (r.Deadline - now).Duration())
 		defer cancel()
 	}
-	if policy.LargeResponse {
-		e.withLink(func(l *balance.Link) { l.BeginLargeResponse() })
-	}
-	e.requestStarted(r.ID)
-	reply := e.upstream.Call(ctx, e.upstream.State(now).Process, r, r.Deadline-now)
-	e.requestEnded(r.ID)
-	if policy.LargeResponse {
-		e.withLink(func(l *balance.Link) { l.EndLargeResponse(len(reply.Response.Body)) })
-	}
+	reply := e.callUpstream(ctx, r, policy, now)
 	if _, done := reply.Outcome.(outcome.Done); done {
 		slot.Release()
 	} else {
@@ -211,6 +205,19 @@
 	return reply
 }
 
+// callUpstream sends the request to the upstream and counts it as running meanwhile.
+func (e *Executor) callUpstream(ctx context.Context, r *Request, policy RequestPolicy, now clock.Millis) Reply {
+	var reply Reply
+	if policy.LargeResponse {
+		e.withLink(func(l *balance.Link) { l.BeginLargeResponse() })
+		defer func() { e.withLink(func(l *balance.Link) { l.EndLargeResponse(len(reply.Response.Body)) }) }()
+	}
+	e.requestStarted(r.ID)
+	defer e.requestEnded(r.ID)
+	reply = e.upstream.Call(ctx, e.upstream.State(now).Process, r, r.Deadline-now)
+	return reply
+}
+
 // IsRunning reports whether a request with the ID is running on the upstream. Only then
 // can the upstream make nested requests for it.
 func (e *Executor) IsRunning(id string) bool {
--- a/core/dispatch/executor_test.go
+++ b/core/dispatch/executor_test.go
@@ -14,6 +14,7 @@
 	"briarwell.dev/core/dispatch"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/recovery"
 )
 
 // fakeUpstream is an upstream in memory that answers after serviceTime.
@@ -174,3 +175,28 @@
 	_, _, ok = busy.AcceptBody("s", request, policy, 60_000)
 	is.True(!ok)
 }
+
+// panickingUpstream is an upstream whose calls panic.
+type panickingUpstream struct{ fakeUpstream }
+
+func (u *panickingUpstream) Call(context.Context, keyspace.Process, *dispatch.Request, clock.Millis) dispatch.Reply {
+	panic("fault")
+}
+
+// TestPanicFreesSlot guards against a panic in the work of one request that keeps its slot,
+// so that the others get fewer and fewer.
+func TestPanicFreesSlot(t *testing.T) {
+	is := is.New(t)
+	u := &panickingUpstream{fakeUpstream{state: dispatch.UpstreamState{Service: "s", Up: true}, holdsKey: true}}
+	c := system.Clock{}
+	gate := admission.NewGate(c, admission.Settings{Slots: 2})
+	e := dispatch.NewExecutor(c, u, gate, 0)
+	for range 3 {
+		err := recovery.Call(func() {
+			e.Serve(context.Background(), "s", keyedRequest(), dispatch.RequestPolicy{LargeResponse: true})
+		})
+		is.True(err != nil)
+	}
+	is.Equal(gate.InFlight(), 0)
+	is.True(!e.IsRunning("1"))
+}
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -54,13 +53,6 @@
 	retryShareFraction = 0.75
 	retrySlackFraction = 0.5
 	millisPerSecond    = 1000
-	// bodyMemoryDivisor is the part of the instance's memory for the bodies of messages:
-	// the garbage collector lets the heap grow to twice the memory in use.
-	bodyMemoryDivisor = 4
-	// heapShare is the share of the instance's memory from which on the garbage collector
-	// works harder.
-	heapShare  = 0.8
-	bytesPerMB = 1 << 20
 )
 
 // App is a sidecar. Create it with New.
@@ -108,6 +100,8 @@
 	// refusingCallers is set when requests of callers are refused.
 	refusingCallers atomic.Bool
 	inFlight        atomic.Int64
+	// failures receives the error of the first background task that has failed.
+	failures chan error
 }
 
 type listener struct {
@@ -123,15 +117,12 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &App{settings: s, localIP: net.ParseIP(s.IP()), controlWake: make(chan struct{}, 1), writeSemaphore: make(chan struct{}, 1)}
+	a := &App{settings: s, localIP: net.ParseIP(s.IP()), controlWake: make(chan struct{}, 1), writeSemaphore: make(chan struct{}, 1), failures: make(chan error, 1)}
 	a.startedAt = a.clock.Now()
 	for i := range a.watching {
 		a.watching[i].Store(true)
 	}
-	a.memory = memory.NewBudget(int64(s.MemoryMB() * bytesPerMB / bodyMemoryDivisor))
-	if s.MemoryMB() > 0 {
-		debug.SetMemoryLimit(int64(s.MemoryMB() * bytesPerMB * heapShare))
-	}
+	a.memory = memory.NewBudget(s.BodyMemoryBytes())
 	a.log, a.logWriter = logs.New(out, s.LogLevel())
 	a.telemetry = newTelemetry()
 	a.manifest.Store(&routes.Manifest{})
@@ -173,49 +164,70 @@
 		if err != nil {
 			return eris.Wrap(err, l.name+" address can't be bound")
 		}
-		a.listeners = append(a.listeners, &listener{name: l.name, netListener: bound, server: newServer(l.handler)})
+		a.listeners = append(a.listeners, &listener{name: l.name, netListener: bound, server: newServer(a.recoverPanics(l.name, l.handler))})
 	}
 	return nil
 }
 
-// Run serves until ctx ends, then stops gracefully.
-func (a *App) Run(ctx context.Context) {
+// Run serves until ctx ends or a background task fails, then stops gracefully. It returns
+// the error of that task.
+func (a *App) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
 	for _, l := range a.listeners {
-		tasks.Go(func() {
-			if err := l.server.Serve(l.netListener); err != nil && background.Err() == nil {
+		a.startTask(&tasks, "listener "+l.name, func() {
+			if err := l.server.Serve(l.netListener); err != nil && background.Err() == nil && !errors.Is(err, http.ErrServerClosed) {
 				a.log.Error().Err(err).Str("listener", l.name).Msg("listenerFailed")
 			}
 		})
 	}
-	tasks.Go(func() { a.watchLoop(background, store.OperatorRows) })
-	tasks.Go(func() { a.watchLoop(background, store.RouterRows) })
-	tasks.Go(func() { a.controlLoop(background) })
-	tasks.Go(func() { a.syncLoop(background) })
-	tasks.Go(func() { a.rebalanceLoop(background) })
-	tasks.Go(func() { a.gaugeLoop(background) })
+	a.startTask(&tasks, "operator rows", func() { a.watchLoop(background, store.OperatorRows) })
+	a.startTask(&tasks, "router rows", func() { a.watchLoop(background, store.RouterRows) })
+	a.startTask(&tasks, "control", func() { a.controlLoop(background) })
+	a.startTask(&tasks, "sync", func() { a.syncLoop(background) })
+	a.startTask(&tasks, "rebalance", func() { a.rebalanceLoop(background) })
+	a.startTask(&tasks, "gauges", func() { a.gaugeLoop(background) })
 	a.log.Info().Str("instance", a.settings.Instance()).Str("incarnation", a.state.incarnation.String()).
 		Str("service", a.settings.Service()).Msg("started")
-	<-ctx.Done()
-	a.stop()
-	cancel()
-	for _, l := range a.listeners {
-		_ = l.server.Close()
+	var failure error
+	select {
+	case <-ctx.Done():
+	case failure = <-a.failures:
 	}
+	a.closeListeners(a.stop())
+	cancel()
 	tasks.Wait()
-	a.log.Info().Int64("droppedLines", a.logWriter.Dropped()).Msg("stopped")
+	a.log.Info().Err(failure).Int64("droppedLines", a.logWriter.Dropped()).Msg("stopped")
 	if err := errors.Join(a.telemetry.closer.Close(), a.logWriter.Close()); err != nil {
 		a.log.Error().Err(err).Msg("closeFailed")
 	}
+	return failure
+}
+
+// closeListeners closes the listeners and the idle connections. It waits until deadline for
+// the responses to requests that were read meanwhile.
+func (a *App) closeListeners(deadline clock.Millis) {
+	ctx, cancel := context.WithTimeout(context.Background(), (deadline - a.clock.Now()).Duration())
+	defer cancel()
+	var closing conc.WaitGroup
+	for _, l := range a.listeners {
+		closing.Go(func() {
+			if err := l.server.Shutdown(ctx); err != nil {
+				a.log.Warn().Err(err).Str("listener", l.name).Msg("requestsCutOff")
+				_ = l.server.Close()
+			}
+		})
+	}
+	closing.Wait()
 }
 
 // stop waits until callers have noticed that this instance is not ready, then admits
-// no more requests to its upstream and waits for those in flight. It returns at the
-// latest killMargin before the end of the grace period.
-func (a *App) stop() {
+// no more requests to its upstream and waits for those in flight. It returns the time by
+// which the process should end, killMargin before the end of the grace period.
+func (a *App) stop() clock.Millis {
 	a.stopping.Store(true)
 	began := a.clock.Now()
+	end := began + a.settings.Grace() - killMargin
 	a.log.Info().Int64("inFlight", a.inFlight.Load()).Msg("stopping")
 	for {
 		waited := a.clock.Now() - began
@@ -225,9 +237,9 @@
 		if waited >= callerRefusalDelay {
 			a.refusingCallers.Store(true)
 		}
-		if waited >= a.settings.Grace()-killMargin || waited >= readinessDelay+peerDrainTime && a.inFlight.Load() == 0 {
+		if a.clock.Now() >= end || waited >= readinessDelay+peerDrainTime && a.inFlight.Load() == 0 {
 			a.log.Info().Int64("inFlight", a.inFlight.Load()).Int64("waitedMillis", int64(waited)).Msg("leaving")
-			return
+			return end
 		}
 		time.Sleep(stopPollInterval)
 	}
--- a/sidecar/app/app_test.go
+++ b/sidecar/app/app_test.go
@@ -54,6 +54,12 @@
 // newCluster starts an instance with an upstream for each of the services. The addresses
 // of the instances are in 127.subnet.0.0/16.
 func newCluster(t *testing.T, subnet int, services ...string) *cluster {
+	t.Helper()
+	return newClusterWithGrace(t, subnet, "1s", services...)
+}
+
+// newClusterWithGrace is newCluster with the time that a sidecar has to stop.
+func newClusterWithGrace(t *testing.T, subnet int, grace string, services ...string) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: &platformtest.Store{}}
 	c.store.WriteManifest(4)
@@ -75,8 +81,8 @@
 		in := &instance{name: fmt.Sprintf("i%d", i), ip: ip, upstream: u}
 		in.settingsJSON = fmt.Sprintf(`{"instance":%q,"region":"r","failureDomain":"d%d","ip":%q,"service":%q,"upstreamAddress":"%s:9000",
 			"callerAddress":"%s:9001","requestAddress":"%s:9002","readyAddress":"%s:9003","reportAddress":"%s:9004","peerPort":9005,
-			"metricsPort":9006,"storeAddress":%q,"holdMax":"10000ms","drain":"2500ms","grace":"1s","retryShare":0.2,"retrySlack":56,
-			"retryWindow":"10s","linkMbps":0,"memoryMB":2}`, in.name, i%2, ip, service, ip, ip, ip, ip, ip, c.address)
+			"metricsPort":9006,"storeAddress":%q,"holdMax":"10000ms","drain":"2500ms","grace":%q,"retryShare":0.2,"retrySlack":56,
+			"retryWindow":"10s","linkMbps":0,"memoryMB":2}`, in.name, i%2, ip, service, ip, ip, ip, ip, ip, c.address, grace)
 		c.instances = append(c.instances, in)
 		c.startInstance(in)
 	}
@@ -97,7 +103,9 @@
 	in.stop, in.done = cancel, make(chan struct{})
 	done := in.done
 	go func() {
-		a.Run(ctx)
+		if err := a.Run(ctx); err != nil {
+			c.t.Errorf("sidecar on %s: %v", in.name, err)
+		}
 		close(done)
 	}()
 	c.t.Cleanup(func() {
--- a/sidecar/app/propose.go
+++ b/sidecar/app/propose.go
@@ -133,7 +133,7 @@
 	default:
 		return true
 	}
-	go func() {
+	a.goOnce("propose", func() {
 		defer func() { <-a.writeSemaphore }()
 		var response proposeResponse
 		err := a.peers.call(ctx, target.Instance.PeerAddress(), pathPropose, request, &response)
@@ -151,7 +151,7 @@
 			s.keyController.HandleMovesWritten()
 			s.mu.Unlock()
 		}
-	}()
+	})
 	return true
 }
 
@@ -178,7 +178,7 @@
 	}
 	pending := pendingProposal{proposal: proposal, committed: make(chan bool, 1)}
 	if a.proposals.add(pending) {
-		time.AfterFunc(proposalBatchDelay, a.commitProposals)
+		time.AfterFunc(proposalBatchDelay, func() { a.goOnce("commitProposals", a.commitProposals) })
 	}
 	var response proposeResponse
 	select {
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -131,7 +131,7 @@
 		return
 	}
 	for _, m := range a.state.relayTargets(a.clock.Now(), fromStore) {
-		go a.sendRows(ctx, m, rows)
+		a.goOnce("sendRows", func() { a.sendRows(ctx, m, rows) })
 	}
 }
 
--- a/sidecar/command/command.go
+++ b/sidecar/command/command.go
@@ -29,12 +29,14 @@
 
 const version = "0.1"
 
-// memoryLimitBytes is the soft limit of the Go runtime's memory, near which the garbage
-// collector runs more often: the users allow a sidecar 40 MB.
+// memoryLimitBytes is the soft limit of the Go runtime's memory without the bodies of
+// messages, near which the garbage collector runs more often: the users allow a sidecar
+// 40 MB.
 const memoryLimitBytes = 40 << 20
 
 // Run runs the sidecar with the given arguments and returns the exit code: 2 for invalid
-// arguments or settings, 1 if an address can't be bound or a request can't be explained.
+// arguments or settings, 1 if an address can't be bound, a request can't be explained or a background task
+// has failed.
 func Run(arguments []string, out io.Writer) int {
 	parser := flaggy.NewParser("sidecar")
 	parser.Description = "Routes requests to the upstreams that own their keys; runs beside one of them."
@@ -103,7 +105,7 @@
 
 func serve(s settings.Sidecar, path string, out io.Writer) int {
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimitBytes)
+		debug.SetMemoryLimit(memoryLimitBytes + s.BodyMemoryBytes())
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -112,7 +114,9 @@
 		return fail(out, exitFailed, err)
 	}
 	go reload(ctx, a, path)
-	a.Run(ctx)
+	if err := a.Run(ctx); err != nil {
+		return fail(out, exitFailed, err)
+	}
 	return exitOK
 }
 
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -179,5 +179,15 @@
 // MemoryMB returns the memory of the instance in megabytes, 0 for no limit.
 func (s Sidecar) MemoryMB() float64 { return s.memoryMB }
 
+// BodyMemoryBytes returns the memory for the bodies of messages in bytes, 0 for no limit: a
+// quarter of the instance's memory, since the garbage collector lets the heap grow to twice
+// the memory in use.
+func (s Sidecar) BodyMemoryBytes() int64 { return int64(s.memoryMB * bytesPerMB / bodyMemoryDivisor) }
+
+const (
+	bodyMemoryDivisor = 4
+	bytesPerMB        = 1 << 20
+)
+
 // LogLevel returns the lowest level that is logged: "debug", "info", "warn" or "error".
 func (s Sidecar) LogLevel() string { return s.logLevel }
