sidecar: remember left upstreams over a restart; ask idle holders for their load

Cause 1: that an upstream had deregistered was known only to the process that acknowledged it. Upstreams go on reporting until they exit, so a sidecar restarted meanwhile sent them requests again. Change: the member row names the process that left.

Cause 2: loads of other holders come with responses, so a sidecar knows only holders to which it has sent requests in the last two seconds. Change: an overloaded holder asks up to 16 unknown ones (/load), and one without a service time counts as of its own speed.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -43,6 +43,9 @@
 	Slots int
 	// Serving is true if the upstream accepts requests.
 	Serving bool
+	// LeftProcess is the newest process of the upstream that has announced its shutdown,
+	// the zero value if none has. A daemon that is restarted beside it learns this here.
+	LeftProcess keyspace.Process
 }
 
 type memberJSON struct {
@@ -54,6 +57,8 @@
 	Service        string               `json:"service"`
 	Slots          int                  `json:"slots"`
 	Serving        bool                 `json:"serving"`
+	LeftID         string               `json:"leftLifeId,omitempty"`
+	LeftStart      int64                `json:"leftLifeBorn,omitempty"`
 }
 
 // Encode returns the value of the member's row, as JSON.
@@ -62,6 +67,7 @@
 		RequestAddress: m.Instance.HTTPAddress(), PeerAddress: m.Instance.PeerAddress(),
 		Region: m.Instance.Location().Region(), FailureDomain: m.Instance.Location().FailureDomain(),
 		Incarnation: m.Incarnation, Service: m.Service, Slots: m.Slots, Serving: m.Serving,
+		LeftID: m.LeftProcess.ID(), LeftStart: m.LeftProcess.StartUnixMillis(),
 	})
 }
 
@@ -125,6 +131,7 @@
 	members[instance] = Member{
 		Instance:    membership.NewInstance(instance, e.RequestAddress, e.PeerAddress, location),
 		Incarnation: e.Incarnation, Service: e.Service, Slots: e.Slots, Serving: e.Serving,
+		LeftProcess: keyspace.NewProcess(e.LeftID, e.LeftStart),
 	}
 	v.members = members
 	return v, nil
--- a/core/rebalance/rebalance.go
+++ b/core/rebalance/rebalance.go
@@ -41,6 +41,9 @@
 	Ranges int
 }
 
+// IsBusy reports whether a holder with the given demand may have to move keys.
+func IsBusy(demand float64) bool { return demand >= minDemand }
+
 // Plan returns the moves by which the holder self lowers its demand to the mean. Each
 // overloaded holder plans on its own by the same rule: it distributes its excess by the
 // headroom of the others, so that the plans together fill the headroom only once.
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -71,7 +71,7 @@
 	due := s.keyController.DueRenewals(a.clock.Now())
 	s.mu.Unlock()
 	for _, renewal := range due {
-		go a.renewLease(ctx, renewal)
+		a.goOnce("renewLease", func() { a.renewLease(ctx, renewal) })
 	}
 }
 
@@ -102,7 +102,7 @@
 	queries, lost := s.leaseWitness.CheckLeases(now, s.holderMembers(s.service))
 	s.mu.Unlock()
 	for _, query := range queries {
-		go a.queryLapse(ctx, query)
+		a.goOnce("queryLapse", func() { a.queryLapse(ctx, query) })
 	}
 	for _, member := range lost {
 		a.dropHolder(ctx, member)
@@ -179,7 +179,7 @@
 	default:
 		return
 	}
-	go func() {
+	a.goOnce("probeStore", func() {
 		defer func() { <-a.writeSemaphore }()
 		rows, _, err := a.store.ReadRows(ctx, store.RouterRows)
 		if err != nil {
@@ -189,7 +189,7 @@
 		}
 		s.recordStoreAnswer(a.clock.Now())
 		a.applyRows(rows)
-	}()
+	})
 }
 
 // commitAssignmentAsync writes an assignment in the background. It does nothing while
@@ -201,10 +201,10 @@
 	default:
 		return
 	}
-	go func() {
+	a.goOnce("commitAssignment", func() {
 		defer func() { <-a.writeSemaphore }()
 		a.commitAssignmentLocked(ctx, service, change, ownChange)
-	}()
+	})
 }
 
 // commitAssignmentLocked writes an assignment and reports whether the store accepted
@@ -300,12 +300,12 @@
 	default:
 		return
 	}
-	go func() {
+	a.goOnce("publishMember", func() {
 		defer func() { <-a.writeSemaphore }()
 		if revision, ok := a.commitRow(ctx, key, row.Version(), value, "member"); ok {
 			a.applyRows([]table.Row{table.NewRow(key, revision, value)})
 		}
-	}()
+	})
 }
 
 // ownMember returns the content of this sidecar's member row, and whether the upstream
@@ -316,6 +316,7 @@
 	last, seen := s.tracker.Last()
 	return fleet.Member{
 		Instance: s.instance, Incarnation: s.incarnation, Service: s.service, Slots: last.Slots,
-		Serving: seen && !s.tracker.Ended() && !s.tracker.Leaving() && !stopping,
+		Serving:     seen && !s.tracker.Ended() && !s.tracker.Leaving() && !stopping,
+		LeftProcess: s.leftProcess,
 	}, seen
 }
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -24,6 +24,7 @@
 	pathSync    = "/sync"
 	pathRows    = "/rows"
 	pathPropose = "/propose"
+	pathLoad    = "/load"
 )
 
 const (
@@ -87,6 +88,14 @@
 	Rows []encodedRow `json:"rows"`
 }
 
+// loadResponse is the load of the responder's upstream.
+type loadResponse struct {
+	Slots int `json:"slots"`
+	// ServiceTime is in milliseconds, 0 if the upstream has run no request.
+	ServiceTime   clock.Millis `json:"serviceMillis"`
+	DemandPercent int          `json:"demandPercent"`
+}
+
 func encodeRows(rows []table.Row) []encodedRow {
 	out := make([]encodedRow, 0, len(rows))
 	for _, r := range rows {
@@ -162,6 +171,7 @@
 	registerControl(mux, pathLapse, a.handleLapse)
 	registerControl(mux, pathSync, a.handleSync)
 	registerControl(mux, pathPropose, a.handlePropose)
+	registerControl(mux, pathLoad, a.handleLoad)
 	registerControl(mux, pathRows, func(request rowsRequest) struct{} {
 		a.relayRows(context.Background(), a.applyRows(decodeRows(request.Rows)), false)
 		return struct{}{}
@@ -219,6 +229,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.tracker.MarkLeaving(id)
+	if last, _ := s.tracker.Last(); known {
+		s.leftProcess = last.Process
+	}
 	if known && s.leaveAcknowledgedAt == 0 {
 		s.leaveAcknowledgedAt = now
 	}
--- a/sidecar/app/rebalance.go
+++ b/sidecar/app/rebalance.go
@@ -1,10 +1,18 @@
 package app
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
+	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/rebalance"
 )
 
@@ -15,6 +23,12 @@
 	// rebalanceCooldown is the time in milliseconds without further moves after moves
 	// were requested, until their effect shows in the loads.
 	rebalanceCooldown clock.Millis = 2000
+	// maxLoadQueries bounds the holders that an overloaded sidecar asks for their load in
+	// one round.
+	maxLoadQueries = 16
+	// loadQueryTimeout bounds a round of these queries: a round trip between regions takes
+	// 40 ms.
+	loadQueryTimeout = 300 * time.Millisecond
 	// percent converts percentages to fractions.
 	percent = 100
 )
@@ -33,17 +47,21 @@
 		}
 		serviceConfig, _ := a.manifest.Load().Service(a.settings.Service())
 		now := a.clock.Now()
-		if serviceConfig.Keyed && !a.stopping.Load() && now-last >= rebalanceCooldown && a.rebalance() {
+		if serviceConfig.Keyed && !a.stopping.Load() && now-last >= rebalanceCooldown && a.rebalance(ctx) {
 			last = now
 		}
 	}
 }
 
 // rebalance requests the moves that are due now and reports whether there are any.
-func (a *App) rebalance() bool {
+func (a *App) rebalance(ctx context.Context) bool {
 	load := a.executor.Load()
-	self := rebalance.Holder{Name: a.settings.Instance(), Demand: float64(load.DemandPercent) / percent, Capacity: requestCapacity(load.Slots, load.ServiceTime)}
+	if !rebalance.IsBusy(float64(load.DemandPercent) / percent) {
+		return false
+	}
 	loads := a.dispatcher.Loads()
+	a.queryLoads(ctx, loads)
+	self := rebalance.Holder{Name: a.settings.Instance(), Demand: float64(load.DemandPercent) / percent, Capacity: requestCapacity(load.Slots, load.ServiceTime)}
 	s := a.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -51,9 +69,11 @@
 	var others []rebalance.Holder
 	for _, h := range assignment.Holders() {
 		holderLoad, ok := loads[h.InstanceName()]
-		if h.InstanceName() == self.Name || h.Leaving() || !ok || holderLoad.ServiceTime == 0 {
+		if h.InstanceName() == self.Name || h.Leaving() || !ok {
 			continue
 		}
+		// An upstream that has run no request yet counts as one of this upstream's speed.
+		holderLoad.ServiceTime = cmp.Or(holderLoad.ServiceTime, load.ServiceTime)
 		others = append(others, rebalance.Holder{
 			Name: h.InstanceName(), Demand: float64(holderLoad.DemandPercent) / percent, Capacity: requestCapacity(holderLoad.Slots, holderLoad.ServiceTime), Ranges: len(assignment.OwnedBy(h.InstanceName())),
 		})
@@ -67,6 +87,44 @@
 	return true
 }
 
+// queryLoads adds the loads of holders that are not among the given ones. Those come with
+// responses, so they lack the holders to which this sidecar has sent no request: in a large
+// service most of them, and just those that are idle.
+func (a *App) queryLoads(ctx context.Context, loads map[string]balance.Load) {
+	s := a.state
+	s.mu.Lock()
+	assignment, _ := s.keyController.Assignment()
+	s.mu.Unlock()
+	unknown := slices.DeleteFunc(slices.Clone(assignment.Holders()), func(h keyspace.Holder) bool {
+		_, known := loads[h.InstanceName()]
+		return known || h.Leaving() || h.InstanceName() == a.settings.Instance()
+	})
+	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
+	ctx, cancel := context.WithTimeout(ctx, loadQueryTimeout)
+	defer cancel()
+	var wait conc.WaitGroup
+	var mu sync.Mutex
+	for _, h := range unknown[:min(len(unknown), maxLoadQueries)] {
+		wait.Go(func() {
+			var response loadResponse
+			if err := a.peers.call(ctx, h.Member().Instance().PeerAddress(), pathLoad, struct{}{}, &response); err != nil {
+				a.log.Debug().Err(err).Str("holder", h.InstanceName()).Msg("loadQueryFailed")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			loads[h.InstanceName()] = balance.Load{Slots: response.Slots, ServiceTime: response.ServiceTime, DemandPercent: response.DemandPercent}
+		})
+	}
+	wait.Wait()
+}
+
+// handleLoad returns the load of this instance's upstream.
+func (a *App) handleLoad(struct{}) loadResponse {
+	load := a.executor.Load()
+	return loadResponse{Slots: load.Slots, ServiceTime: load.ServiceTime, DemandPercent: load.DemandPercent}
+}
+
 // requestCapacity returns the number of requests that the slots can run per second at
 // the given service time.
 func requestCapacity(slots int, serviceTime clock.Millis) float64 {
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -9,6 +9,7 @@
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyowner"
+	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/lease"
 	"briarwell.dev/core/membership"
 	"briarwell.dev/core/table"
@@ -43,6 +44,9 @@
 	// leaveAcknowledgedAt is the time at which the upstream's leave was acknowledged, 0 if
 	// the upstream is not leaving.
 	leaveAcknowledgedAt clock.Millis
+	// leftProcess is the newest process of the upstream that has announced its shutdown, to
+	// this sidecar or to an earlier one on the instance.
+	leftProcess keyspace.Process
 }
 
 func newState(now clock.Millis, s settings.Sidecar, instance membership.Instance, incarnation identity.Incarnation) *state {
@@ -102,6 +106,9 @@
 		s.leaseWitness.WatchHolders(now, s.holderMembers(""))
 		return nil
 	}
+	if own, ok := view.Member(s.instance.Name()); ok {
+		s.restoreLeft(own.LeftProcess)
+	}
 	for _, m := range view.Members() {
 		oldMember, known := oldView.Member(m.Instance.Name())
 		if s.allRowsLoaded && (!known || oldMember != m) {
@@ -115,6 +122,29 @@
 	return nil
 }
 
+// restoreLeft takes over that a process of the upstream has announced its shutdown to an
+// earlier sidecar. The caller holds s.mu.
+func (s *state) restoreLeft(process keyspace.Process) {
+	if process.StartUnixMillis() > s.leftProcess.StartUnixMillis() {
+		s.leftProcess = process
+	}
+	s.markLeft()
+}
+
+// markLeft makes the upstream a leaving one if its process has announced its shutdown
+// before. When that was is unknown, so it gets no more requests. The caller holds s.mu.
+func (s *state) markLeft() {
+	last, seen := s.tracker.Last()
+	if !seen || last.Process != s.leftProcess || s.tracker.Leaving() {
+		return
+	}
+	s.tracker.MarkLeaving(last.Process.ID())
+	s.leaveAcknowledgedAt = longAgo
+}
+
+// longAgo is a time before all drain times that have not ended.
+const longAgo clock.Millis = -1 << 40
+
 // recordIncarnation records that another incarnation than the expected one responded at a
 // control address: the process of the expected one has ended. The caller holds s.mu.
 func (s *state) recordIncarnation(now clock.Millis, address string, expected, actual identity.Incarnation) {
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -73,7 +73,7 @@
 		return dispatch.Unknown(outcome.ReasonConnectionLost)
 	}
 	if clientErr.ConnectionRefused() {
-		go u.confirmEnded(process)
+		u.app.goOnce("confirmEnded", func() { u.confirmEnded(process) })
 	}
 	return dispatch.NotRun(outcome.ReasonUnreachable)
 }
@@ -134,6 +134,10 @@
 	if !seen || previous.Slots != r.Slots {
 		u.app.gate.UpdateSettings(admission.Settings{Slots: r.Slots})
 	}
+	s.markLeft()
+	if s.tracker.Leaving() {
+		s.leftProcess = r.Process
+	}
 	if s.tracker.Leaving() && s.leaveAcknowledgedAt == 0 {
 		s.leaveAcknowledgedAt = now
 	}
