sidecar: changes of assignments pass between sidecars as deltas

Cause: a watcher sent each changed assignment whole to its half of the region, and each sync round that met a change in flight (0.4 to 0.8 s, so nearly each one) exchanged the versions of all rows and a whole row.

Change: keyspace.Diff and Patch; each sidecar keeps a bounded log of the last changes and sends those since the other's revision. A sync round names the newest version and gets what is newer; the versions of all rows are compared only if the newest are the same and the checksums are not. Rows are applied in order under one lock: two at once could leave the older one in force.

A row from another sidecar that can't be read is no longer kept: with a high version it would have shut out all later ones (TestMalformedPeerMessages).

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -4,7 +4,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -97,27 +99,64 @@
 	Revision   table.Revision
 }
 
-// WithRow returns the view with an added or changed row. Rows of other kinds have no
-// effect. The error is a *RowError, with which the view is returned unchanged.
+// WithRow returns the view with an added or changed row. Rows of other kinds and assignments
+// that are not newer than the known one have no effect. The error is a *RowError, with which the view is returned unchanged.
 func (v View) WithRow(row table.Row) (View, error) {
 	if instance, ok := strings.CutPrefix(row.Key(), memberPrefix); ok {
 		return v.withMember(instance, row)
 	}
-	if service, ok := AssignmentService(row.Key()); ok {
+	if service, ok := AssignmentService(row.Key()); ok && row.Version() > v.assignments[service].Revision {
 		assignment, err := keyspace.Decode(row.Value())
 		if err != nil {
 			return v, &RowError{key: row.Key(), cause: err}
 		}
-		assignments := make(map[string]VersionedAssignment, len(v.assignments)+1)
-		for key, value := range v.assignments {
-			assignments[key] = value
-		}
-		assignments[service] = VersionedAssignment{Assignment: assignment, Revision: row.Version()}
-		v.assignments = assignments
+		v = v.withAssignment(service, VersionedAssignment{Assignment: assignment, Revision: row.Version()})
 	}
 	return v, nil
 }
 
+// BaseError reports a delta whose base is not the known assignment.
+type BaseError struct {
+	key   string
+	known table.Revision
+}
+
+// Known returns the revision of the known assignment.
+func (e *BaseError) Known() table.Revision { return e.known }
+
+func (e *BaseError) Error() string {
+	return fmt.Sprintf("delta of row %q has another base than the known revision %d", e.key, e.known)
+}
+
+// WithDelta returns the view with the assignment under key changed by a delta from the
+// revision base. The error is a *BaseError if another revision is known, or a *RowError if
+// the delta can't be decoded; the view is then returned unchanged.
+func (v View) WithDelta(key string, base, revision table.Revision, delta []byte) (View, error) {
+	service, ok := AssignmentService(key)
+	if !ok {
+		return v, &RowError{key: key, cause: errNoAssignment}
+	}
+	known := v.assignments[service]
+	if known.Revision != base {
+		return v, &BaseError{key: key, known: known.Revision}
+	}
+	assignment, err := known.Assignment.Patch(delta)
+	if err != nil {
+		return v, &RowError{key: key, cause: err}
+	}
+	return v.withAssignment(service, VersionedAssignment{Assignment: assignment, Revision: revision}), nil
+}
+
+var errNoAssignment = errors.New("row holds no assignment")
+
+func (v View) withAssignment(service string, assignment VersionedAssignment) View {
+	assignments := make(map[string]VersionedAssignment, len(v.assignments)+1)
+	maps.Copy(assignments, v.assignments)
+	assignments[service] = assignment
+	v.assignments = assignments
+	return v
+}
+
 func (v View) withMember(instance string, row table.Row) (View, error) {
 	var e memberJSON
 	if err := json.Unmarshal(row.Value(), &e); err != nil {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -54,6 +54,30 @@
 	return sum
 }
 
+// Newest returns the highest version of all rows, 0 if there are none.
+func (r *Rows) Newest() table.Revision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var newest table.Revision
+	for _, row := range r.rows {
+		newest = max(newest, row.Version())
+	}
+	return newest
+}
+
+// ChangedAfter returns the rows with higher versions than the given one.
+func (r *Rows) ChangedAfter(version table.Revision) []table.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var changed []table.Row
+	for _, row := range r.rows {
+		if row.Version() > version {
+			changed = append(changed, row)
+		}
+	}
+	return changed
+}
+
 // Versions returns the version of each row by key.
 func (r *Rows) Versions() map[string]table.Revision {
 	r.mu.Lock()
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,8 +64,10 @@
 	logWriter *logs.Writer
 	localIP   net.IP
 
-	store      *store.Store
-	rows       replica.Rows
+	store *store.Store
+	rows  replica.Rows
+	// applyMu keeps the order in which rows are applied to the replica and to the state.
+	applyMu    sync.Mutex
 	manifest   atomic.Pointer[routes.Manifest]
 	state      *state
 	upstream   *upstream
@@ -264,22 +267,22 @@
 }
 
 // applyManifest replaces the current manifest with the encoded one if that is valid and
-// newer.
-func (a *App) applyManifest(value []byte) {
+// newer. It logs the error.
+func (a *App) applyManifest(value []byte) error {
 	m, problems, err := manifest.Decode(value)
 	if err != nil {
 		a.log.Error().Err(err).Msg("manifestRejected")
-		return
+		return err
 	}
 	for {
 		old := a.manifest.Load()
 		if m.Version() <= old.Version() {
-			return
+			return nil
 		}
 		if a.manifest.CompareAndSwap(old, m) {
 			a.log.Info().Uint64("version", m.Version()).Uint64("before", old.Version()).Int("problems", len(problems)).Msg("manifestInForce")
 			a.reportManifestProblems(m.Version(), problems)
-			return
+			return nil
 		}
 	}
 }
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -14,7 +14,6 @@
 	"briarwell.dev/core/httpclient"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/peer"
-	"briarwell.dev/core/table"
 )
 
 // Paths of the control messages between sidecars.
@@ -59,35 +58,6 @@
 	Lapsed bool                 `json:"lapsed"`
 }
 
-type encodedRow struct {
-	Key     string         `json:"key"`
-	Version table.Revision `json:"version"`
-	Value   []byte         `json:"value"`
-}
-
-// syncRequest compares the rows of two sidecars. The first request of a round has only
-// the checksum; if the checksums differ, the second one has the version of each row.
-type syncRequest struct {
-	Checksum uint64                    `json:"sum"`
-	Versions map[string]table.Revision `json:"versions,omitempty"`
-}
-
-type syncResponse struct {
-	// Same reports whether the checksums are equal.
-	Same bool `json:"same"`
-	// Watching reports whether the responder watches the store and the store answers.
-	Watching bool `json:"reading"`
-	// Rows holds the responder's rows that are newer than the versions in the request.
-	Rows []encodedRow `json:"rows,omitempty"`
-	// Behind reports whether the versions in the request include newer ones than the
-	// responder has.
-	Behind bool `json:"behind"`
-}
-
-type rowsRequest struct {
-	Rows []encodedRow `json:"rows"`
-}
-
 // loadResponse is the load of the responder's upstream.
 type loadResponse struct {
 	Slots int `json:"slots"`
@@ -96,22 +66,6 @@
 	DemandPercent int          `json:"demandPercent"`
 }
 
-func encodeRows(rows []table.Row) []encodedRow {
-	out := make([]encodedRow, 0, len(rows))
-	for _, r := range rows {
-		out = append(out, encodedRow{Key: r.Key(), Version: r.Version(), Value: r.Value()})
-	}
-	return out
-}
-
-func decodeRows(encoded []encodedRow) []table.Row {
-	out := make([]table.Row, 0, len(encoded))
-	for _, row := range encoded {
-		out = append(out, table.NewRow(row.Key, row.Version, row.Value))
-	}
-	return out
-}
-
 // peerClients holds an HTTP client for each address of another sidecar. It is safe for
 // concurrent use.
 type peerClients struct {
@@ -172,10 +126,7 @@
 	registerControl(mux, pathSync, a.handleSync)
 	registerControl(mux, pathPropose, a.handlePropose)
 	registerControl(mux, pathLoad, a.handleLoad)
-	registerControl(mux, pathRows, func(request rowsRequest) struct{} {
-		a.relayRows(context.Background(), a.applyRows(decodeRows(request.Rows)), false)
-		return struct{}{}
-	})
+	registerControl(mux, pathRows, a.handleRows)
 	return mux
 }
 
--- a/sidecar/app/propose.go
+++ b/sidecar/app/propose.go
@@ -36,6 +36,8 @@
 	Owner       string               `json:"owner,omitempty"`
 	Incarnation identity.Incarnation `json:"incarnation"`
 	Moves       []encodedMove        `json:"moves,omitempty"`
+	// Known is the revision of the assignment that the sender knows.
+	Known table.Revision `json:"known,omitempty"`
 }
 
 type encodedMove struct {
@@ -46,7 +48,7 @@
 
 type proposeResponse struct {
 	Written bool `json:"written"`
-	// Rows holds the responder's copy of the assignment's row.
+	// Rows holds what the sender lacks of the responder's copy of the assignment.
 	Rows []encodedRow `json:"rows,omitempty"`
 }
 
@@ -116,7 +118,7 @@
 func (a *App) propose(ctx context.Context, change keyowner.Change) bool {
 	s := a.state
 	s.mu.Lock()
-	assignment, _ := s.keyController.Assignment()
+	assignment, known := s.keyController.Assignment()
 	proposal, ok := s.keyController.ProposalFor(change)
 	target, found := s.proposalTarget(a.clock.Now(), assignment)
 	s.mu.Unlock()
@@ -128,6 +130,7 @@
 		a.log.Error().Err(err).Msg("proposalNotEncoded")
 		return false
 	}
+	request.Known = known
 	select {
 	case a.writeSemaphore <- struct{}{}:
 	default:
@@ -141,7 +144,7 @@
 		if err != nil {
 			s.markUnreachable(a.clock.Now(), target)
 		}
-		a.applyRows(decodeRows(response.Rows))
+		a.applyEncodedRows(response.Rows)
 		if !response.Written {
 			sleepJittered(ctx, minConflictBackoff)
 			return
@@ -185,8 +188,9 @@
 	case response.Written = <-pending.committed:
 	case <-time.After(proposalTimeout):
 	}
-	if row := a.rows.Get(fleet.AssignmentKey(request.Service)); row.Version() > 0 {
-		response.Rows = encodeRows([]table.Row{row})
+	key := fleet.AssignmentKey(request.Service)
+	if row := a.rows.Get(key); row.Version() > request.Known {
+		response.Rows = a.encodeRowsSince([]table.Row{row}, map[string]table.Revision{key: request.Known})
 	}
 	return response
 }
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -80,27 +80,46 @@
 // watches the store.
 func (a *App) syncWith(ctx context.Context, member fleet.Member) bool {
 	address := member.Instance.PeerAddress()
+	request := syncRequest{Checksum: a.rows.Checksum(), Newest: a.rows.Newest(), Assignments: a.assignmentVersions()}
 	var response syncResponse
-	if err := a.peers.call(ctx, address, pathSync, syncRequest{Checksum: a.rows.Checksum()}, &response); err != nil {
+	if err := a.peers.call(ctx, address, pathSync, request, &response); err != nil {
 		a.log.Debug().Err(err).Str("peer", address).Msg("syncFailed")
 		a.state.markUnreachable(a.clock.Now(), member)
 		return false
 	}
-	watching := response.Watching
 	if response.Same {
-		return watching
+		return response.Watching
 	}
-	if err := a.peers.call(ctx, address, pathSync, syncRequest{Versions: a.rows.Versions()}, &response); err != nil {
+	_, missing := a.applyEncodedRows(response.Rows)
+	if response.Newest < request.Newest {
+		a.sendRows(ctx, member, a.rows.ChangedAfter(response.Newest))
+	}
+	if len(missing) > 0 || a.rows.Newest() == response.Newest && a.rows.Checksum() != response.Checksum {
+		a.syncVersions(ctx, member, missing)
+	}
+	return response.Watching
+}
+
+// syncVersions compares the version of each row with another sidecar, for the case that the
+// rows differ although the newest ones are the same: a change that was relayed may have
+// overtaken an earlier one. The keys of missing rows get whole rows.
+func (a *App) syncVersions(ctx context.Context, member fleet.Member, missing map[string]table.Revision) {
+	address := member.Instance.PeerAddress()
+	versions := a.rows.Versions()
+	for key := range missing {
+		delete(versions, key)
+	}
+	var response syncResponse
+	if err := a.peers.call(ctx, address, pathSync, syncRequest{Versions: versions}, &response); err != nil {
 		a.log.Debug().Err(err).Str("peer", address).Msg("syncFailed")
-		return false
+		return
 	}
-	a.applyRows(decodeRows(response.Rows))
+	a.applyEncodedRows(response.Rows)
 	if response.Behind {
 		// The versions of the other sidecar are not known here, so it gets all rows and
 		// applies the newer ones.
 		a.sendRows(ctx, member, a.rows.NewerThan(nil))
 	}
-	return watching
 }
 
 // handleSync compares the rows of another sidecar with the local ones. Watching is set in
@@ -111,17 +130,48 @@
 	for i := range a.feedReachable {
 		watching = watching && (a.feedReachable[i].Load() || !a.watching[i].Load())
 	}
-	if request.Versions == nil {
-		return syncResponse{Same: request.Checksum == a.rows.Checksum(), Watching: watching}
+	if request.Versions != nil {
+		rows := a.encodeRowsSince(a.rows.NewerThan(request.Versions), request.Versions)
+		return syncResponse{Watching: watching, Rows: rows, Behind: a.rows.IsBehind(request.Versions)}
 	}
-	return syncResponse{Watching: watching, Rows: encodeRows(a.rows.NewerThan(request.Versions)), Behind: a.rows.IsBehind(request.Versions)}
+	response := syncResponse{Watching: watching, Checksum: a.rows.Checksum(), Newest: a.rows.Newest()}
+	response.Same = request.Checksum == response.Checksum
+	if !response.Same && request.Newest > 0 {
+		response.Rows = a.encodeRowsSince(a.rows.ChangedAfter(request.Newest), request.Assignments)
+	}
+	return response
 }
 
+// sendRows sends rows to another sidecar, assignments as their last change. If that sidecar
+// has another revision, it gets what it lacks.
 func (a *App) sendRows(ctx context.Context, to fleet.Member, rows []table.Row) {
-	var response struct{}
-	if err := a.peers.call(ctx, to.Instance.PeerAddress(), pathRows, rowsRequest{Rows: encodeRows(rows)}, &response); err != nil {
+	a.sendEncodedRows(ctx, to, a.encodeLastChanges(rows))
+}
+
+func (a *App) sendEncodedRows(ctx context.Context, to fleet.Member, rows []encodedRow) {
+	var response rowsResponse
+	if err := a.peers.call(ctx, to.Instance.PeerAddress(), pathRows, rowsRequest{Rows: rows}, &response); err != nil {
 		a.log.Debug().Err(err).Str("peer", to.Instance.Name()).Msg("rowsNotSent")
+		return
+	}
+	if len(response.Missing) == 0 {
+		return
+	}
+	lacking := make([]table.Row, 0, len(response.Missing))
+	for key := range response.Missing {
+		lacking = append(lacking, a.rows.Get(key))
 	}
+	request := rowsRequest{Rows: a.encodeRowsSince(lacking, response.Missing)}
+	if err := a.peers.call(ctx, to.Instance.PeerAddress(), pathRows, request, &response); err != nil {
+		a.log.Debug().Err(err).Str("peer", to.Instance.Name()).Msg("rowsNotSent")
+	}
+}
+
+// handleRows applies rows from another sidecar and relays those that were newer.
+func (a *App) handleRows(request rowsRequest) rowsResponse {
+	changed, missing := a.applyEncodedRows(request.Rows)
+	a.relayRows(context.Background(), changed, false)
+	return rowsResponse{Missing: missing}
 }
 
 // relayRows sends changed rows to the sidecars of the region that get their rows from
@@ -130,8 +180,13 @@
 	if len(rows) == 0 {
 		return
 	}
-	for _, m := range a.state.relayTargets(a.clock.Now(), fromStore) {
-		a.goOnce("sendRows", func() { a.sendRows(ctx, m, rows) })
+	targets := a.state.relayTargets(a.clock.Now(), fromStore)
+	if len(targets) == 0 {
+		return
+	}
+	encoded := a.encodeLastChanges(rows)
+	for _, m := range targets {
+		a.goOnce("sendRows", func() { a.sendEncodedRows(ctx, m, encoded) })
 	}
 }
 
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"slices"
 	"sync"
 
 	"briarwell.dev/core/clock"
@@ -21,8 +22,8 @@
 // After all processes have ended, the other rows still name the ended processes.
 const startupWitnessPeriod clock.Millis = 8000
 
-// state holds the state machines of the sidecar. One lock protects them, which is never
-// held together with another lock or during a call over the network.
+// state holds the state machines of the sidecar. One lock protects them, which is never held
+// during a call over the network. No other lock is taken while it is held.
 type state struct {
 	incarnation identity.Incarnation
 	instance    membership.Instance
@@ -47,6 +48,8 @@
 	// leftProcess is the newest process of the upstream that has announced its shutdown, to
 	// this sidecar or to an earlier one on the instance.
 	leftProcess keyspace.Process
+	// changeLogs holds the newest changes of the assignments, by row key.
+	changeLogs map[string]*fleet.ChangeLog
 }
 
 func newState(now clock.Millis, s settings.Sidecar, instance membership.Instance, incarnation identity.Incarnation) *state {
@@ -61,6 +64,7 @@
 		unreachableUntil: make(map[string]clock.Millis),
 		startedAt:        now,
 		updatedSinceLoad: make(map[string]bool),
+		changeLogs:       make(map[string]*fleet.ChangeLog),
 	}
 }
 
@@ -99,11 +103,11 @@
 	}
 	s.view = view
 	if service, ok := fleet.AssignmentService(row.Key()); ok {
-		versioned := view.Assignment(service)
-		if service == s.service {
-			s.keyController.HandleAssignment(now, versioned.Revision, versioned.Assignment)
+		before, after := oldView.Assignment(service), view.Assignment(service)
+		if after.Revision > before.Revision {
+			s.logChange(row.Key(), fleet.NewDelta(before.Revision, after.Revision, keyspace.Diff(before.Assignment, after.Assignment)))
+			s.assignmentChanged(now, service)
 		}
-		s.leaseWitness.WatchHolders(now, s.holderMembers(""))
 		return nil
 	}
 	if own, ok := view.Member(s.instance.Name()); ok {
@@ -122,6 +126,79 @@
 	return nil
 }
 
+// applyDelta updates the state with a change of an assignment. The error is a
+// *fleet.BaseError if the change is one of another revision than the known one, or a
+// *fleet.RowError; the state is then unchanged.
+func (s *state) applyDelta(now clock.Millis, key string, delta fleet.Delta) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	view, err := s.view.WithDelta(key, delta.Base(), delta.Revision(), delta.Data())
+	if err != nil {
+		return err
+	}
+	s.view = view
+	s.logChange(key, delta)
+	service, _ := fleet.AssignmentService(key)
+	s.assignmentChanged(now, service)
+	return nil
+}
+
+// assignmentChanged passes the newest assignment of a service to the state machines. The
+// caller holds s.mu.
+func (s *state) assignmentChanged(now clock.Millis, service string) {
+	versioned := s.view.Assignment(service)
+	if service == s.service {
+		s.keyController.HandleAssignment(now, versioned.Revision, versioned.Assignment)
+	}
+	s.leaseWitness.WatchHolders(now, s.holderMembers(""))
+}
+
+// logChange adds a change of an assignment to its log. The caller holds s.mu.
+func (s *state) logChange(key string, delta fleet.Delta) {
+	log, ok := s.changeLogs[key]
+	if !ok {
+		log = &fleet.ChangeLog{}
+		s.changeLogs[key] = log
+	}
+	log.Append(delta)
+}
+
+// changesSince returns the changes of an assignment that lead from a revision to the newest
+// one, or false if they are not known.
+func (s *state) changesSince(key string, revision table.Revision) ([]fleet.Delta, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	log, ok := s.changeLogs[key]
+	if !ok {
+		return nil, false
+	}
+	deltas, ok := log.Since(revision)
+	return slices.Clone(deltas), ok
+}
+
+// lastChange returns the change that led to a revision of an assignment, or false if it is
+// not known.
+func (s *state) lastChange(key string, revision table.Revision) (fleet.Delta, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	log, ok := s.changeLogs[key]
+	if !ok {
+		return fleet.Delta{}, false
+	}
+	last, ok := log.Last()
+	return last, ok && last.Revision() == revision
+}
+
+// encodeAssignment returns the row of the known assignment under key.
+func (s *state) encodeAssignment(key string) (table.Row, error) {
+	service, _ := fleet.AssignmentService(key)
+	s.mu.Lock()
+	versioned := s.view.Assignment(service)
+	s.mu.Unlock()
+	value, err := versioned.Assignment.Encode()
+	return table.NewRow(key, versioned.Revision, value), err
+}
+
 // restoreLeft takes over that a process of the upstream has announced its shutdown to an
 // earlier sidecar. The caller holds s.mu.
 func (s *state) restoreLeft(process keyspace.Process) {
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -96,18 +96,17 @@
 	}
 }
 
-// applyRows updates the local copy with rows from the store or another sidecar, and
-// returns the rows that were newer than the local ones.
+// applyRows updates the local copy with rows from the store, and returns the rows that were
+// newer than the local ones.
 func (a *App) applyRows(rows []table.Row) []table.Row {
-	now := a.clock.Now()
-	changed := a.rows.Apply(rows)
-	for _, row := range changed {
-		if row.Key() == store.ManifestKey {
-			a.applyManifest(row.Value())
-			continue
-		}
-		if err := a.state.applyRow(now, row); err != nil {
-			a.log.Error().Err(err).Msg("rowRejected")
+	a.applyMu.Lock()
+	defer a.applyMu.Unlock()
+	var changed []table.Row
+	for _, row := range rows {
+		if row.Version() > a.rows.Get(row.Key()).Version() {
+			// Also an invalid row is kept: its version is the store's.
+			_ = a.applyToState(row) // It logs the error.
+			changed = append(changed, a.rows.Apply([]table.Row{row})...)
 		}
 	}
 	if len(changed) > 0 {
@@ -115,3 +114,15 @@
 	}
 	return changed
 }
+
+// applyToState passes a changed row to the manifest or the state machines. It logs the error.
+func (a *App) applyToState(row table.Row) error {
+	if row.Key() == store.ManifestKey {
+		return a.applyManifest(row.Value())
+	}
+	err := a.state.applyRow(a.clock.Now(), row)
+	if err != nil {
+		a.log.Error().Err(err).Msg("rowRejected")
+	}
+	return err
+}
