keyowner: handovers as proposals; strong instances do the shared work

The sponsor of proposals read the assignment before the write in progress had ended, and lost 109 of 205.

Change: a handover may be proposed. It may take effect at any later time, so the owner does not grant the ranges until the row shows that it can't any more: it applies only under the same daemon incarnation, epoch of the range and move generation of the holder, which rises when a next owner goes. With more than 8 holders, changes are proposed before they are written directly. Watchers and sponsor are the strongest instances by processor share (setting cpuShare, in the member row). The replica keeps checksum and newest version up to date instead of computing them for each comparison.

Tests: TestStaleHandovers, TestProposedHandoverIsNotGranted.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -45,6 +45,9 @@
 	Slots int
 	// Serving is true if the upstream accepts requests.
 	Serving bool
+	// Strength orders the instances by their processor share, in thousandths of a core; 0 if
+	// unknown. Stronger ones do the work that one daemon does for many.
+	Strength int
 	// LeftProcess is the newest process of the upstream that has announced its shutdown,
 	// the zero value if none has. A daemon that is restarted beside it learns this here.
 	LeftProcess keyspace.Process
@@ -59,6 +62,7 @@
 	Service        string               `json:"service"`
 	Slots          int                  `json:"slots"`
 	Serving        bool                 `json:"serving"`
+	Strength       int                  `json:"strength,omitempty"`
 	LeftID         string               `json:"leftLifeId,omitempty"`
 	LeftStart      int64                `json:"leftLifeBorn,omitempty"`
 }
@@ -68,7 +72,7 @@
 	return json.Marshal(memberJSON{
 		RequestAddress: m.Instance.HTTPAddress(), PeerAddress: m.Instance.PeerAddress(),
 		Region: m.Instance.Location().Region(), FailureDomain: m.Instance.Location().FailureDomain(),
-		Incarnation: m.Incarnation, Service: m.Service, Slots: m.Slots, Serving: m.Serving,
+		Incarnation: m.Incarnation, Service: m.Service, Slots: m.Slots, Serving: m.Serving, Strength: m.Strength,
 		LeftID: m.LeftProcess.ID(), LeftStart: m.LeftProcess.StartUnixMillis(),
 	})
 }
@@ -169,7 +173,7 @@
 	location := identity.NewLocation(e.Region, e.FailureDomain)
 	members[instance] = Member{
 		Instance:    membership.NewInstance(instance, e.RequestAddress, e.PeerAddress, location),
-		Incarnation: e.Incarnation, Service: e.Service, Slots: e.Slots, Serving: e.Serving,
+		Incarnation: e.Incarnation, Service: e.Service, Slots: e.Slots, Serving: e.Serving, Strength: e.Strength,
 		LeftProcess: keyspace.NewProcess(e.LeftID, e.LeftStart),
 	}
 	v.members = members
--- a/core/httpclient/client_test.go
+++ b/core/httpclient/client_test.go
@@ -8,7 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -405,3 +408,42 @@
 		})
 	}
 }
+
+// TestManyResponsesWithoutEnd guards against a hundred connections with endless responses
+// that together take more memory than an instance has.
+func TestManyResponsesWithoutEnd(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		_, _ = http.ReadRequest(requests)
+		_, err := conn.Write([]byte("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		chunk := []byte("2000\r\n" + strings.Repeat("x", 0x2000) + "\r\n")
+		for err == nil {
+			_, err = conn.Write(chunk)
+		}
+	})
+	budget := memory.NewBudget(8 << 20)
+	var before, during runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var wait sync.WaitGroup
+	var failures atomic.Int64
+	var peak atomic.Int64
+	for range 100 {
+		wait.Go(func() {
+			account := budget.Open()
+			defer account.Close()
+			request := getRequest("1")
+			request.Memory = account
+			if _, err := httpclient.New(address, nil).Do(context.Background(), request); err != nil {
+				failures.Add(1)
+			}
+			peak.Store(max(peak.Load(), budget.Used()))
+		})
+	}
+	wait.Wait()
+	runtime.ReadMemStats(&during)
+	t.Logf("bodies at most %d kB, memory of the process %d to %d kB", peak.Load()>>10, before.Sys>>10, during.Sys>>10)
+	is.Equal(failures.Load(), int64(100))
+	is.True(peak.Load() <= 8<<20)
+	is.True(during.Sys-before.Sys < 64<<20)
+	is.Equal(budget.Used(), int64(0))
+}
--- a/core/keyowner/change.go
+++ b/core/keyowner/change.go
@@ -11,8 +11,16 @@
 	"briarwell.dev/core/table"
 )
 
-// ReasonJoin is the reason of a change that adds this upstream to the assignment.
-const ReasonJoin = "join"
+// Reasons of changes that may be proposed to another daemon.
+const (
+	// ReasonJoin is the reason of a change that adds this upstream to the assignment.
+	ReasonJoin = "join"
+	// ReasonMove is the reason of a change that names next owners for keys.
+	ReasonMove = "move"
+	// ReasonHandover is the reason of a change that gives released keys to their next
+	// owners.
+	ReasonHandover = "handover"
+)
 
 // Change is a new assignment to write to the table in place of a known revision.
 type Change struct {
@@ -46,8 +54,6 @@
 // too old.
 const moveRequestTimeout clock.Millis = 1500
 
-const reasonMove = "move"
-
 // RequestMoves requests moves of keys of this upstream at now. They replace the moves that
 // were requested before.
 func (c *Controller) RequestMoves(now clock.Millis, moves []Move) {
@@ -73,7 +79,7 @@
 // HandleCommit records that the table accepted a change from this daemon at a revision.
 func (c *Controller) HandleCommit(now clock.Millis, revision table.Revision, change Change) {
 	c.HandleAssignment(now, revision, change.assignment)
-	if change.reason == reasonMove {
+	if change.reason == ReasonMove {
 		c.moves = nil
 	}
 	if h, ok := c.ownHolder(); ok && h.Member().WitnessGeneration() != c.witnessGeneration {
@@ -204,15 +210,38 @@
 		return c.assignment, ""
 	}
 	c.pendingHandover, c.pendingHandoverBase = slices.Clone(c.released), c.revision
-	return c.assignment.CompleteMoves(name, c.released), "handover"
+	return c.assignment.CompleteMoves(name, c.released), ReasonHandover
 }
 
-// isHandoverPending reports whether a write that gives keys of the span to other holders
-// may still take effect: the revision that it replaces is still the newest known one.
-func (c *Controller) isHandoverPending(span keyspace.Span) bool {
+// isHandoverPending reports whether a write that gives keys of an owned range to other
+// holders may still take effect: the revision that it replaces is still the newest known one,
+// or it was proposed to another daemon.
+func (c *Controller) isHandoverPending(owned keyspace.Range) bool {
+	span := owned.Span
+	if slices.ContainsFunc(c.proposedHandovers, func(p proposedHandover) bool { return p.epoch == owned.Epoch() && overlaps(p.span, span) }) {
+		return true
+	}
 	return c.revision == c.pendingHandoverBase && slices.ContainsFunc(c.pendingHandover, func(r keyspace.ReleasedSpan) bool { return overlaps(r.Span, span) })
 }
 
+// pruneProposedHandovers removes the proposed handovers that no longer apply to the
+// assignment.
+func (c *Controller) pruneProposedHandovers() {
+	if len(c.proposedHandovers) == 0 {
+		return
+	}
+	h, ok := c.assignment.Holder(c.settings.Instance.Name())
+	if !ok || h.Member().Incarnation() != c.settings.Incarnation {
+		c.proposedHandovers = nil
+		return
+	}
+	owned := c.assignment.OwnedBy(c.settings.Instance.Name())
+	c.proposedHandovers = slices.DeleteFunc(c.proposedHandovers, func(p proposedHandover) bool {
+		return p.moveGeneration != h.MoveGeneration() ||
+			!slices.ContainsFunc(owned, func(r keyspace.Range) bool { return r.Epoch() == p.epoch && overlaps(r.Span, p.span) })
+	})
+}
+
 // replaceWitnesses proposes new witnesses in place of those that have stopped answering,
 // and writes them once a majority of them has promised.
 func (c *Controller) replaceWitnesses() (keyspace.Assignment, string) {
@@ -283,7 +312,7 @@
 			a = a.StartMove(c.settings.Instance.Name(), m.span, m.nextOwner)
 		}
 	}
-	return a, reasonMove
+	return a, ReasonMove
 }
 
 // assignUnowned assigns the keys without an owner. The first holder by rank does so at
--- a/core/keyowner/controller.go
+++ b/core/keyowner/controller.go
@@ -126,6 +126,8 @@
 	// other holders. The outcome of the write may be unknown.
 	pendingHandover     []keyspace.ReleasedSpan
 	pendingHandoverBase table.Revision
+	// proposedHandovers are the ranges that another daemon may still hand over.
+	proposedHandovers []proposedHandover
 	// storeAnsweredAt is the time of the last answer of the store.
 	storeAnsweredAt clock.Millis
 	// dropPending is set while the outcome of a write is unknown that removes this
@@ -136,6 +138,13 @@
 	movesUntil  clock.Millis
 }
 
+// proposedHandover is a range whose handover was proposed to another daemon.
+type proposedHandover struct {
+	span           keyspace.Span
+	epoch          identity.Epoch
+	moveGeneration uint64
+}
+
 type grantedRange struct {
 	keyspace.Range
 
@@ -213,6 +222,7 @@
 	c.dropPending = c.dropPending && revision <= c.dropBase
 	c.resolveWitnessProposal()
 	c.pruneReleased()
+	c.pruneProposedHandovers()
 }
 
 // HandleUpstreamRestart forgets what the upstream holds. The caller must be certain that
--- a/core/keyowner/controller_test.go
+++ b/core/keyowner/controller_test.go
@@ -30,13 +30,16 @@
 	warmupMillis   = 8000
 	faultMillis    = 40000
 	recoveryMillis = 20000
+	// lateMillis is the longest time for which a proposal of the faults may still start a
+	// move: it is frozen before it is handled and before it is written.
+	lateMillis = 18000
 )
 
 // injectFault injects one random fault, and schedules its end.
 func (s *sim) injectFault() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
 	length := 300 + s.rng.Int64N(9000)
-	kind := s.rng.IntN(12)
+	kind := s.rng.IntN(14)
 	s.tracef("fault %d on i%d for %d ms", kind, h.index, length)
 	switch kind {
 	case 0, 1:
@@ -76,6 +79,25 @@
 		first := keyspace.Key(s.rng.IntN(60000))
 		to := s.hosts[s.rng.IntN(len(s.hosts))].instance.Name()
 		h.daemon.controller.RequestMoves(h.daemon.now(), []keyowner.Move{keyowner.NewMove(keyspace.NewSpan(first, first+500), to)})
+	case 12, 13:
+		s.moveToAndFro(h, length)
+	}
+}
+
+// moveToAndFro moves keys between two instances several times, so that proposals of earlier
+// moves may arrive during later ones.
+func (s *sim) moveToAndFro(h *host, length int64) {
+	other := s.hosts[s.rng.IntN(len(s.hosts))]
+	span := keyspace.NewSpan(0, keyspace.Key(2000+s.rng.IntN(20000)))
+	for at := int64(0); at < length; at += 1500 {
+		s.schedule(at, func() {
+			for _, pair := range [][2]*host{{h, other}, {other, h}} {
+				from, to := pair[0], pair[1]
+				if from.daemon.alive {
+					from.daemon.controller.RequestMoves(from.daemon.now(), []keyowner.Move{keyowner.NewMove(span, to.instance.Name())})
+				}
+			}
+		})
 	}
 }
 
@@ -89,6 +111,7 @@
 	}
 	for seed := first; seed < first+seedCount(); seed++ {
 		s := newSim(seed, 3+int(seed%4))
+		s.lateProposals = true
 		if key, err := strconv.Atoi(os.Getenv("BRIARWELL_TRACE")); err == nil {
 			s.trace, s.tracedKey = func(line string) { t.Log(line) }, keyspace.Key(key)
 		}
@@ -100,7 +123,8 @@
 			s.injectFault()
 			s.run(s.now + 200 + s.rng.Int64N(4000))
 		}
-		s.run(s.now + recoveryMillis)
+		s.lateProposals = false
+		s.run(s.now + lateMillis + recoveryMillis)
 		s.served, s.checks = 0, 0
 		s.run(s.now + 500)
 		if s.failure != "" {
--- a/core/keyowner/grant.go
+++ b/core/keyowner/grant.go
@@ -122,7 +122,7 @@
 	var granted, unheld []keyspace.Range
 	for _, owned := range c.assignment.OwnedBy(c.settings.Instance.Name()) {
 		switch {
-		case owned.NextOwner() != "" && c.storeAnsweredRecently(), c.isHandoverPending(owned.Span):
+		case owned.NextOwner() != "" && c.storeAnsweredRecently(), c.isHandoverPending(owned):
 		case c.reportedAsHeld(r, owned):
 			granted = append(granted, owned.WithoutHandoverToken())
 		default:
--- a/core/keyowner/proposal.go
+++ b/core/keyowner/proposal.go
@@ -9,8 +9,8 @@
 // ReasonProposals is the reason of a change that writes proposals of other daemons.
 const ReasonProposals = "admit"
 
-// Proposal is a JoinProposal or a MoveProposal: a change that another daemon may write on
-// behalf of the one that proposes it.
+// Proposal is a JoinProposal, a MoveProposal or a HandoverProposal: a change that another
+// daemon may write on behalf of the one that proposes it.
 type Proposal interface {
 	// apply returns the assignment with the change, or false if the change does not
 	// apply to it.
@@ -49,6 +49,71 @@
 	return a, true
 }
 
+// ReleasedRange is a range that an upstream has released under an epoch.
+type ReleasedRange struct {
+	keyspace.ReleasedSpan
+
+	epoch identity.Epoch
+}
+
+// NewReleasedRange returns a span that was released under an epoch.
+func NewReleasedRange(span keyspace.ReleasedSpan, epoch identity.Epoch) ReleasedRange {
+	return ReleasedRange{ReleasedSpan: span, epoch: epoch}
+}
+
+// Epoch returns the epoch under which the owner had the range.
+func (r ReleasedRange) Epoch() identity.Epoch { return r.epoch }
+
+// HandoverProposal proposes to give released ranges to their next owners. Its load pattern
+// is a busy service with many holders that move keys at the same time.
+//
+// It may be written at any later time. Until it is known not to apply any more, the owner
+// does not grant the ranges again. It applies only to ranges that still belong to the same
+// daemon process of the owner under the same epoch, and only while none of the owner's moves
+// was withdrawn: a range that the owner gets back has a higher epoch, and one that it keeps
+// since its next owner has gone raises the owner's move generation.
+type HandoverProposal struct {
+	owner            string
+	ownerIncarnation identity.Incarnation
+	moveGeneration   uint64
+	released         []ReleasedRange
+}
+
+// NewHandoverProposal returns the proposal of an owner, whose daemon has the incarnation and
+// whose holder has the move generation, to hand over released ranges.
+func NewHandoverProposal(owner string, incarnation identity.Incarnation, moveGeneration uint64, released []ReleasedRange) HandoverProposal {
+	return HandoverProposal{owner: owner, ownerIncarnation: incarnation, moveGeneration: moveGeneration, released: released}
+}
+
+// Owner returns the instance of the owner and the incarnation of its daemon.
+func (p HandoverProposal) Owner() (string, identity.Incarnation) { return p.owner, p.ownerIncarnation }
+
+// MoveGeneration returns the move generation of the owner.
+func (p HandoverProposal) MoveGeneration() uint64 { return p.moveGeneration }
+
+// Released returns the released ranges.
+func (p HandoverProposal) Released() []ReleasedRange { return p.released }
+
+func (p HandoverProposal) apply(a keyspace.Assignment) (keyspace.Assignment, bool) {
+	h, ok := a.Holder(p.owner)
+	if !ok || h.Member().Incarnation() != p.ownerIncarnation || h.MoveGeneration() != p.moveGeneration {
+		return a, false
+	}
+	var completed []keyspace.ReleasedSpan
+	for _, r := range a.OwnedBy(p.owner) {
+		for _, released := range p.released {
+			if r.NextOwner() != "" && released.Covers(r.Span) && r.Epoch() == released.epoch {
+				completed = append(completed, keyspace.NewReleasedSpan(r.Span, released.HandoverToken()))
+				break
+			}
+		}
+	}
+	if len(completed) == 0 {
+		return a, false
+	}
+	return a.CompleteMoves(p.owner, completed), true
+}
+
 // JoinProposal proposes to add a holder to the assignment. Its load pattern is that all
 // holders of a service join at once, at the first start or after all processes ended: each
 // writes the same row, and only one in a few writes succeeds.
@@ -75,12 +140,15 @@
 
 // ProposalFor returns the proposal with which another daemon may write a change of this one.
 // It returns false if this daemon must write the change itself because its outcome decides
-// what the upstream may hold.
+// what the upstream may hold. The ranges of a handover that is proposed are not granted again
+// until it is known that the proposal no longer applies.
 func (c *Controller) ProposalFor(change Change) (Proposal, bool) {
 	name := c.settings.Instance.Name()
 	switch change.reason {
-	case reasonMove:
+	case ReasonMove:
 		return NewMoveProposal(name, c.settings.Incarnation, c.moves), true
+	case ReasonHandover:
+		return c.proposeHandover()
 	case ReasonJoin:
 		h, ok := change.assignment.Holder(name)
 		if !ok {
@@ -97,6 +165,30 @@
 	}
 }
 
+// proposeHandover returns the proposal to hand over the released ranges.
+func (c *Controller) proposeHandover() (Proposal, bool) {
+	h, ok := c.ownHolder()
+	if !ok {
+		return nil, false
+	}
+	name := c.settings.Instance.Name()
+	var released []ReleasedRange
+	for _, r := range c.assignment.OwnedBy(name) {
+		if r.NextOwner() == "" || !c.isReleased(r.Span) {
+			continue
+		}
+		token := ""
+		for _, s := range c.released {
+			if s.Covers(r.Span) {
+				token = s.HandoverToken()
+			}
+		}
+		released = append(released, NewReleasedRange(keyspace.NewReleasedSpan(r.Span, token), r.Epoch()))
+		c.proposedHandovers = append(c.proposedHandovers, proposedHandover{span: r.Span, epoch: r.Epoch(), moveGeneration: h.MoveGeneration()})
+	}
+	return NewHandoverProposal(name, c.settings.Incarnation, h.MoveGeneration(), released), len(released) > 0
+}
+
 // HandleMovesWritten records that another daemon has written the requested moves.
 func (c *Controller) HandleMovesWritten() { c.moves = nil }
 
--- a/core/keyowner/proposal_test.go
+++ b/core/keyowner/proposal_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyowner"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/membership"
+	"briarwell.dev/core/peer"
 )
 
 func newHolder(instance string, incarnation identity.Incarnation, generation uint64) keyspace.Holder {
@@ -72,3 +76,71 @@
 		is.Equal(r.NextOwner(), next)
 	}
 }
+
+// TestStaleHandovers guards against a handover that arrives late and gives away a range that
+// its owner holds again: after the range came back under a higher epoch, after its next owner
+// went, or after the owner's daemon was restarted.
+func TestStaleHandovers(t *testing.T) {
+	is := is.New(t)
+	a := keyspace.Assignment{}.AddHolder(newHolder("i0", 1, 1)).AddHolder(newHolder("i1", 2, 1)).AddHolder(newHolder("i2", 3, 1)).AssignUnowned()
+	moving := a.OwnedBy("i0")[0]
+	proposal := keyowner.NewHandoverProposal("i0", 1, 0, []keyowner.ReleasedRange{
+		keyowner.NewReleasedRange(keyspace.NewReleasedSpan(moving.Span, "token"), moving.Epoch()),
+	})
+	ownerAfter := func(a keyspace.Assignment) string {
+		change, applied := keyowner.ApplyProposals(a, 4, []keyowner.Proposal{proposal})
+		if !applied[0] {
+			return "refused"
+		}
+		r, _ := change.Assignment().RangeOf(moving.First())
+		return r.Owner()
+	}
+	is.Equal(ownerAfter(a), "refused") // no move
+	started := a.StartMove("i0", moving.Span, "i1")
+	is.Equal(ownerAfter(started), "i1")
+	change, _ := keyowner.ApplyProposals(started, 4, []keyowner.Proposal{proposal})
+	moved, _ := change.Assignment().RangeOf(moving.First())
+	is.Equal(moved.HandoverToken(), "token")
+	is.True(moved.Epoch() > moving.Epoch())
+
+	released := []keyspace.ReleasedSpan{keyspace.NewReleasedSpan(moving.Span, "")}
+	back := started.CompleteMoves("i0", released).StartMove("i1", moving.Span, "i0").CompleteMoves("i1", released)
+	is.Equal(ownerAfter(back.StartMove("i0", moving.Span, "i1")), "refused") // under a higher epoch
+
+	withdrawn := started.RemoveHolder("i1").AddHolder(newHolder("i1", 2, 1))
+	is.Equal(ownerAfter(withdrawn), "refused")
+	is.Equal(ownerAfter(withdrawn.StartMove("i0", moving.Span, "i1")), "refused") // the owner may hold it again
+
+	restarted := started.AddHolder(newHolder("i0", 9, 1))
+	is.Equal(ownerAfter(restarted), "refused") // the new daemon may have granted it
+}
+
+// TestProposedHandoverIsNotGranted guards against granting keys whose handover another
+// daemon may still write, also after other changes and while the store is down.
+func TestProposedHandoverIsNotGranted(t *testing.T) {
+	is := is.New(t)
+	c, a := newController(t)
+	for _, r := range c.DueRenewals(100) {
+		c.HandleRenewReply(110, 9, peer.NewRenewReply(r.Generation(), r.Sequence(), peer.RenewGranted, 0))
+	}
+	moving := a.OwnedBy("i0")[0]
+	process := keyspace.NewProcess("i0", 1)
+	started := a.StartMove("i0", moving.Span, "i1")
+	c.HandleAssignment(120, 6, started)
+	c.HandleStoreAnswer(120)
+	c.HandleReport(130, heartbeat.Report{Process: process, Sequence: 2}) // no longer holds the moved span
+	change, ok := c.NextChange(140)
+	is.True(ok)
+	_, ok = c.ProposalFor(change)
+	is.True(ok)
+	granted := func(at clock.Millis, sequence int64) bool {
+		grant := c.HandleReport(at, heartbeat.Report{Process: process, Sequence: sequence})
+		is.True(grant.Renews())
+		return slices.ContainsFunc(grant.Ranges(), func(r keyspace.Range) bool { return r.Covers(moving.Span) })
+	}
+	is.True(!granted(1500, 3)) // the store has not answered since 120
+	c.HandleAssignment(1500, 7, started)
+	is.True(!granted(1500, 4)) // another change was written, but the proposal still applies
+	c.HandleAssignment(1500, 8, started.RemoveHolder("i1"))
+	is.True(granted(1500, 5)) // the move was withdrawn, the proposal no longer applies
+}
--- a/core/keyowner/simulation_test.go
+++ b/core/keyowner/simulation_test.go
@@ -39,8 +39,10 @@
 	// of commits that take effect seconds later.
 	lostAnswerShare float64
 	lateWriteShare  float64
-	nextID          uint64
-	failure         string
+	// lateProposals makes some daemons handle proposals seconds after their arrival.
+	lateProposals bool
+	nextID        uint64
+	failure       string
 	// trace, if set, gets a line for each event; those of grants and writes concern
 	// tracedKey.
 	trace     func(string)
@@ -230,24 +232,39 @@
 	s.schedule(700, func() { d.writing = false })
 	to := s.hosts[s.rng.IntN(len(s.hosts))]
 	d.call(to.instance.PeerAddress(), func(to *daemon) {
-		assignment, base := to.controller.Assignment()
-		change, applied := keyowner.ApplyProposals(assignment, base, []keyowner.Proposal{proposal})
-		if !applied[0] {
-			return
-		}
-		delay := s.rng.Int64N(100)
-		if s.rng.IntN(5) == 0 {
-			delay += s.rng.Int64N(9000) // the process is frozen meanwhile
+		delay := int64(0)
+		if s.lateProposals {
+			delay = s.freezeDelay()
 		}
-		s.schedule(delay, func() {
-			if to.alive && !to.writing && !s.storeDown && !to.host.partitioned {
-				to.commit(change, false)
-			}
-		})
+		s.schedule(delay, func() { to.handleProposal(proposal) })
 	}, func(*daemon) {})
 	return true
 }
 
+// freezeDelay returns the time in milliseconds for which a process is frozen: mostly none.
+func (s *sim) freezeDelay() int64 {
+	if s.rng.IntN(5) > 0 {
+		return 0
+	}
+	return s.rng.Int64N(9000)
+}
+
+// handleProposal writes a proposal of another daemon. The process may be frozen before the
+// write.
+func (d *daemon) handleProposal(proposal keyowner.Proposal) {
+	s := d.host.s
+	assignment, base := d.controller.Assignment()
+	change, applied := keyowner.ApplyProposals(assignment, base, []keyowner.Proposal{proposal})
+	if !applied[0] || !d.alive {
+		return
+	}
+	s.schedule(s.rng.Int64N(100)+s.freezeDelay(), func() {
+		if d.alive && !d.writing && !s.storeDown && !d.host.partitioned {
+			d.commit(change, false)
+		}
+	})
+}
+
 // readAssignment reads the assignment from the store.
 func (d *daemon) readAssignment() {
 	s := d.host.s
--- a/core/keyspace/change.go
+++ b/core/keyspace/change.go
@@ -42,6 +42,7 @@
 	}
 	old := a.holders[i]
 	a.holders[i] = h
+	a.holders[i].moveGeneration = old.moveGeneration
 	if old.process == h.process {
 		a.holders[i].leaving = old.leaving
 		return a
@@ -85,6 +86,7 @@
 		return a
 	}
 	a.holders = slices.Delete(a.holders, i, i+1)
+	withdrawn := make(map[string]bool)
 	for j := range a.ranges {
 		r := &a.ranges[j]
 		if r.owner == instance {
@@ -92,6 +94,12 @@
 		}
 		if r.nextOwner == instance {
 			r.nextOwner = ""
+			withdrawn[r.owner] = true
+		}
+	}
+	for j := range a.holders {
+		if withdrawn[a.holders[j].InstanceName()] {
+			a.holders[j].moveGeneration++
 		}
 	}
 	return a.AssignUnowned()
--- a/core/keyspace/codec.go
+++ b/core/keyspace/codec.go
@@ -111,7 +111,7 @@
 	data = binary.AppendVarint(data, h.process.startUnixMillis)
 	for _, number := range []uint64{
 		uint64(h.member.Incarnation()), h.member.WitnessGeneration(),
-		uint64(max(h.slots, 0)), leaving, uint64(len(h.member.Witnesses())), //nolint:gosec // None is negative.
+		uint64(max(h.slots, 0)), leaving, h.moveGeneration, uint64(len(h.member.Witnesses())), //nolint:gosec // None is negative.
 	} {
 		data = binary.AppendUvarint(data, number)
 	}
@@ -127,7 +127,7 @@
 	location := identity.NewLocation(string(c.bytes()), string(c.bytes()))
 	process := NewProcess(string(c.bytes()), c.varint())
 	incarnation, generation := identity.Incarnation(c.uvarint()), c.uvarint()
-	h := Holder{process: process, slots: int(c.uvarint()), leaving: c.uvarint() != 0} //nolint:gosec // It was encoded from an int.
+	h := Holder{process: process, slots: int(c.uvarint()), leaving: c.uvarint() != 0, moveGeneration: c.uvarint()} //nolint:gosec // It was encoded from an int.
 	count := c.count()
 	witnesses := make([]membership.Witness, 0, count)
 	for range count {
--- a/core/keyspace/delta.go
+++ b/core/keyspace/delta.go
@@ -92,7 +92,7 @@
 
 // equal reports whether two holders have the same attributes.
 func (h Holder) equal(other Holder) bool {
-	return h.process == other.process && h.slots == other.slots && h.leaving == other.leaving &&
+	return h.process == other.process && h.slots == other.slots && h.leaving == other.leaving && h.moveGeneration == other.moveGeneration &&
 		h.member.Instance() == other.member.Instance() && h.member.Incarnation() == other.member.Incarnation() &&
 		h.member.WitnessGeneration() == other.member.WitnessGeneration() && slices.Equal(h.member.Witnesses(), other.member.Witnesses())
 }
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -46,6 +46,9 @@
 	process Process
 	slots   int
 	leaving bool
+	// moveGeneration counts the times that a move of the holder's keys was withdrawn. A
+	// handover that was proposed before no longer applies then.
+	moveGeneration uint64
 }
 
 // NewHolder returns a holder. The member gives the daemon's instance, incarnation
@@ -66,6 +69,9 @@
 // Slots returns the number of requests that the upstream runs at once.
 func (h Holder) Slots() int { return h.slots }
 
+// MoveGeneration returns how often a move of the holder's keys was withdrawn.
+func (h Holder) MoveGeneration() uint64 { return h.moveGeneration }
+
 // Leaving reports whether the upstream is giving up all its keys.
 func (h Holder) Leaving() bool { return h.leaving }
 
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -16,6 +16,10 @@
 type Rows struct {
 	mu   sync.Mutex
 	rows map[string]table.Row
+	// checksum and newest are kept up to date with each row: they are read for every
+	// comparison with another sidecar.
+	checksum uint64
+	newest   table.Revision
 }
 
 // Apply stores the rows that are newer than those of the replica, and returns them.
@@ -28,6 +32,11 @@
 	var changed []table.Row
 	for _, row := range rows {
 		if row.Version() > r.rows[row.Key()].Version() {
+			if old, ok := r.rows[row.Key()]; ok {
+				r.checksum -= rowChecksum(old)
+			}
+			r.checksum += rowChecksum(row)
+			r.newest = max(r.newest, row.Version())
 			r.rows[row.Key()] = row
 			changed = append(changed, row)
 		}
@@ -47,22 +56,18 @@
 func (r *Rows) Checksum() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var sum uint64
-	for key, row := range r.rows {
-		sum += xxhash.Sum64String(key + "@" + strconv.FormatUint(uint64(row.Version()), 10))
-	}
-	return sum
+	return r.checksum
+}
+
+func rowChecksum(row table.Row) uint64 {
+	return xxhash.Sum64String(row.Key() + "@" + strconv.FormatUint(uint64(row.Version()), 10))
 }
 
 // Newest returns the highest version of all rows, 0 if there are none.
 func (r *Rows) Newest() table.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var newest table.Revision
-	for _, row := range r.rows {
-		newest = max(newest, row.Version())
-	}
-	return newest
+	return r.newest
 }
 
 // ChangedAfter returns the rows with higher versions than the given one.
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -78,6 +78,9 @@
 	telemetry  *telemetry
 	// memory bounds the bodies of all requests and responses in progress.
 	memory *memory.Budget
+	// memoryLimit is the soft limit that was set for the Go runtime's memory in bytes, 0 if
+	// none. Only gaugeLoop uses it.
+	memoryLimit int64
 
 	controlWake chan struct{}
 	startedAt   clock.Millis
@@ -94,6 +97,10 @@
 	writeSemaphore chan struct{}
 	// proposals holds the changes that other sidecars proposed to this one.
 	proposals proposalQueue
+	// queriedLoads are the loads that other holders reported at loadsQueriedAt. Only
+	// rebalanceLoop uses them.
+	queriedLoads   map[string]balance.Load
+	loadsQueriedAt clock.Millis
 	// consecutiveConflicts counts the write conflicts since the last successful write.
 	consecutiveConflicts atomic.Int64
 	// stopping is set from the stop signal on: callers should use other instances.
@@ -175,6 +182,7 @@
 // Run serves until ctx ends or a background task fails, then stops gracefully. It returns
 // the error of that task.
 func (a *App) Run(ctx context.Context) error {
+	a.updateMemoryLimit()
 	background, cancel := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
 	for _, l := range a.listeners {
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -157,7 +157,8 @@
 		}
 		s.mu.Unlock()
 		if due {
-			if a.consecutiveConflicts.Load() == 0 || !a.propose(ctx, change) {
+			direct := a.consecutiveConflicts.Load() == 0 && !s.proposesFirst()
+			if direct || !a.propose(ctx, change) {
 				a.commitAssignmentAsync(ctx, s.service, change, true)
 			}
 		}
@@ -254,7 +255,9 @@
 	}
 	if errors.As(err, &conflict) && len(conflict.CurrentRows()) > 0 && conflict.CurrentRows()[0].Version() > 0 {
 		a.applyRows(conflict.CurrentRows())
-		sleepJittered(ctx, a.conflictBackoff(reason))
+		if reason != keyowner.ReasonProposals { // The senders of proposals wait themselves.
+			sleepJittered(ctx, a.conflictBackoff(reason))
+		}
 		return 0, false
 	}
 	for ctx.Err() == nil {
@@ -317,6 +320,7 @@
 	return fleet.Member{
 		Instance: s.instance, Incarnation: s.incarnation, Service: s.service, Slots: last.Slots,
 		Serving:     seen && !s.tracker.Ended() && !s.tracker.Leaving() && !stopping,
+		Strength:    s.strength,
 		LeftProcess: s.leftProcess,
 	}, seen
 }
--- a/sidecar/app/propose.go
+++ b/sidecar/app/propose.go
@@ -24,7 +24,8 @@
 )
 
 // proposeRequest proposes a change of the assignment of a service to the sidecar of
-// another holder of that service: to add the sender's upstream as a holder, or to move keys.
+// another holder of that service: to add the sender's upstream as a holder, to move keys, or
+// to hand over the keys that its upstream has released.
 type proposeRequest struct {
 	Service string `json:"service"`
 	// Holder is the holder to add. Incarnation and Generation are then those of the
@@ -36,6 +37,9 @@
 	Owner       string               `json:"owner,omitempty"`
 	Incarnation identity.Incarnation `json:"incarnation"`
 	Moves       []encodedMove        `json:"moves,omitempty"`
+	// Released has the keys to hand over, MoveGeneration the owner's move generation.
+	Released       []encodedRelease `json:"released,omitempty"`
+	MoveGeneration uint64           `json:"moveGeneration,omitempty"`
 	// Known is the revision of the assignment that the sender knows.
 	Known table.Revision `json:"known,omitempty"`
 }
@@ -46,6 +50,13 @@
 	To    string       `json:"to"`
 }
 
+type encodedRelease struct {
+	First keyspace.Key   `json:"first"`
+	Last  keyspace.Key   `json:"last"`
+	Epoch identity.Epoch `json:"epoch"`
+	Token string         `json:"token,omitempty"`
+}
+
 type proposeResponse struct {
 	Written bool `json:"written"`
 	// Rows holds what the sender lacks of the responder's copy of the assignment.
@@ -66,6 +77,12 @@
 		for _, move := range p.Moves() {
 			request.Moves = append(request.Moves, encodedMove{First: move.Span().First(), Last: move.Span().Last(), To: move.NextOwner()})
 		}
+	case keyowner.HandoverProposal:
+		request.Owner, request.Incarnation = p.Owner()
+		request.MoveGeneration = p.MoveGeneration()
+		for _, r := range p.Released() {
+			request.Released = append(request.Released, encodedRelease{First: r.First(), Last: r.Last(), Epoch: r.Epoch(), Token: r.HandoverToken()})
+		}
 	}
 	return request, nil
 }
@@ -76,6 +93,13 @@
 		h, err := keyspace.DecodeHolder(r.Holder)
 		return keyowner.NewJoinProposal(h, r.Incarnation, r.Generation), err
 	}
+	if len(r.Released) > 0 {
+		released := make([]keyowner.ReleasedRange, 0, len(r.Released))
+		for _, e := range r.Released {
+			released = append(released, keyowner.NewReleasedRange(keyspace.NewReleasedSpan(keyspace.NewSpan(e.First, e.Last), e.Token), e.Epoch))
+		}
+		return keyowner.NewHandoverProposal(r.Owner, r.Incarnation, r.MoveGeneration, released), nil
+	}
 	moves := make([]keyowner.Move, 0, len(r.Moves))
 	for _, move := range r.Moves {
 		moves = append(moves, keyowner.NewMove(keyspace.NewSpan(move.First, move.Last), move.To))
@@ -119,10 +143,13 @@
 	s := a.state
 	s.mu.Lock()
 	assignment, known := s.keyController.Assignment()
-	proposal, ok := s.keyController.ProposalFor(change)
-	target, found := s.proposalTarget(a.clock.Now(), assignment)
+	target, ok := s.proposalTarget(a.clock.Now(), assignment)
+	var proposal keyowner.Proposal
+	if ok {
+		proposal, ok = s.keyController.ProposalFor(change)
+	}
 	s.mu.Unlock()
-	if !ok || !found {
+	if !ok {
 		return false
 	}
 	request, err := encodeProposal(s.service, proposal)
@@ -149,7 +176,7 @@
 			sleepJittered(ctx, minConflictBackoff)
 			return
 		}
-		if change.Reason() != keyowner.ReasonJoin {
+		if change.Reason() == keyowner.ReasonMove {
 			s.mu.Lock()
 			s.keyController.HandleMovesWritten()
 			s.mu.Unlock()
@@ -158,16 +185,49 @@
 	return true
 }
 
-// proposalTarget returns the first other holder of the assignment whose sidecar is not
-// marked as unreachable, so that all sidecars send their proposals to the same one. The
-// caller holds s.mu.
+// proposesFirst reports whether changes of the assignment are proposed to another sidecar
+// before this one tries to write them: with many holders, most writes of their own would
+// conflict.
+func (s *state) proposesFirst() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.view.Assignment(s.service).Assignment.Holders()) > maxDirectWriters {
+		return true
+	}
+	members := 0
+	for _, m := range s.view.Members() {
+		if m.Service == s.service {
+			members++
+		}
+	}
+	return members > maxDirectWriters
+}
+
+// maxDirectWriters is the number of holders of a service up to which each writes its own
+// changes first: a proposal takes another round trip and the delay of a batch.
+const maxDirectWriters = 8
+
+// proposalTarget returns the strongest holder of the assignment whose sidecar is not marked
+// as unreachable, so that all sidecars send their proposals to the same one. While there are
+// no holders, it is the strongest member of the service. It returns false if that is this
+// sidecar, which writes the proposals of the others too. The caller holds s.mu.
 func (s *state) proposalTarget(now clock.Millis, assignment keyspace.Assignment) (fleet.Member, bool) {
+	candidates := make([]fleet.Member, 0, len(assignment.Holders()))
 	for _, h := range assignment.Holders() {
-		if h.InstanceName() != s.instance.Name() && now >= s.unreachableUntil[h.InstanceName()] {
-			return fleet.Member{Instance: h.Member().Instance(), Incarnation: h.Member().Incarnation()}, true
+		m, _ := s.view.Member(h.InstanceName())
+		candidates = append(candidates, fleet.Member{Instance: h.Member().Instance(), Incarnation: h.Member().Incarnation(), Service: s.service, Strength: m.Strength})
+	}
+	if len(candidates) == 0 {
+		candidates = s.view.Members()
+	}
+	var best fleet.Member
+	found := false
+	for _, m := range candidates {
+		if m.Service == s.service && now >= s.unreachableUntil[m.Instance.Name()] && (!found || m.Strength > best.Strength) {
+			best, found = m, true
 		}
 	}
-	return fleet.Member{}, false
+	return best, found && !s.isSelf(best)
 }
 
 // handlePropose writes a change that another sidecar proposes, in a batch with other
@@ -201,6 +261,10 @@
 	// The write is not cancelled at a stop, which ends the process soon after; the call's
 	// own timeout bounds it.
 	ctx := context.Background()
+	// The assignment is read only once no other write is in progress: it would be out of
+	// date after that write.
+	a.writeSemaphore <- struct{}{}
+	defer func() { <-a.writeSemaphore }()
 	pending := a.proposals.takeAll()
 	proposals := make([]keyowner.Proposal, 0, len(pending))
 	for _, p := range pending {
@@ -212,12 +276,7 @@
 	change, applied := keyowner.ApplyProposals(assignment, base, proposals)
 	committed := false
 	if change.Reason() != "" {
-		select {
-		case a.writeSemaphore <- struct{}{}:
-			committed = a.commitAssignmentLocked(ctx, a.settings.Service(), change, false)
-			<-a.writeSemaphore
-		case <-time.After(proposalTimeout):
-		}
+		committed = a.commitAssignmentLocked(ctx, a.settings.Service(), change, false)
 	}
 	for i, p := range pending {
 		p.committed <- committed && applied[i]
--- a/sidecar/app/rebalance.go
+++ b/sidecar/app/rebalance.go
@@ -26,6 +26,9 @@
 	// maxLoadQueries bounds the holders that an overloaded sidecar asks for their load in
 	// one round.
 	maxLoadQueries = 16
+	// loadQueryInterval is the shortest time in milliseconds between two rounds of these
+	// queries. In between, the loads of the last round are used.
+	loadQueryInterval clock.Millis = 1500
 	// loadQueryTimeout bounds a round of these queries: a round trip between regions takes
 	// 40 ms.
 	loadQueryTimeout = 300 * time.Millisecond
@@ -60,7 +63,14 @@
 		return false
 	}
 	loads := a.dispatcher.Loads()
-	a.queryLoads(ctx, loads)
+	if now := a.clock.Now(); now-a.loadsQueriedAt >= loadQueryInterval {
+		a.loadsQueriedAt, a.queriedLoads = now, a.queryLoads(ctx, loads)
+	}
+	for name, queried := range a.queriedLoads {
+		if _, known := loads[name]; !known {
+			loads[name] = queried
+		}
+	}
 	self := rebalance.Holder{Name: a.settings.Instance(), Demand: float64(load.DemandPercent) / percent, Capacity: requestCapacity(load.Slots, load.ServiceTime)}
 	s := a.state
 	s.mu.Lock()
@@ -87,23 +97,24 @@
 	return true
 }
 
-// queryLoads adds the loads of holders that are not among the given ones. Those come with
-// responses, so they lack the holders to which this sidecar has sent no request: in a large
-// service most of them, and just those that are idle.
-func (a *App) queryLoads(ctx context.Context, loads map[string]balance.Load) {
+// queryLoads asks holders that are not among the known loads for theirs. The known ones come
+// with responses, so they lack the holders to which this sidecar has sent no request: in a
+// large service most of them, and just those that are idle.
+func (a *App) queryLoads(ctx context.Context, known map[string]balance.Load) map[string]balance.Load {
 	s := a.state
 	s.mu.Lock()
 	assignment, _ := s.keyController.Assignment()
 	s.mu.Unlock()
 	unknown := slices.DeleteFunc(slices.Clone(assignment.Holders()), func(h keyspace.Holder) bool {
-		_, known := loads[h.InstanceName()]
-		return known || h.Leaving() || h.InstanceName() == a.settings.Instance()
+		_, ok := known[h.InstanceName()]
+		return ok || h.Leaving() || h.InstanceName() == a.settings.Instance()
 	})
 	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
 	ctx, cancel := context.WithTimeout(ctx, loadQueryTimeout)
 	defer cancel()
 	var wait conc.WaitGroup
 	var mu sync.Mutex
+	loads := make(map[string]balance.Load)
 	for _, h := range unknown[:min(len(unknown), maxLoadQueries)] {
 		wait.Go(func() {
 			var response loadResponse
@@ -117,6 +128,7 @@
 		})
 	}
 	wait.Wait()
+	return loads
 }
 
 // handleLoad returns the load of this instance's upstream.
--- a/sidecar/app/rowcodec.go
+++ b/sidecar/app/rowcodec.go
@@ -100,11 +100,12 @@
 
 // assignmentVersions returns the versions of the rows with key assignments.
 func (a *App) assignmentVersions() map[string]table.Revision {
-	versions := a.rows.Versions()
-	for key := range versions {
-		if _, ok := fleet.AssignmentService(key); !ok {
-			delete(versions, key)
-		}
+	s := a.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	versions := make(map[string]table.Revision)
+	for service, versioned := range s.view.Assignments() {
+		versions[fleet.AssignmentKey(service)] = versioned.Revision
 	}
 	return versions
 }
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -191,7 +191,8 @@
 }
 
 // regionMembers returns the members of this sidecar's region, including itself, that are
-// not marked as unreachable, sorted by name. The caller holds s.mu.
+// not marked as unreachable, the strongest first and equal ones by name. The caller holds
+// s.mu.
 func (s *state) regionMembers(now clock.Millis) []fleet.Member {
 	var members []fleet.Member
 	for _, m := range s.view.Members() {
@@ -199,6 +200,7 @@
 			members = append(members, m)
 		}
 	}
+	slices.SortStableFunc(members, func(a, b fleet.Member) int { return b.Strength - a.Strength })
 	return members
 }
 
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -28,6 +28,8 @@
 	incarnation identity.Incarnation
 	instance    membership.Instance
 	service     string
+	// strength is that of this instance, as in fleet.Member.
+	strength int
 
 	mu            sync.Mutex
 	view          fleet.View
@@ -52,10 +54,13 @@
 	changeLogs map[string]*fleet.ChangeLog
 }
 
+// thousandths converts cores to the unit of fleet.Member.Strength.
+const thousandths = 1000
+
 func newState(now clock.Millis, s settings.Sidecar, instance membership.Instance, incarnation identity.Incarnation) *state {
 	tracker := heartbeat.NewTracker(s.Service(), s.UpstreamAddress())
 	return &state{
-		incarnation: incarnation, instance: instance, service: s.Service(),
+		incarnation: incarnation, instance: instance, service: s.Service(), strength: int(s.CPUShare() * thousandths),
 		tracker: tracker,
 		keyController: keyowner.New(now, keyowner.Settings{
 			Instance: instance, Incarnation: incarnation, HoldMax: s.HoldMax(),
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -158,6 +160,27 @@
 		case <-ticker.C:
 		}
 		a.updateGauges()
+		a.updateMemoryLimit()
+	}
+}
+
+const (
+	// baseMemoryBytes is the soft limit of the Go runtime's memory without the bodies of
+	// messages, near which the garbage collector runs more often: the users allow a sidecar
+	// 40 MB.
+	baseMemoryBytes = 40 << 20
+	// memoryLimitStep is the difference in bytes from which the limit is set again, since
+	// that stops all goroutines for a moment.
+	memoryLimitStep = 4 << 20
+)
+
+// updateMemoryLimit raises the soft limit of the Go runtime's memory by the bodies that are
+// in progress, unless the environment sets one.
+func (a *App) updateMemoryLimit() {
+	limit := baseMemoryBytes + a.memory.Used()/memoryLimitStep*memoryLimitStep
+	if os.Getenv("GOMEMLIMIT") == "" && limit != a.memoryLimit {
+		a.memoryLimit = limit
+		debug.SetMemoryLimit(limit)
 	}
 }
 
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -21,10 +21,10 @@
 	// minWatchInterval is the shortest time between two calls that wait for changes; a
 	// random time of up to the same length is added. It batches changes that are made
 	// close together.
-	minWatchInterval = 20 * time.Millisecond
+	minWatchInterval = 120 * time.Millisecond
 	// startupWatchInterval replaces minWatchInterval at the start, when all sidecars
 	// watch the store and write their rows.
-	startupWatchInterval = 150 * time.Millisecond
+	startupWatchInterval = 250 * time.Millisecond
 	// watchingPollInterval is the shortest time between two checks whether to watch a
 	// feed; a random time of up to the same length is added.
 	watchingPollInterval = 50 * time.Millisecond
--- a/sidecar/command/command.go
+++ b/sidecar/command/command.go
@@ -8,7 +8,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -29,11 +28,6 @@
 
 const version = "0.1"
 
-// memoryLimitBytes is the soft limit of the Go runtime's memory without the bodies of
-// messages, near which the garbage collector runs more often: the users allow a sidecar
-// 40 MB.
-const memoryLimitBytes = 40 << 20
-
 // Run runs the sidecar with the given arguments and returns the exit code: 2 for invalid
 // arguments or settings, 1 if an address can't be bound, a request can't be explained or a background task
 // has failed.
@@ -104,9 +98,6 @@
 }
 
 func serve(s settings.Sidecar, path string, out io.Writer) int {
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimitBytes + s.BodyMemoryBytes())
-	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	a, err := app.New(s, out)
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -33,6 +33,7 @@
 	retryWindow     clock.Millis
 	linkMbps        float64
 	memoryMB        float64
+	cpuShare        float64
 	logLevel        string
 }
 
@@ -73,6 +74,7 @@
 		retryWindow:     requiredDuration(object, "retryWindow"),
 		linkMbps:        requiredNumber(object, "linkMbps", maxMbps),
 		memoryMB:        optionalNumber(object, "memoryMB", maxMemoryMB),
+		cpuShare:        optionalNumber(object, "cpuShare", maxCPUShare),
 		logLevel:        object.Optional("logLevel").TextOr(settings.DefaultLogLevel, settings.OneOf("debug", "info", "warn", "error")),
 	}
 	object.RejectUnknownFields()
@@ -107,6 +109,9 @@
 	return n
 }
 
+// maxCPUShare is the largest accepted number of cores of an instance.
+const maxCPUShare = 1024
+
 // optionalNumber reads a number from 0 to limit, 0 if the field is missing.
 func optionalNumber(object *settings.Object, name string, limit float64) float64 {
 	if !object.Optional(name).IsPresent() {
@@ -179,6 +184,9 @@
 // MemoryMB returns the memory of the instance in megabytes, 0 for no limit.
 func (s Sidecar) MemoryMB() float64 { return s.memoryMB }
 
+// CPUShare returns the number of cores that the instance may use, 0 if unknown.
+func (s Sidecar) CPUShare() float64 { return s.cpuShare }
+
 // BodyMemoryBytes returns the memory for the bodies of messages in bytes, 0 for no limit: a
 // quarter of the instance's memory, since the garbage collector lets the heap grow to twice
 // the memory in use.
--- a/sidecar/settings/settings_test.go
+++ b/sidecar/settings/settings_test.go
@@ -81,7 +81,7 @@
 		"{{platform.address|json}}", `"10.0.0.9:80"`,
 		"{{bounds.hold_max|json}}", `"10000ms"`, "{{bounds.drain|json}}", `"2500ms"`, "{{bounds.grace|json}}", `"6s"`,
 		"{{bounds.retry_budget_ratio|json}}", "0.2", "{{bounds.budget_slack|json}}", "56", "{{bounds.retry_window|json}}", `"10s"`,
-		"{{limits.bandwidth_mbps|json}}", "1000.0", "{{limits.memory_mb|json}}", "284",
+		"{{limits.bandwidth_mbps|json}}", "1000.0", "{{limits.memory_mb|json}}", "284", "{{limits.cpu_share|json}}", "0.32",
 	)
 	_, err = settings.Parse([]byte(values.Replace(text)))
 	is.NoErr(err)
