--- a/sidecar/app/app_test.go
+++ b/sidecar/app/app_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,8 @@
 	stop         context.CancelFunc
 	done         chan struct{}
 	settingsJSON string
+	// silent stops the heartbeats of the upstream.
+	silent atomic.Bool
 }
 
 // cluster is a store with several instances.
@@ -118,6 +121,9 @@
 func (c *cluster) sendHeartbeats() {
 	for c.t.Context().Err() == nil {
 		for _, in := range c.instances {
+			if in.silent.Load() {
+				continue
+			}
 			// The heartbeat fails while the sidecar is stopped.
 			_ = in.upstream.SendHeartbeat(in.ip + ":9004")
 		}
--- a/sidecar/app/restart_test.go
+++ b/sidecar/app/restart_test.go
@@ -45,3 +45,32 @@
 	}
 	is.Equal(left.upstream.TotalRuns(), before)
 }
+
+// TestSilentUpstreamFinishesItsWork guards against a request that is given up, or run again
+// elsewhere, since its upstream sends no reports for a while.
+func TestSilentUpstreamFinishesItsWork(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 51, "wardrobe", "wardrobe")
+	c.eventually("assignment of all keys", c.allKeysHeld)
+	for _, in := range c.instances {
+		c.eventually("serving by "+in.name, func() bool {
+			status, _ := c.sendRequest(in, http.MethodGet, "/browse/first", 7)
+			return status == http.StatusOK
+		})
+		in.upstream.ServiceTime = 1500 * time.Millisecond
+	}
+	owner := c.instances[0]
+	if !owner.upstream.HoldsKey(7) {
+		owner = c.instances[1]
+	}
+	owner.silent.Store(true)
+	time.Sleep(2600 * time.Millisecond)                                     // most of the hold time
+	status, body := c.sendRequest(owner, http.MethodGet, "/browse/long", 7) // the hold ends meanwhile
+	is.Equal(status, http.StatusOK)
+	is.True(strings.HasPrefix(body, owner.upstream.ID))
+	runs := 0
+	for _, in := range c.instances {
+		runs += in.upstream.RunCount(owner.name + "-/browse/long-7")
+	}
+	is.Equal(runs, 1)
+}
--- a/sidecar/explain/explain.go
+++ b/sidecar/explain/explain.go
@@ -192,6 +192,8 @@
 		"draining":          "not run: the upstream or its sidecar was leaving",
 		"upstream-refused":  "not run: the upstream itself refused the request",
 		"deadline-exceeded": "not run: its deadline passed, or its caller disconnected, while it waited",
+		"unsupported-route": "not run: the manifest's route or service was not understood (see manifestPartNotUnderstood)",
+		"malformed":         "not run: the other sidecar could not read the request, or not all of its body",
 		"timeout":           "unknown: it was sent to the upstream, and its deadline passed without an answer",
 		"connection-lost":   "unknown: the connection was lost after it was sent",
 		"":                  "answered by the upstream, but late, after another attempt, or with a server error",
