keyowner, fleet, sidecar: rounds without a change no longer cost time for each holder

A profile of 90 sidecars in one process, no load, has 31% of all samples in the control loop, which runs 20 times a second: it counted the ranges of all holders twice (CanAssignUnowned, BalanceRangeCounts), copied the members of all holders, encoded its own member row and collected its own ranges in each round. Each member row that arrived was compared with all others, so a start of N sidecars cost N squared of them on each. Ruled out: the renewals and sync rounds themselves (4% and 4%). Change: what depends on the assignment alone is computed once a revision; the view keeps members sorted and the targets of each service, so look-ups of a request allocate nothing; a member row is compared with its former content only, and the witness candidates are collected once before they are used. TestIdleRoundsAreCheap and TestViewOfManyMembers fail on the code before (trial) and pass.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -27,6 +27,10 @@
 // MemberKey returns the key of the member row of an instance.
 func MemberKey(instance string) string { return memberPrefix + instance }
 
+// MemberInstance returns the instance whose member row is under key, or false if the row is
+// no member row.
+func MemberInstance(key string) (string, bool) { return strings.CutPrefix(key, memberPrefix) }
+
 // AssignmentKey returns the key of the row with the key assignment of a service.
 func AssignmentKey(service string) string { return assignmentPrefix + service }
 
@@ -93,8 +97,12 @@
 // View is the decoded content of a set of rows. It is immutable; WithRow returns a new
 // view. The zero value is empty.
 type View struct {
-	members     map[string]Member
+	// members is sorted by instance name.
+	members     []Member
 	assignments map[string]VersionedAssignment
+	// targets are the instances whose upstreams accept requests, by service. They change
+	// rarely but are looked up for each request.
+	targets map[string][]dispatch.Target
 }
 
 // VersionedAssignment is a key assignment and the table revision at which it was written.
@@ -106,7 +114,7 @@
 // WithRow returns the view with an added or changed row. Rows of other kinds and assignments
 // that are not newer than the known one have no effect. The error is a *RowError, with which the view is returned unchanged.
 func (v View) WithRow(row table.Row) (View, error) {
-	if instance, ok := strings.CutPrefix(row.Key(), memberPrefix); ok {
+	if instance, ok := MemberInstance(row.Key()); ok {
 		return v.withMember(instance, row)
 	}
 	if service, ok := AssignmentService(row.Key()); ok && row.Version() > v.assignments[service].Revision {
@@ -166,37 +174,58 @@
 	if err := json.Unmarshal(row.Value(), &e); err != nil {
 		return v, &RowError{key: row.Key(), cause: err}
 	}
-	members := make(map[string]Member, len(v.members)+1)
-	for key, value := range v.members {
-		members[key] = value
-	}
 	location := identity.NewLocation(e.Region, e.FailureDomain)
-	members[instance] = Member{
+	member := Member{
 		Instance:    membership.NewInstance(instance, e.RequestAddress, e.PeerAddress, location),
 		Incarnation: e.Incarnation, Service: e.Service, Slots: e.Slots, Serving: e.Serving, Strength: e.Strength,
 		LeftProcess: keyspace.NewProcess(e.LeftID, e.LeftStart),
 	}
-	v.members = members
-	return v, nil
+	i, known := v.memberIndex(instance)
+	if !known {
+		v.members = slices.Insert(slices.Clone(v.members), i, member)
+		return v.withTargets(member.Service), nil
+	}
+	formerService := v.members[i].Service
+	v.members = slices.Clone(v.members)
+	v.members[i] = member
+	return v.withTargets(formerService, member.Service), nil
 }
 
-// Members returns the members sorted by instance name.
-func (v View) Members() []Member {
-	members := make([]Member, 0, len(v.members))
-	for _, m := range v.members {
-		members = append(members, m)
+// withTargets returns the view with the targets of the services taken from the members.
+func (v View) withTargets(services ...string) View {
+	targets := make(map[string][]dispatch.Target, len(v.targets)+1)
+	maps.Copy(targets, v.targets)
+	for _, service := range services {
+		targets[service] = nil
+		for _, m := range v.members {
+			if m.Service == service && m.Serving {
+				targets[service] = append(targets[service], m.target())
+			}
+		}
 	}
-	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Instance.Name(), b.Instance.Name()) })
-	return members
+	v.targets = targets
+	return v
 }
 
+func (v View) memberIndex(instance string) (int, bool) {
+	return slices.BinarySearchFunc(v.members, instance, func(m Member, instance string) int {
+		return strings.Compare(m.Instance.Name(), instance)
+	})
+}
+
+// Members returns the members sorted by instance name. Callers must not modify the slice.
+func (v View) Members() []Member { return v.members }
+
 // MemberCount returns the number of daemons in the view.
 func (v View) MemberCount() int { return len(v.members) }
 
 // Member returns the member on an instance, or false if there is none.
 func (v View) Member(instance string) (Member, bool) {
-	m, ok := v.members[instance]
-	return m, ok
+	i, ok := v.memberIndex(instance)
+	if !ok {
+		return Member{}, false
+	}
+	return v.members[i], true
 }
 
 // Assignment returns the key assignment of a service, the zero value if there is none.
@@ -212,24 +241,16 @@
 	if !ok || keyRange.Owner() == "" {
 		return dispatch.Target{}, false
 	}
-	m, ok := v.members[keyRange.Owner()]
+	m, ok := v.Member(keyRange.Owner())
 	if !ok {
 		return dispatch.Target{}, false
 	}
 	return m.target(), true
 }
 
-// Instances returns the instances whose upstreams accept requests for a service, in no
-// particular order.
-func (v View) Instances(service string) []dispatch.Target {
-	var targets []dispatch.Target
-	for _, m := range v.members {
-		if m.Service == service && m.Serving {
-			targets = append(targets, m.target())
-		}
-	}
-	return targets
-}
+// Instances returns the instances whose upstreams accept requests for a service. Callers must
+// not modify the slice.
+func (v View) Instances(service string) []dispatch.Target { return v.targets[service] }
 
 func (m Member) target() dispatch.Target {
 	return dispatch.Target{
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -73,3 +74,37 @@
 		is.Equal(after.MemberCount(), 1)
 	}
 }
+
+// TestViewOfManyMembers guards against look-ups for a request that take longer the more
+// members there are, and against members and targets that don't follow changed rows.
+func TestViewOfManyMembers(t *testing.T) {
+	is := is.New(t)
+	var v fleet.View
+	for i := range 200 {
+		m := member(fmt.Sprintf("i%03d", (i*77)%200), "s", true)
+		next, err := v.WithRow(row(t, m, table.Revision(i+1)))
+		is.NoErr(err)
+		v = next
+	}
+	is.Equal(len(v.Instances("s")), 200)
+	allocated := testing.AllocsPerRun(100, func() {
+		v.Instances("s")
+		v.Members()
+		v.Member("i077")
+	})
+	is.Equal(allocated, 0.0)
+
+	moved := member("i077", "t", true)
+	changed, err := v.WithRow(row(t, moved, 300))
+	is.NoErr(err)
+	is.Equal(len(changed.Instances("s")), 199)
+	is.Equal(len(changed.Instances("t")), 1)
+	is.Equal(changed.MemberCount(), 200)
+	changed, err = changed.WithRow(row(t, member("i077", "t", false), 301))
+	is.NoErr(err)
+	is.Equal(len(changed.Instances("t")), 0)
+	is.Equal(len(v.Instances("s")), 200) // a view doesn't change
+	for i, m := range changed.Members() {
+		is.Equal(m.Instance.Name(), fmt.Sprintf("i%03d", i))
+	}
+}
--- a/core/keyowner/change.go
+++ b/core/keyowner/change.go
@@ -318,7 +318,7 @@
 // assignUnowned assigns the keys without an owner. The first holder by rank does so at
 // once, each further one rankDelay later if the ones before it have not.
 func (c *Controller) assignUnowned() (keyspace.Assignment, string) {
-	if _, ok := c.ownHolder(); !ok || !c.assignment.CanAssignUnowned() {
+	if _, ok := c.ownHolder(); !ok || !c.currentDistribution().assignable {
 		c.unownedSince = 0
 		return c.assignment, ""
 	}
@@ -340,8 +340,12 @@
 	if _, ok := c.ownHolder(); !ok || c.now-max(c.holdersChangedAt, c.balancedAt) < balanceInterval {
 		return c.assignment, ""
 	}
-	a, changed := c.assignment.BalanceRangeCounts()
-	if !changed {
+	current := c.currentDistribution()
+	if !current.balanceKnown {
+		current.balanced, current.unbalanced = c.assignment.BalanceRangeCounts()
+		current.balanceKnown = true
+	}
+	if !current.unbalanced {
 		c.unbalancedSince = 0
 		return c.assignment, ""
 	}
@@ -352,7 +356,20 @@
 		return c.assignment, ""
 	}
 	c.balancedAt, c.unbalancedSince = c.now, 0
-	return a, "even"
+	return current.balanced, "even"
+}
+
+// currentDistribution returns the distribution of the keys of the known assignment.
+func (c *Controller) currentDistribution() *distribution {
+	if c.distributionOf != c.revision || c.revision == 0 {
+		owned := c.assignment.OwnedBy(c.settings.Instance.Name())
+		c.distribution = distribution{
+			assignable: c.assignment.CanAssignUnowned(),
+			moving:     slices.ContainsFunc(owned, func(r keyspace.Range) bool { return r.NextOwner() != "" }),
+		}
+		c.distributionOf = c.revision
+	}
+	return &c.distribution
 }
 
 // rank returns the position of this instance among the holders that are not leaving.
--- a/core/keyowner/controller.go
+++ b/core/keyowner/controller.go
@@ -98,6 +98,9 @@
 	// unbalancedSince is when range counts to balance were first seen, 0 if there are
 	// none.
 	unbalancedSince clock.Millis
+	// distribution is what is known of the assignment at the revision distributionOf.
+	distribution   distribution
+	distributionOf table.Revision
 
 	// joinDueSince is the time since which the upstream should join the assignment, 0
 	// if it need not.
@@ -138,6 +141,20 @@
 	movesUntil  clock.Millis
 }
 
+// distribution describes how the keys of an assignment are distributed. It depends on the
+// assignment alone, so it is computed once for each revision: it takes a pass over all ranges.
+type distribution struct {
+	// assignable is true if keys without an owner can be assigned.
+	assignable bool
+	// moving is true if keys of this upstream are to move to other holders.
+	moving bool
+	// balanced has the range counts evened out; it is valid if unbalanced is true. Both are
+	// valid if balanceKnown is true.
+	balanced     keyspace.Assignment
+	unbalanced   bool
+	balanceKnown bool
+}
+
 // proposedHandover is a range whose handover was proposed to another daemon.
 type proposedHandover struct {
 	span           keyspace.Span
@@ -183,7 +200,7 @@
 	if now-c.storeAnsweredAt <= storeAnswerMaxAge/2 {
 		return false
 	}
-	return slices.ContainsFunc(c.assignment.OwnedBy(c.settings.Instance.Name()), func(r keyspace.Range) bool { return r.NextOwner() != "" })
+	return c.currentDistribution().moving
 }
 
 // SetMembers replaces the daemons that may be chosen as witnesses.
--- a/core/keyowner/controller_test.go
+++ b/core/keyowner/controller_test.go
@@ -260,13 +260,43 @@
 	}
 }
 
+// TestIdleRoundsAreCheap guards against rounds without anything to do whose cost grows with
+// the number of holders. Each of hundreds of daemons runs 20 rounds a second.
+func TestIdleRoundsAreCheap(t *testing.T) {
+	is := is.New(t)
+	c, _ := newControllerAmong(t, 115)
+	now := clock.Millis(100)
+	for _, r := range c.DueRenewals(now) {
+		c.HandleRenewReply(now, 9, peer.NewRenewReply(r.Generation(), r.Sequence(), peer.RenewGranted, 0))
+	}
+	c.HandleReport(now, heartbeat.Report{Process: keyspace.NewProcess("i0", 1), Sequence: 2})
+	changes := 0
+	allocated := testing.AllocsPerRun(50, func() {
+		now += 50
+		c.NeedsStoreAnswer(now)
+		if _, due := c.NextChange(now); due {
+			changes++
+		}
+	})
+	is.Equal(changes, 0)
+	is.True(allocated <= 10) // one for each step, whatever the number of holders
+}
+
 // newController returns the controller of the holder i0 and an assignment to i0 and i1.
 func newController(t *testing.T) (*keyowner.Controller, keyspace.Assignment) {
+	t.Helper()
+	return newControllerAmong(t, 2)
+}
+
+// newControllerAmong returns the controller of the holder i0 and an assignment to i0 and
+// others up to the given number of holders.
+func newControllerAmong(t *testing.T, holders int) (*keyowner.Controller, keyspace.Assignment) {
 	t.Helper()
 	is := is.New(t)
 	tracker := heartbeat.NewTracker("s", "a0")
 	var a keyspace.Assignment
-	for i, name := range []string{"i0", "i1"} {
+	for i := range holders {
+		name := "i" + strconv.Itoa(i)
 		instance := membership.NewInstance(name, "", "p"+name, identity.NewLocation("r", "d"))
 		member := membership.RestoreMember(identity.Incarnation(i+1), instance, 1, []membership.Witness{membership.NewWitness(9, "w")})
 		a = a.AddHolder(keyspace.NewHolder(member, keyspace.NewProcess(name, 1), 2))
--- a/core/keyowner/witness.go
+++ b/core/keyowner/witness.go
@@ -104,6 +104,9 @@
 			lapsed = append(lapsed, member)
 		}
 	}
+	if len(l.succeededAt) == 0 {
+		return queries, lapsed
+	}
 	for _, member := range peers {
 		if member.Incarnation() != l.self && l.lapseCertain(now, member) {
 			lapsed = append(lapsed, member)
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -99,7 +99,7 @@
 func (a *App) checkLapsedLeases(ctx context.Context) {
 	s, now := a.state, a.clock.Now()
 	s.mu.Lock()
-	queries, lost := s.leaseWitness.CheckLeases(now, s.holderMembers(s.service))
+	queries, lost := s.leaseWitness.CheckLeases(now, s.peerHolders)
 	s.mu.Unlock()
 	for _, query := range queries {
 		a.goOnce("queryLapse", func() { a.queryLapse(ctx, query) })
@@ -149,13 +149,11 @@
 	serviceConfig, _ := a.manifest.Load().Service(s.service)
 	if serviceConfig.Keyed {
 		a.probeStore(ctx)
-		s.mu.Lock()
 		var change keyowner.Change
 		due := len(a.writeSemaphore) == 0
 		if due {
-			change, due = s.keyController.NextChange(a.clock.Now())
+			change, due = s.nextChange(a.clock.Now())
 		}
-		s.mu.Unlock()
 		if due {
 			direct := a.consecutiveConflicts.Load() == 0 && !s.proposesFirst()
 			if direct || !a.propose(ctx, change) {
@@ -288,7 +286,7 @@
 	if !known && a.clock.Now()-a.startedAt < firstReportWait {
 		return
 	}
-	value, err := member.Encode()
+	value, err := s.encodeOwnMember(member)
 	if err != nil {
 		a.log.Error().Err(err).Msg("memberNotEncoded")
 		return
@@ -324,3 +322,16 @@
 		LeftProcess: s.leftProcess,
 	}, seen
 }
+
+// encodeOwnMember returns the value of this sidecar's member row. The control loop needs it
+// in each round, but it changes rarely.
+func (s *state) encodeOwnMember(member fleet.Member) ([]byte, error) {
+	if s.encodedMember.value != nil && s.encodedMember.member == member {
+		return s.encodedMember.value, nil
+	}
+	value, err := member.Encode()
+	if err == nil {
+		s.encodedMember.member, s.encodedMember.value = member, value
+	}
+	return value, err
+}
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -194,7 +194,7 @@
 // not marked as unreachable, the strongest first and equal ones by name. The caller holds
 // s.mu.
 func (s *state) regionMembers(now clock.Millis) []fleet.Member {
-	var members []fleet.Member
+	members := make([]fleet.Member, 0, s.view.MemberCount())
 	for _, m := range s.view.Members() {
 		if m.Instance.Location().Region() == s.instance.Location().Region() && now >= s.unreachableUntil[m.Instance.Name()] {
 			members = append(members, m)
@@ -261,7 +261,7 @@
 func (s *state) randomPeer() (fleet.Member, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	members := slices.DeleteFunc(s.view.Members(), s.isSelf)
+	members := slices.DeleteFunc(slices.Clone(s.view.Members()), s.isSelf)
 	if len(members) == 0 {
 		return fleet.Member{}, false
 	}
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -50,6 +50,18 @@
 	// leftProcess is the newest process of the upstream that has announced its shutdown, to
 	// this sidecar or to an earlier one on the instance.
 	leftProcess keyspace.Process
+	// candidatesChanged is set when the witness candidates of the key controller are out of
+	// date. They are updated before they are used: at a start, hundreds of member rows arrive
+	// at once.
+	candidatesChanged bool
+	// peerHolders are the members that are holders of the own service.
+	peerHolders []membership.Member
+	// encodedMember is the latest content of the own member row with its encoding. Only the
+	// control loop uses it.
+	encodedMember struct {
+		member fleet.Member
+		value  []byte
+	}
 	// changeLogs holds the newest changes of the assignments, by row key.
 	changeLogs map[string]*fleet.ChangeLog
 }
@@ -118,19 +130,26 @@
 	if own, ok := view.Member(s.instance.Name()); ok {
 		s.restoreLeft(own.LeftProcess)
 	}
-	for _, m := range view.Members() {
-		oldMember, known := oldView.Member(m.Instance.Name())
-		if s.allRowsLoaded && (!known || oldMember != m) {
-			s.updatedSinceLoad[m.Instance.Name()] = true
-		}
-		if known && oldMember.Incarnation != m.Incarnation {
-			s.leaseWitness.RecordSuccessor(now, m.Instance.PeerAddress(), oldMember.Incarnation, m.Incarnation)
-		}
+	if instance, ok := fleet.MemberInstance(row.Key()); ok {
+		s.memberChanged(now, oldView, instance)
 	}
-	s.keyController.SetMembers(s.witnessCandidates(now))
 	return nil
 }
 
+// memberChanged passes the newest member on an instance to the state machines. The caller
+// holds s.mu.
+func (s *state) memberChanged(now clock.Millis, oldView fleet.View, instance string) {
+	m, _ := s.view.Member(instance)
+	oldMember, known := oldView.Member(instance)
+	if s.allRowsLoaded && (!known || oldMember != m) {
+		s.updatedSinceLoad[instance] = true
+	}
+	if known && oldMember.Incarnation != m.Incarnation {
+		s.leaseWitness.RecordSuccessor(now, m.Instance.PeerAddress(), oldMember.Incarnation, m.Incarnation)
+	}
+	s.candidatesChanged = true
+}
+
 // applyDelta updates the state with a change of an assignment. The error is a
 // *fleet.BaseError if the change is one of another revision than the known one, or a
 // *fleet.RowError; the state is then unchanged.
@@ -154,6 +173,7 @@
 	versioned := s.view.Assignment(service)
 	if service == s.service {
 		s.keyController.HandleAssignment(now, versioned.Revision, versioned.Assignment)
+		s.peerHolders = s.holderMembers(service)
 	}
 	s.leaseWitness.WatchHolders(now, s.holderMembers(""))
 }
@@ -231,7 +251,7 @@
 // control address: the process of the expected one has ended. The caller holds s.mu.
 func (s *state) recordIncarnation(now clock.Millis, address string, expected, actual identity.Incarnation) {
 	s.leaseWitness.RecordSuccessor(now, address, expected, actual)
-	s.keyController.SetMembers(s.witnessCandidates(now))
+	s.candidatesChanged = true
 	s.keyController.MarkWitnessEnded(expected)
 }
 
@@ -258,6 +278,7 @@
 		if service != "" && service != name {
 			continue
 		}
+		members = slices.Grow(members, len(versioned.Assignment.Holders()))
 		for _, h := range versioned.Assignment.Holders() {
 			members = append(members, h.Member())
 		}
@@ -292,6 +313,17 @@
 	return candidates
 }
 
+// nextChange returns the change of the own service's assignment that is due at now, if any.
+func (s *state) nextChange(now clock.Millis) (keyowner.Change, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.candidatesChanged {
+		s.candidatesChanged = false
+		s.keyController.SetMembers(s.witnessCandidates(now))
+	}
+	return s.keyController.NextChange(now)
+}
+
 // dropChange returns the change that removes a holder whose lease has lapsed, and the
 // service whose assignment it changes. It returns false if no assignment names the lease.
 // The caller holds s.mu.
