sidecar: fewer calls to the store at a start and while keys move

Ruled out: the watchers' feeds (13 a second) and the writes (10 to 20 a second). Change: a feed that was read is watched once the role is known, after 1.2 s at the latest, at once by the region's watchers; sync responses and relayed rows carry the age of the store's latest answer; the probe that remains reads one row. The message between sidecars has a new optional field, which older builds ignore.

--- a/core/keyowner/controller.go
+++ b/core/keyowner/controller.go
@@ -190,8 +190,14 @@
 	}
 }
 
-// HandleStoreAnswer records that the store answered a read or a write at now.
-func (c *Controller) HandleStoreAnswer(now clock.Millis) { c.storeAnsweredAt = now }
+// HandleStoreAnswer records that the store answered a read or a write at the given time, to
+// this daemon or to another one.
+func (c *Controller) HandleStoreAnswer(at clock.Millis) {
+	c.storeAnsweredAt = max(c.storeAnsweredAt, at)
+}
+
+// StoreAnsweredAt returns the time of the latest known answer of the store, 0 if there is none.
+func (c *Controller) StoreAnsweredAt() clock.Millis { return c.storeAnsweredAt }
 
 // NeedsStoreAnswer reports whether the caller should read from the store: keys are to move,
 // and the last answer is older than half of storeAnswerMaxAge. Keys are released for a move
--- a/core/keyowner/controller_test.go
+++ b/core/keyowner/controller_test.go
@@ -282,6 +282,19 @@
 	is.True(allocated <= 10) // one for each step, whatever the number of holders
 }
 
+// TestStoreAnswersOfOtherDaemons guards against an older answer of the store, reported late by
+// another daemon, that hides a newer one, and against an old one that counts as new.
+func TestStoreAnswersOfOtherDaemons(t *testing.T) {
+	is := is.New(t)
+	c, a := newController(t)
+	c.HandleAssignment(100, 6, a.StartMove("i0", a.OwnedBy("i0")[0].Span, "i1"))
+	c.HandleStoreAnswer(1000)
+	c.HandleStoreAnswer(300)
+	is.True(!c.NeedsStoreAnswer(1500))
+	is.True(c.NeedsStoreAnswer(1700))
+	is.Equal(c.StoreAnsweredAt(), clock.Millis(1000))
+}
+
 // newController returns the controller of the holder i0 and an assignment to i0 and i1.
 func newController(t *testing.T) (*keyowner.Controller, keyspace.Assignment) {
 	t.Helper()
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -163,7 +163,7 @@
 	}
 }
 
-// probeStore reads the rows if keys are to move away from the upstream and the store has
+// probeStore reads a row if keys are to move away from the upstream and the store has
 // not answered recently, since keys are released only while the store is known to answer.
 func (a *App) probeStore(ctx context.Context) {
 	s := a.state
@@ -180,14 +180,13 @@
 	}
 	a.goOnce("probeStore", func() {
 		defer func() { <-a.writeSemaphore }()
-		rows, _, err := a.store.ReadRows(ctx, store.RouterRows)
-		if err != nil {
+		sentAt := a.clock.Now()
+		if err := a.store.Probe(ctx); err != nil {
 			a.log.Debug().Err(err).Msg("probeFailed")
 			sleepJittered(ctx, minStoreBackoff)
 			return
 		}
-		s.recordStoreAnswer(a.clock.Now())
-		a.applyRows(rows)
+		s.recordStoreAnswer(sentAt)
 	})
 }
 
--- a/sidecar/app/rowcodec.go
+++ b/sidecar/app/rowcodec.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"briarwell.dev/core/clock"
 	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/table"
 )
@@ -39,6 +40,9 @@
 	Newest   table.Revision `json:"newest,omitempty"`
 	// Rows holds the responder's rows that are newer than the versions in the request.
 	Rows []encodedRow `json:"rows,omitempty"`
+	// StoreAge is the age in milliseconds of the latest answer of the store that the
+	// responder knows of.
+	StoreAge *clock.Millis `json:"storeAgeMillis,omitempty"`
 	// Behind reports whether the versions in the request include newer ones than the
 	// responder has.
 	Behind bool `json:"behind"`
@@ -46,6 +50,9 @@
 
 type rowsRequest struct {
 	Rows []encodedRow `json:"rows"`
+	// StoreAge is the age in milliseconds of the latest answer of the store that the sender
+	// knows of.
+	StoreAge *clock.Millis `json:"storeAgeMillis,omitempty"`
 }
 
 type rowsResponse struct {
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -44,7 +44,7 @@
 		a.setWatching(store.OperatorRows, !anyWatching || ownIndex >= 0)
 		// The second watcher gets the router's rows from the first.
 		a.setWatching(store.RouterRows, !anyWatching || ownIndex == 0)
-		a.watcherRoleKnown.Store(len(watchers) > 0)
+		a.watcherRoleKnown.Store(len(watchers) > 0 || ownIndex >= 0)
 		if round%randomSyncRounds == 0 {
 			if m, ok := a.state.randomPeer(); ok {
 				a.syncWith(ctx, m)
@@ -82,11 +82,13 @@
 	address := member.Instance.PeerAddress()
 	request := syncRequest{Checksum: a.rows.Checksum(), Newest: a.rows.Newest(), Assignments: a.assignmentVersions()}
 	var response syncResponse
+	sentAt := a.clock.Now()
 	if err := a.peers.call(ctx, address, pathSync, request, &response); err != nil {
 		a.log.Debug().Err(err).Str("peer", address).Msg("syncFailed")
 		a.state.markUnreachable(a.clock.Now(), member)
 		return false
 	}
+	a.state.recordStoreAnswerAge(sentAt, response.StoreAge)
 	if response.Same {
 		return response.Watching
 	}
@@ -134,7 +136,7 @@
 		rows := a.encodeRowsSince(a.rows.NewerThan(request.Versions), request.Versions)
 		return syncResponse{Watching: watching, Rows: rows, Behind: a.rows.IsBehind(request.Versions)}
 	}
-	response := syncResponse{Watching: watching, Checksum: a.rows.Checksum(), Newest: a.rows.Newest()}
+	response := syncResponse{Watching: watching, Checksum: a.rows.Checksum(), Newest: a.rows.Newest(), StoreAge: a.state.storeAnswerAge(a.clock.Now())}
 	response.Same = request.Checksum == response.Checksum
 	if !response.Same && request.Newest > 0 {
 		response.Rows = a.encodeRowsSince(a.rows.ChangedAfter(request.Newest), request.Assignments)
@@ -150,7 +152,7 @@
 
 func (a *App) sendEncodedRows(ctx context.Context, to fleet.Member, rows []encodedRow) {
 	var response rowsResponse
-	if err := a.peers.call(ctx, to.Instance.PeerAddress(), pathRows, rowsRequest{Rows: rows}, &response); err != nil {
+	if err := a.peers.call(ctx, to.Instance.PeerAddress(), pathRows, rowsRequest{Rows: rows, StoreAge: a.state.storeAnswerAge(a.clock.Now())}, &response); err != nil {
 		a.log.Debug().Err(err).Str("peer", to.Instance.Name()).Msg("rowsNotSent")
 		return
 	}
@@ -169,6 +171,7 @@
 
 // handleRows applies rows from another sidecar and relays those that were newer.
 func (a *App) handleRows(request rowsRequest) rowsResponse {
+	a.state.recordStoreAnswerAge(a.clock.Now(), request.StoreAge)
 	changed, missing := a.applyEncodedRows(request.Rows)
 	a.relayRows(context.Background(), changed, false)
 	return rowsResponse{Missing: missing}
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -255,11 +255,33 @@
 	s.keyController.MarkWitnessEnded(expected)
 }
 
-// recordStoreAnswer records that the store answered at now.
-func (s *state) recordStoreAnswer(now clock.Millis) {
+// recordStoreAnswer records that the store answered at the given time.
+func (s *state) recordStoreAnswer(at clock.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.keyController.HandleStoreAnswer(now)
+	s.keyController.HandleStoreAnswer(at)
+}
+
+// storeAnswerAge returns the age in milliseconds of the latest known answer of the store, nil
+// if there is none.
+func (s *state) storeAnswerAge(now clock.Millis) *clock.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := s.keyController.StoreAnsweredAt()
+	if at == 0 {
+		return nil
+	}
+	age := now - at
+	return &age
+}
+
+// recordStoreAnswerAge records what another sidecar reported as the age of the store's latest
+// answer, in a message of the given time. Most sidecars have no call to the store of their own
+// for long.
+func (s *state) recordStoreAnswerAge(at clock.Millis, age *clock.Millis) {
+	if age != nil && *age >= 0 {
+		s.recordStoreAnswer(at - *age)
+	}
 }
 
 // avoidWitness excludes a sidecar that did not respond from the choice of witnesses for a
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -23,8 +23,13 @@
 	// close together.
 	minWatchInterval = 120 * time.Millisecond
 	// startupWatchInterval replaces minWatchInterval at the start, when all sidecars
-	// watch the store and write their rows.
-	startupWatchInterval = 250 * time.Millisecond
+	// watch the store and write their rows. It is longer than most sync rounds, after
+	// which few still watch.
+	startupWatchInterval = 600 * time.Millisecond
+	// watcherRoleWait is the longest time in milliseconds for which a feed that was read is
+	// not watched because the sidecar doesn't know yet whether it has to: all write their
+	// rows and would wake each other up.
+	watcherRoleWait clock.Millis = 1200
 	// watchingPollInterval is the shortest time between two checks whether to watch a
 	// feed; a random time of up to the same length is added.
 	watchingPollInterval = 50 * time.Millisecond
@@ -74,12 +79,26 @@
 		if feed == store.RouterRows && !loaded {
 			a.state.markLoaded(a.clock.Now())
 		}
-		after, loaded = revision, true
 		a.feedReachable[feed].Store(true)
+		if !loaded {
+			a.awaitWatcherRole(ctx)
+		}
+		after, loaded = revision, true
 		sleepJittered(ctx, a.watchInterval())
 	}
 }
 
+// awaitWatcherRole waits until it is known whether this sidecar has to watch the store, for
+// at most watcherRoleWait. It returns at once if the sidecar is one of the region's watchers.
+func (a *App) awaitWatcherRole(ctx context.Context) {
+	for until := a.clock.Now() + watcherRoleWait; a.clock.Now() < until && ctx.Err() == nil && !a.watcherRoleKnown.Load(); {
+		if _, ownIndex := a.state.regionWatchers(a.clock.Now()); ownIndex >= 0 {
+			return
+		}
+		sleepJittered(ctx, watchingPollInterval)
+	}
+}
+
 func (a *App) watchInterval() time.Duration {
 	if a.watcherRoleKnown.Load() {
 		return minWatchInterval
