A response that is dropped for lack of memory is no sign of an unreachable sidecar

Cause: found by the new TestSmallRequestsBesideUploads, on the code before: with 12 callers that upload without a pause, small requests to the same service were refused at once (503, no-owner, no attempt). A sidecar whose memory for bodies was used up could not read a response and reported the connection as lost; the other instance then counted as unreachable for 0.4 to 3 s, for all requests, and its idle connections were closed. Ruled out: admission (no request reached it) and the link (none is set). Change: the client says when it gave up a response for its size or for lack of memory; the outcome is unknown with reason response-dropped, counts neither against the instance nor the upstream, and leaves the other connections open.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -284,11 +284,11 @@
 			d.balancer.RecordResult(now, name, false)
 		}
 	case outcome.Unknown:
-		if ctx.Err() == nil || p.timedOut(ctx, now-sentAt) {
+		if p.upstreamFailed(ctx, o.Reason(), now-sentAt) {
 			d.balancer.RecordResult(now, name, false)
 		}
 		switch {
-		case reply.HasLoad:
+		case reply.HasLoad || o.Reason() == outcome.ReasonResponseDropped:
 		case o.Reason() == outcome.ReasonConnectionLost:
 			d.balancer.RecordUnreachable(now, name)
 		case now-sentAt >= unresponsiveAfter:
@@ -297,6 +297,16 @@
 	}
 }
 
+// upstreamFailed reports whether a request without a response counts as a failure of its
+// upstream. One that was cancelled does not, nor one whose response a daemon dropped for lack
+// of memory.
+func (p *pendingRequest) upstreamFailed(ctx context.Context, reason outcome.Reason, elapsed clock.Millis) bool {
+	if reason == outcome.ReasonResponseDropped {
+		return false
+	}
+	return ctx.Err() == nil || p.timedOut(ctx, elapsed)
+}
+
 // timedOut reports whether a request ended without a response although the upstream had the
 // route's target latency for it. A request whose caller allowed less time, or has left, shows
 // nothing about the upstream.
--- a/core/httpclient/client.go
+++ b/core/httpclient/client.go
@@ -205,11 +205,11 @@
 	c.idle = append(c.idle, conn)
 }
 
-// discard closes a connection whose request failed. Unless the request was cancelled, it
-// also closes all idle connections, as they may be dead for the same reason.
-func (c *Client) discard(conn *connection, cancelled bool) {
+// discard closes a connection whose request failed. Unless the client itself ended it, it also
+// closes all idle connections, as they may be dead for the same reason.
+func (c *Client) discard(conn *connection, endedByClient bool) {
 	_ = conn.Close()
-	if !cancelled {
+	if !endedByClient {
 		c.CloseIdle()
 	}
 }
--- a/core/httpclient/request.go
+++ b/core/httpclient/request.go
@@ -80,6 +80,14 @@
 // ConnectionRefused reports whether no process listens at the address.
 func (e *Error) ConnectionRefused() bool { return e.connectionRefused }
 
+// ResponseDropped reports whether the client gave up reading the response, as it was too large
+// or there was no memory for it. That says nothing about the server's reachability.
+func (e *Error) ResponseDropped() bool {
+	var tooLarge *memory.TooLargeError
+	var exhausted *memory.ExhaustedError
+	return e.sent && (errors.As(e.cause, &tooLarge) || errors.As(e.cause, &exhausted))
+}
+
 func (e *Error) Error() string {
 	if !e.sent {
 		return "HTTP request not sent: " + e.cause.Error()
@@ -110,11 +118,12 @@
 	response, reusable, err := conn.roundTrip(r)
 	notInterrupted := stop()
 	if err != nil {
-		c.discard(conn, errors.Is(ctx.Err(), context.Canceled))
+		failure := &Error{sent: conn.bytesSent > 0, complete: conn.requestComplete, cause: err}
+		c.discard(conn, failure.ResponseDropped() || errors.Is(ctx.Err(), context.Canceled))
 		if ctx.Err() != nil {
-			err = ctx.Err()
+			failure.cause = ctx.Err()
 		}
-		return Response{}, &Error{sent: conn.bytesSent > 0, complete: conn.requestComplete, cause: err}
+		return Response{}, failure
 	}
 	c.release(conn, reusable && notInterrupted)
 	return response, nil
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -62,6 +62,9 @@
 	ReasonTimeout        Reason = "timeout"
 	ReasonOlderEpoch     Reason = "older-epoch"
 	ReasonLeaseLost      Reason = "lease-lost"
+	// ReasonResponseDropped is the reason of a response that was too large or for which
+	// there was no memory.
+	ReasonResponseDropped Reason = "response-dropped"
 )
 
 // Outcome is Done, NotRun or Unknown.
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -222,6 +222,8 @@
 		return dispatch.NotRun(outcome.ReasonUnreachable)
 	case ctx.Err() != nil:
 		return dispatch.Unknown(outcome.ReasonTimeout)
+	case clientErr != nil && clientErr.ResponseDropped():
+		return dispatch.Unknown(outcome.ReasonResponseDropped)
 	default:
 		return dispatch.Unknown(outcome.ReasonConnectionLost)
 	}
--- a/sidecar/app/upload_test.go
+++ b/sidecar/app/upload_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -162,3 +164,49 @@
 		is.True(strings.HasSuffix(text, ": own"))
 	}
 }
+
+// TestSmallRequestsBesideUploads guards against small requests that wait for large bodies: 12
+// callers upload without a pause through the sidecars that also serve the small requests. It
+// logs the times of these with and without the uploads, and the memory of the process.
+func TestSmallRequestsBesideUploads(t *testing.T) {
+	is := is.New(t)
+	c, in, _ := newUploadCluster(t, 55)
+	const smallRequests = 200
+	const targetLatency = 400 * time.Millisecond // of the route
+	measure := func(name string) time.Duration {
+		times := make([]time.Duration, 0, smallRequests)
+		for i := range smallRequests {
+			began := time.Now()
+			status, _ := c.sendRequest(in, http.MethodPost, fmt.Sprintf("/book/%s-%d", name, i), 1)
+			is.Equal(status, http.StatusOK)
+			times = append(times, time.Since(began))
+			time.Sleep(5 * time.Millisecond)
+		}
+		slices.Sort(times)
+		return times[smallRequests*99/100]
+	}
+	alone := measure("alone")
+	var before, during runtime.MemStats
+	runtime.ReadMemStats(&before)
+	ctx, cancel := context.WithCancel(t.Context())
+	var uploads sync.WaitGroup
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	for i := range 12 {
+		uploads.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				status, _, _ := c.sendUpload(t.Context(), in, fmt.Sprintf("beside-%d-%d", i, n), make([]byte, 100_000), false)
+				mu.Lock()
+				statuses[status]++
+				mu.Unlock()
+			}
+		})
+	}
+	beside := measure("beside")
+	runtime.ReadMemStats(&during)
+	cancel()
+	uploads.Wait()
+	t.Logf("p99 %v alone, %v beside uploads; uploads by status %v; memory of the process %d to %d kB", alone, beside, statuses, before.Sys>>10, during.Sys>>10)
+	is.True(statuses[http.StatusOK] > 0)
+	is.True(beside < targetLatency)
+}
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -70,6 +70,9 @@
 		if ctx.Err() != nil {
 			return dispatch.Unknown(outcome.ReasonTimeout)
 		}
+		if clientErr != nil && clientErr.ResponseDropped() {
+			return dispatch.Unknown(outcome.ReasonResponseDropped)
+		}
 		return dispatch.Unknown(outcome.ReasonConnectionLost)
 	}
 	if clientErr.ConnectionRefused() {
--- a/sidecar/explain/explain.go
+++ b/sidecar/explain/explain.go
@@ -196,6 +196,7 @@
 		"malformed":         "not run: the other sidecar could not read the request, or not all of its body",
 		"timeout":           "unknown: it was sent to the upstream, and its deadline passed without an answer",
 		"connection-lost":   "unknown: the connection was lost after it was sent",
+		"response-dropped":  "unknown: its response was too large, or there was no memory for it",
 		"":                  "answered by the upstream, but late, after another attempt, or with a server error",
 	}
 }
