httpclient, sidecar: fewer allocations for each request, fewer collections

A profile of allocations of 90 sidecars under load has the 4 kB buffer that each request head was written through as the largest part of their own (115 of some 500 MB); each sync round copied all members of the region, or of all regions. Ruled out: memory as the reason for the collections (soft limit 40 MB, peak 24). Change: buffers come from a pool; the watchers and a random peer are chosen without a copy; the collector runs after a growth of 200%, within the same soft limit. Tests of core/httpclient and sidecar/app pass.

--- a/core/httpclient/request.go
+++ b/core/httpclient/request.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"briarwell.dev/core/memory"
@@ -182,7 +183,12 @@
 
 // writeRequest writes the head, and also the body if withBody is true.
 func (c *connection) writeRequest(r Request, withBody bool) error {
-	w := bufio.NewWriterSize(countingWriter{c}, writeBufferBytes)
+	w, _ := writers.Get().(*bufio.Writer)
+	w.Reset(countingWriter{c})
+	defer func() {
+		w.Reset(nil) // Drops the connection and a write error.
+		writers.Put(w)
+	}()
 	_, _ = w.WriteString(r.Method + " " + r.RequestURI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
 		for _, value := range values {
@@ -205,6 +211,10 @@
 
 const writeBufferBytes = 4 << 10
 
+// writers holds the buffers for request heads. One for each request would be a fifth of all
+// memory that a sidecar allocates, and one for each connection would lie idle.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }} //nolint:gochecknoglobals // Shared by all clients.
+
 // awaitContinue reads responses until the server asks for the body or refuses the request.
 // It reports whether the server responded finally.
 func (c *connection) awaitContinue(r Request) (Response, bool, error) {
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -183,6 +183,7 @@
 // Run serves until ctx ends or a background task fails, then stops gracefully. It returns
 // the error of that task.
 func (a *App) Run(ctx context.Context) error {
+	setCollectorPercent()
 	a.updateMemoryLimit()
 	background, cancel := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -193,18 +193,29 @@
 	}
 }
 
-// regionMembers returns the members of this sidecar's region, including itself, that are
-// not marked as unreachable, the strongest first and equal ones by name. The caller holds
-// s.mu.
-func (s *state) regionMembers(now clock.Millis) []fleet.Member {
-	members := make([]fleet.Member, 0, s.view.MemberCount())
+// isRegionMember reports whether the member is in this sidecar's region and not marked as
+// unreachable. The caller holds s.mu.
+func (s *state) isRegionMember(now clock.Millis, m fleet.Member) bool {
+	return m.Instance.Location().Region() == s.instance.Location().Region() && now >= s.unreachableUntil[m.Instance.Name()]
+}
+
+// allRegionWatchers returns the sidecars of the region, maybe including this one, that should
+// watch the store: the strongest that are not marked as unreachable, equal ones by name. The
+// caller holds s.mu.
+func (s *state) allRegionWatchers(now clock.Millis) []fleet.Member {
+	watchers := make([]fleet.Member, 0, watchersPerRegion+1)
 	for _, m := range s.view.Members() {
-		if m.Instance.Location().Region() == s.instance.Location().Region() && now >= s.unreachableUntil[m.Instance.Name()] {
-			members = append(members, m)
+		if !s.isRegionMember(now, m) {
+			continue
+		}
+		i := slices.IndexFunc(watchers, func(other fleet.Member) bool { return m.Strength > other.Strength })
+		if i < 0 {
+			i = len(watchers)
 		}
+		watchers = slices.Insert(watchers, i, m)
+		watchers = watchers[:min(len(watchers), watchersPerRegion)]
 	}
-	slices.SortStableFunc(members, func(a, b fleet.Member) int { return b.Strength - a.Strength })
-	return members
+	return watchers
 }
 
 // regionWatchers returns the other sidecars of the region that should watch the store,
@@ -212,8 +223,7 @@
 func (s *state) regionWatchers(now clock.Millis) ([]fleet.Member, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	watchers := s.regionMembers(now)
-	watchers = watchers[:min(len(watchers), watchersPerRegion)]
+	watchers := s.allRegionWatchers(now)
 	ownIndex := slices.IndexFunc(watchers, s.isSelf)
 	if ownIndex < 0 {
 		return watchers, ownIndex
@@ -227,8 +237,7 @@
 func (s *state) relayTargets(now clock.Millis, includeWatchers bool) []fleet.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	members := s.regionMembers(now)
-	watchers := members[:min(len(members), watchersPerRegion)]
+	watchers := s.allRegionWatchers(now)
 	ownIndex := slices.IndexFunc(watchers, s.isSelf)
 	if ownIndex < 0 {
 		return nil
@@ -239,10 +248,15 @@
 			targets = append(targets, m)
 		}
 	}
-	for i, m := range members[len(watchers):] {
-		if i%len(watchers) == ownIndex {
+	others := 0
+	for _, m := range s.view.Members() {
+		if !s.isRegionMember(now, m) || slices.ContainsFunc(watchers, func(w fleet.Member) bool { return w.Instance.Name() == m.Instance.Name() }) {
+			continue
+		}
+		if others%len(watchers) == ownIndex {
 			targets = append(targets, m)
 		}
+		others++
 	}
 	return targets
 }
@@ -264,9 +278,13 @@
 func (s *state) randomPeer() (fleet.Member, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	members := slices.DeleteFunc(slices.Clone(s.view.Members()), s.isSelf)
+	members := s.view.Members()
 	if len(members) == 0 {
 		return fleet.Member{}, false
 	}
-	return members[rand.IntN(len(members))], true //nolint:gosec // Used only to spread the calls.
+	i := rand.IntN(len(members)) //nolint:gosec // Used only to spread the calls.
+	if s.isSelf(members[i]) {
+		i = (i + 1) % len(members)
+	}
+	return members[i], !s.isSelf(members[i])
 }
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -169,11 +169,23 @@
 	// messages, near which the garbage collector runs more often: the users allow a sidecar
 	// 40 MB.
 	baseMemoryBytes = 40 << 20
+	// collectorPercent is the growth of the heap in percent after which the garbage collector
+	// runs. The live heap is small, so that the collector takes a tenth of the processor
+	// time more at the runtime's default of 100.
+	collectorPercent = 200
 	// memoryLimitStep is the difference in bytes from which the limit is set again, since
 	// that stops all goroutines for a moment.
 	memoryLimitStep = 4 << 20
 )
 
+// setCollectorPercent sets how often the garbage collector runs while the memory is far from
+// its limit, unless the environment does.
+func setCollectorPercent() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectorPercent)
+	}
+}
+
 // updateMemoryLimit raises the soft limit of the Go runtime's memory by the bodies that are
 // in progress, unless the environment sets one.
 func (a *App) updateMemoryLimit() {
