--- a/demo/main.go
+++ b/demo/main.go
@@ -44,12 +44,6 @@
 	// placement and hotKeys are passed to the settings of the daemons.
 	placement string
 	hotKeys   bool
-	// daemonCounts, shardsPerService, measureRestart and resultFile belong to the
-	// capacity subcommand.
-	daemonCounts     string
-	shardsPerService int
-	measureRestart   bool
-	resultFile       string
 	// seedCount, concurrentSeeds and instanceCount belong to the soak subcommand.
 	seedCount       int
 	concurrentSeeds int
@@ -60,9 +54,6 @@
 type subcommand struct {
 	parser *flaggy.Subcommand
 	run    func(context.Context, harness.Programs) error
-	// needsNoPrograms means that the subcommand starts no processes, so that the
-	// programs are not built.
-	needsNoPrograms bool
 }
 
 func main() {
@@ -77,7 +68,7 @@
 
 func run(ctx context.Context) error {
 	o := options{
-		workspaceRoot: ".", build: true, regionCount: 3, upstreamCount: 6, logLevel: "info", seed: 1, durationMinutes: 5, roundCount: 5, daemonCounts: "42,168,335,670", shardsPerService: 4096, measureRestart: true,
+		workspaceRoot: ".", build: true, regionCount: 3, upstreamCount: 6, logLevel: "info", seed: 1, durationMinutes: 5, roundCount: 5,
 		seedCount: 1, concurrentSeeds: 1, instanceCount: 6,
 	}
 	flaggy.SetName("bwdemo")
@@ -101,9 +92,6 @@
 		if !s.parser.Used {
 			continue
 		}
-		if s.needsNoPrograms {
-			return s.run(ctx, harness.Programs{})
-		}
 		programs, err := o.preparePrograms(ctx)
 		if err != nil {
 			return err
@@ -135,14 +123,6 @@
 	bench.Duration(&o.duration, "", "round", "duration of each path in a round; 5s if 0")
 	bench.Int(&o.roundCount, "", "rounds", "number of measured rounds")
 
-	capacity := flaggy.NewSubcommand("capacity")
-	capacity.Description = "Measures the cost of the control plane for each daemon in simulated time."
-	capacity.String(&o.daemonCounts, "", "sizes", "numbers of daemons to measure, separated by commas")
-	capacity.Int(&o.shardsPerService, "", "shards", "number of shards of each of the two keyed services")
-	capacity.Bool(&o.measureRestart, "", "restart", "also measure a restart of all daemons")
-	capacity.String(&o.resultFile, "", "json", "file for the JSON results; standard output if empty")
-	capacity.UInt64(&o.seed, "", "seed", "seed of the incarnations and start times of the daemons")
-
 	soak := flaggy.NewSubcommand("soak")
 	soak.Description = "Injects overlapping faults into sidecars, upstreams, the store and their connections, and checks the responses and executions of requests."
 	soak.UInt64(&o.seed, "", "seed", "first seed")
@@ -161,7 +141,6 @@
 		{parser: outage, run: o.runOutage},
 		{parser: festival, run: o.runHotKeyTraffic},
 		{parser: bench, run: o.runBench},
-		{parser: capacity, run: o.runCapacity, needsNoPrograms: true},
 		{parser: soak, run: o.runSoak},
 	}
 }
