--- a/core/heartbeat/heartbeat_test.go
+++ b/core/heartbeat/heartbeat_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"briarwell.dev/core/clock"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/keyspace"
 )
@@ -51,3 +52,22 @@
 	is.Equal(tracker.Observe(3, newReport("y", 20, 1, false)), heartbeat.Started)
 	is.True(!tracker.Leaving() && !tracker.Ended())
 }
+
+// TestProcessStartedAfterClockStep guards against an upstream that is never used again since
+// it was restarted after the time of day had been set back: its start time is then lower than
+// that of the process before it, which no longer reports. After a loss, requests must be
+// served again within 3 s.
+func TestProcessStartedAfterClockStep(t *testing.T) {
+	is := is.New(t)
+	tracker := heartbeat.NewTracker("s", "a")
+	earlier := heartbeat.Report{Process: keyspace.NewProcess("u1", 20_000), Sequence: 1, Service: "s", Address: "a", Slots: 2}
+	is.Equal(tracker.Observe(0, earlier), heartbeat.Started)
+	for i := range clock.Millis(4) {
+		later := earlier
+		later.Process, later.Sequence = keyspace.NewProcess("u2", 13_000), int64(i)+1
+		if tracker.Observe(1000+870*i, later) == heartbeat.Started {
+			return
+		}
+	}
+	t.Error("the restarted upstream is not used 3 s after its first report")
+}
