retry, sidecar: fewer calls to the store during an outage

While the watchers of a region get no answer, every sidecar watches both feeds itself and calls every 375 ms in the mean, for as long as the outage lasts; writes and probes are repeated as often. Change: core/retry has Outage, a state machine: watchers call as often as before, to notice the end; others double their pause up to 2 to 4 s, and call at once (within 250 ms) when they learn from another sidecar that the store answers again. News does not shorten the pause of a sidecar that is refused while others are served. One feed asks for both.

--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -95,6 +95,9 @@
 	// writeSemaphore admits one operation at a time: a commit to the store, a probe of
 	// the store, or a proposal to another sidecar.
 	writeSemaphore chan struct{}
+	// writeOutage bounds the calls that write, probe the store, or read what became of a
+	// write.
+	writeOutage storeOutage
 	// proposals holds the changes that other sidecars proposed to this one.
 	proposals proposalQueue
 	// queriedLoads are the loads that other holders reported at loadsQueriedAt. Only
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -170,7 +170,7 @@
 	s.mu.Lock()
 	needed := s.keyController.NeedsStoreAnswer(a.clock.Now())
 	s.mu.Unlock()
-	if !needed {
+	if !needed || !a.writeOutage.callDue(a) {
 		return
 	}
 	select {
@@ -183,17 +183,22 @@
 		sentAt := a.clock.Now()
 		if err := a.store.Probe(ctx); err != nil {
 			a.log.Debug().Err(err).Msg("probeFailed")
-			sleepJittered(ctx, minStoreBackoff)
+			a.writeOutage.recordFailure(a, false)
 			return
 		}
+		a.writeOutage.recordSuccess()
 		s.recordStoreAnswer(sentAt)
 	})
 }
 
 // commitAssignmentAsync writes an assignment in the background. It does nothing while
-// another operation holds the write semaphore. With ownChange, the change comes from
-// this sidecar's key controller, which is notified of the commit.
+// another operation holds the write semaphore, or during the pause after a failed call to the
+// store. With ownChange, the change comes from this sidecar's key controller, which is notified
+// of the commit.
 func (a *App) commitAssignmentAsync(ctx context.Context, service string, change keyowner.Change, ownChange bool) {
+	if !a.writeOutage.callDue(a) {
+		return
+	}
 	select {
 	case a.writeSemaphore <- struct{}{}:
 	default:
@@ -236,6 +241,7 @@
 	revision, err := a.store.Commit(ctx, transaction)
 	if err == nil {
 		a.state.recordStoreAnswer(a.clock.Now())
+		a.writeOutage.recordSuccess()
 		a.consecutiveConflicts.Store(0)
 		a.log.Info().Str("row", key).Str("reason", reason).Uint64("base", uint64(base)).Uint64("revision", uint64(revision)).Msg("rowWritten")
 		return revision, true
@@ -243,12 +249,14 @@
 	a.log.Warn().Err(err).Str("row", key).Str("reason", reason).Uint64("base", uint64(base)).Msg("rowNotWritten")
 	var statusErr *store.StatusError
 	if errors.As(err, &statusErr) {
+		a.writeOutage.recordFailure(a, false)
 		sleepJittered(ctx, minStoreBackoff)
 		return 0, false
 	}
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		a.state.recordStoreAnswer(a.clock.Now())
+		a.writeOutage.recordSuccess()
 	}
 	if errors.As(err, &conflict) && len(conflict.CurrentRows()) > 0 && conflict.CurrentRows()[0].Version() > 0 {
 		a.applyRows(conflict.CurrentRows())
@@ -260,10 +268,12 @@
 	for ctx.Err() == nil {
 		rows, _, err := a.store.ReadRows(ctx, store.RouterRows)
 		if err == nil {
+			a.writeOutage.recordSuccess()
 			a.applyRows(rows)
 			return 0, false
 		}
-		sleepJittered(ctx, minStoreBackoff)
+		a.writeOutage.recordFailure(a, false)
+		a.writeOutage.await(ctx, a)
 	}
 	return 0, false
 }
@@ -292,7 +302,7 @@
 	}
 	key := fleet.MemberKey(s.instance.Name())
 	row := a.rows.Get(key)
-	if bytes.Equal(row.Value(), value) {
+	if bytes.Equal(row.Value(), value) || !a.writeOutage.callDue(a) {
 		return
 	}
 	select {
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -15,8 +15,8 @@
 	// longPollWait is the time in milliseconds for which one call waits for changes; the
 	// store allows 30 s.
 	longPollWait clock.Millis = 25_000
-	// minStoreBackoff is the shortest time before a failed call to the store is retried;
-	// a random time of up to the same length is added.
+	// minStoreBackoff is the shortest pause after a call that the store refused; a random
+	// time of up to the same length is added. During an outage, retry.Outage decides.
 	minStoreBackoff = 250 * time.Millisecond
 	// minWatchInterval is the shortest time between two calls that wait for changes; a
 	// random time of up to the same length is added. It batches changes that are made
@@ -40,6 +40,7 @@
 func (a *App) watchLoop(ctx context.Context, feed store.Feed) {
 	var after table.Revision
 	loaded, reachable := false, true
+	var outage storeOutage
 	for ctx.Err() == nil {
 		if loaded && !a.watching[feed].Load() {
 			sleepJittered(ctx, watchingPollInterval)
@@ -69,9 +70,10 @@
 			a.log.Warn().Bool("reachable", reachable).Err(err).Int("feed", int(feed)).Msg("storeReachable")
 		}
 		if err != nil {
-			sleepJittered(ctx, minStoreBackoff)
+			a.awaitFeed(ctx, feed, &outage)
 			continue
 		}
+		outage.recordSuccess()
 		a.state.recordStoreAnswer(a.clock.Now())
 		if changed := a.applyRows(rows); loaded && len(changed) > 0 {
 			a.relayRows(ctx, changed, true)
