heartbeat: an upstream that was restarted after its clock was set back is used

After a step back of the time of day a new process has the lower one, so that all its reports counted as late, without keys or requests until that time had passed. Change: a process with a lower start time counts as started after three reports that come 400 ms or more apart while the known process sends none. Delayed reports of an ended process come together, or beside those of the running one. One that left is not replaced by a process of the same ID, as upstreams tell their processes apart by the ID only. Whether a left process is remembered no longer depends on start times either.

--- a/core/heartbeat/heartbeat.go
+++ b/core/heartbeat/heartbeat.go
@@ -55,15 +55,29 @@
 	Accepted Verdict = "accepted"
 	// Started means that the report is the first of a new process.
 	Started Verdict = "started"
-	// Late means that a newer report or a newer process is known.
+	// Late means that a newer report or a newer process is known. Also the first reports of a
+	// process with a lower start time are late, see Tracker.
 	Late Verdict = "late"
 	// Foreign means that the report has another service or address than the tracked
 	// upstream, or does not identify a process.
 	Foreign Verdict = "foreign"
 )
 
+const (
+	// successorReports is the number of reports after which a process counts as started
+	// although its start time is not higher than that of the known one. Reports that were
+	// delayed arrive together, so only those count that come successorInterval or more
+	// milliseconds apart: a running process reports every 870 ms.
+	successorReports               = 3
+	successorInterval clock.Millis = 400
+)
+
 // Tracker keeps the newest report of the upstream at one address, across restarts of
 // its process. The zero value has no report. It is not safe for concurrent use.
+//
+// Processes are ordered by their start times. These come from the upstream's time of day,
+// which may be set back, so that a new process may have the lower one. It is told from delayed
+// reports of an ended process in that it goes on reporting while the known process does not.
 type Tracker struct {
 	service      string
 	address      string
@@ -72,6 +86,18 @@
 	lastReceived clock.Millis
 	leaving      bool
 	ended        bool
+	successor    successor
+}
+
+// successor is a process with a lower start time that has reported since the known process
+// has.
+type successor struct {
+	process  keyspace.Process
+	sequence int64
+	// reports counts the reports that came successorInterval or more apart, countedAt is the
+	// time of the last of them.
+	reports   int
+	countedAt clock.Millis
 }
 
 // NewTracker returns a tracker of the upstream of a service at an address.
@@ -86,19 +112,41 @@
 	}
 	known := t.last.Process
 	switch {
-	case !t.hasReport || r.Process.StartUnixMillis() > known.StartUnixMillis():
+	case !t.hasReport || r.Process.StartUnixMillis() > known.StartUnixMillis() || r.Process != known && t.isSuccessor(now, r):
 		t.last, t.hasReport, t.lastReceived = r, true, now
-		t.leaving, t.ended = r.Leaving, false
+		t.leaving, t.ended, t.successor = r.Leaving, false, successor{}
 		return Started
 	case r.Process != known || r.Sequence <= t.last.Sequence:
 		return Late
 	default:
-		t.last, t.lastReceived, t.ended = r, now, false
+		t.last, t.lastReceived, t.ended, t.successor = r, now, false, successor{}
 		t.leaving = t.leaving || r.Leaving
 		return Accepted
 	}
 }
 
+// isSuccessor records a report of a process other than the known one, and reports whether that
+// process has replaced the known one.
+func (t *Tracker) isSuccessor(now clock.Millis, r Report) bool {
+	if t.leaving && !t.ended && r.Process.ID() == t.last.Process.ID() {
+		// Upstreams tell their processes apart by ID only: one that leaves would get requests
+		// that are meant for the other.
+		return false
+	}
+	s := &t.successor
+	switch {
+	case s.process != r.Process:
+		*s = successor{process: r.Process, sequence: r.Sequence, reports: 1, countedAt: now}
+	case r.Sequence > s.sequence:
+		s.sequence = r.Sequence
+		if now-s.countedAt >= successorInterval {
+			s.reports++
+			s.countedAt = now
+		}
+	}
+	return s.reports >= successorReports
+}
+
 // MarkLeaving records that the upstream with the given ID shuts down for good. It
 // returns false if the ID is not that of the known process.
 func (t *Tracker) MarkLeaving(id string) bool {
--- a/core/heartbeat/heartbeat_test.go
+++ b/core/heartbeat/heartbeat_test.go
@@ -71,3 +71,40 @@
 	}
 	t.Error("the restarted upstream is not used 3 s after its first report")
 }
+
+// TestDelayedReportsOfEndedProcess guards against an ended process that counts as restarted
+// since its reports were delayed: they arrive together, or beside those of the running process.
+func TestDelayedReportsOfEndedProcess(t *testing.T) {
+	is := is.New(t)
+	tracker := heartbeat.NewTracker("s", "a")
+	is.Equal(tracker.Observe(0, newReport("x", 20, 1, false)), heartbeat.Started)
+	for i := range int64(10) { // together, after a freeze of this instance
+		is.Equal(tracker.Observe(clock.Millis(9000+i*30), newReport("w", 10, i+1, false)), heartbeat.Late)
+	}
+	for i := range int64(8) { // one by one, beside the running process
+		now := clock.Millis(10_000 + i*870)
+		is.Equal(tracker.Observe(now, newReport("x", 20, i+2, false)), heartbeat.Accepted)
+		is.Equal(tracker.Observe(now+400, newReport("w", 10, i+11, false)), heartbeat.Late)
+	}
+	for i := range int64(8) { // the same report again and again
+		is.Equal(tracker.Observe(clock.Millis(20_000+i*870), newReport("w", 10, 30, false)), heartbeat.Late)
+	}
+}
+
+// TestLeavingProcessIsNotReplacedUnderItsID guards against requests that reach a leaving
+// upstream since a delayed report names an earlier process with the same ID.
+func TestLeavingProcessIsNotReplacedUnderItsID(t *testing.T) {
+	is := is.New(t)
+	tracker := heartbeat.NewTracker("s", "a")
+	is.Equal(tracker.Observe(0, newReport("x", 20, 1, true)), heartbeat.Started)
+	for i := range int64(5) {
+		is.Equal(tracker.Observe(clock.Millis(1000+i*870), newReport("x", 10, i+1, false)), heartbeat.Late)
+	}
+	tracker.MarkEnded()
+	verdict := heartbeat.Late
+	for i := range int64(3) {
+		verdict = tracker.Observe(clock.Millis(9000+i*870), newReport("x", 10, i+9, false))
+	}
+	is.Equal(verdict, heartbeat.Started)
+	is.True(!tracker.Leaving())
+}
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -188,7 +188,7 @@
 	defer s.mu.Unlock()
 	known := s.tracker.MarkLeaving(id)
 	if last, _ := s.tracker.Last(); known {
-		s.leftProcess = last.Process
+		s.recordLeft(last.Process)
 	}
 	if known && s.leaveAcknowledgedAt == 0 {
 		s.leaveAcknowledgedAt = now
--- a/sidecar/app/restart_test.go
+++ b/sidecar/app/restart_test.go
@@ -74,3 +74,21 @@
 	}
 	is.Equal(runs, 1)
 }
+
+// TestUpstreamRestartedAfterClockStep guards against an upstream whose new process gets no keys
+// or requests since the time of day was set back before its start.
+func TestUpstreamRestartedAfterClockStep(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 57, "wardrobe", "wardrobe")
+	c.eventually("assignment of all keys", c.allKeysHeld)
+	in := c.instances[0]
+	in.upstream.Restart("u9", time.Now().Add(-7*time.Second).UnixMilli())
+	c.within(4*time.Second, "keys of the new process", c.allKeysHeld) // 1 s to know it, 3 s to serve again
+	key := 0
+	for !in.upstream.HoldsKey(key) {
+		key++
+	}
+	status, body := c.sendRequest(c.instances[1], http.MethodGet, "/browse/after", key)
+	is.Equal(status, http.StatusOK)
+	is.True(strings.HasPrefix(body, "u9 "))
+}
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -50,6 +50,8 @@
 	// leftProcess is the newest process of the upstream that has announced its shutdown, to
 	// this sidecar or to an earlier one on the instance.
 	leftProcess keyspace.Process
+	// leftRecorded is true if it announced that to this sidecar.
+	leftRecorded bool
 	// candidatesChanged is set when the witness candidates of the key controller are out of
 	// date. They are updated before they are used: at a start, hundreds of member rows arrive
 	// at once.
@@ -225,14 +227,18 @@
 }
 
 // restoreLeft takes over that a process of the upstream has announced its shutdown to an
-// earlier sidecar. The caller holds s.mu.
+// earlier sidecar. What this sidecar has recorded itself is newer. The caller holds s.mu.
 func (s *state) restoreLeft(process keyspace.Process) {
-	if process.StartUnixMillis() > s.leftProcess.StartUnixMillis() {
+	if !s.leftRecorded && process != (keyspace.Process{}) {
 		s.leftProcess = process
 	}
 	s.markLeft()
 }
 
+// recordLeft records that a process of the upstream has announced its shutdown. The caller
+// holds s.mu.
+func (s *state) recordLeft(process keyspace.Process) { s.leftProcess, s.leftRecorded = process, true }
+
 // markLeft makes the upstream a leaving one if its process has announced its shutdown
 // before. When that was is unknown, so it gets no more requests. The caller holds s.mu.
 func (s *state) markLeft() {
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -139,7 +139,7 @@
 	}
 	s.markLeft()
 	if s.tracker.Leaving() {
-		s.leftProcess = r.Process
+		s.recordLeft(r.Process)
 	}
 	if s.tracker.Leaving() && s.leaveAcknowledgedAt == 0 {
 		s.leaveAcknowledgedAt = now
