dispatch, memory: memory for a response is taken before its request runs

Change: memory.Estimate follows the large responses of a route; the sidecars beside the caller and beside the upstream each take that much before the request runs, and refuse it as not run, with a time to come back, if there is none. A route without a response so far is expected to return as much as it gets.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/memory"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/retry"
 	"briarwell.dev/core/routes"
@@ -94,6 +95,8 @@
 	balancer     *balance.Balancer
 	retryBudgets map[string]*retry.Budget
 	retryLimits  RetryLimits
+	// responseSizes predicts the responses by route.
+	responseSizes memory.Estimate
 }
 
 // RetryLimits bounds the retries to a service by all dispatchers together.
@@ -200,7 +203,13 @@
 		if !ok {
 			break
 		}
+		if !p.reserveResponse() {
+			// Other instances would need the memory here too.
+			p.lastReply = NotRun(outcome.ReasonOverloaded).WithRetryAfter(memoryRetryAfter)
+			break
+		}
 		p.lastReply = p.send(ctx, target)
+		p.request.Memory.ReleaseExpected()
 		if _, unknown := p.lastReply.Outcome.(outcome.Unknown); unknown && p.firstUnknown == nil {
 			first := p.lastReply
 			p.firstUnknown = &first
@@ -217,6 +226,13 @@
 	return Result{Reply: p.lastReply, DeadlineExceeded: deadlineExceeded, Instance: p.lastInstance, Attempts: p.sends}
 }
 
+// reserveResponse takes memory for the expected response, without which a request would run
+// whose response has to be dropped. It returns false if there is none.
+func (p *pendingRequest) reserveResponse() bool {
+	expected := p.dispatcher.responseSizes.Expected(p.route.Name, len(p.request.Body))
+	return p.request.Memory.Expect(expected) == nil
+}
+
 func (p *pendingRequest) send(ctx context.Context, target Target) Reply {
 	d := p.dispatcher
 	p.sends++
@@ -272,6 +288,7 @@
 	now := d.clock.Now()
 	switch o := reply.Outcome.(type) {
 	case outcome.Done:
+		d.responseSizes.Record(policy.Class, len(reply.Response.Body))
 		d.balancer.RecordResult(now, name, reply.Response.Status < 500)
 		if policy.LargeResponse {
 			d.balancer.RecordLargeResponse(len(reply.Response.Body))
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -9,6 +9,7 @@
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/keyspace"
+	"briarwell.dev/core/memory"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/rebalance"
 	"briarwell.dev/core/template"
@@ -25,6 +26,10 @@
 	minRetryAfter clock.Millis = 60
 	maxRetryAfter clock.Millis = 800
 
+	// memoryRetryAfter is the time in milliseconds after which the caller of a request for
+	// whose response there was no memory is told to retry.
+	memoryRetryAfter clock.Millis = 300
+
 	millisPerSecond = 1000
 	percent         = 100
 )
@@ -66,6 +71,8 @@
 	inboundLink balance.Link
 	// running counts the requests at the upstream by ID: a caller may use an ID twice.
 	running map[string]int
+	// responseSizes predicts the responses of the upstream by class.
+	responseSizes memory.Estimate
 }
 
 // NewExecutor returns an executor that admits requests through the gate and sends the
@@ -190,6 +197,11 @@
 		slot.ReleaseWithoutSample()
 		return NotRun(outcome.ReasonQueueTimeout)
 	}
+	if err := r.Memory.Expect(e.responseSizes.Expected(policy.Class, len(r.Body))); err != nil {
+		slot.ReleaseWithoutSample()
+		return NotRun(outcome.ReasonOverloaded).WithRetryAfter(memoryRetryAfter)
+	}
+	defer r.Memory.ReleaseExpected()
 	if !policy.Idempotent {
 		// A request that must not run twice is completed even if its caller has left.
 		var cancel context.CancelFunc
@@ -198,6 +210,7 @@
 	}
 	reply := e.callUpstream(ctx, r, policy, now)
 	if _, done := reply.Outcome.(outcome.Done); done {
+		e.responseSizes.Record(policy.Class, len(reply.Response.Body))
 		slot.Release()
 	} else {
 		slot.ReleaseWithoutSample()
--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -91,17 +91,60 @@
 type Account struct {
 	budget *Budget
 	mu     sync.Mutex
-	bytes  int64
-	closed bool
+	// bytes are taken from the budget. expected are those of them that Expect has taken for
+	// a body that is yet to be read.
+	bytes    int64
+	expected int64
+	closed   bool
 }
 
-// Reserve takes bytes from the budget. The error is an *ExhaustedError.
+// Reserve takes bytes from the budget, those that Expect has taken first. The error is an
+// *ExhaustedError.
 func (a *Account) Reserve(bytes int64) error {
 	if a == nil || bytes <= 0 {
 		return nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if err := a.take(bytes - a.expected); err != nil {
+		return err
+	}
+	a.expected -= min(bytes, a.expected)
+	return nil
+}
+
+// Expect takes bytes from the budget for a body that will be read later, less what is still
+// taken by an earlier call. The error is an *ExhaustedError.
+func (a *Account) Expect(bytes int64) error {
+	if a == nil {
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.take(bytes - a.expected); err != nil {
+		return err
+	}
+	a.expected = max(a.expected, bytes)
+	return nil
+}
+
+// ReleaseExpected returns to the budget what Expect took and no body has used.
+func (a *Account) ReleaseExpected() {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.budget.release(a.expected)
+	a.bytes -= a.expected
+	a.expected = 0
+}
+
+// take takes bytes from the budget. The caller holds a.mu.
+func (a *Account) take(bytes int64) error {
+	if bytes <= 0 {
+		return nil
+	}
 	if a.closed {
 		return &ExhaustedError{requested: bytes}
 	}
@@ -120,7 +163,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.budget.release(a.bytes)
-	a.bytes, a.closed = 0, true
+	a.bytes, a.expected, a.closed = 0, 0, true
 }
 
 // ReadAll reads a body to its end. size is its length in bytes, negative if unknown. The
--- a/sidecar/app/upload_test.go
+++ b/sidecar/app/upload_test.go
@@ -208,5 +208,6 @@
 	uploads.Wait()
 	t.Logf("p99 %v alone, %v beside uploads; uploads by status %v; memory of the process %d to %d kB", alone, beside, statuses, before.Sys>>10, during.Sys>>10)
 	is.True(statuses[http.StatusOK] > 0)
+	is.Equal(statuses[http.StatusBadGateway], 0) // An upload runs only if there is memory for its response.
 	is.True(beside < targetLatency)
 }
