--- a/core/keyspace/change.go
+++ b/core/keyspace/change.go
@@ -134,14 +134,11 @@
 
 // CanAssignUnowned reports whether AssignUnowned would assign any keys.
 func (a Assignment) CanAssignUnowned() bool {
-	ra := a.newRangeAssigner()
-	if len(ra.holders) == 0 || ra.rangeCounts[ra.leastLoaded()] >= MaxRangesPerHolder {
-		return false
-	}
-	if len(a.ranges) == 0 {
-		return true
+	if len(a.ranges) > 0 && !slices.ContainsFunc(a.ranges, func(r Range) bool { return r.owner == "" }) {
+		return false // The usual case, without a count of all ranges.
 	}
-	return slices.ContainsFunc(a.ranges, func(r Range) bool { return r.owner == "" })
+	ra := a.newRangeAssigner()
+	return len(ra.holders) > 0 && ra.rangeCounts[ra.leastLoaded()] < MaxRangesPerHolder
 }
 
 // StartMove sets the next owner of the keys in span that an instance owns. It changes
