memory: a single very large response no longer determines what is expected

Cause, found by reading the change before: Estimate followed the largest response and fell by a 32nd with each smaller one that was served. After one of 20 MB, a machine of 184 MB would have refused most requests of that route while others were running, and without served ones the estimate would not have fallen at all. Change: mean plus twice the mean deviation. Measured: TestRareLargeBody (fails on the commit before, by its bound of a quarter: 20 MB expected). TestSmallRequestsBesideUploads: 316 uploads served, none with 502.

--- a/core/memory/estimate.go
+++ b/core/memory/estimate.go
@@ -2,26 +2,39 @@
 
 import "sync"
 
-// estimateDecayDivisor is the part of an estimate by which each smaller body lowers it.
-const estimateDecayDivisor = 32
+const (
+	// estimateWeightDivisor is the part of each difference by which an estimate follows.
+	estimateWeightDivisor = 16
+	// estimateDeviations is the number of mean deviations above the mean that are expected, so
+	// that most bodies are smaller and a single very large one has little effect.
+	estimateDeviations = 2
+)
 
-// Estimate predicts the sizes of bodies by class from those seen before. It follows the large
-// ones, as memory is reserved by it. The zero value has seen none. It is safe for concurrent
-// use.
+// Estimate predicts the sizes of bodies by class from those seen before. The zero value has
+// seen none. It is safe for concurrent use.
 type Estimate struct {
 	mu    sync.Mutex
-	bytes map[string]int64
+	sizes map[string]sizeEstimate
 }
 
+// sizeEstimate is the mean of the sizes of a class in bytes, and their mean deviation from it.
+type sizeEstimate struct{ mean, deviation float64 }
+
 // Record records the size in bytes of a body.
 func (e *Estimate) Record(class string, bytes int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.bytes == nil {
-		e.bytes = make(map[string]int64)
+	s, ok := e.sizes[class]
+	if !ok {
+		if e.sizes == nil {
+			e.sizes = make(map[string]sizeEstimate)
+		}
+		s.mean = float64(bytes)
 	}
-	before := e.bytes[class]
-	e.bytes[class] = max(int64(bytes), before-before/estimateDecayDivisor)
+	difference := float64(bytes) - s.mean
+	s.mean += difference / estimateWeightDivisor
+	s.deviation += (max(difference, -difference) - s.deviation) / estimateWeightDivisor
+	e.sizes[class] = s
 }
 
 // Expected returns the expected size in bytes, or unknown if no body of the class was seen. It
@@ -29,9 +42,9 @@
 func (e *Estimate) Expected(class string, unknown int) int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	bytes, ok := e.bytes[class]
-	if !ok {
-		bytes = int64(unknown)
+	bytes := int64(unknown)
+	if s, ok := e.sizes[class]; ok {
+		bytes = int64(s.mean + estimateDeviations*s.deviation)
 	}
 	if bytes <= smallBytes {
 		return 0
