Revert "Try: probes of owners to which a connection failed"

Conclusion: most refusals after such an absence come from moves and cold keys and not from the pauses, so the added messages and state are not worth it.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -107,8 +107,6 @@
 	// backoff is the length of the newest backoff, backoffUntil its end.
 	backoff      clock.Millis
 	backoffUntil clock.Millis
-	// disconnected is true if the backoff began with a failed connection.
-	disconnected bool
 }
 
 // Balancer tracks the load, failures and reachability of upstreams and selects among
@@ -162,8 +160,8 @@
 // class, as the mean service time of an upstream depends on the requests it gets.
 func (b *Balancer) RecordLoad(now clock.Millis, name, class string, load Load) {
 	u := b.upstream(name)
-	b.RecordReachable(name)
 	u.load, u.reportedAt, u.hasLoad, u.inFlightAtReport = load, now, true, u.inFlight
+	u.backoff, u.backoffUntil = 0, 0
 	if load.ClassServiceTime <= 0 {
 		return
 	}
@@ -213,20 +211,6 @@
 	}
 	u.backoff = min(max(2*u.backoff, initialBackoff), maxBackoff)
 	u.backoffUntil = now + u.backoff
-	u.disconnected = false
-}
-
-// RecordDisconnected is RecordUnreachable for an instance to which a connection failed.
-func (b *Balancer) RecordDisconnected(now clock.Millis, name string) {
-	b.RecordUnreachable(now, name)
-	b.upstream(name).disconnected = true
-}
-
-// Disconnected reports whether the latest backoff of an instance began with a failed
-// connection.
-func (b *Balancer) Disconnected(name string) bool {
-	u, ok := b.upstreams[name]
-	return ok && u.disconnected
 }
 
 // RecordNoResponse records that the daemon has not answered a request sent at
@@ -238,12 +222,6 @@
 	}
 }
 
-// RecordReachable ends the backoff of an instance.
-func (b *Balancer) RecordReachable(name string) {
-	u := b.upstream(name)
-	u.backoff, u.backoffUntil = 0, 0
-}
-
 // Reachable reports whether the instance is not in backoff.
 func (b *Balancer) Reachable(now clock.Millis, name string) bool {
 	u, ok := b.upstreams[name]
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -97,9 +97,6 @@
 	retryLimits  RetryLimits
 	// responseSizes predicts the responses by route.
 	responseSizes memory.Estimate
-	// prober is nil if unreachable instances are not probed.
-	prober Prober
-	probes probeSchedule
 }
 
 // RetryLimits bounds the retries to a service by all dispatchers together.
@@ -115,13 +112,6 @@
 	return &Dispatcher{clock: c, resolver: resolver, sender: sender, balancer: balancer, retryBudgets: make(map[string]*retry.Budget), retryLimits: retryLimits}
 }
 
-// WithProber makes the dispatcher probe unreachable owners for which it has requests. It
-// returns d, which must not be in use yet.
-func (d *Dispatcher) WithProber(p Prober) *Dispatcher {
-	d.prober = p
-	return d
-}
-
 // Loads returns the recently reported loads by instance.
 func (d *Dispatcher) Loads() map[string]balance.Load {
 	d.mu.Lock()
@@ -304,13 +294,8 @@
 			d.balancer.RecordLargeResponse(len(reply.Response.Body))
 		}
 	case outcome.NotRun:
-		switch {
-		case o.Reason() != outcome.ReasonUnreachable:
-		case reply.HasLoad:
-			// Its daemon can be reached, but not the upstream.
+		if o.Reason() == outcome.ReasonUnreachable {
 			d.balancer.RecordUnreachable(now, name)
-		default:
-			d.balancer.RecordDisconnected(now, name)
 		}
 		if o.Reason() == outcome.ReasonUpstreamRefused {
 			d.balancer.RecordResult(now, name, false)
@@ -322,7 +307,7 @@
 		switch {
 		case reply.HasLoad || o.Reason() == outcome.ReasonResponseDropped:
 		case o.Reason() == outcome.ReasonConnectionLost:
-			d.balancer.RecordDisconnected(now, name)
+			d.balancer.RecordUnreachable(now, name)
 		case now-sentAt >= unresponsiveAfter:
 			d.balancer.RecordNoResponse(now, name, sentAt)
 		}
@@ -449,9 +434,6 @@
 			if ok && d.reachable(now, target.Name) {
 				return target, true
 			}
-			if ok {
-				d.probe(now, target.Name)
-			}
 			if ok && p.sends == 0 {
 				p.lastInstance, p.lastReply = target.Name, NotRun(outcome.ReasonUnreachable).WithRetryAfter(ownerRetryAfter)
 			}
@@ -468,28 +450,6 @@
 	}
 }
 
-// probe probes an unreachable instance if that is due. If it can be reached, requests are sent
-// to it again.
-func (d *Dispatcher) probe(now clock.Millis, name string) {
-	if d.prober == nil {
-		return
-	}
-	d.mu.Lock()
-	due := d.balancer.Disconnected(name) && d.probes.start(now, name)
-	d.mu.Unlock()
-	if !due {
-		return
-	}
-	d.prober.Probe(name, func(reachable bool) {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.probes.end(name, reachable)
-		if reachable {
-			d.balancer.RecordReachable(name)
-		}
-	})
-}
-
 func (d *Dispatcher) reachable(now clock.Millis, name string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -149,7 +149,7 @@
 	a.dispatcher = dispatch.NewDispatcher(a.clock, a.state, &sender{app: a}, balance.New(s.Location()), dispatch.RetryLimits{
 		Ratio:        s.RetryShare() * retryShareFraction,
 		MinPerSecond: s.RetrySlack() * retrySlackFraction * millisPerSecond / float64(s.RetryWindow()),
-	}).WithProber(&prober{app: a})
+	})
 	return a, a.listen()
 }
 
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -71,8 +71,6 @@
 	DemandPercent int          `json:"demandPercent"`
 	// FailurePercent is the share of its requests in percent that the upstream failed.
 	FailurePercent int `json:"failurePercent"`
-	// Serving is true if the upstream can get requests.
-	Serving bool `json:"serving"`
 }
 
 // peerClients holds an HTTP client for each address of another sidecar. It is safe for
--- a/sidecar/app/rebalance.go
+++ b/sidecar/app/rebalance.go
@@ -142,11 +142,7 @@
 // handleLoad returns the load of this instance's upstream.
 func (a *App) handleLoad(struct{}) loadResponse {
 	load := a.executor.Load()
-	upstreamState := a.upstream.State(a.clock.Now())
-	return loadResponse{
-		Slots: load.Slots, ServiceTime: load.ServiceTime, DemandPercent: load.DemandPercent, FailurePercent: load.FailurePercent,
-		Serving: upstreamState.Up && !upstreamState.Closed,
-	}
+	return loadResponse{Slots: load.Slots, ServiceTime: load.ServiceTime, DemandPercent: load.DemandPercent, FailurePercent: load.FailurePercent}
 }
 
 // requestCapacity returns the number of requests that the slots can run per second at
