rebalance: failing holders are found in one pass over the holders

Cause, found by reading the change before: isFailing summed all holders again for each holder, on a copy of the list: 115 copies of 7 kB in a plan of a service of 115 upstreams, twice a second at each busy one, on machines of 0.16 cores. Change: the sum is made once. TestPlanOfManyHolders (two allocations at most) fails before.

--- a/core/rebalance/failing_test.go
+++ b/core/rebalance/failing_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"briarwell.dev/core/rebalance"
 )
 
 // failingShare returns the share of all requests that fail at their owners.
@@ -77,3 +79,16 @@
 	is.Equal(before[2].Demand, 0.0)
 	is.True(after[2].Demand > 0.7)
 }
+
+// TestPlanOfManyHolders guards against work for each pair of holders: busy holders plan twice a
+// second, on machines with a small share of a processor.
+func TestPlanOfManyHolders(t *testing.T) {
+	is := is.New(t)
+	self := rebalance.Holder{Name: "self", Demand: 0.9, Capacity: 50}
+	others := make([]rebalance.Holder, 114)
+	for i := range others {
+		others[i] = rebalance.Holder{Name: name(i), Demand: 0.9, Capacity: 50}
+	}
+	allocations := testing.AllocsPerRun(10, func() { rebalance.Plan(self, others, nil, nil) })
+	is.True(allocations <= 2)
+}
--- a/core/rebalance/rebalance.go
+++ b/core/rebalance/rebalance.go
@@ -64,14 +64,15 @@
 // holder plans on its own by the same rule: it distributes its excess by the headroom of the
 // others, so that the plans together fill the headroom only once.
 func Plan(self Holder, others []Holder, owned []keyspace.Range, rates []SpanRate) []keyowner.Move {
-	var usable []Holder
+	failures := failuresOf(self, others)
+	usable := make([]Holder, 0, len(others))
 	for _, h := range others {
-		if !isFailing(h, self, others) {
+		if !failures.isFailing(h) {
 			usable = append(usable, h)
 		}
 	}
 	mean := meanDemand(self, usable)
-	if isFailing(self, self, others) {
+	if failures.isFailing(self) {
 		// A request that fails anyway gains from a slot that is free, not from one that
 		// another request would get.
 		return distribute(self.Demand*self.Capacity, recipientsOf(usable, maxFilledDemand), minFailingPieceShare, owned, rates)
@@ -82,17 +83,25 @@
 	return distribute((self.Demand-mean)*self.Capacity, recipientsOf(usable, mean), minPieceShare, owned, rates)
 }
 
-// isFailing reports whether holder h fails more requests than the mean of the others. Failures
-// that all have in common, such as those of a service that they call, don't count.
-func isFailing(h, self Holder, others []Holder) bool {
-	sum, n := 0.0, 0
-	for _, other := range append([]Holder{self}, others...) {
-		if other.Name != h.Name {
-			sum += other.FailureShare
-			n++
-		}
+// failures is the sum of the failure shares of a number of holders.
+type failures struct {
+	sum     float64
+	holders int
+}
+
+func failuresOf(self Holder, others []Holder) failures {
+	f := failures{sum: self.FailureShare, holders: 1 + len(others)}
+	for _, h := range others {
+		f.sum += h.FailureShare
 	}
-	return n > 0 && h.FailureShare >= sum/float64(n)+minExcessFailures
+	return f
+}
+
+// isFailing reports whether a holder fails more requests than the mean of the others. Failures
+// that all have in common, such as those of a service that they call, don't count.
+func (f failures) isFailing(h Holder) bool {
+	others := float64(f.holders - 1)
+	return others > 0 && h.FailureShare >= (f.sum-h.FailureShare)/others+minExcessFailures
 }
 
 // distribute returns moves of at most excess requests per second to the recipients, without
