--- a/sidecar/app/peermessages_test.go
+++ b/sidecar/app/peermessages_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"briarwell.dev/platform/platformtest"
 )
 
 // post sends a control message to a sidecar and returns the status and the body.
@@ -94,7 +96,7 @@
 func TestMessagesWithoutEnd(t *testing.T) {
 	c := newCluster(t, 53, "ledger")
 	in := c.instances[0]
-	for _, target := range []string{in.ip + ":9004/v1/rpc?call=instances.heartbeat&of=u0", in.ip + ":9005/rows"} {
+	for _, target := range []string{in.ip + ":9004" + platformtest.HeartbeatPath("u0"), in.ip + ":9005/rows"} {
 		address, path, _ := strings.Cut(target, "/")
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
