--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -634,14 +634,10 @@
 	if err != nil {
 		return 0, err
 	}
-	m := w.machines[0]
-	stop := make(chan struct{})
-	var collect []func() []answer
-	for _, other := range w.machines[1:] {
-		collect = append(collect, other.load(30*time.Millisecond, http.MethodPost, "/book/deposit", 1200*time.Millisecond, stop))
+	for _, m := range w.machines {
+		m.backend.work = 150 * time.Millisecond
 	}
-	time.Sleep(2 * time.Second)
-	began := time.Now()
+	m := w.machines[0]
 	m.backend.stopBeats()
 	late := m.backend.beat()
 	if trouble {
@@ -656,6 +652,11 @@
 	time.Sleep(2 * time.Second)
 	w.logf("%s: a liveness report from before the deregistration arrives", m.backend.id)
 	m.backend.rpc("instances.heartbeat", late)
+	stop := make(chan struct{})
+	var collect []func() []answer
+	for _, other := range w.machines[1:] {
+		collect = append(collect, other.load(30*time.Millisecond, http.MethodPost, "/book/deposit", 1200*time.Millisecond, stop))
+	}
 	time.Sleep(time.Until(acknowledgedAt.Add(drain + 2500*time.Millisecond)))
 	w.logf("%s exits", m.backend.id)
 	exitedAt := time.Now()
@@ -666,21 +667,21 @@
 	for _, c := range collect {
 		answers = append(answers, c()...)
 	}
-	if err := served(answers, began); err != nil {
+	if err := served(answers, exitedAt); err != nil {
 		return 0, err
 	}
 	broken := 0
-	late2 := make(map[string]bool)
+	tooLate := make(map[string]bool)
 	for _, a := range m.backend.began() {
 		if a.at.After(acknowledgedAt.Add(drain)) && a.at.After(m.startedAt.Add(contact)) && a.at.Before(exitedAt) {
 			w.logf("DRAIN: %s reached %s %d ms after the ack, %d ms after the start of its sidecar", a.id, m.backend.id, a.at.Sub(acknowledgedAt).Milliseconds(), a.at.Sub(m.startedAt).Milliseconds())
-			late2[a.id] = true
+			tooLate[a.id] = true
 			broken++
 		}
 	}
 	for _, a := range answers {
-		if late2[a.id] && a.status != http.StatusOK {
-			w.logf("%s, run by the backend that had left, got %d", a.id, a.status)
+		if tooLate[a.id] && a.status != http.StatusOK {
+			w.logf("%s, which the backend that had left was running as it exited, got %d", a.id, a.status)
 		}
 	}
 	return broken, nil
