--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -510,8 +510,8 @@
 	return a
 }
 
-// load sends requests to a machine every interval until stop is closed, and then returns the
-// answers.
+// load sends requests to a machine at random times, one in an interval on average, until stop
+// is closed, and then returns the answers.
 func (m *machine) load(interval time.Duration, method, path string, timeout time.Duration, stop <-chan struct{}) func() []answer {
 	var mu sync.Mutex
 	var answers []answer
@@ -519,13 +519,11 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		ticker := time.NewTicker(interval)
-		defer ticker.Stop()
 		for {
 			select {
 			case <-stop:
 				return
-			case <-ticker.C:
+			case <-time.After(rand.N(2 * interval)):
 			}
 			pending.Add(1)
 			go func() {
@@ -794,6 +792,7 @@
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	var extra []byte
+	last := ""
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -803,10 +802,11 @@
 			return
 		}
 		if extra != nil {
-			b.machine.world.logf("%s sends its last answer on the connection once more, while %s waits", b.id, r.Header.Get("X-Request-Id"))
+			b.machine.world.logf("%s sends its answer to %s once more, where that to %s is expected", b.id, last, r.Header.Get("X-Request-Id"))
 			_, _ = conn.Write(extra)
 		}
 		response := b.respond(r)
+		last = r.Header.Get("X-Request-Id")
 		if _, err := conn.Write(response); err != nil {
 			return
 		}
@@ -839,7 +839,7 @@
 	b.runs = append(b.runs, arrival{id: id, at: time.Now()})
 	b.mu.Unlock()
 	b.machine.world.logf("%s (%s) runs %s", b.id, b.machine.service, id)
-	time.Sleep(50 * time.Millisecond)
+	time.Sleep(20 * time.Millisecond)
 	b.mu.Lock()
 	if b.running[key]--; b.running[key] == 0 && b.releasing[key] {
 		b.release(key)
@@ -975,12 +975,12 @@
 
 // Doses of the disturbances of refusal.
 const (
-	shedShare     = 0.25 // of the requests, at all backends; the site files have 0.55 at all
+	shedShare     = 0.2  // of the requests, at all backends; the site files have 0.55 at all
 	repeatShare   = 0.03 // of the answers, at repeatServers of the backends, as in the site files
-	repeatServers = 4    // of 6: a share of 0.6
+	repeatServers = 7    // of 12: a share of 0.6
 	repeatTime    = 5 * time.Second
-	repeatPause   = 1500 * time.Millisecond
-	repeatCount   = 14
+	repeatPause   = time.Second
+	repeatCount   = 16
 )
 
 // refusal sends requests that must not run twice to backends divided by key. As the
@@ -988,7 +988,7 @@
 // second time. It counts the requests that were answered as not run and have run, or that ran
 // twice.
 func refusal(w *world, trouble bool) (int, error) {
-	services := slices.Repeat([]string{keyedService}, 6)
+	services := slices.Repeat([]string{keyedService}, 12)
 	err := w.build(func() {
 		w.store.Put("op", "config", []byte(`{"version":"00000001","routes":{"book":{"host":"h","prefix":"/book/","kind":"non_idempotent","timeout":"1200ms","target_latency":"500ms","priority":1,"service":"wardrobe","max_attempts":2}},
 			"services":{"wardrobe":{"max_connections":110,"sharded":true,"warmup":"5s"}},"limits":{"max_body_bytes":1000000}}`))
