--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 [ -x target/review-harness ] && [ -x target/sidecar ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-harness -case silence -trouble=$trouble -record review/4/record.txt
+exec target/review-harness -case outage -trouble=$trouble -record review/4/record.txt
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -72,7 +72,7 @@
 	w := &world{record: file, began: time.Now(), dir: dir, store: &store{}}
 	defer w.close()
 	cases := map[string]func(*world, bool) (int, error){
-		"hangup": hangup, "leave": leave, "silence": silence, "refusal": refusal,
+		"hangup": hangup, "leave": leave, "silence": silence, "refusal": refusal, "outage": outage,
 	}
 	play, ok := cases[name]
 	if !ok {
@@ -648,6 +648,60 @@
 	}
 	acknowledgedAt := m.backend.deregister()
 	time.Sleep(2 * time.Second)
+	return lateRequests(w, m, late, acknowledgedAt, func() time.Time { return m.startedAt.Add(contact) }, drain+2500*time.Millisecond)
+}
+
+// outage makes a backend deregister and, as the disruption, lets the store refuse all calls from
+// before until 4.5 s later, and kills the sidecar half a second after it has acknowledged the
+// deregistration. A liveness report that the backend sent before arrives late. It counts the
+// requests that reach the backend later than the drain time, while all sidecars and the store
+// are in touch again.
+func outage(w *world, trouble bool) (int, error) {
+	err := w.build(func() { w.putManifest(1, route("book", "ledger", "non_idempotent")) }, "ledger", "ledger", "ledger")
+	if err != nil {
+		return 0, err
+	}
+	for _, m := range w.machines {
+		m.backend.work = 150 * time.Millisecond
+	}
+	m := w.machines[0]
+	m.backend.stopBeats()
+	late := m.backend.beat()
+	storeBackAt := time.Now()
+	if trouble {
+		w.logf("the store refuses all calls")
+		w.store.SetFaults(platformtest.StoreFaults{Status: http.StatusServiceUnavailable})
+		storeBackAt = time.Now().Add(4500 * time.Millisecond)
+		time.AfterFunc(time.Until(storeBackAt), func() {
+			w.logf("the store answers")
+			w.store.SetFaults(platformtest.StoreFaults{})
+		})
+		time.Sleep(300 * time.Millisecond)
+	}
+	acknowledgedAt := m.backend.deregister()
+	time.Sleep(500 * time.Millisecond)
+	if trouble {
+		m.signal(syscall.SIGKILL)
+		<-m.ended
+		time.Sleep(restartDelay)
+		if err := m.start(); err != nil {
+			return 0, err
+		}
+	}
+	time.Sleep(time.Until(acknowledgedAt.Add(2500 * time.Millisecond)))
+	inTouchAt := func() time.Time {
+		if m.startedAt.After(storeBackAt) {
+			return m.startedAt.Add(contact)
+		}
+		return storeBackAt.Add(contact)
+	}
+	return lateRequests(w, m, late, acknowledgedAt, inTouchAt, 10*time.Second)
+}
+
+// lateRequests delivers a late liveness report of the backend of m, which has deregistered, and
+// sends requests until the backend exits, stay after its ack. It counts those that reach the
+// backend later than the drain time, at which all sidecars were in touch.
+func lateRequests(w *world, m *machine, late []byte, acknowledgedAt time.Time, inTouchAt func() time.Time, stay time.Duration) (int, error) {
 	w.logf("%s: a liveness report from before the deregistration arrives", m.backend.id)
 	m.backend.rpc("instances.heartbeat", late)
 	stop := make(chan struct{})
@@ -655,7 +709,7 @@
 	for _, other := range w.machines[1:] {
 		collect = append(collect, other.load(30*time.Millisecond, http.MethodPost, "/book/deposit", 1200*time.Millisecond, stop))
 	}
-	time.Sleep(time.Until(acknowledgedAt.Add(drain + 2500*time.Millisecond)))
+	time.Sleep(time.Until(acknowledgedAt.Add(stay)))
 	w.logf("%s exits", m.backend.id)
 	exitedAt := time.Now()
 	_ = m.backend.server.Close()
@@ -671,7 +725,7 @@
 	broken := 0
 	tooLate := make(map[string]bool)
 	for _, a := range m.backend.began() {
-		if a.at.After(acknowledgedAt.Add(drain)) && a.at.After(m.startedAt.Add(contact)) && a.at.Before(exitedAt) {
+		if a.at.After(acknowledgedAt.Add(drain)) && a.at.After(inTouchAt()) && a.at.Before(exitedAt) {
 			w.logf("DRAIN: %s reached %s %d ms after the ack, %d ms after the start of its sidecar", a.id, m.backend.id, a.at.Sub(acknowledgedAt).Milliseconds(), a.at.Sub(m.startedAt).Milliseconds())
 			tooLate[a.id] = true
 			broken++
