sidecar: SIGHUP and SIGTERM are caught until the process exits

Cause: the goroutine that received SIGHUP returned when the context of the stop signal ended, and its signal.Stop gave SIGHUP its default action back, which ends the process. The graceful stop, up to 5.4 s, begins at that moment. The start had the same gap: SIGHUP was caught only after the addresses were bound.

Evidence: the log of such a process has "stopping" and nothing after it.

Change: both signals are registered before the settings are read and never given back, so no phase is left in which the default action applies. A SIGHUP that comes early waits in the channel.

--- a/sidecar/command/command.go
+++ b/sidecar/command/command.go
@@ -53,14 +53,13 @@
 	if explainCommand.Used {
 		return explainRequest(out, request, files)
 	}
-	sidecar, err := readSettings(path)
-	if err != nil {
-		return fail(out, exitBadInput, err)
-	}
 	if checkOnly {
+		if _, err := readSettings(path); err != nil {
+			return fail(out, exitBadInput, err)
+		}
 		return exitOK
 	}
-	return serve(sidecar, path, out)
+	return serve(path, out)
 }
 
 func explainRequest(out io.Writer, request string, files []string) int {
@@ -97,33 +96,33 @@
 	return settings.Parse(data)
 }
 
-func serve(s settings.Sidecar, path string, out io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+// serve runs the sidecar until a stop signal. The signals are caught from before the settings
+// are read until the process exits: the default action of each of them ends the process, with
+// the requests in flight.
+func serve(path string, out io.Writer) int {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	s, err := readSettings(path)
+	if err != nil {
+		return fail(out, exitBadInput, err)
+	}
 	a, err := app.New(s, out)
 	if err != nil {
 		return fail(out, exitFailed, err)
 	}
-	go reload(ctx, a, path)
+	go reload(hangup, a, path)
 	if err := a.Run(ctx); err != nil {
 		return fail(out, exitFailed, err)
 	}
 	return exitOK
 }
 
-// reload reads the settings file again at each SIGHUP until ctx ends.
-func reload(ctx context.Context, a *app.App, path string) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-			s, err := readSettings(path)
-			a.Reload(s, err)
-		}
+// reload reads the settings file again at each SIGHUP, also during the graceful stop.
+func reload(hangup <-chan os.Signal, a *app.App, path string) {
+	for range hangup {
+		s, err := readSettings(path)
+		a.Reload(s, err)
 	}
 }
 
