briarwelld: SIGHUP does not end the daemon

Seen by callers: none reported.

Cause: the default action of SIGHUP.

Change: SIGHUP is ignored. The daemon's settings change at a restart only, so there is nothing to reload.

Result: TestHangup sends SIGHUP to a running daemon. Before the change the test process ended with "signal: hangup"; it passes now. The test of the sidecar loses a linter directive that had no effect.

--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -85,6 +85,9 @@
 
 func serve(daemon settings.Daemon, out io.Writer) int {
 	configureGC()
+	// The default action of SIGHUP ends the process with the requests in flight. Settings
+	// change at a restart only.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	a, err := app.New(daemon, out)
--- a/daemon/command/command_test.go
+++ b/daemon/command/command_test.go
@@ -7,7 +7,9 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -55,3 +57,33 @@
 	is.Equal(code, 1)
 	is.True(strings.Contains(text, "peerAddress "+address))
 }
+
+// TestHangup guards against a SIGHUP that ends a running daemon, which cuts the requests in
+// flight.
+func TestHangup(t *testing.T) {
+	is := is.New(t)
+	address := "127.73.0.1:9001"
+	settings := fmt.Sprintf(validSettings, address)
+	settings = strings.Replace(settings, `"peerAddress":"127.0.0.1:9"`, `"peerAddress":"127.73.0.1:9002"`, 1)
+	settings = strings.Replace(settings, `"localAddress":"127.0.0.1:9"`, `"localAddress":"127.73.0.1:9003"`, 1)
+	exited := make(chan int, 1)
+	go func() {
+		code, text := runDaemon(t, settings)
+		t.Logf("output: %s", text)
+		exited <- code
+	}()
+	for { // until the daemon serves
+		if conn, err := net.Dial("tcp", address); err == nil {
+			is.NoErr(conn.Close())
+			break
+		}
+		is.Equal(len(exited), 0)
+		time.Sleep(10 * time.Millisecond)
+	}
+	self, err := os.FindProcess(os.Getpid())
+	is.NoErr(err)
+	is.NoErr(self.Signal(syscall.SIGHUP))
+	time.Sleep(100 * time.Millisecond)
+	is.NoErr(self.Signal(syscall.SIGTERM))
+	is.Equal(<-exited, 0)
+}
--- a/sidecar/command/signals_test.go
+++ b/sidecar/command/signals_test.go
@@ -110,7 +110,7 @@
 
 // awaitExit waits until the sidecar has exited, and returns its error.
 func (p *process) awaitExit() error {
-	for range p.events { //nolint:revive // Drains the events that nobody waits for.
+	for range p.events { // Drains the events that nobody waits for.
 	}
 	return <-p.exited
 }
