heartbeat: a departure is kept from before the first report of its process

Cause: a sidecar that was restarted has no report of its upstream yet. Tracker.MarkLeaving knew no process to mark, nothing was recorded, and the call got 200. A report sent before the call and delivered after it then counted as the first one of a new process, and the upstream was published as serving.

Evidence: "upstreamDeparts known=false", then "report verdict=started" in the log.

Change: the tracker keeps the newest departure apart from the newest report; it replaces the record of sidecar/app. It reaches the member row at once. Same cause, also mended: a draining report of a process not yet known as the successor was acknowledged and forgotten, and a late deregistration of an earlier process under the same ID took the running one out of use.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/membership"
@@ -52,9 +53,9 @@
 	// Strength orders the instances by their processor share, in thousandths of a core; 0 if
 	// unknown. Stronger ones do the work that one daemon does for many.
 	Strength int
-	// LeftProcess is the newest process of the upstream that has announced its shutdown,
-	// the zero value if none has. A daemon that is restarted beside it learns this here.
-	LeftProcess keyspace.Process
+	// Departure is the newest announced shutdown of the upstream, the zero value if there is
+	// none. A daemon that is restarted beside it learns this here.
+	Departure heartbeat.Departure
 }
 
 type memberJSON struct {
@@ -69,16 +70,37 @@
 	Strength       int                  `json:"strength,omitempty"`
 	LeftID         string               `json:"leftLifeId,omitempty"`
 	LeftStart      int64                `json:"leftLifeBorn,omitempty"`
+	// LeftStartBound replaces LeftStart if only an upper bound is known.
+	LeftStartBound int64 `json:"leftLifeBornBy,omitempty"`
 }
 
 // Encode returns the value of the member's row, as JSON.
 func (m Member) Encode() ([]byte, error) {
-	return json.Marshal(memberJSON{
+	encoded := memberJSON{
 		RequestAddress: m.Instance.HTTPAddress(), PeerAddress: m.Instance.PeerAddress(),
 		Region: m.Instance.Location().Region(), FailureDomain: m.Instance.Location().FailureDomain(),
 		Incarnation: m.Incarnation, Service: m.Service, Slots: m.Slots, Serving: m.Serving, Strength: m.Strength,
-		LeftID: m.LeftProcess.ID(), LeftStart: m.LeftProcess.StartUnixMillis(),
-	})
+	}
+	process, startKnown := m.Departure.Process()
+	encoded.LeftID = process.ID()
+	if startKnown {
+		encoded.LeftStart = process.StartUnixMillis()
+	} else {
+		encoded.LeftStartBound = process.StartUnixMillis()
+	}
+	return json.Marshal(encoded)
+}
+
+// departure returns the departure that the row describes.
+func (e memberJSON) departure() heartbeat.Departure {
+	switch {
+	case e.LeftID == "":
+		return heartbeat.Departure{}
+	case e.LeftStartBound != 0:
+		return heartbeat.NewDepartureOfID(e.LeftID, e.LeftStartBound)
+	default:
+		return heartbeat.NewDeparture(keyspace.NewProcess(e.LeftID, e.LeftStart))
+	}
 }
 
 // RowError reports a row that can't be decoded.
@@ -178,7 +200,7 @@
 	member := Member{
 		Instance:    membership.NewInstance(instance, e.RequestAddress, e.PeerAddress, location),
 		Incarnation: e.Incarnation, Service: e.Service, Slots: e.Slots, Serving: e.Serving, Strength: e.Strength,
-		LeftProcess: keyspace.NewProcess(e.LeftID, e.LeftStart),
+		Departure: e.departure(),
 	}
 	i, known := v.memberIndex(instance)
 	if !known {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 
 	"briarwell.dev/core/dispatch"
 	"briarwell.dev/core/fleet"
+	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/membership"
@@ -61,6 +62,22 @@
 	is.True(!ok)
 }
 
+// TestMemberDeparture guards against a departure that a restarted daemon does not get back as it
+// was announced.
+func TestMemberDeparture(t *testing.T) {
+	is := is.New(t)
+	for _, departure := range []heartbeat.Departure{
+		{}, heartbeat.NewDeparture(keyspace.NewProcess("x", 10)), heartbeat.NewDepartureOfID("x", 10),
+	} {
+		m := member("a", "s", false)
+		m.Departure = departure
+		v, err := fleet.View{}.WithRow(row(t, m, 1))
+		is.NoErr(err)
+		got, _ := v.Member("a")
+		is.Equal(got.Departure, departure)
+	}
+}
+
 // TestViewRejectsInvalidRow guards against an invalid row that replaces a valid one.
 func TestViewRejectsInvalidRow(t *testing.T) {
 	is := is.New(t)
--- a/core/heartbeat/heartbeat.go
+++ b/core/heartbeat/heartbeat.go
@@ -85,8 +85,14 @@
 	hasReport    bool
 	lastReceived clock.Millis
 	leaving      bool
+	leavingSince clock.Millis
 	ended        bool
 	successor    successor
+	// departure is the newest known one, departedAt when it was announced.
+	departure  Departure
+	departedAt clock.Millis
+	// announced is true if the departure was announced to this tracker, not restored.
+	announced bool
 }
 
 // successor is a process with a lower start time that has reported since the known process
@@ -114,13 +120,20 @@
 	switch {
 	case !t.hasReport || r.Process.StartUnixMillis() > known.StartUnixMillis() || r.Process != known && t.isSuccessor(now, r):
 		t.last, t.hasReport, t.lastReceived = r, true, now
-		t.leaving, t.ended, t.successor = r.Leaving, false, successor{}
+		t.leaving, t.ended, t.successor = false, false, successor{}
+		t.markLeaving(now)
 		return Started
-	case r.Process != known || r.Sequence <= t.last.Sequence:
+	case r.Process != known:
+		if r.Leaving {
+			// The process may turn out to be the successor of the known one.
+			t.RecordDeparture(now, NewDeparture(r.Process))
+		}
+		return Late
+	case r.Sequence <= t.last.Sequence:
 		return Late
 	default:
 		t.last, t.lastReceived, t.ended, t.successor = r, now, false, successor{}
-		t.leaving = t.leaving || r.Leaving
+		t.markLeaving(now)
 		return Accepted
 	}
 }
@@ -147,16 +160,68 @@
 	return s.reports >= successorReports
 }
 
-// MarkLeaving records that the upstream with the given ID shuts down for good. It
-// returns false if the ID is not that of the known process.
-func (t *Tracker) MarkLeaving(id string) bool {
-	if !t.hasReport || t.last.Process.ID() != id {
-		return false
+// markLeaving makes the known process a leaving one if its departure is known or the newest
+// report announces it.
+func (t *Tracker) markLeaving(now clock.Millis) {
+	switch {
+	case t.leaving:
+	case t.departure.Of(t.last.Process):
+		t.leaving, t.leavingSince = true, t.departedAt
+		t.departure = NewDeparture(t.last.Process)
+	case t.last.Leaving:
+		t.leaving, t.leavingSince = true, now
+		t.departure, t.departedAt, t.announced = NewDeparture(t.last.Process), now, true
+	}
+}
+
+// RecordDeparture records that a process announces its shutdown at now. It may be one that has
+// not reported yet: then its first report makes it a leaving one. RecordDeparture reports
+// whether it is the known process.
+func (t *Tracker) RecordDeparture(now clock.Millis, d Departure) bool {
+	if t.hasReport && (d.Of(t.last.Process) || d.hasOnlyID(t.last.Process.ID())) {
+		if !t.leaving {
+			t.departure, t.departedAt, t.announced = NewDeparture(t.last.Process), now, true
+			t.markLeaving(now)
+		}
+		return true
+	}
+	if d != t.departure && !t.isOutdated(d) {
+		t.departure, t.departedAt, t.announced = d, now, true
+	}
+	return false
+}
+
+// isOutdated reports whether the departure of an earlier process was delayed: it must not
+// replace that of the known process or of a newer one.
+func (t *Tracker) isOutdated(d Departure) bool {
+	if t.leaving {
+		return !d.startKnown || d.process.StartUnixMillis() <= t.last.Process.StartUnixMillis()
+	}
+	return d.isBefore(t.departure)
+}
+
+// RestoreDeparture takes over a departure that was announced to an earlier daemon on the
+// instance. When that was is unknown, so the process counts as leaving for a very long time. A
+// departure that was announced to this tracker stays unless it is of an earlier process.
+func (t *Tracker) RestoreDeparture(now clock.Millis, d Departure) {
+	if d == (Departure{}) || t.announced && !t.departure.isBefore(d) {
+		return
+	}
+	t.departure, t.departedAt, t.announced = d, longAgo, false
+	if t.hasReport {
+		t.markLeaving(now)
 	}
-	t.leaving = true
-	return true
 }
 
+// longAgo is a time before all drain times that have not ended.
+const longAgo clock.Millis = -1 << 40
+
+// Departure returns the newest known departure, the zero value if there is none.
+func (t *Tracker) Departure() Departure { return t.departure }
+
+// DepartureAnnounced reports whether the departure was announced to this tracker, not restored.
+func (t *Tracker) DepartureAnnounced() bool { return t.announced }
+
 // MarkEnded records that the known process has ended. The caller must be certain of it.
 func (t *Tracker) MarkEnded() { t.ended = t.hasReport }
 
@@ -170,5 +235,9 @@
 // Leaving reports whether the known process has announced its shutdown.
 func (t *Tracker) Leaving() bool { return t.leaving }
 
+// LeavingSince returns when the known process has announced its shutdown, or false if it has
+// not. The time lies far in the past if an earlier daemon was told.
+func (t *Tracker) LeavingSince() (clock.Millis, bool) { return t.leavingSince, t.leaving }
+
 // Ended reports whether the known process has ended. A later report of it clears this.
 func (t *Tracker) Ended() bool { return t.ended }
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -292,7 +292,7 @@
 func (a *App) publishMember(ctx context.Context) {
 	s := a.state
 	member, known := s.ownMember(a.stopping.Load())
-	if !known && a.clock.Now()-a.startedAt < firstReportWait {
+	if !known && a.clock.Now()-a.startedAt < firstReportWait && !s.departureUnwritten() {
 		return
 	}
 	value, err := s.encodeOwnMember(member)
@@ -326,9 +326,9 @@
 	last, seen := s.tracker.Last()
 	return fleet.Member{
 		Instance: s.instance, Incarnation: s.incarnation, Service: s.service, Slots: last.Slots,
-		Serving:     seen && !s.tracker.Ended() && !s.tracker.Leaving() && !stopping,
-		Strength:    s.strength,
-		LeftProcess: s.leftProcess,
+		Serving:   seen && !s.tracker.Ended() && !s.tracker.Leaving() && !stopping,
+		Strength:  s.strength,
+		Departure: s.tracker.Departure(),
 	}, seen
 }
 
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -182,18 +182,3 @@
 	defer s.mu.Unlock()
 	return len(s.view.Members()) > 0
 }
-
-// recordDeregistration records that the upstream with the ID is leaving. It reports
-// whether the ID is that of the known upstream process.
-func (s *state) recordDeregistration(now clock.Millis, id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known := s.tracker.MarkLeaving(id)
-	if last, _ := s.tracker.Last(); known {
-		s.recordLeft(last.Process)
-	}
-	if known && s.leaveAcknowledgedAt == 0 {
-		s.leaveAcknowledgedAt = now
-	}
-	return known
-}
--- a/sidecar/app/restart_test.go
+++ b/sidecar/app/restart_test.go
@@ -1,8 +1,10 @@
 package app_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -46,6 +48,42 @@
 	is.Equal(left.upstream.TotalRuns(), before)
 }
 
+// TestDeregistrationBeforeFirstReport guards against a restarted sidecar that acknowledges the
+// deregistration of an upstream it has no report of, and uses the upstream again after a
+// delayed report.
+func TestDeregistrationBeforeFirstReport(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 74, "ledger", "ledger")
+	left, other := c.instances[0], c.instances[1]
+	for _, in := range c.instances {
+		c.eventually("serving by "+in.name, func() bool {
+			status, _ := c.sendRequest(in, http.MethodPost, "/book/before", 1)
+			return status == http.StatusOK
+		})
+	}
+	left.silent.Store(true)
+	left.stop()
+	<-left.done
+	c.startInstance(left)
+	c.eventually("acknowledgement of the deregistration", func() bool { return left.upstream.Deregister(left.ip+":9004") == nil })
+	acknowledged := time.Now()
+	is.NoErr(left.upstream.SendHeartbeat(left.ip + ":9004")) // a delayed one
+	time.Sleep(time.Until(acknowledged.Add(2500 * time.Millisecond)))
+	before := left.upstream.TotalRuns()
+	other.upstream.ServiceTime = 50 * time.Millisecond
+	var senders sync.WaitGroup
+	for i := range 10 { // more than the other upstream runs at once
+		senders.Go(func() {
+			for j := range 10 {
+				c.sendRequest(other, http.MethodPost, fmt.Sprintf("/book/after-%d-%d", i, j), 1)
+			}
+		})
+	}
+	senders.Wait()
+	is.True(other.upstream.TotalRuns() > 10)
+	is.Equal(left.upstream.TotalRuns(), before)
+}
+
 // TestSilentUpstreamFinishesItsWork guards against a request that is given up, or run again
 // elsewhere, since its upstream sends no reports for a while.
 func TestSilentUpstreamFinishesItsWork(t *testing.T) {
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -296,7 +296,7 @@
 		}
 		body = upstreamrpc.EncodeGrant(grant)
 	case upstreamrpc.Deregistration:
-		known := a.state.recordDeregistration(a.clock.Now(), call.ID())
+		known := a.state.recordDeparture(a.clock.Now(), call.Departure(time.Now().UnixMilli()))
 		a.log.Info().Str("upstream", call.ID()).Bool("known", known).Msg("upstreamDeparts")
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -44,14 +44,6 @@
 	// unreachableUntil is the time, by instance, until which a sidecar that did not respond
 	// is not used as a watcher or proposal target.
 	unreachableUntil map[string]clock.Millis
-	// leaveAcknowledgedAt is the time at which the upstream's leave was acknowledged, 0 if
-	// the upstream is not leaving.
-	leaveAcknowledgedAt clock.Millis
-	// leftProcess is the newest process of the upstream that has announced its shutdown, to
-	// this sidecar or to an earlier one on the instance.
-	leftProcess keyspace.Process
-	// leftRecorded is true if it announced that to this sidecar.
-	leftRecorded bool
 	// candidatesChanged is set when the witness candidates of the key controller are out of
 	// date. They are updated before they are used: at a start, hundreds of member rows arrive
 	// at once.
@@ -130,7 +122,7 @@
 		return nil
 	}
 	if own, ok := view.Member(s.instance.Name()); ok {
-		s.restoreLeft(own.LeftProcess)
+		s.tracker.RestoreDeparture(now, own.Departure)
 	}
 	if instance, ok := fleet.MemberInstance(row.Key()); ok {
 		s.memberChanged(now, oldView, instance)
@@ -226,33 +218,23 @@
 	return table.NewRow(key, versioned.Revision, value), err
 }
 
-// restoreLeft takes over that a process of the upstream has announced its shutdown to an
-// earlier sidecar. What this sidecar has recorded itself is newer. The caller holds s.mu.
-func (s *state) restoreLeft(process keyspace.Process) {
-	if !s.leftRecorded && process != (keyspace.Process{}) {
-		s.leftProcess = process
-	}
-	s.markLeft()
+// recordDeparture records that a process of the upstream announces its shutdown. It reports
+// whether that is the known process.
+func (s *state) recordDeparture(now clock.Millis, d heartbeat.Departure) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.RecordDeparture(now, d)
 }
 
-// recordLeft records that a process of the upstream has announced its shutdown. The caller
-// holds s.mu.
-func (s *state) recordLeft(process keyspace.Process) { s.leftProcess, s.leftRecorded = process, true }
-
-// markLeft makes the upstream a leaving one if its process has announced its shutdown
-// before. When that was is unknown, so it gets no more requests. The caller holds s.mu.
-func (s *state) markLeft() {
-	last, seen := s.tracker.Last()
-	if !seen || last.Process != s.leftProcess || s.tracker.Leaving() {
-		return
-	}
-	s.tracker.MarkLeaving(last.Process.ID())
-	s.leaveAcknowledgedAt = longAgo
+// departureUnwritten reports whether a departure was announced to this sidecar that the known
+// member row lacks.
+func (s *state) departureUnwritten() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own, _ := s.view.Member(s.instance.Name())
+	return s.tracker.DepartureAnnounced() && own.Departure != s.tracker.Departure()
 }
 
-// longAgo is a time before all drain times that have not ended.
-const longAgo clock.Millis = -1 << 40
-
 // recordIncarnation records that another incarnation than the expected one responded at a
 // control address: the process of the expected one has ended. The caller holds s.mu.
 func (s *state) recordIncarnation(now clock.Millis, address string, expected, actual identity.Incarnation) {
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -40,12 +40,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last, seen := s.tracker.Last()
+	leavingSince, leaving := s.tracker.LeavingSince()
 	return dispatch.UpstreamState{
 		Service: s.service,
 		Process: last.Process,
 		Up:      seen && !s.tracker.Ended(),
-		Leaving: s.tracker.Leaving() || u.app.stopping.Load(),
-		Closed:  u.app.upstreamClosed.Load() || s.leaveAcknowledgedAt != 0 && now-s.leaveAcknowledgedAt >= u.app.settings.Drain()-drainMargin,
+		Leaving: leaving || u.app.stopping.Load(),
+		Closed:  u.app.upstreamClosed.Load() || leaving && now-leavingSince >= u.app.settings.Drain()-drainMargin,
 		Keyed:   serviceConfig.Keyed,
 	}
 }
@@ -128,7 +129,6 @@
 	switch verdict {
 	case heartbeat.Started:
 		s.keyController.HandleUpstreamRestart(now)
-		s.leaveAcknowledgedAt = 0
 		u.client.CloseIdle()
 	case heartbeat.Accepted:
 	default:
@@ -137,12 +137,5 @@
 	if !seen || previous.Slots != r.Slots {
 		u.app.gate.UpdateSettings(admission.Settings{Slots: r.Slots})
 	}
-	s.markLeft()
-	if s.tracker.Leaving() {
-		s.recordLeft(r.Process)
-	}
-	if s.tracker.Leaving() && s.leaveAcknowledgedAt == 0 {
-		s.leaveAcknowledgedAt = now
-	}
 	return s.keyController.HandleReport(now, r), verdict
 }
