sidecar: a shutdown is acknowledged once the store has it

Cause: a deregistration, and a heartbeat in state draining, got 200 while what they said was only in memory and in a write that had not succeeded. A restarted sidecar learns of a departure from the member row only.

Evidence: "upstreamDeparts known=true" and "rowNotWritten" before the kill; "report verdict=started" after it.

Change: the response waits until the known member row names the departure, for at most 0.8 s of the second that an upstream waits, and is 503 otherwise. The upstream is taken out of use at once in either case. The member row has a semaphore of its own, since retries of an assignment hold the other one for up to 1.6 s.

Replication to other sidecars was considered and not built, see docs/incidents/departure-only-in-memory.md.

--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -92,9 +92,12 @@
 	// watcherRoleKnown reports whether the latest sync round found other watchers of
 	// the region, which determines whether this sidecar has to watch the store.
 	watcherRoleKnown atomic.Bool
-	// writeSemaphore admits one operation at a time: a commit to the store, a probe of
+	// writeSemaphore admits one operation at a time: a commit of an assignment, a probe of
 	// the store, or a proposal to another sidecar.
 	writeSemaphore chan struct{}
+	// memberSemaphore admits one commit of the member row at a time. An upstream that leaves
+	// waits for it, which must not take as long as the retries of an assignment.
+	memberSemaphore chan struct{}
 	// writeOutage bounds the calls that write, probe the store, or read what became of a
 	// write.
 	writeOutage storeOutage
@@ -130,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &App{settings: s, localIP: net.ParseIP(s.IP()), controlWake: make(chan struct{}, 1), writeSemaphore: make(chan struct{}, 1), failures: make(chan error, 1)}
+	a := &App{settings: s, localIP: net.ParseIP(s.IP()), controlWake: make(chan struct{}, 1), writeSemaphore: make(chan struct{}, 1), memberSemaphore: make(chan struct{}, 1), failures: make(chan error, 1)}
 	a.startedAt = a.clock.Now()
 	for i := range a.watching {
 		a.watching[i].Store(true)
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -306,12 +306,12 @@
 		return
 	}
 	select {
-	case a.writeSemaphore <- struct{}{}:
+	case a.memberSemaphore <- struct{}{}:
 	default:
 		return
 	}
 	a.goOnce("publishMember", func() {
-		defer func() { <-a.writeSemaphore }()
+		defer func() { <-a.memberSemaphore }()
 		if revision, ok := a.commitRow(ctx, key, row.Version(), value, "member"); ok {
 			a.applyRows([]table.Row{table.NewRow(key, revision, value)})
 		}
--- a/sidecar/app/restart_test.go
+++ b/sidecar/app/restart_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"briarwell.dev/platform/platformtest"
 )
 
 // TestRestartBesideLeftUpstream guards against a sidecar that is restarted beside an
@@ -84,6 +86,48 @@
 	is.Equal(left.upstream.TotalRuns(), before)
 }
 
+// TestDepartureIsAcknowledgedOnceWritten guards against an upstream that is told that its
+// shutdown is known while only the memory of its sidecar has it: a restarted sidecar would use
+// the upstream again.
+func TestDepartureIsAcknowledgedOnceWritten(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 75, "ledger", "ledger", "ledger")
+	for _, in := range c.instances {
+		c.eventually("serving by "+in.name, func() bool {
+			status, _ := c.sendRequest(in, http.MethodPost, "/book/before", 1)
+			return status == http.StatusOK
+		})
+	}
+	deregistered, draining := c.instances[0], c.instances[1]
+	draining.silent.Store(true) // The test sends the heartbeats.
+	draining.upstream.StartDraining()
+	announce := map[*instance]func() error{
+		deregistered: func() error { return deregistered.upstream.Deregister(deregistered.ip + ":9004") },
+		draining:     func() error { return draining.upstream.SendHeartbeat(draining.ip + ":9004") },
+	}
+	c.store.SetFaults(platformtest.StoreFaults{Status: http.StatusServiceUnavailable})
+	var announcers sync.WaitGroup
+	for _, send := range announce {
+		announcers.Go(func() {
+			began := time.Now()
+			if send() == nil {
+				t.Error("a shutdown was acknowledged during the outage")
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("response after %s, the upstream waits for 1 s", took)
+			}
+		})
+	}
+	announcers.Wait()
+	c.store.SetFaults(platformtest.StoreFaults{})
+	for in, send := range announce {
+		c.within(5*time.Second, "acknowledgement", func() bool { return send() == nil })
+		row := string(c.store.Row("briarwell", "member/"+in.name).Value)
+		is.True(strings.Contains(row, fmt.Sprintf(`"leftLifeId":%q`, in.upstream.ID)))
+		is.True(strings.Contains(row, `"serving":false`))
+	}
+}
+
 // TestSilentUpstreamFinishesItsWork guards against a request that is given up, or run again
 // elsewhere, since its upstream sends no reports for a while.
 func TestSilentUpstreamFinishesItsWork(t *testing.T) {
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -40,8 +40,13 @@
 	// upstream's first report is delayed. An upstream accepts responses that arrive within
 	// a second.
 	firstGrantWait clock.Millis = 600
-	// grantPollInterval is the time between two checks for a grant during firstGrantWait.
+	// grantPollInterval is the time between two checks for a grant during firstGrantWait, and
+	// for a written departure during departureWait.
 	grantPollInterval = 20 * time.Millisecond
+	// departureWait is the longest time in milliseconds for which the response to a call that
+	// announces a shutdown waits for the store. An upstream accepts responses that arrive
+	// within a second.
+	departureWait clock.Millis = 800
 	// slowRequestThreshold is the duration in milliseconds from which a request is logged
 	// although it was served.
 	slowRequestThreshold clock.Millis = 2000
@@ -277,12 +282,28 @@
 	return grant
 }
 
+// awaitDepartureWritten waits until the store has the newest departure of the upstream, for at
+// most departureWait from the receipt of the call. It reports whether the store has it. Only
+// then may the call be acknowledged: a restarted sidecar learns of the departure there.
+func (a *App) awaitDepartureWritten(receivedAt clock.Millis) bool {
+	for a.state.departureUnwritten() {
+		if a.clock.Now()-receivedAt >= departureWait {
+			return false
+		}
+		a.wakeControl()
+		time.Sleep(grantPollInterval)
+	}
+	return true
+}
+
 func (a *App) handleUpstreamCall(w http.ResponseWriter, call upstreamrpc.Call) {
+	receivedAt := a.clock.Now()
 	body := []byte("{}")
+	departs := false
 	switch call := call.(type) {
 	case upstreamrpc.Heartbeat:
 		report := call.Report()
-		grant, verdict := a.upstream.applyReport(a.clock.Now(), report)
+		grant, verdict := a.upstream.applyReport(receivedAt, report)
 		if verdict == heartbeat.Started {
 			grant = a.awaitGrant(report, grant)
 		}
@@ -295,9 +316,16 @@
 			a.log.Info().Str("life", report.Process.String()).Str("verdict", string(verdict)).Bool("leaving", report.Leaving).Msg("report")
 		}
 		body = upstreamrpc.EncodeGrant(grant)
+		departs = report.Leaving
 	case upstreamrpc.Deregistration:
-		known := a.state.recordDeparture(a.clock.Now(), call.Departure(time.Now().UnixMilli()))
+		known := a.state.recordDeparture(receivedAt, call.Departure(time.Now().UnixMilli()))
 		a.log.Info().Str("upstream", call.ID()).Bool("known", known).Msg("upstreamDeparts")
+		departs = true
+	}
+	if departs && !a.awaitDepartureWritten(receivedAt) {
+		a.log.Warn().Int64("waitedMillis", int64(a.clock.Now()-receivedAt)).Msg("departureNotAcknowledged")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(body) // The upstream may have disconnected.
