httpclient: each send of a request uses a connection of its own

Cause: a response is matched by connection and request ID. An upstream rejects a request and writes that answer once more, late; the router sends the request again to the same owner of the key, with the same ID, on the connection that was used last, which is the same one. The late copy is taken as the answer to the second send.

In TestSecondSendOfRequest the second send got "rejected" where the server ran it, before the change.

Change: a connection keeps hashes of the IDs that it has carried, and is not used for an ID again. The copy can only come on the connection of the first send, so it can't be mistaken. A connection is closed after 512 requests with an ID, so what it remembers is exact and bounded (4 KB).

Closing the connection after each rejection was considered: an upstream that sheds half of its requests would get a new connection for each of them.

--- a/core/httpclient/client.go
+++ b/core/httpclient/client.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -65,6 +67,8 @@
 	requestComplete bool
 	// reused is true if the connection has carried a request before.
 	reused bool
+	// sentIDs are hashes of the response IDs of all requests that the connection has carried.
+	sentIDs []uint64
 	// idleSince is valid while the connection is idle. It is not reused after idleTimeout.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -149,10 +153,13 @@
 
 func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// acquire returns a reusable idle connection or a new one.
-func (c *Client) acquire(ctx context.Context) (*connection, error) {
+// acquire returns a reusable idle connection that has not carried a request with the response
+// ID, or a new one. A late second copy of a response can't be told from the response to another
+// send of the same request, unless that is on another connection.
+func (c *Client) acquire(ctx context.Context, responseID string) (*connection, error) {
+	idHash := hashID(responseID)
 	for {
-		conn := c.popIdle()
+		conn := c.popIdle(idHash)
 		if conn == nil {
 			break
 		}
@@ -182,22 +189,40 @@
 	return ok && idleconn.IsClosedByPeer(tcp)
 }
 
-func (c *Client) popIdle() *connection {
+// popIdle removes and returns the idle connection that was used last and has not carried the
+// response ID with the hash. It returns nil if there is none.
+func (c *Client) popIdle(idHash uint64) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle) == 0 {
-		return nil
+	for i := len(c.idle) - 1; i >= 0; i-- {
+		if conn := c.idle[i]; !slices.Contains(conn.sentIDs, idHash) {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return conn
+		}
+	}
+	return nil
+}
+
+// hashSeed is shared, so that a hash is valid for all connections of a client.
+var hashSeed = maphash.MakeSeed() //nolint:gochecknoglobals // Constant after the start.
+
+// hashID returns the hash of a response ID, 0 for none.
+func hashID(id string) uint64 {
+	if id == "" {
+		return 0
 	}
-	last := c.idle[len(c.idle)-1]
-	c.idle = c.idle[:len(c.idle)-1]
-	return last
+	return maphash.String(hashSeed, id)
 }
 
+// maxSentIDs is the number of requests with a response ID after which a connection is closed,
+// which bounds what it has to remember.
+const maxSentIDs = 512
+
 // release returns a connection to the pool, or closes it if it is not reusable.
 func (c *Client) release(conn *connection, reusable bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !reusable || c.closed || conn.reader.Buffered() > 0 {
+	if !reusable || c.closed || conn.reader.Buffered() > 0 || len(conn.sentIDs) >= maxSentIDs {
 		_ = conn.Close()
 		return
 	}
--- a/core/httpclient/request.go
+++ b/core/httpclient/request.go
@@ -47,7 +47,8 @@
 	AwaitContinue bool
 	// ResponseIDHeader, if set, is the header field in which the server repeats
 	// ResponseID. A response with another ID is a late response to an earlier request. One
-	// without an ID is accepted only on a connection that had no earlier request.
+	// without an ID is accepted only on a connection that had no earlier request. Requests
+	// with the same ID are sent on different connections.
 	ResponseIDHeader string
 	ResponseID       string
 	// Memory is charged for the body of the response; nil for no limit.
@@ -111,7 +112,7 @@
 	if !validHead(r) {
 		return Response{}, &Error{cause: errInvalidHead}
 	}
-	conn, err := c.acquire(ctx)
+	conn, err := c.acquire(ctx, r.ResponseID)
 	if err != nil {
 		return Response{}, &Error{cause: err, connectionRefused: isConnectionRefused(err)}
 	}
@@ -134,6 +135,9 @@
 // it has read a long body. It also reports whether the connection can be reused.
 func (c *connection) roundTrip(r Request) (Response, bool, error) {
 	c.bytesSent, c.requestComplete = 0, false
+	if r.ResponseID != "" {
+		c.sentIDs = append(c.sentIDs, hashID(r.ResponseID))
+	}
 	defer func() { c.reused = true }()
 	c.heads.allow(maxHeadBytes)
 	if r.AwaitContinue && len(r.Body) > 0 {
