fleet, keyspace: rows that no daemon writes are rejected

What happened is that an entry which could be decoded was used as an upstream.

Cause: a member row was accepted if its JSON had the right types. One with 2^63-1 slots looked like the instance with the most room. And in the assignment format of earlier builds, lengths whose sum overflows were accepted, with ranges outside the keys.

The addresses in the fixture of core/fleet got ports.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 
 	"briarwell.dev/core/balance"
@@ -91,6 +93,51 @@
 	return json.Marshal(encoded)
 }
 
+// maxStrength bounds the strength of an instance. A larger number comes from another writer.
+const maxStrength = 1 << 24
+
+// FieldError reports a field of a row that no daemon writes in this way.
+type FieldError struct{ name string }
+
+// Name returns the name of the field, "key" for the row's key.
+func (e *FieldError) Name() string { return e.name }
+
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("field %q is missing or out of range", e.name)
+}
+
+// validate returns a *FieldError for the first field that is missing or out of range. Such a row
+// names no upstream to which requests could be sent.
+func (e memberJSON) validate(instance string) error {
+	for _, field := range []struct {
+		name  string
+		valid bool
+	}{
+		{"key", instance != ""},
+		{"requestAddress", isHostPort(e.RequestAddress)},
+		{"peerAddress", isHostPort(e.PeerAddress)},
+		{"incarnation", e.Incarnation != 0},
+		{"service", e.Service != ""},
+		{"slots", e.Slots >= 0 && e.Slots <= heartbeat.MaxSlots},
+		{"strength", e.Strength >= 0 && e.Strength <= maxStrength},
+	} {
+		if !field.valid {
+			return &FieldError{name: field.name}
+		}
+	}
+	return nil
+}
+
+// isHostPort reports whether the address is a host and a port that can be connected to.
+func isHostPort(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
+
 // departure returns the departure that the row describes.
 func (e memberJSON) departure() heartbeat.Departure {
 	switch {
@@ -193,7 +240,11 @@
 
 func (v View) withMember(instance string, row table.Row) (View, error) {
 	var e memberJSON
-	if err := json.Unmarshal(row.Value(), &e); err != nil {
+	err := json.Unmarshal(row.Value(), &e)
+	if err == nil {
+		err = e.validate(instance)
+	}
+	if err != nil {
 		return v, &RowError{key: row.Key(), cause: err}
 	}
 	location := identity.NewLocation(e.Region, e.FailureDomain)
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -18,7 +19,7 @@
 
 func member(name, service string, serving bool) fleet.Member {
 	location := identity.NewLocation("r", "d")
-	return fleet.Member{Instance: membership.NewInstance(name, "http-"+name, "peer-"+name, location), Incarnation: 7, Service: service, Slots: 3, Serving: serving}
+	return fleet.Member{Instance: membership.NewInstance(name, name+":80", name+":81", location), Incarnation: 7, Service: service, Slots: 3, Serving: serving}
 }
 
 func row(t *testing.T, m fleet.Member, version table.Revision) table.Row {
@@ -46,7 +47,7 @@
 	is.Equal(got, member("a", "s", true))
 	targets := v.Instances("s")
 	is.Equal(len(targets), 1)
-	is.Equal(targets[0].Address, "http-a")
+	is.Equal(targets[0].Address, "a:80")
 
 	var a keyspace.Assignment
 	a = a.AddHolder(keyspace.NewHolder(membership.RestoreMember(7, got.Instance, 1, nil), keyspace.NewProcess("u", 1), 3)).AssignUnowned()
@@ -78,6 +79,34 @@
 	}
 }
 
+// TestViewRejectsOddMember guards against requests to an upstream that doesn't exist, since
+// another writer has left an entry with a number or a port out of range.
+func TestViewRejectsOddMember(t *testing.T) {
+	valid := `{"requestAddress":"10.0.0.1:80","peerAddress":"10.0.0.1:81","region":"r","failureDomain":"d","incarnation":"0000000000000007","service":"s","slots":3,"serving":true,"strength":320}`
+	for name, edit := range map[string][2]string{
+		"request port": {`10.0.0.1:80"`, `10.0.0.1:99999"`}, "no request port": {`10.0.0.1:80"`, `10.0.0.1"`}, "peer port": {`10.0.0.1:81"`, `10.0.0.1:0"`},
+		"no address": {`"10.0.0.1:80"`, `""`}, "no service": {`"s"`, `""`}, "no incarnation": {`07"`, `00"`},
+		"slots": {`:3,`, `:9223372036854775807,`}, "negative slots": {`:3,`, `:-3,`}, "fraction": {`:3,`, `:3.5,`}, "large number": {`:3,`, `:1e999,`},
+		"strength": {`:320`, `:9223372036854775807`}, "negative strength": {`:320`, `:-1`},
+		"nested": {`:320`, `:` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v, err := fleet.View{}.WithRow(table.NewRow(fleet.MemberKey("a"), 1, []byte(valid)))
+			is.NoErr(err)
+			odd := strings.Replace(valid, edit[0], edit[1], 1)
+			is.True(odd != valid)
+			v, err = v.WithRow(table.NewRow(fleet.MemberKey("b"), 2, []byte(odd)))
+			var rejected *fleet.RowError
+			is.True(errors.As(err, &rejected))
+			is.Equal(len(v.Instances("s")), 1)
+		})
+	}
+	is := is.New(t)
+	_, err := fleet.View{}.WithRow(table.NewRow(fleet.MemberKey(""), 1, []byte(valid)))
+	is.True(err != nil)
+}
+
 // TestViewRejectsInvalidRow guards against an invalid row that replaces a valid one.
 func TestViewRejectsInvalidRow(t *testing.T) {
 	is := is.New(t)
--- a/core/heartbeat/heartbeat.go
+++ b/core/heartbeat/heartbeat.go
@@ -24,6 +24,9 @@
 // Epoch returns the epoch under which the span is held.
 func (h HeldSpan) Epoch() identity.Epoch { return h.epoch }
 
+// MaxSlots bounds the slots of an upstream. A larger number comes from another writer.
+const MaxSlots = 1 << 16
+
 // Report is a liveness report. Fields that the upstream does not send are zero.
 type Report struct {
 	// Process identifies the upstream process by its ID and start time.
--- a/core/keyspace/codec.go
+++ b/core/keyspace/codec.go
@@ -353,7 +353,7 @@
 	first, epoch := 0, int64(0)
 	for i, length := range e.Lengths {
 		end := first + length
-		if length < 1 || end > int(LastKey)+1 {
+		if length < 1 || length > int(LastKey)+1 || end > int(LastKey)+1 {
 			return nil, fmt.Errorf("range from key %d has an invalid length of %d keys", first, length)
 		}
 		epoch += e.Epochs[i]
--- a/core/keyspace/codec_test.go
+++ b/core/keyspace/codec_test.go
@@ -1,6 +1,8 @@
 package keyspace_test
 
 import (
+	"bytes"
+	"compress/flate"
 	"errors"
 	"os"
 	"testing"
@@ -44,6 +46,21 @@
 	is.Equal(again, a) // nothing is lost in the present format
 }
 
+// TestDecodeRejectsOverflow guards against a row of another writer whose lengths are so large that
+// their sum overflows, and that is accepted with ranges outside the keys.
+func TestDecodeRejectsOverflow(t *testing.T) {
+	is := is.New(t)
+	var data bytes.Buffer
+	w, err := flate.NewWriter(&data, flate.BestSpeed)
+	is.NoErr(err)
+	_, err = w.Write([]byte(`{"epoch":1,"ranges":{"lengths":[1,9223372036854775807,9223372036854775807,65537],"owners":[0,0,0,0],"nexts":[0,0,0,0],"epochs":[1,0,0,0]}}`))
+	is.NoErr(err)
+	is.NoErr(w.Close())
+	_, err = keyspace.Decode(data.Bytes())
+	var rejected *keyspace.DecodeError
+	is.True(errors.As(err, &rejected))
+}
+
 // FuzzDecode guards against a row from another writer that stops the process, takes much
 // memory, or is accepted with ranges that do not cover all keys.
 func FuzzDecode(f *testing.F) {
