--- a/core/upstream/httpupstream/stream_test.go
+++ b/core/upstream/httpupstream/stream_test.go
@@ -243,3 +243,26 @@
 		is.True(maxHeap < before+4<<20)
 	}
 }
+
+// TestResponseCutAtEachByte guards against a response that breaks off in its head, or in a body
+// whose end is known, and is read as complete with an empty or short body.
+func TestResponseCutAtEachByte(t *testing.T) {
+	for name, raw := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 12\r\n\r\nhello, world",
+		"chunks": "HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"head":   "HTTP/1.1 200 OK\r\nSignature: s\r\nConnection: close\r\n\r\n",
+	} {
+		for cut := range len(raw) + 1 {
+			u := newUpstream(t, startServer(t, replyWith(false, raw[:cut])).address)
+			response, err := u.Do(t.Context(), newRequest("GET"))
+			var body []byte
+			if err == nil {
+				body, err = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+			if (err == nil) != (cut == len(raw)) {
+				t.Errorf("%s cut after %d of %d bytes: error %v, status %d, body %q", name, cut, len(raw), err, response.Status, body)
+			}
+		}
+	}
+}
