watch: a call for changes waits for 3 s

Cause: the call that waits for changes, of up to 26.5 s, is the only look at the store. If the store never answers it and its connection stays alive, nothing shows that.

Evidence: TestManifestAfterSilentStore failed before the change: the manifest was not in force 2.5 s after it was written, 3 s after the end of a silence of 0.5 s.

Change: the call waits for 3 s, so a silent one fails after 4.5 s; the first call after a failed one waits for 0.3 s. The wait bounds how long a sidecar is out of date without a sign of it.

Cost, by count: nine loops of three regions make about three calls a second instead of 0.4.

--- a/sidecar/app/outage_test.go
+++ b/sidecar/app/outage_test.go
@@ -50,3 +50,31 @@
 		return true
 	})
 }
+
+// TestManifestAfterSilentStore guards against sidecars that wait for a store which has become
+// silent and answers later calls only, and keep an old manifest meanwhile. A manifest must be
+// in force 2.5 s after it is written, once the store has been back for 3 s.
+func TestManifestAfterSilentStore(t *testing.T) {
+	c := newCluster(t, 77, "ledger", "ledger", "ledger")
+	inForce := func(path string) func() bool {
+		return func() bool {
+			for _, in := range c.instances {
+				if status, _ := c.sendRequest(in, http.MethodGet, path, 1); status != http.StatusOK {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	c.eventually("serving by every sidecar", inForce("/book/first"))
+	time.Sleep(2 * time.Second) // All wait for changes.
+	for i, silence := range []time.Duration{500 * time.Millisecond, 4500 * time.Millisecond} {
+		c.store.SetFaults(platformtest.StoreFaults{Silent: true})
+		time.Sleep(silence)
+		c.store.SetFaults(platformtest.StoreFaults{})
+		time.Sleep(3 * time.Second)
+		path := []string{"/new/", "/newer/"}[i]
+		c.store.WriteManifest(5+i, path)
+		c.within(2500*time.Millisecond, "use of the new manifest by every sidecar", inForce(path))
+	}
+}
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	// longPollWait is the time in milliseconds for which one call waits for changes; the
-	// store allows 30 s.
-	longPollWait clock.Millis = 25_000
+	// longPollWait is the time in milliseconds for which one call waits for changes. Nothing
+	// else shows that the store will never answer a call whose connection stays alive, so it
+	// also bounds for how long this sidecar is out of date.
+	longPollWait clock.Millis = 3000
+	// recheckWait replaces longPollWait for the first call after a failed one, as the store may
+	// still be silent.
+	recheckWait clock.Millis = 300
 	// minStoreBackoff is the shortest pause after a call that the store refused; a random
 	// time of up to the same length is added. During an outage, retry.Outage decides.
 	minStoreBackoff = 250 * time.Millisecond
@@ -50,7 +54,11 @@
 		var revision table.Revision
 		var err error
 		if loaded {
-			rows, revision, err = a.store.WatchRows(ctx, feed, after, longPollWait)
+			wait := longPollWait
+			if !reachable {
+				wait = recheckWait
+			}
+			rows, revision, err = a.store.WatchRows(ctx, feed, after, wait)
 		} else {
 			rows, revision, err = a.store.ReadRows(ctx, feed)
 		}
