soak: leaves, hangups and silences of the store, and the exits of sidecars

Load pattern: an upstream deregisters, repeats that until it is acknowledged, serves on with reports that don't say so, and ends, while its sidecar is killed, restarted, sent SIGHUP or cut off and the store fails.

Change: three kinds of faults (leave, hangups, silence). Two checks: a request that starts later than the drain time after the acknowledgement is a finding, unless the sidecar was disturbed in the last 3 s; so is a sidecar that ends in another way than with exit code 0 in a graceful stop, unless it was killed.

--- a/demo/soak/instance.go
+++ b/demo/soak/instance.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"sync"
 	"syscall"
 	"time"
@@ -48,6 +49,13 @@
 	upstream       *platformtest.Upstream
 	upstreamServer *http.Server
 	upstreamStarts int
+	// departed is the upstream whose shutdown was acknowledged at departedAt.
+	departed   *platformtest.Upstream
+	departedAt time.Time
+	// disturbances counts the faults that delay what the sidecar does, disturbedAt is the end
+	// of the last one.
+	disturbances int
+	disturbedAt  time.Time
 }
 
 // settingsFormat is the format of the settings file of a sidecar.
@@ -88,16 +96,66 @@
 	}
 	in.sidecarStarts++
 	sidecar, err := in.runner.processes.Start(fmt.Sprintf("%s-%d", in.name, in.sidecarStarts), in.runner.options.Program, "--settings", in.runner.processes.FilePath(in.name+".json"))
-	in.sidecar = sidecar
+	in.sidecar, in.disturbedAt = sidecar, time.Now()
 	return err
 }
 
+// recordDisturbance records that a fault delays what the sidecar does, until the returned
+// function is called.
+func (in *instance) recordDisturbance() func() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.disturbances++
+	return func() {
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		in.disturbances--
+		in.disturbedAt = time.Now()
+	}
+}
+
+// recordDeparture records that the shutdown of an upstream was acknowledged.
+func (in *instance) recordDeparture(u *platformtest.Upstream) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.departed, in.departedAt = u, time.Now()
+}
+
+// sinceDrain returns the time since the end of the drain time of an upstream. It returns false
+// if the upstream has not left, or the sidecar was disturbed in the last contactTime.
+func (in *instance) sinceDrain(u *platformtest.Upstream) (time.Duration, bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.departed != u || in.disturbances > 0 || time.Since(in.disturbedAt) < contactTime {
+		return 0, false
+	}
+	return time.Since(in.departedAt) - drainTime, true
+}
+
 func (in *instance) signalSidecar(signal syscall.Signal) error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return in.sidecar.Signal(signal)
 }
 
+// pauseSidecar suspends the sidecar for a time.
+func (in *instance) pauseSidecar(length time.Duration) error {
+	defer in.recordDisturbance()()
+	err := in.signalSidecar(syscall.SIGSTOP)
+	time.Sleep(length)
+	return errors.Join(err, in.signalSidecar(syscall.SIGCONT))
+}
+
+// hangUpSidecar sends SIGHUP to the sidecar again and again for a time.
+func (in *instance) hangUpSidecar(length time.Duration) error {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(hangupInterval) {
+		if err := in.signalSidecar(syscall.SIGHUP); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // stopSidecar stops the sidecar, gracefully or with SIGKILL, and waits until it has
 // ended.
 func (in *instance) stopSidecar(graceful bool) error {
@@ -107,10 +165,20 @@
 	if !graceful {
 		return sidecar.Kill()
 	}
-	_, err := sidecar.Stop(stopTimeout)
+	running := sidecar.Running()
+	took, err := sidecar.Stop(stopTimeout)
+	if exitErr := sidecar.ExitError(); running && err == nil && took < stopTimeout && exitErr != nil && !endedBy(exitErr, syscall.SIGKILL) {
+		in.runner.checker.addFinding("%s ended during its graceful stop: %v", sidecar.Name(), exitErr)
+	}
 	return err
 }
 
+// endedBy reports whether a process was ended by a signal, without a core dump.
+func endedBy(exitErr error, signal syscall.Signal) bool {
+	var exit *exec.ExitError
+	return errors.As(exitErr, &exit) && exit.Sys() == syscall.WaitStatus(signal)
+}
+
 // startUpstream starts a new upstream, with a new ID, at the address of the instance.
 func (in *instance) startUpstream() error {
 	in.mu.Lock()
--- a/demo/soak/plan.go
+++ b/demo/soak/plan.go
@@ -44,6 +44,13 @@
 	ManifestChange
 	// KillAll kills all sidecars and restarts them.
 	KillAll
+	// UpstreamLeave makes an upstream deregister, serve on for a while with reports that do
+	// not say so, and end. A new one starts at its address.
+	UpstreamLeave
+	// Hangups sends SIGHUP to a sidecar again and again.
+	Hangups
+	// StoreSilence makes calls to the store get no response, also those that are pending.
+	StoreSilence
 	faultKindCount
 )
 
@@ -51,7 +58,7 @@
 func (k FaultKind) String() string {
 	return [...]string{
 		"pause", "kill", "restart", "reload", "crash", "storeLink", "upstreamLink", "reportLink", "outage", "lostAnswers", "history",
-		"manifest", "killAll",
+		"manifest", "killAll", "leave", "hangups", "silence",
 	}[k]
 }
 
--- a/demo/soak/runner.go
+++ b/demo/soak/runner.go
@@ -181,9 +181,7 @@
 	in := r.instances[f.Instance]
 	switch f.Kind {
 	case Pause:
-		err := in.signalSidecar(syscall.SIGSTOP)
-		time.Sleep(f.Duration)
-		return errors.Join(err, in.signalSidecar(syscall.SIGCONT))
+		return in.pauseSidecar(f.Duration)
 	case Kill, Restart:
 		// A paused sidecar handles SIGTERM only after it is resumed.
 		err := in.stopSidecar(f.Kind == Restart)
@@ -200,6 +198,10 @@
 		return err
 	case Reload:
 		return in.signalSidecar(syscall.SIGHUP)
+	case Hangups:
+		return in.hangUpSidecar(f.Duration)
+	case UpstreamLeave:
+		return r.leaveUpstream(in, f.Duration)
 	case UpstreamCrash:
 		if in.currentUpstream() == nil {
 			return nil
@@ -208,11 +210,12 @@
 		time.Sleep(f.Duration)
 		return in.startUpstream()
 	case StoreLink, UpstreamLink, HeartbeatLink:
+		defer in.recordDisturbance()()
 		proxy := map[FaultKind]*Proxy{StoreLink: in.storeProxy, UpstreamLink: in.upstreamProxy, HeartbeatLink: in.heartbeatProxy}[f.Kind]
 		proxy.SetMode(f.Mode)
 		time.Sleep(f.Duration)
 		proxy.SetMode(Pass)
-	case StoreOutage, LostResponses, HistoryLoss:
+	case StoreOutage, LostResponses, HistoryLoss, StoreSilence:
 		r.store.SetFaults(newStoreFaults(f.Kind))
 		time.Sleep(f.Duration)
 		r.store.SetFaults(platformtest.StoreFaults{})
@@ -225,6 +228,42 @@
 	return nil
 }
 
+const (
+	// hangupInterval is the time between two signals of Hangups.
+	hangupInterval = 60 * time.Millisecond
+	// announceInterval is the time between two deregistrations of an upstream that gets no
+	// acknowledgement, announceTimeout that after which it ends without one.
+	announceInterval = 100 * time.Millisecond
+	announceTimeout  = 6 * time.Second
+	// drainTime is the time after the acknowledgement from which an upstream that leaves gets
+	// no requests, as in the settings. It ends leaveMargin later, or after a longer fault.
+	drainTime   = 2500 * time.Millisecond
+	leaveMargin = time.Second
+	// contactTime is the time without a disturbance after which a sidecar must keep the bounds.
+	contactTime = 3 * time.Second
+)
+
+// leaveUpstream makes the upstream of an instance announce its shutdown until that is
+// acknowledged, and replaces it later.
+func (r *Runner) leaveUpstream(in *instance, stay time.Duration) error {
+	u := in.currentUpstream()
+	if u == nil {
+		return nil
+	}
+	for end := time.Now().Add(announceTimeout); time.Now().Before(end); time.Sleep(announceInterval) {
+		if u.Deregister(in.ip+":9012") == nil {
+			in.recordDeparture(u)
+			break
+		}
+	}
+	time.Sleep(max(stay, drainTime+leaveMargin))
+	if in.currentUpstream() != u {
+		return nil // It has crashed meanwhile.
+	}
+	in.stopUpstream()
+	return in.startUpstream()
+}
+
 // lostResponseApplyDelay is the time after which the store applies a transaction
 // without a response.
 const lostResponseApplyDelay = 2 * time.Second
@@ -233,7 +272,7 @@
 func newStoreFaults(kind FaultKind) platformtest.StoreFaults {
 	return platformtest.StoreFaults{
 		Status:        map[FaultKind]int{StoreOutage: http.StatusServiceUnavailable}[kind],
-		DropResponses: kind == LostResponses, ApplyDelay: lostResponseApplyDelay, HistoryGone: kind == HistoryLoss,
+		DropResponses: kind == LostResponses, ApplyDelay: lostResponseApplyDelay, HistoryGone: kind == HistoryLoss, Silent: kind == StoreSilence,
 	}
 }
 
@@ -294,6 +333,9 @@
 // if another upstream holds the key. It is called before the request is processed.
 func (r *Runner) checkRequestStart(in *instance, u *platformtest.Upstream, id, key string) {
 	r.checker.recordExecution(id)
+	if late, ok := in.sinceDrain(u); ok && late > 0 {
+		r.checker.addFinding("request %s started at %s %s after its drain time", id, u.ID, late)
+	}
 	keyNumber, err := strconv.Atoi(key)
 	if !u.Keyed || err != nil || in.currentUpstream() != u {
 		return
