heartbeat: a departure that is announced again keeps its time; next processes count too

Cause, three gaps of the same kind. An upstream repeats its announcement: by ID only, to a restarted daemon or after the row of the earlier one was read, the drain time began anew, so requests could reach the upstream later than that after the first acknowledgement. An announcement by ID of a process that had not reported was acknowledged and dropped while the process before it was leaving. And after that of the next life of an ID, the life before it stayed in use: an upstream tells requests for the two apart by ID only.

Change: announcements of the same process, however named, keep the time of the first, or count as made long ago if an earlier daemon was told; rows of this daemon's own incarnation are not restored. A departure is dropped only if its process certainly started earlier.

--- a/core/heartbeat/heartbeat.go
+++ b/core/heartbeat/heartbeat.go
@@ -181,14 +181,26 @@
 // not reported yet: then its first report makes it a leaving one. RecordDeparture reports
 // whether it is the known process.
 func (t *Tracker) RecordDeparture(now clock.Millis, d Departure) bool {
-	if t.hasReport && (d.Of(t.last.Process) || d.hasOnlyID(t.last.Process.ID())) {
+	known := t.last.Process
+	if t.hasReport && (d.Of(known) || d.hasOnlyID(known.ID())) {
 		if !t.leaving {
-			t.departure, t.departedAt, t.announced = NewDeparture(t.last.Process), now, true
+			t.departure, t.departedAt, t.announced = NewDeparture(known), now, true
 			t.markLeaving(now)
 		}
 		return true
 	}
-	if d != t.departure && !t.isOutdated(d) {
+	if t.hasReport && !t.leaving && d.process.ID() == known.ID() && NewDeparture(known).isBefore(d) {
+		// The known process has ended. Upstreams tell requests for it apart by ID only, so the
+		// one that leaves would get them.
+		t.leaving, t.leavingSince = true, now
+	}
+	switch {
+	case d.Of(t.departure.process) || t.departure.Of(d.process):
+		// Announced again: the time of the first announcement counts.
+		if d != t.departure && (d.startKnown || !t.departure.startKnown) {
+			t.departure, t.announced = d, true
+		}
+	case !t.isOutdated(d):
 		t.departure, t.departedAt, t.announced = d, now, true
 	}
 	return false
@@ -197,20 +209,24 @@
 // isOutdated reports whether the departure of an earlier process was delayed: it must not
 // replace that of the known process or of a newer one.
 func (t *Tracker) isOutdated(d Departure) bool {
-	if t.leaving {
-		return !d.startKnown || d.process.StartUnixMillis() <= t.last.Process.StartUnixMillis()
-	}
-	return d.isBefore(t.departure)
+	return d.isBefore(t.departure) || t.leaving && d.isBefore(NewDeparture(t.last.Process))
 }
 
 // RestoreDeparture takes over a departure that was announced to an earlier daemon on the
 // instance. When that was is unknown, so the process counts as leaving for a very long time. A
 // departure that was announced to this tracker stays unless it is of an earlier process.
 func (t *Tracker) RestoreDeparture(now clock.Millis, d Departure) {
-	if d == (Departure{}) || t.announced && !t.departure.isBefore(d) {
+	switch {
+	case d == Departure{}:
 		return
+	case !t.announced || t.departure.isBefore(d):
+		t.departure, t.departedAt, t.announced = d, longAgo, false
+	case d == t.departure || d.startKnown && t.departure.Of(d.process):
+		t.departure, t.departedAt = d, longAgo
+		if t.leaving && d.Of(t.last.Process) {
+			t.leavingSince = longAgo
+		}
 	}
-	t.departure, t.departedAt, t.announced = d, longAgo, false
 	if t.hasReport {
 		t.markLeaving(now)
 	}
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -121,7 +121,7 @@
 		}
 		return nil
 	}
-	if own, ok := view.Member(s.instance.Name()); ok {
+	if own, ok := view.Member(s.instance.Name()); ok && own.Incarnation != s.incarnation {
 		s.tracker.RestoreDeparture(now, own.Departure)
 	}
 	if instance, ok := fleet.MemberInstance(row.Key()); ok {
