soak: an upstream is started only if none is running

Cause: two faults that replace the upstream of an instance can overlap, a leave and a crash. Both then started one at the same address, and the second failed ("address already in use"). That is a fault of the soak, not of the sidecar.

--- a/demo/soak/instance.go
+++ b/demo/soak/instance.go
@@ -179,10 +179,14 @@
 	return errors.As(exitErr, &exit) && exit.Sys() == syscall.WaitStatus(signal)
 }
 
-// startUpstream starts a new upstream, with a new ID, at the address of the instance.
+// startUpstream starts a new upstream, with a new ID, at the address of the instance. It does
+// nothing if one is running: two faults may replace the upstream at the same time.
 func (in *instance) startUpstream() error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if in.upstream != nil {
+		return nil
+	}
 	in.upstreamStarts++
 	u := &platformtest.Upstream{
 		ID: fmt.Sprintf("%s-life%d", in.name, in.upstreamStarts), Service: in.service, Address: in.ip + ":9010", Slots: upstreamSlots,
