--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -79,9 +79,9 @@
 	}
 }
 
-// TestViewRejectsOddMember guards against requests to an upstream that doesn't exist, since
+// TestViewRejectsOutOfRangeMember guards against requests to an upstream that doesn't exist, since
 // another writer has left an entry with a number or a port out of range.
-func TestViewRejectsOddMember(t *testing.T) {
+func TestViewRejectsOutOfRangeMember(t *testing.T) {
 	valid := `{"requestAddress":"10.0.0.1:80","peerAddress":"10.0.0.1:81","region":"r","failureDomain":"d","incarnation":"0000000000000007","service":"s","slots":3,"serving":true,"strength":320}`
 	for name, edit := range map[string][2]string{
 		"request port": {`10.0.0.1:80"`, `10.0.0.1:99999"`}, "no request port": {`10.0.0.1:80"`, `10.0.0.1"`}, "peer port": {`10.0.0.1:81"`, `10.0.0.1:0"`},
@@ -94,9 +94,9 @@
 			is := is.New(t)
 			v, err := fleet.View{}.WithRow(table.NewRow(fleet.MemberKey("a"), 1, []byte(valid)))
 			is.NoErr(err)
-			odd := strings.Replace(valid, edit[0], edit[1], 1)
-			is.True(odd != valid)
-			v, err = v.WithRow(table.NewRow(fleet.MemberKey("b"), 2, []byte(odd)))
+			invalid := strings.Replace(valid, edit[0], edit[1], 1)
+			is.True(invalid != valid)
+			v, err = v.WithRow(table.NewRow(fleet.MemberKey("b"), 2, []byte(invalid)))
 			var rejected *fleet.RowError
 			is.True(errors.As(err, &rejected))
 			is.Equal(len(v.Instances("s")), 1)
--- a/sidecar/app/oddrows_test.go
+++ b/sidecar/app/invalidrows_test.go
@@ -31,20 +31,20 @@
 	return out.Bytes()
 }
 
-// TestOddRowsOfOtherWriters guards against sidecars that end, that no longer follow the store,
+// TestInvalidRowsOfOtherWriters guards against sidecars that end, that no longer follow the store,
 // or that use an upstream that doesn't exist, since another writer has left entries in their
 // table: deeply nested ones, numbers that are too large, ports out of range.
-func TestOddRowsOfOtherWriters(t *testing.T) {
+func TestInvalidRowsOfOtherWriters(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 76, "wardrobe", "wardrobe", "ledger")
 	c.eventually("assignment of all keys", c.allKeysHeld)
-	trap, err := net.Listen("tcp", "127.76.0.9:9002")
+	listener, err := net.Listen("tcp", "127.76.0.9:9002")
 	is.NoErr(err)
-	t.Cleanup(func() { _ = trap.Close() })
-	var connections atomic.Int64
+	t.Cleanup(func() { _ = listener.Close() })
+	var connections atomic.Int64 // to the address of the invalid entries
 	go func() {
 		for {
-			conn, err := trap.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
@@ -61,17 +61,17 @@
 		entry("127.76.0.9:9002", "1e999", ""), entry("127.76.0.9:9002", "9223372036854775807", ""), entry("127.76.0.9:9002", "-4", ""),
 		entry("127.76.0.9:9002", "4", `,"strength":9223372036854775807`), entry("127.76.0.9:9002", "4", `,"incarnation":1e30`), "\xff\x00", "", "null", "{}", "7",
 	} {
-		c.store.Put("briarwell", fmt.Sprintf("member/odd%d", i), []byte(value))
+		c.store.Put("briarwell", fmt.Sprintf("member/invalid%d", i), []byte(value))
 	}
 	c.store.Put("briarwell", "member/", []byte(entry("127.76.0.9:9002", "4", "")))
 	for i, value := range []string{
 		nested, `{"ranges":` + nested + `}`, `{"ranges":{"lengths":[1,9223372036854775807,9223372036854775807,65537],"owners":[0,0,0,0],"nexts":[0,0,0,0],"epochs":[1,0,0,0]}}`,
 		`{"epoch":1e40}`, "null", "",
 	} {
-		for _, service := range []string{"wardrobe", "odd"} {
+		for _, service := range []string{"wardrobe", "unknown"} {
 			c.store.Put("briarwell", fmt.Sprintf("division/%s", service), deflated(t, value))
 		}
-		c.store.Put("briarwell", fmt.Sprintf("odd%d", i), []byte(value))
+		c.store.Put("briarwell", fmt.Sprintf("unknown%d", i), []byte(value))
 	}
 	time.Sleep(2 * time.Second) // several sync rounds
 	c.store.WriteManifest(5, "/new/")
@@ -90,5 +90,5 @@
 	c.logs.mu.Lock()
 	defer c.logs.mu.Unlock()
 	is.True(!strings.Contains(c.logs.buf.String(), "event=panic"))
-	is.Equal(connections.Load(), int64(0)) // No entry is used.
+	is.Equal(connections.Load(), int64(0))
 }
