sidecar: a request that is not run since its sender has disconnected gets 503

Cause: the handler returned without a response, for which net/http writes a 200. The check for a disconnected sender can't tell a closed connection from one that is closed in one direction.

Change: the refusal is written, for callers and for forwarded requests. It is true: the request is not run.

--- a/sidecar/app/broken_test.go
+++ b/sidecar/app/broken_test.go
@@ -1,8 +1,10 @@
 package app_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -106,3 +108,39 @@
 	}
 	is.True(ran >= 2)
 }
+
+// TestHalfClosedCaller guards against a 200 with an empty body for a request that was not run,
+// since its caller has closed its sending side and still reads.
+func TestHalfClosedCaller(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 79, "ledger")
+	in := c.instances[0]
+	c.eventually("serving of bookings", func() bool {
+		status, _ := c.sendRequest(in, http.MethodPost, "/book/first", 1)
+		return status == http.StatusOK
+	})
+	refused := 0
+	for i := range 40 {
+		id := fmt.Sprintf("half-closed-%d", i)
+		conn, err := net.Dial("tcp", in.ip+":9001")
+		is.NoErr(err)
+		_, err = fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n", id)
+		is.NoErr(err)
+		tcp, ok := conn.(*net.TCPConn)
+		is.True(ok)
+		is.NoErr(tcp.CloseWrite())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil {
+			runs := in.upstream.RunCount(id)
+			if (response.StatusCode == http.StatusOK) != (response.Header.Get("X-Server-Signature") != "") || response.StatusCode == http.StatusServiceUnavailable && runs > 0 {
+				t.Errorf("%s: status %d, signature %q, %d runs", id, response.StatusCode, response.Header.Get("X-Server-Signature"), runs)
+			}
+			if response.StatusCode == http.StatusServiceUnavailable {
+				refused++
+			}
+			_ = response.Body.Close()
+		}
+		is.NoErr(conn.Close())
+	}
+	is.True(refused > 0)
+}
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -100,6 +100,9 @@
 	}
 	if senderDisconnected(r.Context()) {
 		a.logAbandoned(request)
+		// A sender that has closed only its sending side still reads the response.
+		abandoned := dispatch.Result{Reply: dispatch.NotRun(outcome.ReasonDeadlineExceeded), RouteFound: true, ManifestVersion: manifest.Version()}
+		callerhttp.WriteResult(w, request.ID, abandoned)
 		return
 	}
 	request.Nested = a.executor.IsRunning(request.ParentID)
@@ -162,6 +165,7 @@
 	}
 	if senderDisconnected(r.Context()) {
 		a.logAbandoned(request)
+		peerhttp.WriteReply(w, request.ID, dispatch.NotRun(outcome.ReasonDeadlineExceeded), a.clock)
 		return
 	}
 	reply := a.executor.Serve(r.Context(), service, request, policy)
