sidecar/command: the order of two events no longer decides TestHangupDuringStart

Cause: the test waited for "started" and then for "reloaded", and dropped what it read in between. A SIGHUP that came before the start is handled beside it, so "reloaded" can be logged first.

Change: events that were read while another was awaited are kept. Both events are still required.

--- a/sidecar/command/signals_test.go
+++ b/sidecar/command/signals_test.go
@@ -39,7 +39,9 @@
 	upstream *platformtest.Upstream
 	settings string
 	events   chan string
-	exited   chan error
+	// unawaited counts the events that were read while the test waited for others.
+	unawaited map[string]int
+	exited    chan error
 }
 
 // newProcess returns a sidecar that is to be started. Its addresses are in 127.subnet.0.0/16.
@@ -51,7 +53,7 @@
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.Close)
 	ip := fmt.Sprintf("127.%d.0.1", subnet)
-	p := &process{ip: ip, events: make(chan string, 1000), exited: make(chan error, 1)}
+	p := &process{ip: ip, events: make(chan string, 1000), unawaited: make(map[string]int), exited: make(chan error, 1)}
 	p.upstream = &platformtest.Upstream{ID: "u0", Service: "ledger", Address: ip + ":9000", Slots: 4, ServiceTime: 600 * time.Millisecond}
 	l, err := net.Listen("tcp", p.upstream.Address)
 	is.NoErr(err)
@@ -89,9 +91,13 @@
 	p.exited <- p.command.Wait()
 }
 
-// awaitEvent waits until the sidecar logs an event.
+// awaitEvent waits until the sidecar has logged an event that was not awaited before.
 func (p *process) awaitEvent(t *testing.T, event string) {
 	t.Helper()
+	if p.unawaited[event] > 0 {
+		p.unawaited[event]--
+		return
+	}
 	timeout := time.After(10 * time.Second)
 	for {
 		select {
@@ -102,6 +108,7 @@
 			if e == event {
 				return
 			}
+			p.unawaited[e]++
 		case <-timeout:
 			t.Fatalf("no event %q", event)
 		}
