sidecar: changes of an assignment wait for the member row again

Cause, by reading: since the member row has a semaphore of its own, a sidecar that starts writes or proposes its join while its member row is still being written. Before, one semaphore kept the order.

Change: no change of the assignment begins while the member row is being written. The member row still doesn't wait for assignments, so shutdowns are acknowledged as soon.

--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -150,7 +150,9 @@
 	if serviceConfig.Keyed {
 		a.probeStore(ctx)
 		var change keyowner.Change
-		due := len(a.writeSemaphore) == 0
+		// While the member row is being written, others may know an earlier incarnation and
+		// choose no working witnesses.
+		due := len(a.writeSemaphore) == 0 && len(a.memberSemaphore) == 0
 		if due {
 			change, due = s.nextChange(a.clock.Now())
 		}
