routes, manifest, settings, balance: fields for restricted routes, cold upstreams and learned capacity

Cause: the manifests of further deployments restrict routes to regions (allowed_regions), limit cold upstreams (cold_start, cold_per_s) and take failure domains out of use. None of these fields was read.

Change: the fields that several parts share, so that the parts can be built side by side: routes.Route.AllowedRegions, routes.Service.ColdStart and ColdPerSecond, optional settings outOfUseWithin, coldOvershoot and coldSlack, and in balance.Load Capacity, ColdRate and ColdFor, which daemons send at the end of Briarwell-Load. A field that can't be read gets the strict meaning: the route is unusable, a cold upstream gets no requests. Nothing uses the fields yet.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -79,6 +79,13 @@
 	LinkMbps       int
 	LinkBacklog    clock.Millis
 	InboundBacklog clock.Millis
+	// Capacity is the number of requests per second that the upstream serves without
+	// queueing, 0 if unknown.
+	Capacity int
+	// ColdRate is the number of requests per second that the upstream accepts while it is
+	// cold, 0 if it is not cold. ColdFor is the time in milliseconds until it is warm.
+	ColdRate int
+	ColdFor  clock.Millis
 }
 
 // Candidate is an upstream that may run a request.
--- a/core/dispatch/peerhttp/peerhttp.go
+++ b/core/dispatch/peerhttp/peerhttp.go
@@ -154,7 +154,8 @@
 	header.Set(headerReachedUpstream, strconv.FormatBool(reply.ReachedUpstream))
 	header.Set(headerRetryAfter, strconv.FormatInt(int64(reply.RetryAfter), 10))
 	load := reply.Load
-	header.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d,%d,%d", load.Running, load.Waiting, load.Slots, load.ServiceTime, load.ClassServiceTime, load.DemandPercent, load.LinkMbps, load.LinkBacklog, load.InboundBacklog, load.FailurePercent))
+	header.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d", load.Running, load.Waiting, load.Slots, load.ServiceTime, load.ClassServiceTime, load.DemandPercent,
+		load.LinkMbps, load.LinkBacklog, load.InboundBacklog, load.FailurePercent, load.Capacity, load.ColdRate, load.ColdFor))
 	header.Set("Content-Length", strconv.Itoa(len(reply.Response.Body)))
 	w.WriteHeader(status)
 	writeBody(w, reply.Response.Body, reply.Schedule, c)
@@ -198,8 +199,9 @@
 		reply.RetryAfter = clock.Millis(after)
 	}
 	load := balance.Load{}
-	n, _ := fmt.Sscanf(header.Get(headerLoad), "%d,%d,%d,%d,%d,%d,%d,%d,%d,%d", &load.Running, &load.Waiting, &load.Slots,
-		&load.ServiceTime, &load.ClassServiceTime, &load.DemandPercent, &load.LinkMbps, &load.LinkBacklog, &load.InboundBacklog, &load.FailurePercent)
+	n, _ := fmt.Sscanf(header.Get(headerLoad), "%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d,%d", &load.Running, &load.Waiting, &load.Slots,
+		&load.ServiceTime, &load.ClassServiceTime, &load.DemandPercent, &load.LinkMbps, &load.LinkBacklog, &load.InboundBacklog, &load.FailurePercent,
+		&load.Capacity, &load.ColdRate, &load.ColdFor)
 	if n >= minLoadFields {
 		reply.Load, reply.HasLoad = load, true
 	}
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -37,10 +37,18 @@
 	Rank int
 	// MaxAttempts is the largest number of upstreams that a request is sent to.
 	MaxAttempts int
-	// Unusable is true if it is unknown to which services the requests may go.
+	// AllowedRegions lists the regions in which the requests may run; all if it is empty.
+	AllowedRegions []string
+	// Unusable is true if it is unknown to which services the requests may go, or where
+	// they may run.
 	Unusable bool
 }
 
+// AllowsRegion reports whether requests of the route may run in the region.
+func (r Route) AllowsRegion(region string) bool {
+	return len(r.AllowedRegions) == 0 || slices.Contains(r.AllowedRegions, region)
+}
+
 // Service holds the settings of a service.
 type Service struct {
 	Name string
@@ -48,6 +56,13 @@
 	Keyed bool
 	// MaxConnections is the number of connections that an upstream accepts.
 	MaxConnections int
+	// ColdStart is the time in milliseconds for which an upstream is cold after its start.
+	ColdStart clock.Millis
+	// ColdPerSecond is the rate of requests per second that a cold upstream tolerates, 0 if
+	// it is not limited.
+	ColdPerSecond float64
+	// ColdInvalid is true if that rate is unknown. A cold upstream then gets no requests.
+	ColdInvalid bool
 	// Unusable is true if it is unknown how its requests are divided.
 	Unusable bool
 }
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -31,6 +31,9 @@
 	retryShare      float64
 	retrySlack      float64
 	retryWindow     clock.Millis
+	outOfUseWithin  clock.Millis
+	coldOvershoot   float64
+	coldSlack       float64
 	linkMbps        float64
 	memoryMB        float64
 	cpuShare        float64
@@ -72,6 +75,9 @@
 		retryShare:      requiredNumber(object, "retryShare", 1),
 		retrySlack:      requiredNumber(object, "retrySlack", maxRetrySlack),
 		retryWindow:     requiredDuration(object, "retryWindow"),
+		outOfUseWithin:  optionalDuration(object, "outOfUseWithin", defaultOutOfUseWithin),
+		coldOvershoot:   optionalNumber(object, "coldOvershoot", maxColdOvershoot),
+		coldSlack:       optionalNumber(object, "coldSlack", maxRetrySlack),
 		linkMbps:        requiredNumber(object, "linkMbps", maxMbps),
 		memoryMB:        optionalNumber(object, "memoryMB", maxMemoryMB),
 		cpuShare:        optionalNumber(object, "cpuShare", maxCPUShare),
@@ -95,6 +101,21 @@
 	return clock.FromDuration(d)
 }
 
+// optionalDuration reads a positive duration, or returns the default if the field is missing.
+func optionalDuration(object *settings.Object, name string, defaultValue clock.Millis) clock.Millis {
+	if !object.Optional(name).IsPresent() {
+		return defaultValue
+	}
+	return requiredDuration(object, name)
+}
+
+// defaultOutOfUseWithin applies to settings that lack the field.
+const defaultOutOfUseWithin clock.Millis = 5000
+
+// maxColdOvershoot is the largest accepted factor between the rates that a cold upstream
+// tolerates for a second and for longer.
+const maxColdOvershoot = 100
+
 // requiredNumber reads a number from 0 to limit.
 func requiredNumber(object *settings.Object, name string, limit float64) float64 {
 	value := object.Required(name)
@@ -178,6 +199,17 @@
 // counted.
 func (s Sidecar) RetryWindow() clock.Millis { return s.retryWindow }
 
+// OutOfUseWithin returns the time in milliseconds after which no request may reach the upstreams
+// of a failure domain that was taken out of use.
+func (s Sidecar) OutOfUseWithin() clock.Millis { return s.outOfUseWithin }
+
+// ColdOvershoot returns the factor of the rate that a cold upstream tolerates by which the
+// requests of one second may exceed it, at least 1.
+func (s Sidecar) ColdOvershoot() float64 { return max(s.coldOvershoot, 1) }
+
+// ColdSlack returns the number of requests that a cold upstream may get in a second in addition.
+func (s Sidecar) ColdSlack() float64 { return s.coldSlack }
+
 // LinkMbps returns the bandwidth of the instance's network link in Mbit/s, 0 for no limit.
 func (s Sidecar) LinkMbps() float64 { return s.linkMbps }
 
--- a/sidecar/settings/settings_test.go
+++ b/sidecar/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -57,6 +58,8 @@
 		"retrySlack":      {`56`, `-1`},
 		"memoryMB":        {`184`, `"much"`},
 		"storeAddress":    {`"storeAddress":"10.0.0.9:80",`, ``},
+		"coldSlack":       {`"logLevel"`, `"coldSlack":-1,"logLevel"`},
+		"outOfUseWithin":  {`"logLevel"`, `"outOfUseWithin":"0s","logLevel"`},
 		"other":           {`"logLevel"`, `"other":1,"logLevel"`},
 	} {
 		_, err := settings.Parse([]byte(strings.Replace(validSettings, change[0], change[1], 1)))
@@ -83,6 +86,30 @@
 		"{{bounds.retry_budget_ratio|json}}", "0.2", "{{bounds.budget_slack|json}}", "56", "{{bounds.retry_window|json}}", `"10s"`,
 		"{{limits.bandwidth_mbps|json}}", "1000.0", "{{limits.memory_mb|json}}", "284", "{{limits.cpu_share|json}}", "0.32",
 	)
-	_, err = settings.Parse([]byte(values.Replace(text)))
+	text = values.Replace(text)
+	bounds := map[string]string{"bounds.evacuate": `"5000ms"`, "bounds.cold_overshoot": "1.5", "bounds.cold_slack": "8"}
+	s, err := settings.Parse([]byte(renderSections(text, bounds)))
 	is.NoErr(err)
+	is.Equal(s.OutOfUseWithin(), clock.Millis(5000))
+	is.Equal(s.ColdOvershoot(), 1.5)
+	is.Equal(s.ColdSlack(), 8.0)
+	s, err = settings.Parse([]byte(renderSections(text, nil)))
+	is.NoErr(err)
+	is.Equal(s.ColdOvershoot(), 1.0)
+	is.Equal(s.ColdSlack(), 0.0)
+}
+
+// section is a part of the template that is rendered only if the platform has a value.
+var section = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)}}(.*?)\{\{/[a-z_.]+}}`)
+
+// renderSections renders the sections of a template with the values, and drops those without one.
+func renderSections(text string, values map[string]string) string {
+	return section.ReplaceAllStringFunc(text, func(found string) string {
+		parts := section.FindStringSubmatch(found)
+		value, ok := values[parts[1]]
+		if !ok {
+			return ""
+		}
+		return strings.ReplaceAll(parts[2], "{{.|json}}", value)
+	})
 }
