routes: the regions in which the keys of a service are to be owned

Cause: a route may be restricted to regions. A key has one owner, so the owner must be where all requests for the key may run; the key controller needs these regions to decide whether its upstream takes keys.

Change: Manifest.OwnerRegions(service) returns the intersection of the allowed regions of all restricted routes to the service, nil if there is none or it is empty. It is computed once for each version.

--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -83,6 +83,8 @@
 	routesByHost map[string][]Route
 	services     map[string]Service
 	limits       Limits
+	// ownerRegions holds the owner regions of the services that restricted routes lead to.
+	ownerRegions map[string][]string
 }
 
 // NewManifest returns a manifest. It does not copy the slices.
@@ -98,9 +100,29 @@
 	for _, s := range services {
 		m.services[s.Name] = s
 	}
+	m.ownerRegions = intersectRegions(routes)
 	return m
 }
 
+// intersectRegions returns, by service, the regions that all restricted routes to it allow. A
+// service without a restricted route is absent.
+func intersectRegions(routes []Route) map[string][]string {
+	regions := make(map[string][]string)
+	for _, r := range routes {
+		if len(r.AllowedRegions) == 0 {
+			continue
+		}
+		for _, w := range r.TrafficSplit {
+			common, ok := regions[w.Service]
+			if !ok {
+				common = slices.Compact(slices.Sorted(slices.Values(r.AllowedRegions)))
+			}
+			regions[w.Service] = slices.DeleteFunc(common, func(region string) bool { return !r.AllowsRegion(region) })
+		}
+	}
+	return regions
+}
+
 // Version returns the version, 0 if no manifest is known yet.
 func (m *Manifest) Version() uint64 { return m.version }
 
@@ -113,6 +135,19 @@
 	return s, ok
 }
 
+// OwnerRegions returns the names of the regions, sorted, in which the keys of a keyed service
+// are to be owned: those that all restricted routes to it allow, also routes that send it no
+// requests at the moment. It returns nil if the keys may be owned in any region: if there is no
+// restricted route, or no region in which all requests may run.
+//
+// The caller must not change the slice.
+func (m *Manifest) OwnerRegions(service string) []string {
+	if regions := m.ownerRegions[service]; len(regions) > 0 {
+		return regions
+	}
+	return nil
+}
+
 // Match returns the route of the host whose prefix is the longest that matches the
 // path, or false if none matches. The host may include a port.
 func (m *Manifest) Match(host, path string) (Route, bool) {
--- a/core/routes/routes_test.go
+++ b/core/routes/routes_test.go
@@ -39,3 +39,30 @@
 	is.Equal(counts["c"], 0)
 	is.Equal(routes.Route{}.PickService(), "")
 }
+
+// TestOwnerRegions guards against keys that are owned where a restricted route may not run its
+// requests, also one that a split gives no requests yet, and against keys that nobody may own
+// since two routes exclude each other's regions.
+func TestOwnerRegions(t *testing.T) {
+	is := is.New(t)
+	to := func(names ...string) []routes.WeightedService {
+		split := make([]routes.WeightedService, 0, len(names))
+		for _, name := range names {
+			split = append(split, routes.WeightedService{Service: name})
+		}
+		return split
+	}
+	m := routes.NewManifest(1, []routes.Route{
+		{TrafficSplit: to("free", "one", "both", "apart", "absent")},
+		{TrafficSplit: to("one", "both", "apart"), AllowedRegions: []string{"lagos", "kano", "lagos"}},
+		{TrafficSplit: to("both", "both"), AllowedRegions: []string{"jos", "kano"}},
+		{TrafficSplit: to("apart"), AllowedRegions: []string{"jos"}},
+		{TrafficSplit: to("absent"), AllowedRegions: []string{"nowhere"}},
+	}, nil, routes.Limits{})
+	is.Equal(m.OwnerRegions("free"), nil)
+	is.Equal(m.OwnerRegions("one"), []string{"kano", "lagos"})
+	is.Equal(m.OwnerRegions("both"), []string{"kano"})
+	is.Equal(m.OwnerRegions("apart"), nil)
+	is.Equal(m.OwnerRegions("absent"), []string{"nowhere"})
+	is.Equal((&routes.Manifest{}).OwnerRegions("one"), nil)
+}
