dispatch: requests of restricted routes are sent to allowed regions only

Cause: the manifest may restrict a route to regions (allowed_regions). The dispatcher sent its requests anywhere.

Change: without keys, instances in other regions are removed before the balancer sees them; with keys, an owner elsewhere is refused at once, also after a move, and so is a request without an owner if no upstream in an allowed region could become one. The refusal has the reason region-not-allowed if no allowed upstream could be used; an upstream that is only busy keeps its own reason and retry time. manifestInForce names the owner regions, explain has the reason.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -24,7 +24,7 @@
 	// waits for an owner of its key before it is refused.
 	ownerWaitShare = 0.25
 	// ownerRetryAfter is the time in milliseconds after which a caller may retry a request
-	// whose key has no reachable owner.
+	// whose key has no reachable owner, or that may run at no usable upstream.
 	ownerRetryAfter clock.Millis = 300
 	// minRemainingTime is the time in milliseconds before the deadline from which a request
 	// is not sent again: a round trip between regions takes 40 ms.
@@ -395,7 +395,7 @@
 		return p.awaitOwner(ctx)
 	}
 	d := p.dispatcher
-	targets := d.resolver.Instances(p.service)
+	targets := p.allowedInstances()
 	candidates := make([]balance.Candidate, 0, len(targets))
 	for _, t := range targets {
 		candidates = append(candidates, t.Candidate)
@@ -404,11 +404,56 @@
 	defer d.mu.Unlock()
 	i := d.balancer.Pick(d.clock.Now(), candidates, p.balanceRequest(), p.excluded, rand.Float64)
 	if i < 0 {
+		if len(p.route.AllowedRegions) > 0 && p.foundNoUsableUpstream() {
+			p.refuseByRegion()
+		}
 		return Target{}, false
 	}
 	return targets[i], true
 }
 
+// allows reports whether the request may run at the target.
+func (p *pendingRequest) allows(t Target) bool { return p.route.AllowsRegion(t.Location.Region()) }
+
+// allowedInstances returns the instances at which the request may run.
+func (p *pendingRequest) allowedInstances() []Target {
+	targets := p.dispatcher.resolver.Instances(p.service)
+	if len(p.route.AllowedRegions) == 0 {
+		return targets
+	}
+	var allowed []Target
+	for _, t := range targets {
+		if p.allows(t) {
+			allowed = append(allowed, t)
+		}
+	}
+	return allowed
+}
+
+// foundNoUsableUpstream reports whether the request was sent nowhere, or its last reply is
+// that of an instance whose upstream accepts no requests. A refusal by an upstream that is
+// only busy keeps its own reason and retry time.
+func (p *pendingRequest) foundNoUsableUpstream() bool {
+	if p.sends == 0 {
+		return true
+	}
+	refused, ok := p.lastReply.Outcome.(outcome.NotRun)
+	if !ok {
+		return false
+	}
+	switch refused.Reason() {
+	case outcome.ReasonUnreachable, outcome.ReasonMoved, outcome.ReasonDraining, outcome.ReasonOutOfUse:
+		return true
+	default:
+		return false
+	}
+}
+
+// refuseByRegion makes the final reply a refusal due to the route's restriction.
+func (p *pendingRequest) refuseByRegion() {
+	p.lastReply = NotRun(outcome.ReasonRegionNotAllowed).WithRetryAfter(ownerRetryAfter)
+}
+
 // balanceRequest describes the request to the balancer.
 func (p *pendingRequest) balanceRequest() balance.Request {
 	request := balance.Request{Class: p.route.Name, LargeResponse: p.route.LargeResponses}
@@ -420,7 +465,9 @@
 
 // awaitOwner returns the owner of the request's key once it is known and reachable, or
 // false if that takes longer than ownerWaitShare of the route's target latency or the
-// request ends.
+// request ends. It does not wait if the request may not run at the owner, or if there is no
+// owner and no upstream that may become one: the key controllers move the keys of a restricted
+// route to its regions, which takes longer.
 func (p *pendingRequest) awaitOwner(ctx context.Context) (Target, bool) {
 	d := p.dispatcher
 	maxWait := clock.Millis(float64(p.route.TargetLatency) * ownerWaitShare)
@@ -431,6 +478,15 @@
 		now := d.clock.Now()
 		if lookUp {
 			target, ok := d.resolver.Owner(p.service, p.request)
+			if ok && !p.allows(target) {
+				p.lastInstance = target.Name
+				p.refuseByRegion()
+				return Target{}, false
+			}
+			if !ok && len(p.route.AllowedRegions) > 0 && len(p.allowedInstances()) == 0 {
+				p.refuseByRegion()
+				return Target{}, false
+			}
 			if ok && d.reachable(now, target.Name) {
 				return target, true
 			}
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -296,7 +297,8 @@
 			return nil
 		}
 		if a.manifest.CompareAndSwap(old, m) {
-			a.log.Info().Uint64("version", m.Version()).Uint64("before", old.Version()).Int("problems", len(problems)).Msg("manifestInForce")
+			a.log.Info().Uint64("version", m.Version()).Uint64("before", old.Version()).Int("problems", len(problems)).
+				Str("ownerRegions", strings.Join(m.OwnerRegions(a.settings.Service()), ",")).Msg("manifestInForce")
 			a.reportManifestProblems(m.Version(), problems)
 			return nil
 		}
