balance, dispatch: unrestricted requests leave room where restricted ones must run

Cause: requests that may run anywhere left an overloaded region for the region of restricted routes, whose requests were then refused and have no other region.

Change: for a request of an unrestricted route, upstreams in another region that restricted routes of the service need cost up to 150 ms more, by the fourth power of the share of their slots in use.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -45,6 +45,10 @@
 	// failureHalfLifeMillis is the time in milliseconds in which the failure rate
 	// halves without requests, so that a failing upstream is tried again.
 	failureHalfLifeMillis = 2500.0
+	// restrictedCost is the cost in milliseconds of taking the last free slot of an upstream
+	// in another region that restricted routes need. From 200 ms on, more than 2% of the
+	// slots of that region stay unused while others refuse requests.
+	restrictedCost = 150.0
 	// initialBackoff and maxBackoff bound the time in milliseconds for which a daemon
 	// that did not answer gets no requests. It doubles with each failure.
 	initialBackoff clock.Millis = 400
@@ -95,6 +99,9 @@
 	Location identity.Location
 	// Slots is the number of requests that the upstream runs at once.
 	Slots int
+	// Needed is true if requests that may not run in every region need the upstream, and
+	// the request to be balanced is none of them.
+	Needed bool
 }
 
 type upstreamState struct {
@@ -260,6 +267,9 @@
 // reachable: traffic between regions is paid by volume, and one such message costs the
 // users more than it is worth to them.
 //
+// A candidate of another region that restricted routes need costs more the fuller it is, so
+// that requests that may run anywhere wait longer in their own region before they go there.
+//
 // random returns numbers in [0, 1).
 func (b *Balancer) Pick(now clock.Millis, candidates []Candidate, request Request, excluded map[string]bool, random func() float64) int {
 	var sameRegion, otherRegions []int
@@ -374,6 +384,11 @@
 	remaining := float64(u.load.Running+u.load.Waiting) * math.Exp(-age/loadDecayMillis)
 	load := max(remaining+float64(max(u.inFlight-u.inFlightAtReport, 0)), float64(u.inFlight))
 	wait := queueingDelay(serviceTime, load, slots)
+	if c.Needed && c.Location.Region() != b.location.Region() {
+		// The fourth power: an upstream that is half free loses nothing by the request.
+		used := min((load+1)/float64(max(slots, 1)), 1)
+		cost += restrictedCost * used * used * used * used
+	}
 	if request.LargeResponse {
 		// Responses to requests sent since the report share the link. Small responses
 		// don't count: they are sent between the chunks of large ones.
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -146,6 +147,9 @@
 	defer cancel()
 	d.retryBudget(service).RecordFirstAttempt(d.clock.Now())
 	p := pendingRequest{dispatcher: d, route: route, service: service, request: &bounded, keyed: manifestService.Keyed, excluded: make(map[string]bool)}
+	if len(route.AllowedRegions) == 0 {
+		p.neededRegions = manifest.RestrictedRegions(service)
+	}
 	result := p.run(ctx)
 	result.RouteFound, result.ManifestVersion = true, manifest.Version()
 	result.Route, result.Service = route.Name, service
@@ -183,6 +187,9 @@
 	service    string
 	request    *Request
 	keyed      bool
+	// neededRegions are the regions that restricted routes to the service need, nil if the
+	// request is of such a route itself.
+	neededRegions []string
 	// excluded holds the instances that are not tried again.
 	excluded map[string]bool
 	// upstreamAttempts counts the attempts that reached an upstream, sends all attempts.
@@ -398,7 +405,9 @@
 	targets := p.allowedInstances()
 	candidates := make([]balance.Candidate, 0, len(targets))
 	for _, t := range targets {
-		candidates = append(candidates, t.Candidate)
+		candidate := t.Candidate
+		candidate.Needed = len(p.neededRegions) > 0 && slices.Contains(p.neededRegions, t.Location.Region())
+		candidates = append(candidates, candidate)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/core/dispatch/regions_test.go
+++ b/core/dispatch/regions_test.go
@@ -138,3 +138,27 @@
 	is.Equal(cluster.sentTo, []string{"c"})
 	is.Equal(outcome.ReasonOf(result.Outcome), outcome.ReasonRegionNotAllowed)
 }
+
+// TestNeededRegion guards against an unrestricted request, also a nested one, that takes the last
+// slots of a region to which another route of the service is restricted, while its own region
+// serves it as well.
+func TestNeededRegion(t *testing.T) {
+	is := is.New(t)
+	c := system.Clock{}
+	for _, restricted := range []bool{false, true} {
+		cluster := &regionCluster{regions: map[string]string{"a": "lagos", "c": "kano"}}
+		cluster.replies = map[string][]dispatch.Reply{"any": {doneReply()}}
+		split := []routes.WeightedService{{Service: "s", Weight: 1}}
+		free, bound := routes.Route{Host: "h", Prefix: "/", TrafficSplit: split, Timeout: 1000}, routes.Route{Host: "h", Prefix: "/b/", TrafficSplit: split}
+		if restricted {
+			bound.AllowedRegions = []string{"kano"}
+		}
+		m := routes.NewManifest(1, []routes.Route{free, bound}, []routes.Service{{Name: "s"}}, routes.Limits{})
+		balancer, now := balance.New(identity.NewLocation("lagos", "d")), c.Now()
+		balancer.RecordLoad(now, "a", "", balance.Load{Running: 2, Waiting: 1, Slots: 2, ServiceTime: 100})
+		balancer.RecordLoad(now, "c", "", balance.Load{Running: 1, Slots: 2, ServiceTime: 100})
+		d := dispatch.NewDispatcher(c, cluster, cluster, balancer, dispatch.RetryLimits{})
+		result := d.Handle(context.Background(), m, &dispatch.Request{RequestURI: "/x", Host: "h", Nested: true, ReceivedAt: now, Deadline: now + 900})
+		is.Equal(result.Instance, map[bool]string{false: "c", true: "a"}[restricted])
+	}
+}
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -85,6 +85,8 @@
 	limits       Limits
 	// ownerRegions holds the owner regions of the services that restricted routes lead to.
 	ownerRegions map[string][]string
+	// restrictedRegions holds, by service, the regions that any restricted route allows.
+	restrictedRegions map[string][]string
 }
 
 // NewManifest returns a manifest. It does not copy the slices.
@@ -100,7 +102,7 @@
 	for _, s := range services {
 		m.services[s.Name] = s
 	}
-	m.ownerRegions = intersectRegions(routes)
+	m.ownerRegions, m.restrictedRegions = intersectRegions(routes), joinRegions(routes)
 	return m
 }
 
@@ -123,6 +125,21 @@
 	return regions
 }
 
+// joinRegions returns, by service, the regions that any restricted route to it allows.
+func joinRegions(routes []Route) map[string][]string {
+	regions := make(map[string][]string)
+	for _, r := range routes {
+		for _, w := range r.TrafficSplit {
+			for _, region := range r.AllowedRegions {
+				if !slices.Contains(regions[w.Service], region) {
+					regions[w.Service] = append(regions[w.Service], region)
+				}
+			}
+		}
+	}
+	return regions
+}
+
 // Version returns the version, 0 if no manifest is known yet.
 func (m *Manifest) Version() uint64 { return m.version }
 
@@ -148,6 +165,11 @@
 	return nil
 }
 
+// RestrictedRegions returns the names of the regions that requests of restricted routes to a
+// service need, as they may not run everywhere; nil if there is no such route. The caller must
+// not change the slice.
+func (m *Manifest) RestrictedRegions(service string) []string { return m.restrictedRegions[service] }
+
 // Match returns the route of the host whose prefix is the longest that matches the
 // path, or false if none matches. The host may include a port.
 func (m *Manifest) Match(host, path string) (Route, bool) {
--- a/core/routes/routes_test.go
+++ b/core/routes/routes_test.go
@@ -65,4 +65,6 @@
 	is.Equal(m.OwnerRegions("apart"), nil)
 	is.Equal(m.OwnerRegions("absent"), []string{"nowhere"})
 	is.Equal((&routes.Manifest{}).OwnerRegions("one"), nil)
+	is.Equal(m.RestrictedRegions("free"), nil)
+	is.Equal(m.RestrictedRegions("both"), []string{"lagos", "kano", "jos"}) // all that any route needs
 }
