peerhttp: one short header field in place of many between sidecars

Cause: bytes between regions are billed by volume, the largest price of some deployments. A forwarded short GET took 338 bytes, of which sidecars had added 226 (the key twice), and its reply 705 with a body of 400, of which they had added 225 with a Date that the other side drops.

Change: one field Bw with comma-separated values; empty and zero values are left out, the reply repeats a hash of the ID, names with special characters are encoded. Decoding is strict. The key's header field and the upstream's echo of the ID are left out where they are written again. httpclient.Request.ResponseIDEnd: the ID may be followed by other values. Sidecars of other regions are asked for a load report each 250 ms at most; RecordNoResponse counts responses without a report as signs of life. FuzzDecodeReply now takes the one field and checks in addition that a reason never comes with a done outcome; the check that a load needs 8 fields is gone with the format, since missing fields are 0. Earlier builds can't be mixed with this one.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -33,6 +33,10 @@
 	serviceTimeWeight = 0.1
 	// maxRequestClasses bounds the request classes whose service times are kept.
 	maxRequestClasses = 64
+	// loadReportInterval is the age in milliseconds from which a new load report of an
+	// upstream in another region is needed: bytes between regions are billed by volume, and
+	// a report is a quarter of what daemons add to a request and its reply.
+	loadReportInterval clock.Millis = 250
 	// loadDecayMillis is the time constant in milliseconds with which a reported load
 	// decays: after it, about a third is left. It is a few service times long.
 	loadDecayMillis = 400.0
@@ -112,6 +116,8 @@
 	reportedAt       clock.Millis
 	inFlightAtReport int
 	hasLoad          bool
+	// respondedAt is when the daemon responded last, with or without a load report.
+	respondedAt clock.Millis
 	// slowdown is the mean ratio of the upstream's service times to those of all
 	// upstreams, class by class; 0 if unknown.
 	slowdown float64
@@ -175,7 +181,7 @@
 func (b *Balancer) RecordLoad(now clock.Millis, name, class string, load Load) {
 	u := b.upstream(name)
 	u.load, u.reportedAt, u.hasLoad, u.inFlightAtReport = load, now, true, u.inFlight
-	u.backoff, u.backoffUntil = 0, 0
+	u.recordResponse(now)
 	if load.ClassServiceTime <= 0 {
 		return
 	}
@@ -190,6 +196,24 @@
 	u.slowdown = smoothedServiceTime(u.slowdown, serviceTime/b.classServiceTimes[class])
 }
 
+// RecordResponse records a response of the named instance without a load report, and ends its
+// backoff.
+func (b *Balancer) RecordResponse(now clock.Millis, name string) {
+	b.upstream(name).recordResponse(now)
+}
+
+func (u *upstreamState) recordResponse(now clock.Millis) {
+	u.respondedAt = now
+	u.backoff, u.backoffUntil = 0, 0
+}
+
+// NeedsLoad reports whether a response to a request that is sent to the candidate now should
+// come with a load report.
+func (b *Balancer) NeedsLoad(now clock.Millis, c Candidate) bool {
+	u, ok := b.upstreams[c.Name]
+	return !ok || !u.hasLoad || c.Location.Region() == b.location.Region() || now-u.reportedAt >= loadReportInterval
+}
+
 // smoothedServiceTime returns the exponentially weighted mean with a new sample, or
 // the sample if there was none before.
 func smoothedServiceTime(mean, sample float64) float64 {
@@ -231,7 +255,7 @@
 // sentAt. A daemon that has sent no other response since then counts as unreachable,
 // as it may be frozen.
 func (b *Balancer) RecordNoResponse(now clock.Millis, name string, sentAt clock.Millis) {
-	if u := b.upstream(name); !u.hasLoad || u.reportedAt < sentAt {
+	if u := b.upstream(name); !u.hasLoad || u.respondedAt < sentAt {
 		b.RecordUnreachable(now, name)
 	}
 }
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -127,3 +127,18 @@
 	is.True(!b.Reachable(1300, "here"))
 	is.True(b.Reachable(4000, "here"))
 }
+
+// TestResponseWithoutLoadReport guards against a working daemon that counts as frozen since its
+// responses come without load reports.
+func TestResponseWithoutLoadReport(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	b.RecordLoad(100, "distant", "", balance.Load{Slots: 12, ServiceTime: 50})
+	b.RecordResponse(250, "distant")
+	b.RecordNoResponse(900, "distant", 200) // it has answered another request since 200
+	is.True(b.Reachable(900, "distant"))
+	b.RecordNoResponse(1300, "distant", 400)
+	is.True(!b.Reachable(1300, "distant"))
+	b.RecordResponse(1350, "distant")
+	is.True(b.Reachable(1350, "distant"))
+}
--- a/core/balance/restricted_test.go
+++ b/core/balance/restricted_test.go
@@ -21,7 +21,7 @@
 // simulateRestricted returns the shares of the unrestricted and of the restricted requests that
 // are served. An upstream refuses a request that would wait for longer than 150 ms, and a
 // dispatcher tries two upstreams.
-func simulateRestricted(load restrictedLoad, needed bool) (unrestrictedServed, restrictedServed float64) {
+func simulateRestricted(load restrictedLoad, needed, allReports bool) (unrestrictedServed, restrictedServed float64) {
 	const (
 		perRegion   = 4
 		perDispatch = 8
@@ -39,8 +39,12 @@
 		balancers = append(balancers, balance.New(locations[i/perDispatch]))
 	}
 	freeAt, running := make([][slots]float64, len(candidates)), make([]int, len(candidates))
-	report := func(now clock.Millis, dispatcher, upstream int) {
+	report := func(now clock.Millis, dispatcher, upstream int, served bool) {
 		balancers[dispatcher].RequestEnded(candidates[upstream].Name)
+		if served && !allReports && !balancers[dispatcher].NeedsLoad(now, candidates[upstream]) {
+			balancers[dispatcher].RecordResponse(now, candidates[upstream].Name)
+			return
+		}
 		balancers[dispatcher].RecordLoad(now, candidates[upstream].Name, "", balance.Load{
 			Running: min(running[upstream], slots), Waiting: max(running[upstream]-slots, 0), Slots: slots, ServiceTime: serviceTime, ClassServiceTime: serviceTime,
 		})
@@ -53,7 +57,7 @@
 		for len(pending) > 0 && pending[0].at <= now {
 			done := heap.Pop(&pending).(completion)
 			running[done.upstream]--
-			report(done.at, done.dispatcher, done.upstream)
+			report(done.at, done.dispatcher, done.upstream, true)
 		}
 		kind := 0
 		if rng.Float64() < load.restricted/(load.unrestricted+load.restricted) {
@@ -82,7 +86,7 @@
 			}
 			start := max(arrival, freeAt[upstream][slot])
 			if start-arrival > maxWait {
-				report(now, dispatcher, upstream)
+				report(now, dispatcher, upstream, false)
 				excluded[candidates[upstream].Name] = true
 				continue
 			}
@@ -102,8 +106,8 @@
 func TestNeededUpstreams(t *testing.T) {
 	is := is.New(t)
 	for _, load := range []restrictedLoad{{0.9, 0.9}, {1.2, 0.8}, {1.2, 0.95}, {1.5, 0.9}, {1.5, 0.5}, {2, 0.9}, {2, 0.5}} {
-		naiveUnrestricted, naiveRestricted := simulateRestricted(load, false)
-		unrestricted, restricted := simulateRestricted(load, true)
+		naiveUnrestricted, naiveRestricted := simulateRestricted(load, false, true)
+		unrestricted, restricted := simulateRestricted(load, true, true)
 		naiveTotal := naiveUnrestricted*load.unrestricted + naiveRestricted*load.restricted
 		total := unrestricted*load.unrestricted + restricted*load.restricted
 		t.Logf("load %v: served unrestricted %.3f, restricted %.3f, in all %.3f; without the rule %.3f, %.3f, %.3f",
@@ -115,3 +119,17 @@
 		is.True(total >= naiveTotal*0.98) // docs/design/placement-and-load.md, 5: at most 2% of the slots idle
 	}
 }
+
+// TestSparseLoadReports guards against an upstream in another region that is chosen worse because
+// its load is reported a few times per second only, in place of with each response.
+func TestSparseLoadReports(t *testing.T) {
+	is := is.New(t)
+	for _, load := range []restrictedLoad{{0.9, 0.9}, {1.2, 0.5}, {1.2, 0.8}, {1.5, 0.5}, {2, 0.5}, {1.5, 0.9}} {
+		for _, needed := range []bool{false, true} {
+			allUnrestricted, allRestricted := simulateRestricted(load, needed, true)
+			unrestricted, restricted := simulateRestricted(load, needed, false)
+			t.Logf("load %v, rule %t: served unrestricted %.3f, restricted %.3f; with each response %.3f, %.3f", load, needed, unrestricted, restricted, allUnrestricted, allRestricted)
+			is.True(unrestricted*load.unrestricted+restricted*load.restricted >= 0.98*(allUnrestricted*load.unrestricted+allRestricted*load.restricted))
+		}
+	}
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -29,6 +29,9 @@
 	// Key is the key of the request, valid if Keyed.
 	Key   keyspace.Key
 	Keyed bool
+	// KeyOmitted is true if Header lacks the field in which the caller stated the key: the
+	// upstream gets it again as the decimal form of Key, also if the service is not keyed.
+	KeyOmitted bool
 	// ParentID is the ID of the request that the caller claims to be running, "" if
 	// none.
 	ParentID string
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -84,6 +84,9 @@
 	LatencyBudget clock.Millis
 	// Class groups requests of similar service time.
 	Class string
+	// LoadKnown is true if the dispatcher knows the load of the upstream's instance well
+	// enough: the reply to a request that the upstream serves needs none.
+	LoadKnown bool
 }
 
 // Dispatcher handles the requests that originate on this instance: it selects their
@@ -246,6 +249,9 @@
 	p.lastInstance = target.Name
 	sentAt := d.clock.Now()
 	policy := RequestPolicy{Idempotent: p.route.Idempotent, Rank: p.route.Rank, LargeResponse: p.route.LargeResponses, LatencyBudget: p.latencyBudget(), Class: p.route.Name}
+	d.mu.Lock()
+	policy.LoadKnown = !d.balancer.NeedsLoad(sentAt, target.Candidate)
+	d.mu.Unlock()
 	reply := d.sendCounted(ctx, target, p.service, p.request, policy)
 	if reply.ReachedUpstream {
 		p.upstreamAttempts++
@@ -255,6 +261,8 @@
 	defer d.mu.Unlock()
 	if reply.HasLoad {
 		d.balancer.RecordLoad(now, target.Name, policy.Class, reply.Load)
+	} else if _, done := reply.Outcome.(outcome.Done); done {
+		d.balancer.RecordResponse(now, target.Name)
 	}
 	p.recordReply(ctx, sentAt, policy, reply)
 	return reply
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -107,7 +107,7 @@
 }
 
 // Serve runs a request on the upstream if the upstream may run it and the gate admits it.
-// The reply includes the load.
+// The reply includes the load, unless the request is served and the policy says that it is known.
 func (e *Executor) Serve(ctx context.Context, service string, r *Request, policy RequestPolicy) Reply {
 	reply := e.serve(ctx, service, r, policy)
 	e.withLink(func(l *balance.Link) {
@@ -116,8 +116,12 @@
 			reply.Schedule = schedule
 		}
 	})
+	_, done := reply.Outcome.(outcome.Done)
+	if done && policy.LoadKnown {
+		return reply
+	}
 	reply.Load, reply.HasLoad = e.Load(), true
-	if _, done := reply.Outcome.(outcome.Done); done {
+	if done {
 		reply.Load.ClassServiceTime = e.gate.ClassServiceMillis(policy.Class)
 	}
 	return reply
--- a/core/dispatch/peerhttp/fuzz_test.go
+++ b/core/dispatch/peerhttp/fuzz_test.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -21,7 +23,7 @@
 // encodedRequest returns the bytes of a forwarded request.
 func encodedRequest(t testing.TB) []byte {
 	t.Helper()
-	r := peerhttp.EncodeRequest(&dispatch.Request{ID: "1", Method: "POST", RequestURI: "/x", Host: "h", Key: 7, Keyed: true, Header: http.Header{"Cookie": {"c"}}},
+	r := peerhttp.EncodeRequest(&dispatch.Request{ID: "1", Method: "POST", RequestURI: "/x", Host: "h", Key: 7, Keyed: true, Header: http.Header{"Cookie": {"c"}, "Bw": {"theirs"}}},
 		"s", dispatch.RequestPolicy{Rank: 2, LatencyBudget: 400, Class: "r"}, 900)
 	var out bytes.Buffer
 	out.WriteString("POST /x HTTP/1.1\r\nHost: h\r\n")
@@ -44,7 +46,23 @@
 	is.Equal(request.ID, "1")
 	is.Equal(request.Deadline, clock.Millis(1000))
 	is.True(request.Keyed)
-	is.Equal(request.Header.Get("Cookie"), "c")
+	is.Equal(request.Header, http.Header{"Cookie": {"c"}, "Bw": {"theirs"}}) // a caller may use the name of the added field
+}
+
+// TestFlags guards against a property of a request that is lost or taken for another.
+func TestFlags(t *testing.T) {
+	is := is.New(t)
+	for i := range 6 {
+		flags := [6]bool{}
+		flags[i] = true
+		sent := &dispatch.Request{ID: "1", Nested: flags[0], Keyed: flags[1], KeyOmitted: flags[2], Header: http.Header{}}
+		policy := dispatch.RequestPolicy{Idempotent: flags[3], LargeResponse: flags[4], LoadKnown: flags[5]}
+		r := peerhttp.EncodeRequest(sent, "s", policy, 900)
+		request, _, decoded, err := peerhttp.DecodeRequest(&http.Request{Header: r.Header}, 0)
+		is.NoErr(err)
+		is.Equal(decoded, policy)
+		is.Equal([]bool{request.Nested, request.Keyed, request.KeyOmitted}, flags[:3])
+	}
 }
 
 // FuzzDecodeRequest guards against a forwarded request that stops the process.
@@ -69,16 +87,116 @@
 // FuzzDecodeReply guards against a reply that stops the process, or that claims that a
 // request was run or not run without saying so.
 func FuzzDecodeReply(f *testing.F) {
-	f.Add("done", "", "1,2,3,4,5,6,7,8,9", "true", "30")
-	f.Add("not-run", "overloaded", "1,2,3", "", "x")
-	f.Fuzz(func(t *testing.T, result, reason, load, arrived, after string) {
-		header := http.Header{
-			"Briarwell-Outcome": {result}, "Briarwell-Reason": {reason}, "Briarwell-Load": {load},
-			"Briarwell-Arrived": {arrived}, "Briarwell-Return-Millis": {after},
+	for _, text := range []string{"abcde,d,1,2,3,,5,6,7,8,9", "abcde,noverloaded:30,1,2,3", "abcde,Nupstream-refused,0", "abcde,uconnection-lost", "abcde,U:x", ",d,", "d", ""} {
+		f.Add(text)
+	}
+	letters := map[string]string{"done": "dD", "not-run": "nN"}
+	f.Fuzz(func(t *testing.T, text string) {
+		reply := peerhttp.DecodeReply(httpclient.Response{Status: 200, Header: http.Header{"Bw": {text}}})
+		if _, unknown := reply.Outcome.(outcome.Unknown); unknown {
+			return
 		}
-		reply := peerhttp.DecodeReply(httpclient.Response{Status: 200, Header: header})
-		if _, unknown := reply.Outcome.(outcome.Unknown); !unknown && reply.Outcome.String() != result {
-			t.Fatalf("outcome %q read as %s", result, reply.Outcome)
+		_, rest, found := strings.Cut(text, ",")
+		if !found || rest == "" || !strings.Contains(letters[reply.Outcome.String()], rest[:1]) {
+			t.Fatalf("%q read as %s", text, reply.Outcome)
+		}
+		if _, done := reply.Outcome.(outcome.Done); done && outcome.ReasonOf(reply.Outcome) != "" {
+			t.Fatalf("%q read with a reason", text)
 		}
 	})
 }
+
+// FuzzTexts guards against an ID, service or route name that changes the other values of a
+// forwarded request, or itself on its way.
+func FuzzTexts(f *testing.F) {
+	f.Add("1", "s", "o", "r", 900)
+	f.Add("a,b%2C", "\x00\r\n", " ", "\xff,", 0)
+	f.Fuzz(func(t *testing.T, id, service, origin, class string, millis int) {
+		is := is.New(t)
+		policy := dispatch.RequestPolicy{Rank: 2, LatencyBudget: clock.Millis(max(millis%100_000, 0)), Class: class}
+		r := peerhttp.EncodeRequest(&dispatch.Request{ID: id, OriginService: origin, Key: 7, Keyed: true}, service, policy, 900)
+		request, decodedService, decodedPolicy, err := peerhttp.DecodeRequest(&http.Request{Header: r.Header}, 100)
+		is.NoErr(err)
+		is.Equal(decodedPolicy, policy)
+		is.Equal([]string{request.ID, decodedService, request.OriginService}, []string{id, service, origin})
+		is.Equal(int(request.Key), 7)
+	})
+}
+
+// TestReplyRoundTrip guards against a reply whose outcome, reason, retry time or load is lost,
+// and against one that is not that of the request with the expected ID.
+func TestReplyRoundTrip(t *testing.T) {
+	is := is.New(t)
+	withLoad := func(r dispatch.Reply, load balance.Load) dispatch.Reply {
+		r.Load, r.HasLoad = load, true
+		return r
+	}
+	done := dispatch.Done(dispatch.Response{Status: 404, Header: http.Header{"Bw": {"theirs"}, "X": {"1", "2"}}})
+	reached := dispatch.NotRun(outcome.ReasonUpstreamRefused)
+	reached.ReachedUpstream = true
+	notReached := dispatch.Unknown(outcome.ReasonTimeout)
+	notReached.ReachedUpstream = false
+	all := balance.Load{
+		Running: 1, Waiting: 2, Slots: 3, ServiceTime: 4, ClassServiceTime: 5, DemandPercent: 6, LinkMbps: 7, LinkBacklog: 8, InboundBacklog: 9,
+		FailurePercent: 10, Capacity: 11, ColdRate: 12, ColdFor: 13,
+	}
+	expected := peerhttp.EncodeRequest(&dispatch.Request{ID: "1.2"}, "s", dispatch.RequestPolicy{}, 1)
+	for _, reply := range []dispatch.Reply{
+		done, withLoad(done, balance.Load{}), withLoad(done, all), withLoad(done, balance.Load{Slots: 4}),
+		dispatch.NotRun(outcome.ReasonOverloaded).WithRetryAfter(300), withLoad(reached, all), notReached, dispatch.Unknown(outcome.ReasonConnectionLost),
+	} {
+		w := httptest.NewRecorder()
+		peerhttp.WriteReply(w, "1.2", reply, system.Clock{})
+		id, _, _ := strings.Cut(w.Header().Get(expected.ResponseIDHeader), expected.ResponseIDEnd)
+		is.Equal(id, expected.ResponseID)
+		w.Header().Del("Content-Length")
+		decoded := peerhttp.DecodeReply(httpclient.Response{Status: w.Code, Header: w.Header()})
+		delete(decoded.Response.Header, "Content-Type") // A nil value, which is not sent.
+		is.Equal(decoded, reply)
+	}
+	is.True(expected.ResponseID != peerhttp.EncodeRequest(&dispatch.Request{ID: "1.3"}, "s", dispatch.RequestPolicy{}, 1).ResponseID)
+}
+
+// TestInvalidMessages guards against a message with missing, further, repeated or invalid values that
+// is taken as a request or as a definite outcome.
+func TestInvalidMessages(t *testing.T) {
+	is := is.New(t)
+	for _, texts := range [][]string{
+		nil,
+		{""},
+		{"1,s,o,900,1,2,400,7"},
+		{"1,s,o,900,1,2,400,7,r,more"},
+		{"1,s,o,900,1,2,400,7,r", "1,s,o,900,1,2,400,7,r"},
+		{"1,s,o,-900,1,2,400,7,r"},
+		{"1,s,o,99999999999,1,2,400,7,r"},
+		{"1,s,o,900,64,2,400,7,r"},
+		{"1,s,o,900,1,x,400,7,r"},
+		{"1,s,o,900,1,2,400,65536,r"},
+		{"1,s,o,900,1,2,400,7,r%2"},
+		{"1,s,o o,900,1,2,400,7,r"},
+	} {
+		_, _, _, err := peerhttp.DecodeRequest(&http.Request{Header: http.Header{"Bw": texts}}, 100)
+		var rejected *peerhttp.Error
+		is.True(errors.As(err, &rejected))
+	}
+	for _, texts := range [][]string{
+		nil,
+		{""},
+		{"abcde"},
+		{"abcde,"},
+		{"abcde,x"},
+		{"abcde,dreason"},
+		{"abcde,d:x"},
+		{"abcde,n"},
+		{"abcde,noverloaded:"},
+		{"abcde,noverloaded:-1"},
+		{"abcde,d", "abcde,d"},
+	} {
+		reply := peerhttp.DecodeReply(httpclient.Response{Status: 200, Header: http.Header{"Bw": texts}})
+		is.Equal(reply, dispatch.Unknown(outcome.ReasonConnectionLost))
+	}
+	// The outcome counts without its load.
+	reply := peerhttp.DecodeReply(httpclient.Response{Status: 200, Header: http.Header{"Bw": {"abcde,d,1,x"}}})
+	is.Equal(reply.Outcome, outcome.Done{})
+	is.True(!reply.HasLoad)
+}
--- a/core/httpclient/client_test.go
+++ b/core/httpclient/client_test.go
@@ -80,6 +80,30 @@
 	}
 }
 
+// TestResponseIDBesideOtherValues guards against a response that is not recognised, or taken for
+// that to another request, when other values follow the ID in its field.
+func TestResponseIDBesideOtherValues(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			writeResponse(conn, "1,2", "extra")
+			writeResponse(conn, r.Header.Get("Id")+",1", "own")
+		}
+	})
+	c := httpclient.New(address, nil)
+	for _, id := range []string{"2", "12"} {
+		request := getRequest(id)
+		request.ResponseIDEnd = ","
+		response, err := c.Do(context.Background(), request)
+		is.NoErr(err)
+		is.Equal(string(response.Body), "own")
+	}
+}
+
 // TestUnexpectedResponseOnIdleConnection guards against reusing an idle connection with
 // unexpected bytes to read.
 func TestUnexpectedResponseOnIdleConnection(t *testing.T) {
--- a/core/httpclient/request.go
+++ b/core/httpclient/request.go
@@ -50,6 +50,8 @@
 	// without an ID is accepted only on a connection that had no earlier request.
 	ResponseIDHeader string
 	ResponseID       string
+	// ResponseIDEnd, if set, is the text that ends the ID in that field; other values follow.
+	ResponseIDEnd string
 	// Memory is charged for the body of the response; nil for no limit.
 	Memory *memory.Account
 	// MaxResponseBytes bounds the body of the response, 0 for the default of 64 MB.
@@ -287,7 +289,11 @@
 	if r.ResponseIDHeader == "" {
 		return true, nil
 	}
-	switch id := header.Get(r.ResponseIDHeader); {
+	id := header.Get(r.ResponseIDHeader)
+	if r.ResponseIDEnd != "" {
+		id, _, _ = strings.Cut(id, r.ResponseIDEnd)
+	}
+	switch {
 	case id == r.ResponseID:
 		return true, nil
 	case id != "":
