dispatch, balance: cold upstreams get requests within their bound

Cause: nothing used the cold rate of a service.

Change: the executor asks coldstart.Limiter when a request arrives, takes a token once it has its slot, and gives the token back if the upstream answers with 421 or gets nothing. A refusal has the reason cold; a dispatcher tries another upstream for a request without a key, and counts it like a refusal by an overloaded one. Load reports have ColdRate and ColdFor, from which the balancer derives weight and cost, and Load.RequestRate is the lower of capacity and cold rate, used for DemandPercent.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -49,6 +49,9 @@
 	// that did not answer gets no requests. It doubles with each failure.
 	initialBackoff clock.Millis = 400
 	maxBackoff     clock.Millis = 3000
+	// minColdRate is the rate in requests per second that stands for that of a cold upstream
+	// that gets no requests.
+	minColdRate = 0.1
 	// jitterShare is the largest relative increase of a cost by jitter, which keeps
 	// many daemons from choosing the same upstream among equal ones.
 	jitterShare = 0.15
@@ -83,11 +86,28 @@
 	// queueing, 0 if unknown.
 	Capacity int
 	// ColdRate is the number of requests per second that the upstream accepts while it is
-	// cold, 0 if it is not cold. ColdFor is the time in milliseconds until it is warm.
+	// cold, 0 if it is not cold or gets none then. ColdFor is the time in milliseconds until it
+	// is warm, 0 if it is.
 	ColdRate int
 	ColdFor  clock.Millis
 }
 
+// RequestRate returns the requests per second that the upstream can run at present, 0 if that is
+// unknown: the lower of its capacity and the rate while it is cold.
+func (l Load) RequestRate() float64 {
+	rate := float64(l.Capacity)
+	if rate == 0 && l.ServiceTime > 0 {
+		rate = float64(max(l.Slots, 1)) * millisPerSecond / float64(l.ServiceTime)
+	}
+	if l.ColdFor > 0 && (rate == 0 || l.coldRate() < rate) {
+		return l.coldRate()
+	}
+	return rate
+}
+
+// coldRate returns the requests per second of a cold upstream, above 0.
+func (l Load) coldRate() float64 { return max(float64(l.ColdRate), minColdRate) }
+
 // Candidate is an upstream that may run a request.
 type Candidate struct {
 	// Name is the name of the upstream's instance.
@@ -324,18 +344,36 @@
 	return drawn
 }
 
-// capacity returns the relative capacity of a candidate: its slots, reduced by its
-// failure rate and its slowdown. An unknown upstream counts as an average one.
+// capacity returns the relative capacity of a candidate: its slots, or those that the rate of a
+// cold upstream takes, reduced by its failure rate and its slowdown. An unknown upstream counts as an average one.
 func (b *Balancer) capacity(now clock.Millis, c Candidate) float64 {
 	slots := float64(max(c.Slots, 1))
 	u, ok := b.upstreams[c.Name]
 	if !ok {
 		return slots
 	}
+	if u.isCold(now) {
+		serviceTime := cmp.Or(float64(u.load.ServiceTime), defaultServiceMillis)
+		slots = min(slots, u.load.coldRate()*serviceTime/millisPerSecond)
+	}
 	successRate := 1 - u.decayedFailureRate(now)
 	return slots * successRate * successRate / cmp.Or(u.slowdown, 1)
 }
 
+// isCold reports whether the upstream is cold according to its latest report.
+func (u *upstreamState) isCold(now clock.Millis) bool {
+	return u.hasLoad && now < u.reportedAt+u.load.ColdFor
+}
+
+// coldWait returns the time in milliseconds in which a cold upstream accepts the requests sent
+// to it since its report and one more, 0 if it is warm.
+func (u *upstreamState) coldWait(now clock.Millis) float64 {
+	if !u.isCold(now) {
+		return 0
+	}
+	return float64(1+max(u.inFlight-u.inFlightAtReport, 0)) * millisPerSecond / u.load.coldRate()
+}
+
 // regionReachable reports whether any candidate of the daemon's region is reachable.
 func (b *Balancer) regionReachable(now clock.Millis, candidates []Candidate) bool {
 	return slices.ContainsFunc(candidates, func(c Candidate) bool {
@@ -367,13 +405,13 @@
 	}
 	age := float64(now - u.reportedAt)
 	if !u.hasLoad || age >= float64(loadReportTTL) {
-		wait := queueingDelay(serviceTime, float64(u.inFlight), slots)
+		wait := queueingDelay(serviceTime, float64(u.inFlight), slots) + u.coldWait(now)
 		return cost + requestTime + wait, wait
 	}
 	// Some of the requests counted in the report have ended since.
 	remaining := float64(u.load.Running+u.load.Waiting) * math.Exp(-age/loadDecayMillis)
 	load := max(remaining+float64(max(u.inFlight-u.inFlightAtReport, 0)), float64(u.inFlight))
-	wait := queueingDelay(serviceTime, load, slots)
+	wait := queueingDelay(serviceTime, load, slots) + u.coldWait(now)
 	if request.LargeResponse {
 		// Responses to requests sent since the report share the link. Small responses
 		// don't count: they are sent between the chunks of large ones.
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -54,6 +54,33 @@
 	is.Equal(candidates[b.Pick(0, candidates, balance.Request{}, nil, alwaysHalf)].Name, "here")
 }
 
+// TestColdUpstream guards against a cold upstream that gets as many requests as warm ones, one
+// that gets none while the others are full, and one that stays cold after the time it stated.
+func TestColdUpstream(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	candidates := newCandidates()[:2]
+	b.RecordLoad(0, "here", "", balance.Load{Slots: 12, ServiceTime: 100, ColdRate: 15, ColdFor: 3000})
+	b.RecordLoad(0, "near", "", balance.Load{Running: 6, Slots: 12, ServiceTime: 100})
+	pick := func(now clock.Millis) string {
+		return candidates[b.Pick(now, candidates, balance.Request{}, nil, alwaysHalf)].Name
+	}
+	is.Equal(pick(0), "near")
+	b.RecordLoad(0, "near", "", balance.Load{Running: 12, Waiting: 30, Slots: 12, ServiceTime: 100})
+	is.Equal(pick(0), "here")
+	b.RecordLoad(2500, "near", "", balance.Load{Running: 6, Slots: 12, ServiceTime: 100})
+	is.Equal(pick(2500), "near") // the report is too old for its load, not for its cold time
+	is.Equal(pick(3500), "here")
+
+	warm := balance.Load{Slots: 12, ServiceTime: 100}
+	is.Equal(warm.RequestRate(), 120.0)
+	warm.Capacity = 70
+	is.Equal(warm.RequestRate(), 70.0)
+	warm.ColdRate, warm.ColdFor = 15, 1
+	is.Equal(warm.RequestRate(), 15.0)
+	is.Equal(balance.Load{Slots: 12, ColdRate: 200, ColdFor: 1}.RequestRate(), 200.0)
+}
+
 // TestPartiallyFailingUpstream guards against preferring an upstream that passes probes but
 // refuses half of its requests. Choosing the fewest requests in flight sends it the most.
 func TestPartiallyFailingUpstream(t *testing.T) {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -38,8 +38,8 @@
 	unresponsiveAfter clock.Millis = 600
 	// maxSends bounds the number of times that one request is sent to a daemon.
 	maxSends = 6
-	// maxOverloadRefusals is the number of refusals by overloaded daemons after which a
-	// request is refused: the daemons were selected by load, so the others are no better.
+	// maxOverloadRefusals is the number of refusals by overloaded daemons, or for cold
+	// upstreams, after which a request is refused: the daemons were selected by load, so the others are no better.
 	// A nested request is sent to more daemons, as refusing it wastes the work of its
 	// parent.
 	maxOverloadRefusals       = 2
@@ -188,7 +188,7 @@
 	// upstreamAttempts counts the attempts that reached an upstream, sends all attempts.
 	upstreamAttempts int
 	sends            int
-	// overloadRefusals counts the refusals by overloaded daemons.
+	// overloadRefusals counts the refusals by overloaded daemons and for cold upstreams.
 	overloadRefusals int
 	lastInstance     string
 	lastReply        Reply
@@ -355,7 +355,7 @@
 			}
 		}
 		p.excluded[p.lastInstance] = true
-		if o.Reason() == outcome.ReasonOverloaded {
+		if o.Reason() == outcome.ReasonOverloaded || o.Reason() == outcome.ReasonCold {
 			p.overloadRefusals++
 		}
 		return p.overloadRefusals < p.overloadRefusalLimit() && (!p.lastReply.ReachedUpstream || p.takeRetry())
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -75,12 +75,16 @@
 	responseSizes memory.Estimate
 	// failures is the share of requests that the upstream failed.
 	failures failureShare
+	cold     coldGate
 }
 
 // NewExecutor returns an executor that admits requests through the gate and sends the
 // responses over a link of the given bandwidth in Mbit/s, 0 if unlimited.
 func NewExecutor(c clock.Clock, upstream Upstream, gate *admission.Gate, linkMbps float64) *Executor {
-	return &Executor{clock: c, upstream: upstream, gate: gate, link: balance.NewLink(linkMbps), inboundLink: balance.NewLink(linkMbps), running: make(map[string]int)}
+	return &Executor{
+		clock: c, upstream: upstream, gate: gate, link: balance.NewLink(linkMbps), inboundLink: balance.NewLink(linkMbps), running: make(map[string]int),
+		cold: newColdGate(c, upstream),
+	}
 }
 
 // KeyRates returns the spans of keys that have requests, with their request rates.
@@ -102,7 +106,10 @@
 	load.InboundBacklog = e.inboundLink.Backlog(e.clock.Now())
 	load.FailurePercent = int(e.failures.at(e.clock.Now()) * percent)
 	e.mu.Unlock()
-	load.DemandPercent = int(rate * float64(load.ServiceTime) / millisPerSecond / float64(max(load.Slots, 1)) * percent)
+	load.ColdRate, load.ColdFor = e.cold.load()
+	if capacity := load.RequestRate(); capacity > 0 {
+		load.DemandPercent = int(rate / capacity * percent)
+	}
 	return load
 }
 
@@ -142,6 +149,9 @@
 	if reason, refused := e.gate.WouldRefuse(e.admissionRequest(r, policy)); refused {
 		return balance.Schedule{}, NotRun(reason).WithRetryAfter(e.queueDrainTime()), false
 	}
+	if err := e.cold.check(r, policy); err != nil {
+		return balance.Schedule{}, coldRefusal(err), false
+	}
 	now := e.clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -185,11 +195,14 @@
 	if policy.LargeResponse && delay > 0 {
 		return NotRun(outcome.ReasonOverloaded).WithRetryAfter(boundedRetryAfter(delay))
 	}
+	if err := e.cold.check(r, policy); err != nil {
+		return coldRefusal(err)
+	}
 	slot, err := e.gate.AcquireFor(ctx, admissionRequest)
 	if err != nil {
 		return e.refusalReply(err)
 	}
-	// Only the first release counts; this one is for a panic.
+	// Only the first release counts; this one is for refusals and for a panic.
 	defer slot.ReleaseWithoutSample()
 	if refused, ok := e.checkEligible(service, r); !ok {
 		slot.ReleaseWithoutSample()
@@ -205,6 +218,10 @@
 		return NotRun(outcome.ReasonOverloaded).WithRetryAfter(memoryRetryAfter)
 	}
 	defer r.Memory.ReleaseExpected()
+	permit, err := e.cold.admit(r, policy)
+	if err != nil {
+		return coldRefusal(err)
+	}
 	if !policy.Idempotent {
 		// A request that must not run twice is completed even if its caller has left.
 		var cancel context.CancelFunc
@@ -212,6 +229,7 @@
 		defer cancel()
 	}
 	reply := e.callUpstream(ctx, r, policy, now)
+	e.cold.finish(permit, reply)
 	failed, known := failedByUpstream(ctx, reply)
 	if known {
 		e.recordFailure(failed)
