keyowner: a cold upstream without keys joins once it is warm

Cause: an upstream that joins gets keys of others at once, and is cold then.

Change: Controller.SetCold. A cold upstream whose instance is no holder does not join while other holders that stay own keys. At the first start of a service nobody owns keys, and after a loss of all processes the instances are holders, so neither waits.

Result: TestColdUpstreamJoinsLate and the other tests of keyowner pass, with the race detector too.

--- a/core/keyowner/change.go
+++ b/core/keyowner/change.go
@@ -134,6 +134,9 @@
 	if c.joinDueSince == 0 {
 		c.joinDueSince = c.now
 	}
+	if c.cold && !known && c.othersOwnKeys() {
+		return c.assignment, ""
+	}
 	witnesses := c.chooseWitnesses(c.endedWitnesses)
 	if len(witnesses) == 0 || len(witnesses) < lease.WitnessCount && c.now-c.joinDueSince < joinWitnessWait {
 		return c.assignment, ""
@@ -146,6 +149,13 @@
 	return c.assignment.AddHolder(keyspace.NewHolder(member, last.Process, last.Slots)), ReasonJoin
 }
 
+// othersOwnKeys reports whether keys belong to other holders that stay.
+func (c *Controller) othersOwnKeys() bool {
+	return slices.ContainsFunc(c.assignment.Holders(), func(h keyspace.Holder) bool {
+		return h.InstanceName() != c.settings.Instance.Name() && !h.Leaving() && len(c.assignment.OwnedBy(h.InstanceName())) > 0
+	})
+}
+
 // nextGeneration returns the generation of a new witness set. No two sets have the same
 // generation: the promises for one must not count for the other.
 func (c *Controller) nextGeneration() uint64 {
--- a/core/keyowner/controller.go
+++ b/core/keyowner/controller.go
@@ -102,6 +102,8 @@
 	distribution   distribution
 	distributionOf table.Revision
 
+	// cold is true while the upstream is cold.
+	cold bool
 	// joinDueSince is the time since which the upstream should join the assignment, 0
 	// if it need not.
 	joinDueSince clock.Millis
@@ -248,6 +250,10 @@
 	c.pruneProposedHandovers()
 }
 
+// SetCold records whether the upstream is cold. A cold one that owns no keys does not join the
+// assignment while other holders own keys.
+func (c *Controller) SetCold(cold bool) { c.cold = cold }
+
 // HandleUpstreamRestart forgets what the upstream holds. The caller must be certain that
 // the upstream's process has ended or was restarted.
 func (c *Controller) HandleUpstreamRestart(now clock.Millis) {
--- a/core/keyowner/controller_test.go
+++ b/core/keyowner/controller_test.go
@@ -295,6 +295,31 @@
 	is.Equal(c.StoreAnsweredAt(), clock.Millis(1000))
 }
 
+// TestColdUpstreamJoinsLate guards against keys that move to a cold upstream, and against keys
+// that nobody serves while their owner is cold.
+func TestColdUpstreamJoinsLate(t *testing.T) {
+	is := is.New(t)
+	members := make([]membership.Member, 0, 4)
+	for i := range 4 {
+		name := "w" + strconv.Itoa(i)
+		members = append(members, membership.RestoreMember(identity.Incarnation(50+i), membership.NewInstance(name, "", "p"+name, identity.NewLocation("r", "d"+name)), 1, nil))
+	}
+	joins := func(change func(keyspace.Assignment) keyspace.Assignment, cold bool) bool {
+		c, a := newController(t)
+		c.SetMembers(members)
+		c.HandleAssignment(100, 6, change(a))
+		c.SetCold(cold)
+		due, ok := c.NextChange(200)
+		return ok && due.Reason() == keyowner.ReasonJoin
+	}
+	absent := func(a keyspace.Assignment) keyspace.Assignment { return a.RemoveHolder("i0").AssignUnowned() }
+	is.True(!joins(absent, true))
+	is.True(joins(absent, false))
+	is.True(joins(func(keyspace.Assignment) keyspace.Assignment { return keyspace.Assignment{} }, true))                 // no other holder
+	is.True(joins(func(a keyspace.Assignment) keyspace.Assignment { return absent(a).MarkLeaving("i1") }, true))         // none that stays
+	is.True(joins(func(a keyspace.Assignment) keyspace.Assignment { return a.AddHolder(newHolder("i0", 77, 1)) }, true)) // an earlier daemon joined
+}
+
 // newController returns the controller of the holder i0 and an assignment to i0 and i1.
 func newController(t *testing.T) (*keyowner.Controller, keyspace.Assignment) {
 	t.Helper()
