--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -61,6 +61,9 @@
 	// ColdPerSecond is the rate of requests per second that a cold upstream tolerates, 0 if
 	// it is not limited.
 	ColdPerSecond float64
+	// HealthPath is the path at which an upstream states how long it is cold, "" if there is
+	// none.
+	HealthPath string
 	// ColdInvalid is true if that rate is unknown. A cold upstream then gets no requests.
 	ColdInvalid bool
 	// Unusable is true if it is unknown how its requests are divided.
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -116,6 +116,13 @@
 	// refusingCallers is set when requests of callers are refused.
 	refusingCallers atomic.Bool
 	inFlight        atomic.Int64
+	// coldSettingsMu keeps the order in which the bounds for cold upstreams are applied.
+	coldSettingsMu sync.Mutex
+	// coldLogged is the state of the upstream in the latest log line about it.
+	coldLogged atomic.Bool
+	// coldRefusalsCounted is the part of the refusals that the metric has. Only gaugeLoop uses
+	// it.
+	coldRefusalsCounted uint64
 	// failures receives the error of the first background task that has failed.
 	failures chan error
 }
@@ -147,7 +154,9 @@
 	a.state = newState(a.clock.Now(), s, instance, incarnation)
 	a.gate = admission.NewGate(a.clock, admission.Settings{})
 	a.peers = newPeerClients(a.localIP)
-	a.upstream = &upstream{app: a, client: httpclient.New(s.UpstreamAddress(), a.localIP).WithDistinctSends()}
+	a.upstream = &upstream{
+		app: a, client: httpclient.New(s.UpstreamAddress(), a.localIP).WithDistinctSends(), probeClient: httpclient.New(s.UpstreamAddress(), a.localIP),
+	}
 	a.executor = dispatch.NewExecutor(a.clock, a.upstream, a.gate, s.LinkMbps())
 	a.dispatcher = dispatch.NewDispatcher(a.clock, a.state, &sender{app: a}, balance.New(s.Location()), dispatch.RetryLimits{
 		Ratio:        s.RetryShare() * retryShareFraction,
@@ -296,6 +305,7 @@
 			return nil
 		}
 		if a.manifest.CompareAndSwap(old, m) {
+			a.applyColdSettings()
 			a.log.Info().Uint64("version", m.Version()).Uint64("before", old.Version()).Int("problems", len(problems)).Msg("manifestInForce")
 			a.reportManifestProblems(m.Version(), problems)
 			return nil
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -154,7 +154,8 @@
 		// choose no working witnesses.
 		due := len(a.writeSemaphore) == 0 && len(a.memberSemaphore) == 0
 		if due {
-			change, due = s.nextChange(a.clock.Now())
+			_, cold := a.executor.Cold()
+			change, due = s.nextChange(a.clock.Now(), cold)
 		}
 		if due {
 			direct := a.consecutiveConflicts.Load() == 0 && !s.proposesFirst()
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/httpclient"
 	"briarwell.dev/core/identity"
@@ -71,6 +72,17 @@
 	DemandPercent int          `json:"demandPercent"`
 	// FailurePercent is the share of its requests in percent that the upstream failed.
 	FailurePercent int `json:"failurePercent"`
+	// Capacity and ColdRate are in requests per second, ColdFor is in milliseconds.
+	Capacity int          `json:"capacity,omitempty"`
+	ColdRate int          `json:"coldRate,omitempty"`
+	ColdFor  clock.Millis `json:"coldMillis,omitempty"`
+}
+
+func (r loadResponse) load() balance.Load {
+	return balance.Load{
+		Slots: r.Slots, ServiceTime: r.ServiceTime, DemandPercent: r.DemandPercent, FailurePercent: r.FailurePercent,
+		Capacity: r.Capacity, ColdRate: r.ColdRate, ColdFor: r.ColdFor,
+	}
 }
 
 // peerClients holds an HTTP client for each address of another sidecar. It is safe for
--- a/sidecar/app/rebalance.go
+++ b/sidecar/app/rebalance.go
@@ -100,7 +100,7 @@
 // rebalanceHolder returns a holder with its load, without the number of its ranges.
 func rebalanceHolder(name string, load balance.Load) rebalance.Holder {
 	return rebalance.Holder{
-		Name: name, Demand: float64(load.DemandPercent) / percent, Capacity: requestCapacity(load.Slots, load.ServiceTime),
+		Name: name, Demand: float64(load.DemandPercent) / percent, Capacity: cmp.Or(load.RequestRate(), requestCapacity(load.Slots, load.ServiceTime)),
 		FailureShare: float64(load.FailurePercent) / percent,
 	}
 }
@@ -132,7 +132,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			loads[h.InstanceName()] = balance.Load{Slots: response.Slots, ServiceTime: response.ServiceTime, DemandPercent: response.DemandPercent, FailurePercent: response.FailurePercent}
+			loads[h.InstanceName()] = response.load()
 		})
 	}
 	wait.Wait()
@@ -142,7 +142,10 @@
 // handleLoad returns the load of this instance's upstream.
 func (a *App) handleLoad(struct{}) loadResponse {
 	load := a.executor.Load()
-	return loadResponse{Slots: load.Slots, ServiceTime: load.ServiceTime, DemandPercent: load.DemandPercent, FailurePercent: load.FailurePercent}
+	return loadResponse{
+		Slots: load.Slots, ServiceTime: load.ServiceTime, DemandPercent: load.DemandPercent, FailurePercent: load.FailurePercent,
+		Capacity: load.Capacity, ColdRate: load.ColdRate, ColdFor: load.ColdFor,
+	}
 }
 
 // requestCapacity returns the number of requests that the slots can run per second at
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -308,6 +308,7 @@
 	case upstreamrpc.Heartbeat:
 		report := call.Report()
 		grant, verdict := a.upstream.applyReport(receivedAt, report)
+		a.logColdChange("report")
 		if verdict == heartbeat.Started {
 			grant = a.awaitGrant(report, grant)
 		}
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -23,7 +23,8 @@
 const startupWitnessPeriod clock.Millis = 8000
 
 // state holds the state machines of the sidecar. One lock protects them, which is never held
-// during a call over the network. No other lock is taken while it is held.
+// during a call over the network. Only those of the gate and of the executor's coldGate are taken
+// while it is held.
 type state struct {
 	incarnation identity.Incarnation
 	instance    membership.Instance
@@ -323,10 +324,12 @@
 	return candidates
 }
 
-// nextChange returns the change of the own service's assignment that is due at now, if any.
-func (s *state) nextChange(now clock.Millis) (keyowner.Change, bool) {
+// nextChange returns the change of the own service's assignment that is due at now, if any. Cold
+// is true while the upstream is cold.
+func (s *state) nextChange(now clock.Millis, cold bool) (keyowner.Change, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.keyController.SetCold(cold)
 	if s.candidatesChanged {
 		s.candidatesChanged = false
 		s.keyController.SetMembers(s.witnessCandidates(now))
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -209,10 +209,14 @@
 		"running": float64(load.Running), "waiting": float64(load.Waiting), "slots": float64(load.Slots),
 		"service_milliseconds": float64(load.ServiceTime), "demand_percent": float64(load.DemandPercent), "failure_percent": float64(load.FailurePercent),
 		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.logWriter.Dropped()),
+		"cold":          boolValue(load.ColdFor > 0),
 		"follows_store": boolValue(a.watching[store.OperatorRows].Load()),
 	} {
 		scope.Gauge(name).Update(value)
 	}
+	refused := a.executor.ColdRefusals()
+	scope.Counter("cold_refused").Inc(int64(refused - a.coldRefusalsCounted))
+	a.coldRefusalsCounted = refused
 }
 
 func boolValue(b bool) float64 {
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"briarwell.dev/core/admission"
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/coldstart"
 	"briarwell.dev/core/dispatch"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/httpclient"
@@ -24,13 +26,20 @@
 	// is tried before the upstream's process counts as ended. It is also the timeout of
 	// that attempt.
 	endConfirmDelay = 100 * time.Millisecond
+	// coldProbeTimeout bounds the wait for the answer to a probe. A later answer would come
+	// after the next report.
+	coldProbeTimeout = 300 * time.Millisecond
+	// maxProbeBytes bounds the body of the answer to a probe.
+	maxProbeBytes = 64 << 10
 )
 
 // upstream connects dispatch.Executor to the upstream of this instance. It implements
-// dispatch.Upstream.
+// dispatch.Upstream and dispatch.ColdProber.
 type upstream struct {
 	app    *App
 	client *httpclient.Client
+	// probeClient sends the probes, whose answers repeat no request ID.
+	probeClient *httpclient.Client
 }
 
 // State returns the known state of the upstream at now.
@@ -98,9 +107,11 @@
 	if ended {
 		s.tracker.MarkEnded()
 		s.keyController.HandleUpstreamRestart(u.app.clock.Now())
+		u.app.executor.HandleUpstreamEnd()
 	}
 	s.mu.Unlock()
 	if ended {
+		u.app.logColdChange("ended")
 		u.app.log.Warn().Str("life", process.String()).Msg("upstreamEnded")
 		u.app.wakeControl()
 	}
@@ -134,8 +145,57 @@
 	default:
 		return keyowner.Grant{}, verdict
 	}
+	u.app.executor.HandleColdReport(r.Sequence, r.ColdRemaining, verdict == heartbeat.Started)
 	if !seen || previous.Slots != r.Slots {
 		u.app.gate.UpdateSettings(admission.Settings{Slots: r.Slots})
 	}
 	return s.keyController.HandleReport(now, r), verdict
 }
+
+// ProbeCold asks the upstream at its health path whether it is cold.
+func (u *upstream) ProbeCold(done func(coldstart.ProbeAnswer)) {
+	serviceConfig, _ := u.app.manifest.Load().Service(u.app.settings.Service())
+	u.app.telemetry.scope.Counter("cold_probes").Inc(1)
+	u.app.goOnce("probeCold", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), coldProbeTimeout)
+		defer cancel()
+		response, err := u.probeClient.Do(ctx, httpclient.Request{
+			Method: http.MethodGet, RequestURI: serviceConfig.HealthPath, Host: u.app.settings.UpstreamAddress(), MaxResponseBytes: maxProbeBytes,
+		})
+		if err != nil {
+			u.app.log.Debug().Err(err).Msg("coldProbeFailed")
+			done(coldstart.ProbeAnswer{})
+			return
+		}
+		remaining, stated := upstreamhttp.ParseColdRemaining(response.Header)
+		if !stated {
+			u.app.log.Warn().Int("status", response.Status).Str("path", serviceConfig.HealthPath).Msg("coldTimeNotStated")
+		}
+		done(coldstart.ProbeAnswer{Answered: true, Stated: stated, Remaining: remaining})
+		u.app.logColdChange("probe")
+	})
+}
+
+// applyColdSettings passes the bounds for cold upstreams in the current manifest to the executor.
+func (a *App) applyColdSettings() {
+	a.coldSettingsMu.Lock()
+	defer a.coldSettingsMu.Unlock()
+	serviceConfig, _ := a.manifest.Load().Service(a.settings.Service())
+	a.executor.UpdateColdSettings(coldstart.Settings{
+		PerSecond: serviceConfig.ColdPerSecond, Closed: serviceConfig.ColdInvalid, ColdStart: serviceConfig.ColdStart,
+		Overshoot: a.settings.ColdOvershoot(), Slack: a.settings.ColdSlack(), Probes: serviceConfig.HealthPath != "",
+	})
+}
+
+// logColdChange logs that the upstream has become cold or warm since the last call.
+func (a *App) logColdChange(cause string) {
+	remaining, cold := a.executor.Cold()
+	if a.coldLogged.Swap(cold) == cold {
+		return
+	}
+	if cold {
+		a.log.Info().Str("cause", cause).Int64("coldMillis", int64(remaining)).Msg("upstreamCold")
+		return
+	}
+	a.log.Info().Uint64("refused", a.executor.ColdRefusals()).Msg("upstreamWarm")
+}
