--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -228,10 +228,11 @@
 }
 
 // NeedsLoad reports whether a response to a request that is sent to the candidate now should
-// come with a load report.
+// come with a load report. That of a cold upstream always should: how many requests it still
+// accepts is estimated from those in flight since its report.
 func (b *Balancer) NeedsLoad(now clock.Millis, c Candidate) bool {
 	u, ok := b.upstreams[c.Name]
-	return !ok || !u.hasLoad || c.Location.Region() == b.location.Region() || now-u.reportedAt >= loadReportInterval
+	return !ok || !u.hasLoad || u.isCold(now) || c.Location.Region() == b.location.Region() || now-u.reportedAt >= loadReportInterval
 }
 
 // smoothedServiceTime returns the exponentially weighted mean with a new sample, or
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -155,6 +155,24 @@
 	is.True(b.Reachable(4000, "here"))
 }
 
+// TestNeedsLoad guards against a load report with each response from another region, and against
+// requests that are sent to a cold upstream there beyond its rate, for lack of a report.
+func TestNeedsLoad(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	candidates := newCandidates()
+	is.True(b.NeedsLoad(0, candidates[2]))
+	for _, c := range candidates {
+		b.RecordLoad(1000, c.Name, "", balance.Load{Slots: 12, ServiceTime: 50})
+	}
+	is.True(b.NeedsLoad(1000, candidates[0]))
+	is.True(b.NeedsLoad(1000, candidates[1]))
+	is.True(!b.NeedsLoad(1200, candidates[2]))
+	is.True(b.NeedsLoad(1300, candidates[2]))
+	b.RecordLoad(1300, "distant", "", balance.Load{Slots: 12, ServiceTime: 50, ColdRate: 15, ColdFor: 500})
+	is.True(b.NeedsLoad(1400, candidates[2]))
+}
+
 // TestResponseWithoutLoadReport guards against a working daemon that counts as frozen since its
 // responses come without load reports.
 func TestResponseWithoutLoadReport(t *testing.T) {
