--- a/core/coldstart/coldstart_test.go
+++ b/core/coldstart/coldstart_test.go
@@ -185,11 +185,19 @@
 	return l, now
 }
 
-// TestSustainedRate guards against a cold upstream that gets more than its sustained rate, and
-// against urgent requests that find no token while less urgent ones do.
+// TestSustainedRate guards against a cold upstream that gets more than its sustained rate, with
+// the requests sent just before it turned cold, and against urgent requests that find no token while less urgent ones do.
 func TestSustainedRate(t *testing.T) {
 	is := is.New(t)
 	l, now := warmLimiter()
+	for range 20 { // more than the rate and the burst
+		_, err := l.Admit(now, 0, false)
+		is.NoErr(err)
+	}
+	l.HandleReport(now, 2, 30_000, false)
+	_, err := l.Admit(now, 0, true)
+	is.True(err != nil)
+	l, now = warmLimiter()
 	l.HandleReport(now, 2, 30_000, false)
 	sent := map[int]int{}
 	for end := now + 10_000; now < end; now += 2 {
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -21,6 +21,7 @@
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/clock/system"
+	"briarwell.dev/core/coldstart"
 	"briarwell.dev/core/dispatch"
 	"briarwell.dev/core/httpclient"
 	"briarwell.dev/core/identity"
@@ -158,6 +159,8 @@
 		app: a, client: httpclient.New(s.UpstreamAddress(), a.localIP).WithDistinctSends(), probeClient: httpclient.New(s.UpstreamAddress(), a.localIP),
 	}
 	a.executor = dispatch.NewExecutor(a.clock, a.upstream, a.gate, s.LinkMbps())
+	// Before the first manifest it is unknown how many requests a cold upstream tolerates.
+	a.executor.UpdateColdSettings(coldstart.Settings{Closed: true})
 	a.dispatcher = dispatch.NewDispatcher(a.clock, a.state, &sender{app: a}, balance.New(s.Location()), dispatch.RetryLimits{
 		Ratio:        s.RetryShare() * retryShareFraction,
 		MinPerSecond: s.RetrySlack() * retrySlackFraction * millisPerSecond / float64(s.RetryWindow()),
--- a/sidecar/app/cold_test.go
+++ b/sidecar/app/cold_test.go
@@ -17,7 +17,7 @@
 func TestColdUpstreams(t *testing.T) {
 	const perSecond = 20 // the bound too: the settings have no slack and no overshoot
 	is := is.New(t)
-	c := newCluster(t, 81, "ledger", "ledger")
+	c := newCluster(t, 117, "ledger", "ledger")
 	var mu sync.Mutex
 	starts := make(map[*instance][]time.Time)
 	for _, in := range c.instances {
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -141,6 +141,7 @@
 	case heartbeat.Started:
 		s.keyController.HandleUpstreamRestart(now)
 		u.client.CloseIdle()
+		u.probeClient.CloseIdle()
 	case heartbeat.Accepted:
 	default:
 		return keyowner.Grant{}, verdict
@@ -183,7 +184,7 @@
 	serviceConfig, _ := a.manifest.Load().Service(a.settings.Service())
 	a.executor.UpdateColdSettings(coldstart.Settings{
 		PerSecond: serviceConfig.ColdPerSecond, Closed: serviceConfig.ColdInvalid, ColdStart: serviceConfig.ColdStart,
-		Overshoot: a.settings.ColdOvershoot(), Slack: a.settings.ColdSlack(), Probes: serviceConfig.HealthPath != "",
+		Overshoot: a.settings.ColdOvershoot(), Slack: a.settings.ColdSlack(), Probes: serviceConfig.HealthPath != "" && a.settings.ColdProbes(),
 	})
 }
 
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -34,6 +34,7 @@
 	outOfUseWithin  clock.Millis
 	coldOvershoot   float64
 	coldSlack       float64
+	coldProbes      bool
 	linkMbps        float64
 	memoryMB        float64
 	cpuShare        float64
@@ -78,6 +79,7 @@
 		outOfUseWithin:  optionalDuration(object, "outOfUseWithin", defaultOutOfUseWithin),
 		coldOvershoot:   optionalNumber(object, "coldOvershoot", maxColdOvershoot),
 		coldSlack:       optionalNumber(object, "coldSlack", maxRetrySlack),
+		coldProbes:      object.Optional("coldProbes").BoolOr(true),
 		linkMbps:        requiredNumber(object, "linkMbps", maxMbps),
 		memoryMB:        optionalNumber(object, "memoryMB", maxMemoryMB),
 		cpuShare:        optionalNumber(object, "cpuShare", maxCPUShare),
@@ -210,6 +212,10 @@
 // ColdSlack returns the number of requests that a cold upstream may get in a second in addition.
 func (s Sidecar) ColdSlack() float64 { return s.coldSlack }
 
+// ColdProbes reports whether warm upstreams are asked at their health path whether they have
+// become cold. Probes are billed.
+func (s Sidecar) ColdProbes() bool { return s.coldProbes }
+
 // LinkMbps returns the bandwidth of the instance's network link in Mbit/s, 0 for no limit.
 func (s Sidecar) LinkMbps() float64 { return s.linkMbps }
 
--- a/sidecar/settings/settings_test.go
+++ b/sidecar/settings/settings_test.go
@@ -59,6 +59,7 @@
 		"memoryMB":        {`184`, `"much"`},
 		"storeAddress":    {`"storeAddress":"10.0.0.9:80",`, ``},
 		"coldSlack":       {`"logLevel"`, `"coldSlack":-1,"logLevel"`},
+		"coldProbes":      {`"logLevel"`, `"coldProbes":7,"logLevel"`},
 		"outOfUseWithin":  {`"logLevel"`, `"outOfUseWithin":"0s","logLevel"`},
 		"other":           {`"logLevel"`, `"other":1,"logLevel"`},
 	} {
@@ -97,6 +98,7 @@
 	is.NoErr(err)
 	is.Equal(s.ColdOvershoot(), 1.0)
 	is.Equal(s.ColdSlack(), 0.0)
+	is.True(s.ColdProbes())
 }
 
 // section is a part of the template that is rendered only if the platform has a value.
