--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -138,7 +138,7 @@
 		Str("outcome", reply.Outcome.String()).Str("reason", string(outcome.ReasonOf(reply.Outcome))).Bool("arrived", reply.ReachedUpstream).
 		Int("running", reply.Load.Running).Int("waiting", reply.Load.Waiting).Int("slots", reply.Load.Slots).
 		Int64("serviceMillis", int64(reply.Load.ServiceTime)).Int("demandPercent", reply.Load.DemandPercent).
-		Int64("linkMillis", int64(reply.Load.LinkBacklog)).Bool("nested", r.Nested).Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
+		Int64("linkMillis", int64(reply.Load.LinkBacklog)).Int64("coldMillis", int64(reply.Load.ColdFor)).Bool("nested", r.Nested).Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
 }
 
 // logAbandoned logs a request that is not run because its sender has disconnected.
--- a/sidecar/explain/explain.go
+++ b/sidecar/explain/explain.go
@@ -190,6 +190,7 @@
 		"overloaded":         "not run: the upstream's queue was too long (see running, waiting and serviceMillis of requestNotServed)",
 		"queue-timeout":      "not run: its deadline passed before a slot was free",
 		"unreachable":        "not run: the sidecar did not answer, or the upstream refused connections",
+		"cold":               "not run: the upstream was cold and had got all requests that it tolerates then (see coldMillis of requestNotServed)",
 		"draining":           "not run: the upstream or its sidecar was leaving",
 		"upstream-refused":   "not run: the upstream itself refused the request",
 		"deadline-exceeded":  "not run: its deadline passed, or its caller disconnected, while it waited",
