retryafter: refused callers get the next free time of the upstream

Refused callers were told to retry after the drain time of the queue (60 to 800 ms), the same for all who were refused at once, and after 300 or 500 ms where no owner or manifest was known. They returned together and were refused for good.

The sidecar beside the upstream now keeps a schedule of places for retries. A retry is recognised by class, key and deadline, goes before first attempts of its rank and isn't refused for its wait. A place holds no slot. Refusals by dispatchers are spread over the second half of what callers honour.

Tests of core and platform pass.

--- a/core/admission/state.go
+++ b/core/admission/state.go
@@ -61,6 +61,8 @@
 	softDeadline clock.Millis
 	// class groups requests of similar service time; "" means no class.
 	class string
+	// promised is true for a retry whose caller was promised a place.
+	promised bool
 	// missesSoftDeadline reports whether the response is expected after the soft
 	// deadline.
 	missesSoftDeadline bool
@@ -86,6 +88,14 @@
 	return r
 }
 
+// WithPromise marks a retry whose caller was promised a place. It goes before other
+// requests of its priority, and waits until its deadline can't be met any more: the
+// caller has no further retry. It returns r.
+func (r *Request) WithPromise() *Request {
+	r.promised = true
+	return r
+}
+
 // Deadline returns the time after which the request is not served any more.
 func (r *Request) Deadline() clock.Millis { return r.deadline }
 
@@ -382,7 +392,7 @@
 	waitPerRequest := s.meanServiceMillis / float64(s.Limit(now))
 	for _, request := range s.queue {
 		switch {
-		case request.softDeadline == 0:
+		case request.softDeadline == 0 || request.promised:
 			kept = append(kept, request)
 		case s.exceedsMaxWait(now, request, waitPerRequest*float64(len(kept))):
 			actions = append(actions, Refuse{request: request, reason: outcome.ReasonOverloaded})
@@ -424,7 +434,7 @@
 // waitsTooLong reports whether a wait of the given milliseconds exceeds the maximum
 // wait of a request or makes it miss its soft deadline.
 func (s *State) waitsTooLong(now clock.Millis, request *Request, wait float64) bool {
-	if request.softDeadline == 0 {
+	if request.softDeadline == 0 || request.promised {
 		return false
 	}
 	if s.exceedsMaxWait(now, request, wait) {
@@ -461,12 +471,18 @@
 	return defaultQueuePerSlot * max(s.settings.Slots, 1)
 }
 
-// compareRequests orders requests by descending priority, then those expected to
-// meet their soft deadline first, then by deadline and by arrival.
+// compareRequests orders requests by descending priority, then those with a promised
+// place first, then those expected to meet their soft deadline, then by deadline and by
+// arrival.
 func compareRequests(a, b *Request) int {
 	switch {
 	case a.priority != b.priority:
 		return int(b.priority - a.priority)
+	case a.promised != b.promised:
+		if a.promised {
+			return -1
+		}
+		return 1
 	case a.missesSoftDeadline != b.missesSoftDeadline:
 		if a.missesSoftDeadline {
 			return 1
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -66,6 +66,9 @@
 	// RetryAfter is the time in milliseconds after which a refused request may be
 	// retried, 0 if unknown.
 	RetryAfter clock.Millis
+	// Promised is true if a refused request was a retry whose caller had been promised a
+	// place. It is not sent to other daemons.
+	Promised bool
 	// Load is the load of the upstream, valid if HasLoad.
 	Load    balance.Load
 	HasLoad bool
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"briarwell.dev/core/memory"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/retry"
+	"briarwell.dev/core/retryafter"
 	"briarwell.dev/core/routes"
 )
 
@@ -23,9 +24,6 @@
 	// ownerWaitShare is the share of the route's target latency for which a request
 	// waits for an owner of its key before it is refused.
 	ownerWaitShare = 0.25
-	// ownerRetryAfter is the time in milliseconds after which a caller may retry a request
-	// whose key has no reachable owner.
-	ownerRetryAfter clock.Millis = 300
 	// minRemainingTime is the time in milliseconds before the deadline from which a request
 	// is not sent again: a round trip between regions takes 40 ms.
 	minRemainingTime clock.Millis = 10
@@ -83,6 +81,9 @@
 	LatencyBudget clock.Millis
 	// Class groups requests of similar service time.
 	Class string
+	// CallerRetry is true if the request is known to be the retry of a caller, who has no
+	// further one. A retry after less than firstAttemptTolerance is not known.
+	CallerRetry bool
 }
 
 // Dispatcher handles the requests that originate on this instance: it selects their
@@ -197,7 +198,7 @@
 }
 
 func (p *pendingRequest) run(ctx context.Context) Result {
-	p.lastReply = NotRun(outcome.ReasonNoOwner).WithRetryAfter(ownerRetryAfter)
+	p.lastReply = NotRun(outcome.ReasonNoOwner)
 	for p.sends < maxSends {
 		target, ok := p.nextTarget(ctx)
 		if !ok {
@@ -222,7 +223,12 @@
 		// The last instance did not run the request, but an earlier one may have.
 		p.lastReply = *p.firstUnknown
 	}
-	deadlineExceeded := p.dispatcher.clock.Now() >= p.request.Deadline
+	now := p.dispatcher.clock.Now()
+	if _, refused := p.lastReply.Outcome.(outcome.NotRun); refused && p.lastReply.RetryAfter == 0 && now+minRemainingTime < p.request.Deadline {
+		// No instance has said when the request can be served.
+		p.lastReply.RetryAfter = retryafter.Spread(p.request.Deadline-now, p.request.ID)
+	}
+	deadlineExceeded := now >= p.request.Deadline
 	return Result{Reply: p.lastReply, DeadlineExceeded: deadlineExceeded, Instance: p.lastInstance, Attempts: p.sends}
 }
 
@@ -238,7 +244,7 @@
 	p.sends++
 	p.lastInstance = target.Name
 	sentAt := d.clock.Now()
-	policy := RequestPolicy{Idempotent: p.route.Idempotent, Rank: p.route.Rank, LargeResponse: p.route.LargeResponses, LatencyBudget: p.latencyBudget(), Class: p.route.Name}
+	policy := RequestPolicy{Idempotent: p.route.Idempotent, Rank: p.route.Rank, LargeResponse: p.route.LargeResponses, LatencyBudget: p.latencyBudget(), Class: p.route.Name, CallerRetry: p.isCallerRetry()}
 	reply := d.sendCounted(ctx, target, p.service, p.request, policy)
 	if reply.ReachedUpstream {
 		p.upstreamAttempts++
@@ -274,11 +280,22 @@
 	if p.request.Nested || p.route.TargetLatency <= 0 {
 		return 0
 	}
+	return max(p.request.ReceivedAt+p.route.TargetLatency-p.earlierAttempts()-p.dispatcher.clock.Now(), 1)
+}
+
+// isCallerRetry reports whether the request is known to be the retry of a caller.
+func (p *pendingRequest) isCallerRetry() bool {
+	return !p.request.Nested && p.route.Timeout > 0 && p.earlierAttempts() > 0
+}
+
+// earlierAttempts returns the time in milliseconds that the caller spent on an earlier
+// attempt, 0 if there was none.
+func (p *pendingRequest) earlierAttempts() clock.Millis {
 	elapsed := p.route.Timeout - (p.request.Deadline - p.request.ReceivedAt)
 	if elapsed < firstAttemptTolerance {
-		elapsed = 0
+		return 0
 	}
-	return max(p.request.ReceivedAt+p.route.TargetLatency-elapsed-p.dispatcher.clock.Now(), 1)
+	return elapsed
 }
 
 // recordReply records with the balancer what a reply to the latest attempt shows about the
@@ -435,7 +452,7 @@
 				return target, true
 			}
 			if ok && p.sends == 0 {
-				p.lastInstance, p.lastReply = target.Name, NotRun(outcome.ReasonUnreachable).WithRetryAfter(ownerRetryAfter)
+				p.lastInstance, p.lastReply = target.Name, NotRun(outcome.ReasonUnreachable)
 			}
 		}
 		if now >= until {
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -12,6 +12,7 @@
 	"briarwell.dev/core/memory"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/rebalance"
+	"briarwell.dev/core/retryafter"
 	"briarwell.dev/core/template"
 )
 
@@ -75,6 +76,8 @@
 	responseSizes memory.Estimate
 	// failures is the share of requests that the upstream failed.
 	failures failureShare
+	// retries holds the places promised to callers of refused requests.
+	retries retryafter.Schedule
 }
 
 // NewExecutor returns an executor that admits requests through the gate and sends the
@@ -139,11 +142,14 @@
 	if refused, ok := e.checkEligible(service, r); !ok {
 		return balance.Schedule{}, refused, false
 	}
-	if reason, refused := e.gate.WouldRefuse(e.admissionRequest(r, policy)); refused {
-		return balance.Schedule{}, NotRun(reason).WithRetryAfter(e.queueDrainTime()), false
-	}
 	now := e.clock.Now()
 	e.mu.Lock()
+	promised := e.retries.HasPlace(now, e.retryRequest(r, policy))
+	e.mu.Unlock()
+	if reason, refused := e.gate.WouldRefuse(e.admissionRequest(r, policy, promised)); refused {
+		return balance.Schedule{}, NotRun(reason).WithRetryAfter(e.retryTime(r, policy, promised)), false
+	}
+	e.mu.Lock()
 	defer e.mu.Unlock()
 	delay := e.inboundLink.BodyDelay(now, e.gate.ClassServiceMillis(policy.Class), policy.LatencyBudget, bodyBytes)
 	if delay > 0 {
@@ -152,12 +158,31 @@
 	return e.inboundLink.Reserve(now, int(bodyBytes)), Reply{}, true
 }
 
-func (e *Executor) admissionRequest(r *Request, policy RequestPolicy) *admission.Request {
+func (e *Executor) admissionRequest(r *Request, policy RequestPolicy, promised bool) *admission.Request {
 	var softDeadline clock.Millis
 	if policy.LatencyBudget > 0 {
 		softDeadline = e.clock.Now() + policy.LatencyBudget
 	}
-	return admission.NewRequest(priority(r, policy), r.Deadline).WithSoftDeadline(softDeadline, policy.Class)
+	request := admission.NewRequest(priority(r, policy), r.Deadline).WithSoftDeadline(softDeadline, policy.Class)
+	if promised {
+		request.WithPromise()
+	}
+	return request
+}
+
+// retryRequest describes a request to the schedule of retries.
+func (e *Executor) retryRequest(r *Request, policy RequestPolicy) retryafter.Request {
+	return retryafter.Request{
+		ID: r.ID, Class: policy.Class, Key: uint32(r.Key), Rank: policy.Rank, Deadline: r.Deadline,
+		LatencyBudget: policy.LatencyBudget, Final: policy.CallerRetry,
+	}
+}
+
+// RetryCounts returns the counts of the schedule of retries.
+func (e *Executor) RetryCounts() retryafter.Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.retries.Counts(e.clock.Now())
 }
 
 // boundedRetryAfter returns the time in milliseconds within minRetryAfter and
@@ -177,17 +202,20 @@
 	if refused, ok := e.checkEligible(service, r); !ok {
 		return refused
 	}
-	admissionRequest := e.admissionRequest(r, policy)
+	now := e.clock.Now()
 	e.mu.Lock()
-	e.keyMeter.Observe(e.clock.Now(), r.Key)
+	e.keyMeter.Observe(now, r.Key)
+	promised := e.retries.Arrive(now, e.retryRequest(r, policy))
 	delay := e.link.LargeResponseDelay(e.clock.Now(), e.gate.ClassServiceMillis(policy.Class), policy.LatencyBudget)
 	e.mu.Unlock()
 	if policy.LargeResponse && delay > 0 {
 		return NotRun(outcome.ReasonOverloaded).WithRetryAfter(boundedRetryAfter(delay))
 	}
-	slot, err := e.gate.AcquireFor(ctx, admissionRequest)
+	slot, err := e.gate.AcquireFor(ctx, e.admissionRequest(r, policy, promised))
 	if err != nil {
-		return e.refusalReply(err)
+		reply := e.refusalReply(r, policy, promised, err)
+		reply.Promised = promised
+		return reply
 	}
 	// Only the first release counts; this one is for a panic.
 	defer slot.ReleaseWithoutSample()
@@ -195,7 +223,7 @@
 		slot.ReleaseWithoutSample()
 		return refused
 	}
-	now := e.clock.Now()
+	now = e.clock.Now()
 	if now >= r.Deadline {
 		slot.ReleaseWithoutSample()
 		return NotRun(outcome.ReasonQueueTimeout)
@@ -299,19 +327,36 @@
 }
 
 // refusalReply returns the reply for a request that got no slot.
-func (e *Executor) refusalReply(err error) Reply {
+func (e *Executor) refusalReply(r *Request, policy RequestPolicy, promised bool, err error) Reply {
 	var refused *admission.RefusedError
 	if !errors.As(err, &refused) {
 		// The caller left or the deadline passed while the request waited.
 		return NotRun(outcome.ReasonDeadlineExceeded)
 	}
-	return NotRun(refused.Reason()).WithRetryAfter(e.queueDrainTime())
+	return NotRun(refused.Reason()).WithRetryAfter(e.retryTime(r, policy, promised))
+}
+
+// retryTime returns the time in milliseconds after which the caller of a refused request
+// is told to retry. A caller with a further retry gets the next free time in the schedule.
+// Nested requests get the drain time of the queue, as they go before the requests in it.
+func (e *Executor) retryTime(r *Request, policy RequestPolicy, promised bool) clock.Millis {
+	load := e.Load()
+	if r.Nested {
+		return queueDrainTime(load)
+	}
+	request := e.retryRequest(r, policy)
+	request.Final = request.Final || promised
+	capacity := retryafter.Capacity{
+		Slots: load.Slots, Waiting: load.Waiting, ServiceTime: load.ServiceTime, ClassServiceTime: e.gate.ClassServiceMillis(policy.Class),
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.retries.Refuse(e.clock.Now(), capacity, request)
 }
 
 // queueDrainTime returns the time in milliseconds that the upstream needs for the waiting
 // requests, within minRetryAfter and maxRetryAfter.
-func (e *Executor) queueDrainTime() clock.Millis {
-	load := e.Load()
+func queueDrainTime(load balance.Load) clock.Millis {
 	drainTime := clock.Millis(load.Waiting+1) * load.ServiceTime / clock.Millis(max(load.Slots, 1))
 	return boundedRetryAfter(drainTime)
 }
--- a/core/dispatch/peerhttp/peerhttp.go
+++ b/core/dispatch/peerhttp/peerhttp.go
@@ -25,6 +25,7 @@
 	headerOrigin          = "Briarwell-Origin"
 	headerPolicy          = "Briarwell-Rules"
 	headerReachedUpstream = "Briarwell-Arrived"
+	headerCallerRetry     = "Briarwell-Caller-Retry"
 	headerRetryAfter      = "Briarwell-Return-Millis"
 	headerLoad            = "Briarwell-Load"
 )
@@ -66,6 +67,9 @@
 		header.Set(outcome.HeaderKey, strconv.Itoa(int(r.Key)))
 	}
 	header.Set(headerPolicy, fmt.Sprintf("%t,%t,%t,%d,%d,%s", policy.Idempotent, r.Nested, policy.LargeResponse, policy.Rank, policy.LatencyBudget, policy.Class))
+	if policy.CallerRetry {
+		header.Set(headerCallerRetry, "true")
+	}
 	return httpclient.Request{
 		Method: r.Method, RequestURI: r.RequestURI, Host: r.Host, Header: header, Body: r.Body,
 		AwaitContinue:    len(r.Body) >= dispatch.LargeBodyBytes,
@@ -97,6 +101,7 @@
 	if _, err := fmt.Sscanf(text, "%t,%t,%t,%d,%d,", &policy.Idempotent, &request.Nested, &policy.LargeResponse, &policy.Rank, &policy.LatencyBudget); err != nil {
 		return nil, "", policy, &Error{field: headerPolicy, value: text}
 	}
+	policy.CallerRetry = r.Header.Get(headerCallerRetry) == "true"
 	policy.Class = text[strings.LastIndexByte(text, ',')+1:]
 	for name, values := range r.Header {
 		if !strings.HasPrefix(name, headerPrefix) && name != "Content-Length" {
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -17,6 +17,7 @@
 	"briarwell.dev/core/keyowner"
 	"briarwell.dev/core/memory"
 	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/retryafter"
 	"briarwell.dev/core/routes"
 	"briarwell.dev/platform/callerhttp"
 	"briarwell.dev/platform/upstreamrpc"
@@ -131,7 +132,7 @@
 		return dispatch.Result{Reply: reply, RouteFound: true, ManifestVersion: manifest.Version()}
 	}
 	if manifest.Version() == 0 {
-		return dispatch.Result{Reply: dispatch.Reply{RetryAfter: manifestRetryAfter}}
+		return dispatch.Result{Reply: dispatch.Reply{RetryAfter: retryafter.Spread(request.Deadline-a.clock.Now(), request.ID)}}
 	}
 	return a.dispatcher.Handle(ctx, manifest, request)
 }
@@ -140,10 +141,6 @@
 // in it a sidecar ends and is started again.
 const restartRetryAfter clock.Millis = 800
 
-// manifestRetryAfter is the time in milliseconds after which a caller may retry a request
-// to a sidecar that had no manifest.
-const manifestRetryAfter clock.Millis = 500
-
 // servePeerRequest handles a request that another sidecar forwarded.
 func (a *App) servePeerRequest(w http.ResponseWriter, r *http.Request) {
 	a.inFlight.Add(1)
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -138,7 +138,8 @@
 		Str("outcome", reply.Outcome.String()).Str("reason", string(outcome.ReasonOf(reply.Outcome))).Bool("arrived", reply.ReachedUpstream).
 		Int("running", reply.Load.Running).Int("waiting", reply.Load.Waiting).Int("slots", reply.Load.Slots).
 		Int64("serviceMillis", int64(reply.Load.ServiceTime)).Int("demandPercent", reply.Load.DemandPercent).
-		Int64("linkMillis", int64(reply.Load.LinkBacklog)).Bool("nested", r.Nested).Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
+		Int64("linkMillis", int64(reply.Load.LinkBacklog)).Bool("nested", r.Nested).
+		Int64("returnMillis", int64(reply.RetryAfter)).Bool("promised", reply.Promised).Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
 }
 
 // logAbandoned logs a request that is not run because its sender has disconnected.
@@ -197,7 +198,7 @@
 }
 
 func (a *App) updateGauges() {
-	scope, load, s := a.telemetry.scope, a.executor.Load(), a.state
+	scope, load, retries, s := a.telemetry.scope, a.executor.Load(), a.executor.RetryCounts(), a.state
 	s.mu.Lock()
 	assignment, revision := s.keyController.Assignment()
 	lease := s.keyController.LeaseEnd() - a.clock.Now()
@@ -208,6 +209,8 @@
 		"lease_milliseconds": float64(max(lease, 0)), "owned_ranges": float64(ranges), "holders": float64(holders), "members": float64(members),
 		"running": float64(load.Running), "waiting": float64(load.Waiting), "slots": float64(load.Slots),
 		"service_milliseconds": float64(load.ServiceTime), "demand_percent": float64(load.DemandPercent), "failure_percent": float64(load.FailurePercent),
+		"retries_promised": float64(retries.Promised), "retries_unpromised": float64(retries.Unpromised),
+		"retries_claimed": float64(retries.Claimed), "retries_expired": float64(retries.Expired),
 		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.logWriter.Dropped()),
 		"follows_store": boolValue(a.watching[store.OperatorRows].Load()),
 	} {
