--- a/core/dispatch/peerhttp/peerhttp.go
+++ b/core/dispatch/peerhttp/peerhttp.go
@@ -57,6 +57,7 @@
 	flagKeyed
 	flagKeyOmitted
 	flagLoadKnown
+	flagCallerRetry
 	flagsEnd
 )
 
@@ -91,7 +92,7 @@
 // remaining is the time in milliseconds until the deadline.
 func EncodeRequest(r *dispatch.Request, service string, policy dispatch.RequestPolicy, remaining clock.Millis) httpclient.Request {
 	flags := 0
-	for flag, set := range [...]bool{policy.Idempotent, r.Nested, policy.LargeResponse, r.Keyed, r.KeyOmitted, policy.LoadKnown} {
+	for flag, set := range [...]bool{policy.Idempotent, r.Nested, policy.LargeResponse, r.Keyed, r.KeyOmitted, policy.LoadKnown, policy.CallerRetry} {
 		if set {
 			flags |= 1 << flag
 		}
@@ -250,7 +251,7 @@
 	policy := dispatch.RequestPolicy{
 		Idempotent: flags&flagIdempotent != 0, LargeResponse: flags&flagLargeResponse != 0,
 		Rank: int(d.number("rank", math.MaxInt32)), LatencyBudget: clock.Millis(d.number("latency budget", math.MaxInt32)),
-		LoadKnown: flags&flagLoadKnown != 0,
+		LoadKnown: flags&flagLoadKnown != 0, CallerRetry: flags&flagCallerRetry != 0,
 	}
 	request.Nested, request.Keyed, request.KeyOmitted = flags&flagNested != 0, flags&flagKeyed != 0, flags&flagKeyOmitted != 0
 	request.Key = keyspace.Key(d.number("key", math.MaxUint16))
