coldstart, dispatch: retry times of cold refusals within what callers honour

Cause: callers honour a retry time up to a third of what they have left, and cut longer ones. Times of up to 2 s were so cut to the same time for many.

Change: a refusal gets the next time of a token only if the caller honours it and has a retry; otherwise the time of retryafter.Spread, and no token is reckoned for it. Executor.serveAdmitted is split from serve, without other change. TestRetriesSpread now checks that each promised time finds a token. In TestAllColdAtOnce callers of both rules retry.

--- a/core/coldstart/coldstart.go
+++ b/core/coldstart/coldstart.go
@@ -38,9 +38,6 @@
 	endedReportDelay clock.Millis = 3000
 	// rankPeriod is the time in milliseconds for which a rank counts as seen, at least.
 	rankPeriod clock.Millis = 10_000
-	// retryHorizon is the time in milliseconds, from the next token, over which the retries of
-	// refused requests are spread. Callers wait for less than a second.
-	retryHorizon clock.Millis = 2000
 	// minRetryAfter is the least time in milliseconds after which a refused caller is told to
 	// retry: a round trip between regions takes 40 ms.
 	minRetryAfter clock.Millis = 60
@@ -52,8 +49,7 @@
 	closedInterval = 20.0
 	// reportInterval is the time in milliseconds between two reports.
 	reportInterval clock.Millis = 870
-	// goldenRatio spreads any number of points evenly over an interval.
-	goldenRatio   = 0.6180339887498949
+
 	secondsMillis = 1000
 	percent       = 100
 )
@@ -101,11 +97,22 @@
 	return secondsMillis / s.PerSecond
 }
 
+// Request is a request to the upstream.
+type Request struct {
+	// Rank is the rank of the route; 0 is the most urgent.
+	Rank   int
+	Nested bool
+	// MaxRetryAfter is the longest time in milliseconds after which the caller would retry, 0
+	// if it does not.
+	MaxRetryAfter clock.Millis
+}
+
 // RefusedError reports that a request must not be sent to the cold upstream.
 type RefusedError struct{ retryAfter clock.Millis }
 
-// RetryAfter returns the time in milliseconds after which the request may be retried. It
-// differs from one refusal to the next, so that the retries come as the tokens do.
+// RetryAfter returns the time in milliseconds after which a token is expected for a retry, 0 if
+// the tokens until Request.MaxRetryAfter are expected for others. It differs from one refusal to
+// the next, so that the retries come as the tokens do.
 func (e *RefusedError) RetryAfter() clock.Millis { return e.retryAfter }
 
 func (e *RefusedError) Error() string {
@@ -153,8 +160,7 @@
 	tokensAt clock.Millis
 	ranks    seenRanks
 	// promised is the time, in milliseconds, of the retry of the next refused request.
-	promised  float64
-	rollovers int
+	promised float64
 
 	probes probes
 }
@@ -284,13 +290,12 @@
 // Rate returns the requests per second that the upstream gets while it is cold.
 func (l *Limiter) Rate() float64 { return l.settings.PerSecond }
 
-// Admit takes a token for a request that is sent at now. A lower rank is more urgent. The error
-// is a *RefusedError.
-func (l *Limiter) Admit(now clock.Millis, rank int, nested bool) (Permit, error) {
+// Admit takes a token for a request that is sent at now. The error is a *RefusedError.
+func (l *Limiter) Admit(now clock.Millis, r Request) (Permit, error) {
 	if !l.settings.Enabled() {
 		return Permit{}, nil
 	}
-	if err := l.Check(now, rank, nested); err != nil {
+	if err := l.Check(now, r); err != nil {
 		return Permit{}, err
 	}
 	if l.cold {
@@ -303,17 +308,17 @@
 
 // Check returns the *RefusedError with which Admit would refuse a request at now, or nil. It
 // takes no token.
-func (l *Limiter) Check(now clock.Millis, rank int, nested bool) error {
+func (l *Limiter) Check(now clock.Millis, r Request) error {
 	if !l.settings.Enabled() {
 		return nil
 	}
 	now = l.update(now)
-	l.ranks.observe(now, rank)
-	wait := l.timeToSend(now, nested || l.ranks.isUrgent(rank))
+	l.ranks.observe(now, r.Rank)
+	wait := l.timeToSend(now, r.Nested || l.ranks.isUrgent(r.Rank))
 	if wait <= 0 {
 		return nil
 	}
-	return &RefusedError{retryAfter: l.scheduleRetry(now, wait)}
+	return &RefusedError{retryAfter: l.scheduleRetry(now, max(wait, minRetryAfter), r.MaxRetryAfter)}
 }
 
 // GiveBack returns the token of a request that the upstream did not accept.
@@ -355,24 +360,21 @@
 	return wait
 }
 
-// scheduleRetry returns the time in milliseconds after which a refused request is to be
-// retried. Each refusal gets the next time at which a token is expected, from wait on; those
-// beyond retryHorizon are put between the others.
-func (l *Limiter) scheduleRetry(now, wait clock.Millis) clock.Millis {
-	first := float64(now + wait)
-	interval := l.settings.tokenInterval()
-	at := max(l.promised, first)
-	if at > first+float64(retryHorizon) {
-		l.rollovers++
-		_, fraction := math.Modf(float64(l.rollovers) * goldenRatio)
-		at = first + interval*fraction
+// scheduleRetry returns the time in milliseconds after which a refused request is to be retried:
+// the next time at which a token is expected, from wait on, that was not given to another
+// refused request. It returns 0 if that is later than latest.
+func (l *Limiter) scheduleRetry(now, wait, latest clock.Millis) clock.Millis {
+	at := max(l.promised, float64(now+wait))
+	after := clock.Millis(math.Ceil(at)) - now
+	if after > latest {
+		return 0
 	}
-	step := interval
+	step := l.settings.tokenInterval()
 	if at >= float64(l.coldUntil) {
 		step /= warmSpeedup
 	}
 	l.promised = at + step
-	return max(clock.Millis(math.Ceil(at))-now, minRetryAfter)
+	return after
 }
 
 // seenRanks holds the least urgent rank of the current and of the previous period.
--- a/core/coldstart/coldstart_test.go
+++ b/core/coldstart/coldstart_test.go
@@ -81,7 +81,7 @@
 	if w.known.number == 0 || w.ended {
 		return
 	}
-	permit, err := w.limiter.Admit(w.now, w.rng.IntN(3), w.rng.IntN(5) == 0)
+	permit, err := w.limiter.Admit(w.now, coldstart.Request{Rank: w.rng.IntN(3), Nested: w.rng.IntN(5) == 0})
 	if err != nil {
 		return
 	}
@@ -191,18 +191,18 @@
 	is := is.New(t)
 	l, now := warmLimiter()
 	for range 20 { // more than the rate and the burst
-		_, err := l.Admit(now, 0, false)
+		_, err := l.Admit(now, coldstart.Request{})
 		is.NoErr(err)
 	}
 	l.HandleReport(now, 2, 30_000, false)
-	_, err := l.Admit(now, 0, true)
+	_, err := l.Admit(now, coldstart.Request{Nested: true})
 	is.True(err != nil)
 	l, now = warmLimiter()
 	l.HandleReport(now, 2, 30_000, false)
 	sent := map[int]int{}
 	for end := now + 10_000; now < end; now += 2 {
 		rank := int(now/2) % 2
-		if _, err := l.Admit(now, rank, false); err == nil {
+		if _, err := l.Admit(now, coldstart.Request{Rank: rank}); err == nil {
 			sent[rank]++
 		}
 	}
@@ -210,21 +210,31 @@
 	is.True(sent[0] > 9*sent[1])
 }
 
-// TestRetriesSpread guards against refused callers that all return at the same time.
+// TestRetriesSpread guards against refused callers that all return at the same time, and against
+// a retry time at which there is no token: each retry here is admitted.
 func TestRetriesSpread(t *testing.T) {
 	is := is.New(t)
 	l, now := warmLimiter()
 	l.HandleReport(now, 2, 30_000, false)
-	perSecond := map[clock.Millis]int{}
+	promised, without := []clock.Millis{}, 0
 	for range 64 {
-		_, err := l.Admit(now, 0, true)
+		_, err := l.Admit(now, coldstart.Request{MaxRetryAfter: 1000})
 		var refused *coldstart.RefusedError
-		if errors.As(err, &refused) {
-			perSecond[refused.RetryAfter()/1000]++
-			is.True(refused.RetryAfter() >= 60 && refused.RetryAfter() < 2200)
+		switch {
+		case !errors.As(err, &refused):
+		case refused.RetryAfter() == 0:
+			without++
+		default:
+			is.True(refused.RetryAfter() >= 60 && refused.RetryAfter() <= 1000)
+			promised = append(promised, refused.RetryAfter())
 		}
 	}
-	is.True(perSecond[0] >= 14 && perSecond[0] <= 45 && perSecond[1] >= 14)
+	is.True(len(promised) >= 13 && len(promised) <= 15)
+	is.True(without > 40)
+	for _, after := range promised {
+		_, err := l.Admit(now+after, coldstart.Request{})
+		is.NoErr(err)
+	}
 }
 
 // TestUnknownRate guards against requests to a cold upstream whose rate can't be read, and
@@ -233,15 +243,15 @@
 	is := is.New(t)
 	l, now := warmLimiter()
 	l.UpdateSettings(now, coldstart.Settings{Closed: true})
-	_, err := l.Admit(now, 0, true)
+	_, err := l.Admit(now, coldstart.Request{Nested: true})
 	is.NoErr(err)
 	l.HandleReport(now, 2, 1000, false)
-	_, err = l.Admit(now+500, 0, true)
+	_, err = l.Admit(now+500, coldstart.Request{Nested: true})
 	is.True(err != nil)
 	var none coldstart.Limiter
 	none.HandleReport(now, 1, 1000, true)
 	for range 1000 {
-		_, err = none.Admit(now, 0, false)
+		_, err = none.Admit(now, coldstart.Request{})
 		is.NoErr(err)
 	}
 }
@@ -271,7 +281,7 @@
 
 	l, now = warmLimiter()
 	for range 30 {
-		_, err := l.Admit(now, 0, false)
+		_, err := l.Admit(now, coldstart.Request{})
 		is.NoErr(err)
 	}
 	probe, due := l.BeginProbe(now)
--- a/core/coldstart/crash_test.go
+++ b/core/coldstart/crash_test.go
@@ -79,7 +79,7 @@
 			}
 			tried = i
 			if limited {
-				_, err := u.limiter.Admit(now, 0, false)
+				_, err := u.limiter.Admit(now, coldstart.Request{MaxRetryAfter: retryAfterLimit})
 				var refused *coldstart.RefusedError
 				if errors.As(err, &refused) {
 					retryAfter = refused.RetryAfter()
@@ -94,7 +94,10 @@
 			}
 			return
 		}
-		if mayRetry && retryAfter > 0 && retryAfter <= retryAfterLimit {
+		if retryAfter == 0 { // no token expected: spread
+			retryAfter = clock.Millis(60 + rng.IntN(int(retryAfterLimit)-60))
+		}
+		if mayRetry {
 			retries[now+retryAfter]++
 		}
 	}
--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -9,6 +9,7 @@
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/coldstart"
 	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/retryafter"
 )
 
 // ColdProber is an Upstream that can be asked whether it is cold.
@@ -35,14 +36,24 @@
 	return coldGate{clock: c, prober: prober, limiter: coldstart.NewLimiter(c.Now())}
 }
 
-// coldRefusal returns the reply to a request that the limiter has refused.
-func coldRefusal(err error) Reply {
+// coldRefusal returns the reply to a request that the limiter has refused. A caller that will
+// not find a token gets a time that spreads the retries.
+func (e *Executor) coldRefusal(r *Request, err error) Reply {
 	reply := NotRun(outcome.ReasonCold)
 	var refused *coldstart.RefusedError
-	if errors.As(err, &refused) {
+	if errors.As(err, &refused) && refused.RetryAfter() > 0 {
 		return reply.WithRetryAfter(refused.RetryAfter())
 	}
-	return reply
+	return reply.WithRetryAfter(retryafter.Spread(r.Deadline-e.clock.Now(), r.ID))
+}
+
+// coldRequest describes a request to the limiter.
+func coldRequest(now clock.Millis, r *Request, policy RequestPolicy) coldstart.Request {
+	request := coldstart.Request{Rank: policy.Rank, Nested: r.Nested}
+	if !policy.CallerRetry && !r.Nested {
+		request.MaxRetryAfter = retryafter.LongestDelay(r.Deadline - now)
+	}
+	return request
 }
 
 // check returns the error with which a request would be refused now.
@@ -52,7 +63,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.counted(g.limiter.Check(g.clock.Now(), policy.Rank, r.Nested))
+	now := g.clock.Now()
+	return g.counted(g.limiter.Check(now, coldRequest(now, r, policy)))
 }
 
 // admit takes a token for a request that is sent now.
@@ -61,7 +73,8 @@
 		return coldstart.Permit{}, nil
 	}
 	g.mu.Lock()
-	permit, err := g.limiter.Admit(g.clock.Now(), policy.Rank, r.Nested)
+	now := g.clock.Now()
+	permit, err := g.limiter.Admit(now, coldRequest(now, r, policy))
 	probe, due := g.beginProbe()
 	g.mu.Unlock()
 	if due {
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -161,7 +161,7 @@
 		return balance.Schedule{}, NotRun(reason).WithRetryAfter(e.retryTime(r, policy, promised)), false
 	}
 	if err := e.cold.check(r, policy); err != nil {
-		return balance.Schedule{}, coldRefusal(err), false
+		return balance.Schedule{}, e.coldRefusal(r, err), false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -226,7 +226,7 @@
 		return NotRun(outcome.ReasonOverloaded).WithRetryAfter(boundedRetryAfter(delay))
 	}
 	if err := e.cold.check(r, policy); err != nil {
-		return coldRefusal(err)
+		return e.coldRefusal(r, err)
 	}
 	slot, err := e.gate.AcquireFor(ctx, e.admissionRequest(r, policy, promised))
 	if err != nil {
@@ -236,11 +236,17 @@
 	}
 	// Only the first release counts; this one is for refusals and for a panic.
 	defer slot.ReleaseWithoutSample()
+	return e.serveAdmitted(ctx, service, r, policy, slot)
+}
+
+// serveAdmitted runs a request that holds a slot. The caller releases the slot if it is still
+// held.
+func (e *Executor) serveAdmitted(ctx context.Context, service string, r *Request, policy RequestPolicy, slot *admission.Slot) Reply {
 	if refused, ok := e.checkEligible(service, r); !ok {
 		slot.ReleaseWithoutSample()
 		return refused
 	}
-	now = e.clock.Now()
+	now := e.clock.Now()
 	if now >= r.Deadline {
 		slot.ReleaseWithoutSample()
 		return NotRun(outcome.ReasonQueueTimeout)
@@ -252,7 +258,7 @@
 	defer r.Memory.ReleaseExpected()
 	permit, err := e.cold.admit(r, policy)
 	if err != nil {
-		return coldRefusal(err)
+		return e.coldRefusal(r, err)
 	}
 	if !policy.Idempotent {
 		// A request that must not run twice is completed even if its caller has left.
--- a/core/retryafter/retryafter.go
+++ b/core/retryafter/retryafter.go
@@ -267,3 +267,7 @@
 	fraction := float64(h.Sum32()*hashMultiplier) / (1 << 32)
 	return earliest + clock.Millis(fraction*float64(latest-earliest+1))
 }
+
+// LongestDelay returns the longest retry time in milliseconds that a caller honours which has the
+// given time left.
+func LongestDelay(remaining clock.Millis) clock.Millis { return longestDelay(remaining) }
