keyowner: an upstream may be barred from owning keys

Cause: the upstreams of an evacuated failure domain, and those outside the regions in which the keys of a service are to be owned, must give up their keys while they go on running. Only an upstream that shuts down could do so, and a holder that was once marked as leaving never stayed.

Change: Controller.SetPlaceable. While it is false the holder is marked as leaving, hands over its keys with their tokens, is removed once it owns none, and does not join; a restarted daemon takes its holder over and goes on with the handover. A holder that may own keys again before it was removed stays (CancelLeaving); moves under way are completed, since its upstream may have released the keys. MarkLeaving keeps the moves to holders that stay, and is repeated when keys without a next owner can go to a new holder or a next owner leaves too; without any other holder the keys stay. The changes of a leaving holder may be proposed to another daemon (LeaveProposal), as the holders of a domain all leave at once and their writes of the same row would conflict.

--- a/core/keyowner/change.go
+++ b/core/keyowner/change.go
@@ -20,6 +20,12 @@
 	// ReasonHandover is the reason of a change that gives released keys to their next
 	// owners.
 	ReasonHandover = "handover"
+	// ReasonLeave is the reason of a change that marks this holder as leaving or chooses next
+	// owners for its keys.
+	ReasonLeave = "leave"
+	// ReasonLeft is the reason of a change that removes this holder, which is leaving and owns
+	// no keys.
+	ReasonLeft = "left"
 )
 
 // Change is a new assignment to write to the table in place of a known revision.
@@ -128,7 +134,7 @@
 		return c.assignment, ""
 	}
 	_, known := c.assignment.Holder(c.settings.Instance.Name())
-	if c.tracker.Leaving() && !known {
+	if c.isLeaving() && !known {
 		return c.assignment, ""
 	}
 	if c.joinDueSince == 0 {
@@ -163,22 +169,30 @@
 	return membership.ChooseWitnesses(self, candidates, lease.WitnessCount)
 }
 
-// leaveOrDrop marks the holder of an upstream that shuts down as leaving, and removes the
-// holder of an upstream that has ended or has left with no keys.
+// isLeaving reports whether the upstream is to give up its keys: it shuts down, or may not own
+// any.
+func (c *Controller) isLeaving() bool { return c.tracker.Leaving() || c.unplaceable }
+
+// leaveOrDrop marks the holder of an upstream that is to give up its keys as leaving, and
+// removes the holder of an upstream that has ended or is leaving with no keys. A holder that
+// may own keys again before it was removed stays.
 func (c *Controller) leaveOrDrop() (keyspace.Assignment, string) {
 	h, known := c.assignment.Holder(c.settings.Instance.Name())
 	_, reported := c.tracker.Last()
+	_, own := c.ownHolder()
 	switch {
 	case !known:
 		return c.assignment, ""
 	case reported && c.tracker.Ended() || c.upstreamSilent():
 		c.suspendGrants()
 		return c.assignment.RemoveHolder(h.InstanceName()), "upstreamEnded"
-	case c.tracker.Leaving() && !h.Leaving():
-		return c.assignment.MarkLeaving(h.InstanceName()), "leave"
+	case c.isLeaving() && (!h.Leaving() || c.currentDistribution().lacksNextOwners):
+		return c.assignment.MarkLeaving(h.InstanceName()), ReasonLeave
+	case own && h.Leaving() && !c.isLeaving():
+		return c.assignment.CancelLeaving(h.InstanceName()), "stay"
 	case h.Leaving() && len(c.assignment.OwnedBy(h.InstanceName())) == 0:
 		c.suspendGrants()
-		return c.assignment.RemoveHolder(h.InstanceName()), "left"
+		return c.assignment.RemoveHolder(h.InstanceName()), ReasonLeft
 	default:
 		return c.assignment, ""
 	}
@@ -366,6 +380,8 @@
 		c.distribution = distribution{
 			assignable: c.assignment.CanAssignUnowned(),
 			moving:     slices.ContainsFunc(owned, func(r keyspace.Range) bool { return r.NextOwner() != "" }),
+
+			lacksNextOwners: c.assignment.LacksNextOwners(c.settings.Instance.Name()),
 		}
 		c.distributionOf = c.revision
 	}
--- a/core/keyowner/controller.go
+++ b/core/keyowner/controller.go
@@ -139,6 +139,8 @@
 	dropBase    table.Revision
 	moves       []Move
 	movesUntil  clock.Millis
+	// unplaceable is set while the upstream may not get keys and gives up those it has.
+	unplaceable bool
 }
 
 // distribution describes how the keys of an assignment are distributed. It depends on the
@@ -148,6 +150,9 @@
 	assignable bool
 	// moving is true if keys of this upstream are to move to other holders.
 	moving bool
+	// lacksNextOwners is true if the holder of this upstream is leaving and next owners of its
+	// keys are to be chosen again.
+	lacksNextOwners bool
 	// balanced has the range counts evened out; it is valid if unbalanced is true. Both are
 	// valid if balanceKnown is true.
 	balanced     keyspace.Assignment
@@ -212,6 +217,15 @@
 // SetMembers replaces the daemons that may be chosen as witnesses.
 func (c *Controller) SetMembers(members []membership.Member) { c.members = members }
 
+// SetPlaceable sets whether the upstream may own keys. It may by default. While it may not, its
+// holder is marked as leaving, hands over its keys and is removed once it owns none, and the
+// upstream does not join. The holder of a daemon that was restarted meanwhile is taken over, so
+// that its keys are handed over with their tokens. Keys that no other holder can take stay.
+func (c *Controller) SetPlaceable(placeable bool) { c.unplaceable = !placeable }
+
+// Placeable reports whether the upstream may own keys.
+func (c *Controller) Placeable() bool { return !c.unplaceable }
+
 // MarkWitnessEnded records that the process of a witness has ended.
 func (c *Controller) MarkWitnessEnded(i identity.Incarnation) {
 	if !slices.Contains(c.endedWitnesses, i) {
--- a/core/keyowner/controller_test.go
+++ b/core/keyowner/controller_test.go
@@ -39,7 +39,7 @@
 func (s *sim) injectFault() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
 	length := 300 + s.rng.Int64N(9000)
-	kind := s.rng.IntN(14)
+	kind := s.rng.IntN(17)
 	s.tracef("fault %d on i%d for %d ms", kind, h.index, length)
 	switch kind {
 	case 0, 1:
@@ -81,6 +81,25 @@
 		h.daemon.controller.RequestMoves(h.daemon.now(), []keyowner.Move{keyowner.NewMove(keyspace.NewSpan(first, first+500), to)})
 	case 12, 13:
 		s.moveToAndFro(h, length)
+	case 14:
+		h.setPlaceable(false)
+		s.schedule(length, func() { h.setPlaceable(true) })
+	case 15:
+		s.setParityPlaceable(h.index, false)
+		s.schedule(length, func() { s.setParityPlaceable(h.index, true) })
+	case 16: // The holder may own keys again while it is still leaving.
+		h.setPlaceable(false)
+		s.schedule(length/8, func() { h.setPlaceable(true) })
+	}
+}
+
+// setParityPlaceable sets whether the instances with even or with odd indexes, as index is, may
+// own keys.
+func (s *sim) setParityPlaceable(index int, placeable bool) {
+	for _, h := range s.hosts {
+		if h.index%2 == index%2 {
+			h.setPlaceable(placeable)
+		}
 	}
 }
 
--- a/core/keyowner/proposal.go
+++ b/core/keyowner/proposal.go
@@ -9,7 +9,7 @@
 // ReasonProposals is the reason of a change that writes proposals of other daemons.
 const ReasonProposals = "admit"
 
-// Proposal is a JoinProposal, a MoveProposal or a HandoverProposal: a change that another
+// Proposal is a JoinProposal, a LeaveProposal, a MoveProposal or a HandoverProposal: a change that another
 // daemon may write on behalf of the one that proposes it.
 type Proposal interface {
 	// apply returns the assignment with the change, or false if the change does not
@@ -49,6 +49,39 @@
 	return a, true
 }
 
+// LeaveProposal proposes to mark a holder as leaving, and to remove one that is leaving and owns
+// no keys. Its load pattern is an evacuated failure domain, whose holders all leave at once.
+//
+// It does not change the owner of any key. One that arrives late and marks a holder that may own
+// keys again is undone by that holder's own daemon.
+type LeaveProposal struct {
+	owner            string
+	ownerIncarnation identity.Incarnation
+}
+
+// NewLeaveProposal returns the proposal that the holder on an instance leaves. Incarnation is
+// that of its daemon.
+func NewLeaveProposal(owner string, incarnation identity.Incarnation) LeaveProposal {
+	return LeaveProposal{owner: owner, ownerIncarnation: incarnation}
+}
+
+// Owner returns the instance of the holder and the incarnation of its daemon.
+func (p LeaveProposal) Owner() (string, identity.Incarnation) { return p.owner, p.ownerIncarnation }
+
+func (p LeaveProposal) apply(a keyspace.Assignment) (keyspace.Assignment, bool) {
+	h, ok := a.Holder(p.owner)
+	switch {
+	case !ok || h.Member().Incarnation() != p.ownerIncarnation:
+		return a, false
+	case !h.Leaving() || a.LacksNextOwners(p.owner):
+		return a.MarkLeaving(p.owner), true
+	case len(a.OwnedBy(p.owner)) == 0:
+		return a.RemoveHolder(p.owner), true
+	default:
+		return a, false
+	}
+}
+
 // ReleasedRange is a range that an upstream has released under an epoch.
 type ReleasedRange struct {
 	keyspace.ReleasedSpan
@@ -149,6 +182,10 @@
 		return NewMoveProposal(name, c.settings.Incarnation, c.moves), true
 	case ReasonHandover:
 		return c.proposeHandover()
+	case ReasonLeave, ReasonLeft:
+		// Only a holder of this daemon process: another one may have been replaced meanwhile.
+		_, ok := c.ownHolder()
+		return NewLeaveProposal(name, c.settings.Incarnation), ok
 	case ReasonJoin:
 		h, ok := change.assignment.Holder(name)
 		if !ok {
--- a/core/keyowner/simulation_test.go
+++ b/core/keyowner/simulation_test.go
@@ -65,6 +65,8 @@
 	upstream *upstream
 	// partitioned is set while the instance reaches neither the store nor others.
 	partitioned bool
+	// unplaceable is set while the upstream may not own keys.
+	unplaceable bool
 }
 
 type daemon struct {
@@ -164,6 +166,7 @@
 	settings := keyowner.Settings{Instance: h.instance, Incarnation: d.incarnation, HoldMax: 10000}
 	d.controller = keyowner.New(d.now(), settings, d.tracker)
 	d.witness = keyowner.NewLeaseWitness(d.incarnation)
+	d.controller.SetPlaceable(!h.unplaceable)
 	h.daemon = d
 	for _, other := range s.hosts {
 		if other.daemon != nil && other.daemon.alive {
@@ -173,6 +176,17 @@
 	s.schedule(30, d.step)
 }
 
+// setPlaceable sets whether the upstream may own keys. The daemon learns of it 600 ms later at
+// most, unless it starts meanwhile.
+func (h *host) setPlaceable(placeable bool) {
+	h.unplaceable = !placeable
+	h.s.schedule(h.s.rng.Int64N(600), func() {
+		if h.daemon != nil {
+			h.daemon.controller.SetPlaceable(!h.unplaceable)
+		}
+	})
+}
+
 func (h *host) startUpstream() {
 	if h.upstream != nil && h.upstream.alive {
 		return
--- a/core/keyspace/change.go
+++ b/core/keyspace/change.go
@@ -57,7 +57,8 @@
 }
 
 // MarkLeaving marks the holder on an instance as leaving and sets the next owners of
-// its keys. If no other holder can take the keys, they stay until it is removed.
+// its keys. Moves to holders that stay are kept. If no other holder can take the keys,
+// they stay until it is removed or MarkLeaving is called again.
 func (a Assignment) MarkLeaving(instance string) Assignment {
 	a = a.clone()
 	i, ok := a.holderIndex(instance)
@@ -66,17 +67,61 @@
 	}
 	a.holders[i].leaving = true
 	ra := a.newRangeAssigner()
+	withdrawn := false
 	for j := range a.ranges {
-		if a.ranges[j].owner != instance {
+		r := &a.ranges[j]
+		if r.owner != instance || a.isStaying(r.nextOwner) {
 			continue
 		}
-		if nextOwner, ok := ra.pickHolder(); ok {
-			a.ranges[j].nextOwner = nextOwner
-		}
+		nextOwner, found := ra.pickHolder()
+		withdrawn = withdrawn || !found && r.nextOwner != ""
+		r.nextOwner = nextOwner
+	}
+	if withdrawn {
+		a.holders[i].moveGeneration++
 	}
 	return a
 }
 
+// CancelLeaving makes a leaving holder one that stays. Its keys go on moving to their next
+// owners: its upstream may have released them already.
+func (a Assignment) CancelLeaving(instance string) Assignment {
+	a = a.clone()
+	if i, ok := a.holderIndex(instance); ok {
+		a.holders[i].leaving = false
+	}
+	return a
+}
+
+// LacksNextOwners reports whether MarkLeaving would change the next owners of a holder that is
+// leaving: another holder can take keys that have none, or a next owner is leaving too.
+func (a Assignment) LacksNextOwners(instance string) bool {
+	if h, ok := a.Holder(instance); !ok || !h.leaving {
+		return false
+	}
+	without := false
+	for _, r := range a.ranges {
+		if r.owner != instance {
+			continue
+		}
+		if r.nextOwner != "" && !a.isStaying(r.nextOwner) {
+			return true
+		}
+		without = without || r.nextOwner == ""
+	}
+	if !without {
+		return false
+	}
+	ra := a.newRangeAssigner()
+	return len(ra.holders) > 0 && ra.rangeCounts[ra.leastLoaded()] < MaxRangesPerHolder
+}
+
+// isStaying reports whether there is a holder on the instance that is not leaving.
+func (a Assignment) isStaying(instance string) bool {
+	h, ok := a.Holder(instance)
+	return ok && !h.leaving
+}
+
 // RemoveHolder removes the holder on an instance and assigns its keys to the other
 // holders at once. The caller must be certain that the holder's upstream holds no keys.
 func (a Assignment) RemoveHolder(instance string) Assignment {
