store, fleet, dispatch: rows that take a failure domain out of use

Cause: the operator evacuates a failure domain with the row op/evacuate/ZONE and returns it to use by deleting the row. The store's client dropped both.

The executor refuses with reason out-of-use: requests without a key at once, those with a key from the time that core/evacuation decides; the dispatcher sends them elsewhere.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -348,7 +348,7 @@
 		if p.keyed {
 			switch o.Reason() {
 			case outcome.ReasonMoved, outcome.ReasonNoLease, outcome.ReasonUnreachable, outcome.ReasonDraining,
-				outcome.ReasonUpstreamRefused:
+				outcome.ReasonUpstreamRefused, outcome.ReasonOutOfUse:
 				return !p.lastReply.ReachedUpstream || p.takeRetry()
 			default:
 				return false
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -117,6 +117,18 @@
 	is.Equal(result.Outcome.String(), "done")
 }
 
+// TestOutOfUseIsRetried guards against a request that fails since the daemon of its target has
+// learned first that the target's failure domain is out of use.
+func TestOutOfUseIsRetried(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		is := is.New(t)
+		cluster := &fakeCluster{replies: map[string][]dispatch.Reply{"any": {dispatch.NotRun(outcome.ReasonOutOfUse), doneReply()}}, owner: "a"}
+		result := handle(cluster, manifest(false, keyed, 1))
+		is.Equal(result.Outcome.String(), "done")
+		is.Equal(len(cluster.sentTo), 2)
+	}
+}
+
 // TestNoOwner guards against a request that waits until its deadline for an owner of its
 // key although there is none.
 func TestNoOwner(t *testing.T) {
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -46,6 +46,11 @@
 	Closed bool
 	// Keyed is true if each key of the service has one owner.
 	Keyed bool
+	// OutOfUse is true if the failure domain of the instance is out of use: the upstream gets
+	// no requests without a key. OutOfUseClosed is true if it gets none with a key either,
+	// also for keys that have not been handed over.
+	OutOfUse       bool
+	OutOfUseClosed bool
 }
 
 // Upstream gives access to the upstream of this instance.
@@ -280,6 +285,8 @@
 		return NotRun(outcome.ReasonMoved), false
 	case !state.Up:
 		return NotRun(outcome.ReasonUnreachable), false
+	case state.OutOfUse && (!state.Keyed || state.OutOfUseClosed):
+		return NotRun(outcome.ReasonOutOfUse).WithRetryAfter(ownerRetryAfter), false
 	case state.Closed || state.Leaving && !state.Keyed:
 		return NotRun(outcome.ReasonDraining), false
 	case state.Keyed && !e.upstream.HoldsKey(now, r.Key):
--- a/core/dispatch/executor_test.go
+++ b/core/dispatch/executor_test.go
@@ -74,6 +74,10 @@
 		"leaving":       {func(u *fakeUpstream) { u.state.Leaving = true }, outcome.ReasonDraining},
 		"closed":        {func(u *fakeUpstream) { u.state.Keyed, u.holdsKey, u.state.Closed = true, true, true }, outcome.ReasonDraining},
 		"not held":      {func(u *fakeUpstream) { u.state.Keyed = true }, outcome.ReasonMoved},
+		"out of use":    {func(u *fakeUpstream) { u.state.OutOfUse = true }, outcome.ReasonOutOfUse},
+		"out of use, keyed": {func(u *fakeUpstream) {
+			u.state.Keyed, u.holdsKey, u.state.OutOfUse, u.state.OutOfUseClosed = true, true, true, true
+		}, outcome.ReasonOutOfUse},
 	} {
 		u := &fakeUpstream{state: running}
 		test.change(u)
@@ -84,6 +88,15 @@
 	}
 }
 
+// TestExecutorRunsUntilKeysMove guards against refusing requests for keys of an upstream out of
+// use while they are being handed over.
+func TestExecutorRunsUntilKeysMove(t *testing.T) {
+	is := is.New(t)
+	u := &fakeUpstream{state: dispatch.UpstreamState{Service: "s", Up: true, Keyed: true, OutOfUse: true}, holdsKey: true}
+	reply := newExecutor(u, 1).Serve(context.Background(), "s", keyedRequest(), dispatch.RequestPolicy{})
+	is.Equal(reply.Outcome.String(), "done")
+}
+
 // TestCallerDisconnects guards against completing an idempotent request for a caller that
 // has left, and against cancelling one that must not run twice.
 func TestCallerDisconnects(t *testing.T) {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -25,6 +25,8 @@
 const (
 	memberPrefix     = "member/"
 	assignmentPrefix = "division/"
+	// OutOfUsePrefix is the prefix of the keys of evacuation rows.
+	OutOfUsePrefix = "outOfUse/"
 )
 
 // MemberKey returns the key of the member row of an instance.
@@ -41,6 +43,14 @@
 // false if the row holds none.
 func AssignmentService(key string) (string, bool) { return strings.CutPrefix(key, assignmentPrefix) }
 
+// OutOfUseKey returns the key of the evacuation row of a failure domain.
+func OutOfUseKey(domain string) string { return OutOfUsePrefix + domain }
+
+// OutOfUseDomain returns the failure domain whose evacuation row is under key, or false if the
+// row is none. A row with a value takes the domain out of use; one without a value records that
+// the row was deleted.
+func OutOfUseDomain(key string) (string, bool) { return strings.CutPrefix(key, OutOfUsePrefix) }
+
 // Member is a daemon and the upstream on the same instance.
 type Member struct {
 	// Instance holds the address for requests as its HTTP address and the address for
@@ -172,6 +182,8 @@
 	// targets are the instances whose upstreams accept requests, by service. They change
 	// rarely but are looked up for each request.
 	targets map[string][]dispatch.Target
+	// outOfUse has the failure domains that are out of use.
+	outOfUse map[string]bool
 }
 
 // VersionedAssignment is a key assignment and the table revision at which it was written.
@@ -186,6 +198,9 @@
 	if instance, ok := MemberInstance(row.Key()); ok {
 		return v.withMember(instance, row)
 	}
+	if domain, ok := OutOfUseDomain(row.Key()); ok {
+		return v.withOutOfUse(domain, len(row.Value()) > 0)
+	}
 	if service, ok := AssignmentService(row.Key()); ok && row.Version() > v.assignments[service].Revision {
 		assignment, err := keyspace.Decode(row.Value())
 		if err != nil {
@@ -264,6 +279,31 @@
 	return v.withTargets(formerService, member.Service), nil
 }
 
+// withOutOfUse returns the view with a failure domain out of use or in use.
+func (v View) withOutOfUse(domain string, outOfUse bool) (View, error) {
+	if domain == "" {
+		return v, &RowError{key: OutOfUsePrefix, cause: &FieldError{name: "key"}}
+	}
+	if v.outOfUse[domain] == outOfUse {
+		return v, nil
+	}
+	domains := make(map[string]bool, len(v.outOfUse)+1)
+	maps.Copy(domains, v.outOfUse)
+	if outOfUse {
+		domains[domain] = true
+	} else {
+		delete(domains, domain)
+	}
+	v.outOfUse = domains
+	return v.withTargets(slices.Collect(maps.Keys(v.targets))...), nil
+}
+
+// OutOfUse reports whether a failure domain is out of use.
+func (v View) OutOfUse(domain string) bool { return v.outOfUse[domain] }
+
+// OutOfUseCount returns the number of failure domains that are out of use.
+func (v View) OutOfUseCount() int { return len(v.outOfUse) }
+
 // withTargets returns the view with the targets of the services taken from the members.
 func (v View) withTargets(services ...string) View {
 	targets := make(map[string][]dispatch.Target, len(v.targets)+1)
@@ -271,7 +311,7 @@
 	for _, service := range services {
 		targets[service] = nil
 		for _, m := range v.members {
-			if m.Service == service && m.Serving {
+			if m.Service == service && m.Serving && !v.OutOfUse(m.Instance.Location().FailureDomain()) {
 				targets[service] = append(targets[service], m.target())
 			}
 		}
@@ -321,8 +361,8 @@
 	return m.target(), true
 }
 
-// Instances returns the instances whose upstreams accept requests for a service. Callers must
-// not modify the slice.
+// Instances returns the instances whose upstreams accept requests for a service, without those
+// in a failure domain that is out of use. Callers must not modify the slice.
 func (v View) Instances(service string) []dispatch.Target { return v.targets[service] }
 
 func (m Member) target() dispatch.Target {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -154,3 +154,34 @@
 		is.Equal(m.Instance.Name(), fmt.Sprintf("i%03d", i))
 	}
 }
+
+// TestViewOutOfUse guards against requests to upstreams in a failure domain that is out of use,
+// and against domains that stay out of use.
+func TestViewOutOfUse(t *testing.T) {
+	is := is.New(t)
+	v, err := fleet.View{}.WithRow(table.NewRow(fleet.OutOfUseKey("d"), 1, []byte("{}")))
+	is.NoErr(err)
+	for i, name := range []string{"a", "b"} {
+		m := member(name, "s", true)
+		if name == "b" {
+			m.Instance = membership.NewInstance(name, name+":80", name+":81", identity.NewLocation("r", "e"))
+		}
+		v, err = v.WithRow(row(t, m, table.Revision(i+2)))
+		is.NoErr(err)
+	}
+	is.True(v.OutOfUse("d") && !v.OutOfUse("e"))
+	is.Equal(len(v.Instances("s")), 1)
+	is.Equal(v.Instances("s")[0].Name, "b")
+	both, err := v.WithRow(table.NewRow(fleet.OutOfUseKey("e"), 4, []byte("{}")))
+	is.NoErr(err)
+	is.Equal(both.OutOfUseCount(), 2)
+	is.Equal(len(both.Instances("s")), 0)
+	is.Equal(len(v.Instances("s")), 1) // a view doesn't change
+	back, err := both.WithRow(table.NewRow(fleet.OutOfUseKey("d"), 5, nil))
+	is.NoErr(err)
+	is.True(!back.OutOfUse("d"))
+	is.Equal(back.Instances("s")[0].Name, "a")
+	_, err = back.WithRow(table.NewRow(fleet.OutOfUseKey(""), 6, []byte("{}")))
+	var rejected *fleet.RowError
+	is.True(errors.As(err, &rejected))
+}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -5,6 +5,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -120,3 +121,39 @@
 	}
 	return false
 }
+
+// WithPrefix returns the rows whose keys start with a prefix.
+func (r *Rows) WithPrefix(prefix string) []table.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var rows []table.Row
+	for key, row := range r.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// DeletedRows returns the tombstones of the rows whose keys start with a prefix and that are
+// absent from read, which has all rows of the table at a revision.
+func (r *Rows) DeletedRows(prefix string, read []table.Row, revision table.Revision) []table.Row {
+	present := make(map[string]bool, len(read))
+	for _, row := range read {
+		present[row.Key()] = true
+	}
+	var deleted []table.Row
+	for _, row := range r.WithPrefix(prefix) {
+		if !present[row.Key()] && len(row.Value()) > 0 && row.Version() <= revision {
+			deleted = append(deleted, Tombstone(row))
+		}
+	}
+	return deleted
+}
+
+// Tombstone returns the row without a value that records that a row was deleted when the version
+// of the deletion is not known. Its version is the next one: the deletion was written after the
+// row, so no later write of the row has a lower or the same version.
+func Tombstone(row table.Row) table.Row {
+	return table.NewRow(row.Key(), row.Version()+1, nil)
+}
