sidecar: failure domains out of use

Cause: no request may reach an upstream of an evacuated failure domain 5 s after the operator's row is acknowledged, also across restarts of sidecars and outages of the store, and the domain must return to use when the row is deleted.

Change: evacuation rows and their tombstones travel between sidecars like other rows. They are applied before the manifest of the same batch, and a manifest is never sent without them, so that a sidecar that starts knows them before it may send anything. A full read of the operator's rows shows deletions that the feed no longer has; an evacuation row of another sidecar that is older than the operator's rows known here and absent from them is taken as deleted, so that a sidecar that missed the deletion doesn't take the domain out of use again. Requests with a key are refused 3 s after the row is learned, and at once if its age is not known: it came with a full read, before the first manifest, or after 5 s without an answer of the store. The key controller's placeability follows the evacuation and the owner regions of the service. Gauges out_of_use and domains_out_of_use, log lines domainUse and keyPlacement. ReadRows answers and row messages are applied before their store age is recorded, since the age before tells how old a row may be.

--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -29,6 +29,7 @@
 	"briarwell.dev/core/memory"
 	"briarwell.dev/core/replica"
 	"briarwell.dev/core/routes"
+	"briarwell.dev/core/table"
 	"briarwell.dev/platform/manifest"
 	"briarwell.dev/platform/store"
 	"briarwell.dev/sidecar/settings"
@@ -67,7 +68,11 @@
 	store *store.Store
 	rows  replica.Rows
 	// applyMu keeps the order in which rows are applied to the replica and to the state.
-	applyMu    sync.Mutex
+	applyMu sync.Mutex
+	// operatorRevision is a revision up to which all changes of the operator's rows are known.
+	// applyMu protects it.
+	operatorRevision table.Revision
+
 	manifest   atomic.Pointer[routes.Manifest]
 	state      *state
 	upstream   *upstream
@@ -92,6 +97,8 @@
 	// watcherRoleKnown reports whether the latest sync round found other watchers of
 	// the region, which determines whether this sidecar has to watch the store.
 	watcherRoleKnown atomic.Bool
+	// unplaceable is set while the upstream may not own keys. Only controlLoop uses it.
+	unplaceable bool
 	// writeSemaphore admits one operation at a time: a commit of an assignment, a probe of
 	// the store, or a proposal to another sidecar.
 	writeSemaphore chan struct{}
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -146,15 +146,17 @@
 	s := a.state
 	// The member row is written first: other sidecars choose their witnesses by it.
 	a.publishMember(ctx)
-	serviceConfig, _ := a.manifest.Load().Service(s.service)
+	manifest := a.manifest.Load()
+	serviceConfig, _ := manifest.Service(s.service)
 	if serviceConfig.Keyed {
 		a.probeStore(ctx)
+		a.logPlaceable(manifest.OwnerRegions(s.service))
 		var change keyowner.Change
 		// While the member row is being written, others may know an earlier incarnation and
 		// choose no working witnesses.
 		due := len(a.writeSemaphore) == 0 && len(a.memberSemaphore) == 0
 		if due {
-			change, due = s.nextChange(a.clock.Now())
+			change, due = s.nextChange(a.clock.Now(), manifest.OwnerRegions(s.service))
 		}
 		if due {
 			direct := a.consecutiveConflicts.Load() == 0 && !s.proposesFirst()
--- a/sidecar/app/propose.go
+++ b/sidecar/app/propose.go
@@ -24,8 +24,8 @@
 )
 
 // proposeRequest proposes a change of the assignment of a service to the sidecar of
-// another holder of that service: to add the sender's upstream as a holder, to move keys, or
-// to hand over the keys that its upstream has released.
+// another holder of that service: to add the sender's upstream as a holder, to mark it as leaving
+// or remove it, to move keys, or to hand over the keys that its upstream has released.
 type proposeRequest struct {
 	Service string `json:"service"`
 	// Holder is the holder to add. Incarnation and Generation are then those of the
@@ -33,10 +33,11 @@
 	// is none.
 	Holder     json.RawMessage `json:"holder,omitempty"`
 	Generation uint64          `json:"generation,omitempty"`
-	// Owner is the sender's instance if it moves keys, Incarnation its process.
+	// Owner is the sender's instance if it moves keys or leaves, Incarnation its process.
 	Owner       string               `json:"owner,omitempty"`
 	Incarnation identity.Incarnation `json:"incarnation"`
 	Moves       []encodedMove        `json:"moves,omitempty"`
+	Leave       bool                 `json:"leave,omitempty"`
 	// Released has the keys to hand over, MoveGeneration the owner's move generation.
 	Released       []encodedRelease `json:"released,omitempty"`
 	MoveGeneration uint64           `json:"moveGeneration,omitempty"`
@@ -72,6 +73,9 @@
 		request.Incarnation, request.Generation = p.ReplacedLease()
 		request.Holder, err = keyspace.EncodeHolder(p.Holder())
 		return request, err
+	case keyowner.LeaveProposal:
+		request.Owner, request.Incarnation = p.Owner()
+		request.Leave = true
 	case keyowner.MoveProposal:
 		request.Owner, request.Incarnation = p.Owner()
 		for _, move := range p.Moves() {
@@ -93,6 +97,9 @@
 		h, err := keyspace.DecodeHolder(r.Holder)
 		return keyowner.NewJoinProposal(h, r.Incarnation, r.Generation), err
 	}
+	if r.Leave {
+		return keyowner.NewLeaveProposal(r.Owner, r.Incarnation), nil
+	}
 	if len(r.Released) > 0 {
 		released := make([]keyowner.ReleasedRange, 0, len(r.Released))
 		for _, e := range r.Released {
--- a/sidecar/app/rowcodec.go
+++ b/sidecar/app/rowcodec.go
@@ -69,19 +69,19 @@
 	defer a.applyMu.Unlock()
 	var changed []table.Row
 	missing := make(map[string]table.Revision)
-	for _, e := range encoded {
+	for _, e := range evacuationsFirst(encoded, func(e encodedRow) string { return e.Key }) {
 		if e.Version <= a.rows.Get(e.Key).Version() {
 			continue
 		}
 		// The value of a row that comes as a change stays empty.
-		row := table.NewRow(e.Key, e.Version, e.Value)
+		row := a.withKnownDeletion(table.NewRow(e.Key, e.Version, e.Value))
 		if len(e.Delta) > 0 {
 			if known, err := a.applyDelta(e); err != nil {
 				a.log.Debug().Err(err).Str("row", e.Key).Uint64("base", uint64(e.Base)).Msg("changeNotApplied")
 				missing[e.Key] = known
 				continue
 			}
-		} else if a.applyToState(row) != nil {
+		} else if a.applyToState(row, false) != nil {
 			// If it were kept, no row with a lower version would be accepted any more.
 			continue
 		}
@@ -119,6 +119,7 @@
 
 // encodeLastChanges encodes rows, assignments as their last change if it is known.
 func (a *App) encodeLastChanges(rows []table.Row) []encodedRow {
+	rows = a.withEvacuations(rows)
 	encoded := make([]encodedRow, 0, len(rows))
 	for _, row := range rows {
 		if delta, ok := a.state.lastChange(row.Key(), row.Version()); ok {
@@ -133,6 +134,7 @@
 // encodeRowsSince encodes rows for a sidecar that has the given versions: assignments as the
 // changes since then if they are known.
 func (a *App) encodeRowsSince(rows []table.Row, versions map[string]table.Revision) []encodedRow {
+	rows = a.withEvacuations(rows)
 	encoded := make([]encodedRow, 0, len(rows))
 	for _, row := range rows {
 		since := versions[row.Key()]
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -88,11 +88,12 @@
 		a.state.markUnreachable(a.clock.Now(), member)
 		return false
 	}
+	_, missing := a.applyEncodedRows(response.Rows)
+	// Only now, since the answer before tells how old an evacuation row may be.
 	a.state.recordStoreAnswerAge(sentAt, response.StoreAge)
 	if response.Same {
 		return response.Watching
 	}
-	_, missing := a.applyEncodedRows(response.Rows)
 	if response.Newest < request.Newest {
 		a.sendRows(ctx, member, a.rows.ChangedAfter(response.Newest))
 	}
@@ -171,8 +172,9 @@
 
 // handleRows applies rows from another sidecar and relays those that were newer.
 func (a *App) handleRows(request rowsRequest) rowsResponse {
-	a.state.recordStoreAnswerAge(a.clock.Now(), request.StoreAge)
+	receivedAt := a.clock.Now()
 	changed, missing := a.applyEncodedRows(request.Rows)
+	a.state.recordStoreAnswerAge(receivedAt, request.StoreAge)
 	a.relayRows(context.Background(), changed, false)
 	return rowsResponse{Missing: missing}
 }
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -6,6 +6,7 @@
 
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/evacuation"
 	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/identity"
@@ -50,6 +51,10 @@
 	candidatesChanged bool
 	// peerHolders are the members that are holders of the own service.
 	peerHolders []membership.Member
+	// domain is the state of this instance's failure domain, which leaves use within
+	// outOfUseWithin milliseconds.
+	domain         evacuation.Domain
+	outOfUseWithin clock.Millis
 	// encodedMember is the latest content of the own member row with its encoding. Only the
 	// control loop uses it.
 	encodedMember struct {
@@ -72,6 +77,7 @@
 			Instance: instance, Incarnation: incarnation, HoldMax: s.HoldMax(),
 		}, tracker),
 		leaseWitness:     keyowner.NewLeaseWitness(incarnation),
+		outOfUseWithin:   s.OutOfUseWithin(),
 		unreachableUntil: make(map[string]clock.Millis),
 		startedAt:        now,
 		updatedSinceLoad: make(map[string]bool),
@@ -323,14 +329,16 @@
 	return candidates
 }
 
-// nextChange returns the change of the own service's assignment that is due at now, if any.
-func (s *state) nextChange(now clock.Millis) (keyowner.Change, bool) {
+// nextChange returns the change of the own service's assignment that is due at now, if any. The
+// owner regions are those of the service, nil if its keys may be owned in any region.
+func (s *state) nextChange(now clock.Millis, ownerRegions []string) (keyowner.Change, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.candidatesChanged {
 		s.candidatesChanged = false
 		s.keyController.SetMembers(s.witnessCandidates(now))
 	}
+	s.keyController.SetPlaceable(s.placeable(ownerRegions))
 	return s.keyController.NextChange(now)
 }
 
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -202,6 +202,7 @@
 	assignment, revision := s.keyController.Assignment()
 	lease := s.keyController.LeaseEnd() - a.clock.Now()
 	ranges, holders, members := len(assignment.OwnedBy(a.settings.Instance())), len(assignment.Holders()), s.view.MemberCount()
+	outOfUse, domainsOutOfUse := s.domain.OutOfUse(), s.view.OutOfUseCount()
 	s.mu.Unlock()
 	for name, value := range map[string]float64{
 		"manifest_version": float64(a.manifest.Load().Version()), "division_revision": float64(revision),
@@ -209,6 +210,7 @@
 		"running": float64(load.Running), "waiting": float64(load.Waiting), "slots": float64(load.Slots),
 		"service_milliseconds": float64(load.ServiceTime), "demand_percent": float64(load.DemandPercent), "failure_percent": float64(load.FailurePercent),
 		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.logWriter.Dropped()),
+		"out_of_use": boolValue(outOfUse), "domains_out_of_use": float64(domainsOutOfUse),
 		"follows_store": boolValue(a.watching[store.OperatorRows].Load()),
 	} {
 		scope.Gauge(name).Update(value)
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -48,6 +48,9 @@
 		Leaving: leaving || u.app.stopping.Load(),
 		Closed:  u.app.upstreamClosed.Load() || leaving && now-leavingSince >= u.app.settings.Drain()-drainMargin,
 		Keyed:   serviceConfig.Keyed,
+
+		OutOfUse:       s.domain.OutOfUse(),
+		OutOfUseClosed: s.domain.Closed(now),
 	}
 }
 
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/table"
 	"briarwell.dev/platform/store"
 )
@@ -82,10 +83,11 @@
 			continue
 		}
 		outage.recordSuccess()
-		a.state.recordStoreAnswer(a.clock.Now())
-		if changed := a.applyRows(rows); loaded && len(changed) > 0 {
+		if changed := a.applyFeed(feed, rows, revision, !loaded); loaded && len(changed) > 0 {
 			a.relayRows(ctx, changed, true)
 		}
+		// Only now, since the answer before tells how old an evacuation row may be.
+		a.state.recordStoreAnswer(a.clock.Now())
 		if feed == store.RouterRows && !loaded {
 			a.state.markLoaded(a.clock.Now())
 		}
@@ -130,11 +132,17 @@
 func (a *App) applyRows(rows []table.Row) []table.Row {
 	a.applyMu.Lock()
 	defer a.applyMu.Unlock()
+	return a.applyRowsLocked(rows, false)
+}
+
+// applyRowsLocked is applyRows while a.applyMu is held. With allRead, the rows were not read as
+// changes: they may have been written long ago.
+func (a *App) applyRowsLocked(rows []table.Row, allRead bool) []table.Row {
 	var changed []table.Row
-	for _, row := range rows {
+	for _, row := range evacuationsFirst(rows, table.Row.Key) {
 		if row.Version() > a.rows.Get(row.Key()).Version() {
 			// Also an invalid row is kept: its version is the store's.
-			_ = a.applyToState(row) // It logs the error.
+			_ = a.applyToState(row, allRead) // It logs the error.
 			changed = append(changed, a.rows.Apply([]table.Row{row})...)
 		}
 	}
@@ -145,10 +153,14 @@
 }
 
 // applyToState passes a changed row to the manifest or the state machines. It logs the error.
-func (a *App) applyToState(row table.Row) error {
+// With allRead, the row was not read as a change.
+func (a *App) applyToState(row table.Row, allRead bool) error {
 	if row.Key() == store.ManifestKey {
 		return a.applyManifest(row.Value())
 	}
+	if domain, ok := fleet.OutOfUseDomain(row.Key()); ok {
+		return a.applyEvacuation(domain, row, allRead)
+	}
 	err := a.state.applyRow(a.clock.Now(), row)
 	if err != nil {
 		a.log.Error().Err(err).Msg("rowRejected")
