--- a/sidecar/app/evacuation.go
+++ b/sidecar/app/evacuation.go
@@ -74,6 +74,10 @@
 // was not read as a change. Before the first manifest, everything that is learned may be old.
 func (a *App) applyEvacuation(domain string, row table.Row, allRead bool) error {
 	s, now := a.state, a.clock.Now()
+	if own := domain == s.instance.Location().FailureDomain(); own && len(row.Value()) == 0 && s.returnsToUse(a.manifest.Load().Version() > 0) {
+		// Before the upstream may get requests: it may be cold.
+		a.executor.HandleReturnToUse()
+	}
 	changed, err := s.applyEvacuation(now, row, a.manifest.Load().Version() > 0, allRead)
 	if err != nil {
 		a.log.Error().Err(err).Msg("rowRejected")
@@ -109,13 +113,21 @@
 			ageKnown := running && !allRead && answeredAt > 0 && now-answeredAt <= maxStoreSilence
 			s.domain.TakeOutOfUse(now, s.outOfUseWithin, ageKnown)
 		case before || running:
-			// A running sidecar that learns only of the deletion has missed the evacuation.
 			s.domain.Return(now)
 		}
 	}
 	return before != after, nil
 }
 
+// returnsToUse reports whether the deletion of the own domain's evacuation row returns it to use.
+// A running sidecar that learns only of the deletion has missed the evacuation. One that starts
+// has sent no requests yet.
+func (s *state) returnsToUse(running bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return running || s.domain.OutOfUse()
+}
+
 // placeable reports whether the upstream may own keys: its failure domain is in use, and its
 // region is one of the owner regions, unless these are nil. The caller holds s.mu.
 func (s *state) placeable(ownerRegions []string) bool {
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -24,7 +24,8 @@
 const startupWitnessPeriod clock.Millis = 8000
 
 // state holds the state machines of the sidecar. One lock protects them, which is never held
-// during a call over the network. No other lock is taken while it is held.
+// during a call over the network. Only those of the gate and of the executor's coldGate are taken
+// while it is held.
 type state struct {
 	incarnation identity.Incarnation
 	instance    membership.Instance
@@ -329,11 +330,13 @@
 	return candidates
 }
 
-// nextChange returns the change of the own service's assignment that is due at now, if any. The
-// owner regions are those of the service, nil if its keys may be owned in any region.
-func (s *state) nextChange(now clock.Millis, ownerRegions []string) (keyowner.Change, bool) {
+// nextChange returns the change of the own service's assignment that is due at now, if any. Cold
+// is true while the upstream is cold. The owner regions are those of the service, nil if its keys
+// may be owned in any region.
+func (s *state) nextChange(now clock.Millis, cold bool, ownerRegions []string) (keyowner.Change, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.keyController.SetCold(cold)
 	if s.candidatesChanged {
 		s.candidatesChanged = false
 		s.keyController.SetMembers(s.witnessCandidates(now))
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -211,10 +211,14 @@
 		"service_milliseconds": float64(load.ServiceTime), "demand_percent": float64(load.DemandPercent), "failure_percent": float64(load.FailurePercent),
 		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.logWriter.Dropped()),
 		"out_of_use": boolValue(outOfUse), "domains_out_of_use": float64(domainsOutOfUse),
+		"cold":          boolValue(load.ColdFor > 0),
 		"follows_store": boolValue(a.watching[store.OperatorRows].Load()),
 	} {
 		scope.Gauge(name).Update(value)
 	}
+	refused := a.executor.ColdRefusals()
+	scope.Counter("cold_refused").Inc(int64(refused - a.coldRefusalsCounted))
+	a.coldRefusalsCounted = refused
 }
 
 func boolValue(b bool) float64 {
