sidecar: tests of the return to use

TestReturnedUpstreamCountsAsCold fails without the call of HandleReturnToUse. TestEvacuationEndsWhileHistoryIsDropped now restarts all sidecars before one is sent the deleted row: with a single one restarted it passed without the comparison with the operator's revision, as the tombstones of the others repaired the row.

--- a/sidecar/app/evacuation_test.go
+++ b/sidecar/app/evacuation_test.go
@@ -105,7 +105,7 @@
 // the domain that are not served, and a domain that does not return to use.
 func TestEvacuation(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 81, "wardrobe", "wardrobe", "wardrobe", "wardrobe", "ledger", "ledger")
+	c := newCluster(t, 91, "wardrobe", "wardrobe", "wardrobe", "wardrobe", "ledger", "ledger")
 	c.ready()
 	load := c.startLoad(c.instances)
 	c.store.Put("op", "evacuate/d0", []byte("{}"))
@@ -133,7 +133,7 @@
 // sidecars that they are.
 func TestEvacuationDuringStoreOutage(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 82, "wardrobe", "wardrobe", "ledger", "ledger")
+	c := newCluster(t, 92, "wardrobe", "wardrobe", "ledger", "ledger")
 	c.ready()
 	restarted := c.instances[0]
 	c.store.Put("op", "evacuate/d0", nil)
@@ -163,7 +163,7 @@
 // takes the domain out of use again.
 func TestEvacuationEndsWhileHistoryIsDropped(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 83, "wardrobe", "wardrobe", "ledger")
+	c := newCluster(t, 93, "wardrobe", "wardrobe", "ledger")
 	c.ready()
 	c.store.Put("op", "evacuate/d0", []byte("{}"))
 	row := c.store.Row("op", "evacuate/d0")
@@ -174,10 +174,13 @@
 	time.Sleep(2 * time.Second)
 	c.store.SetFaults(platformtest.StoreFaults{})
 	c.eventually("return to use", func() bool { return c.instances[0].upstream.HeldKeyCount() > 0 && c.allKeysHeld() })
-	restarted := c.instances[2] // It reads all rows and has no tombstone.
-	restarted.stop()
-	<-restarted.done
-	c.startInstance(restarted)
+	for _, in := range c.instances {
+		in.stop()
+		<-in.done
+	}
+	for _, in := range c.instances { // They read all rows and have no tombstone.
+		c.startInstance(in)
+	}
 	c.ready()
 	for _, in := range c.instances {
 		status, _ := post(t, in, "/rows", fmt.Sprintf(`{"rows":[{"key":"outOfUse/d0","version":%d,"value":"e30="}]}`, row.Version))
@@ -193,6 +196,40 @@
 	is.True(c.evacuatedRuns() > before)
 }
 
+// TestReturnedUpstreamCountsAsCold guards against more requests than a cold upstream gets, sent to
+// one that turned cold while its failure domain was out of use and has not reported since.
+func TestReturnedUpstreamCountsAsCold(t *testing.T) {
+	const perSecond = 20
+	is := is.New(t)
+	c := newCluster(t, 95, "ledger", "ledger")
+	c.store.WriteColdManifest(5, perSecond)
+	c.eventually("serving by every sidecar", func() bool {
+		for _, in := range c.instances {
+			if status, _ := c.sendRequest(in, http.MethodPost, "/book/first", 1); status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	c.store.Put("op", "evacuate/d0", []byte("{}"))
+	logged := func(text string) bool {
+		c.logs.mu.Lock()
+		defer c.logs.mu.Unlock()
+		return strings.Contains(c.logs.buf.String(), text)
+	}
+	c.eventually("evacuation", func() bool { return logged("outOfUse=true revision=5 own=true") })
+	c.instances[0].silent.Store(true)
+	time.Sleep(300 * time.Millisecond) // for the reports on their way
+	c.instances[0].upstream.BecomeCold(time.Minute)
+	before := c.evacuatedRuns()
+	c.store.Delete("op", "evacuate/d0")
+	c.sendAll(950 * time.Millisecond)
+	is.True(logged("outOfUse=false"))
+	runs := c.evacuatedRuns() - before
+	is.True(runs > 0 && runs <= perSecond)
+	is.True(!logged("cause=probe"))
+}
+
 // metricsOf returns the metrics of a sidecar.
 func metricsOf(t *testing.T, in *instance) string {
 	t.Helper()
@@ -211,7 +248,7 @@
 // TestKeysMoveToOwnerRegions guards against keys that are owned where a restricted route may not
 // run its requests.
 func TestKeysMoveToOwnerRegions(t *testing.T) {
-	c := newCluster(t, 84, "wardrobe", "wardrobe", "ledger")
+	c := newCluster(t, 94, "wardrobe", "wardrobe", "ledger")
 	c.ready()
 	moved := c.instances[1]
 	moved.stop()
