keyspace: the keys of most holders go to the few that stay

Cause: a holder takes at most 150 ranges, since its grant has to fit into the 4 KiB of an answer. With 64 ranges for each holder at the first assignment, the last third of the holders would get 192 each: with two of three failure domains out of use, or keys restricted to one of three regions, a fifth of the keys stayed with upstreams that may not run them.

Change: adjacent ranges of one holder and epoch take one row of the grant. A leaving holder whose ranges find no holder with less than 150 ranges gives them to the holder to which an adjacent range moves, and then to any holder with less than 150 rows. A handed over range gets the epoch of an adjacent one of its new owner if that is higher than its own: each key still gets a higher epoch with each owner.

Result: TestMostHoldersUnplaceable passes (4 of 6 holders leave, all keys are served by the two others); it failed before the fallback counted rows, with 1 to 4 ranges at each leaving holder.

--- a/core/keyowner/placeable_test.go
+++ b/core/keyowner/placeable_test.go
@@ -97,6 +97,36 @@
 	is.Equal(s.failure, "")
 }
 
+// TestMostHoldersUnplaceable guards against keys that stay with upstreams that may not own them
+// since the few others would get more ranges than fit into a grant.
+func TestMostHoldersUnplaceable(t *testing.T) {
+	for seed := range uint64(5) {
+		is := is.New(t)
+		s := newSim(seed+700, 6)
+		s.run(warmupMillis)
+		for _, h := range s.hosts[:4] {
+			h.setPlaceable(false)
+		}
+		s.run(s.now + 12_000)
+		for _, h := range s.hosts {
+			is.Equal(len(s.assignment.OwnedBy(h.instance.Name())) > 0, h.index >= 4)
+			is.Equal(len(h.upstream.held) > 0, h.index >= 4)
+			is.True(len(h.upstream.held) <= keyspace.MaxRangesPerHolder)
+		}
+		s.served, s.checks = 0, 0
+		s.run(s.now + 1000)
+		is.Equal(s.served, s.checks)
+		for _, h := range s.hosts[:4] {
+			h.setPlaceable(true)
+		}
+		s.run(s.now + 12_000)
+		s.served, s.checks = 0, 0
+		s.run(s.now + 1000)
+		is.Equal(s.served, s.checks)
+		is.Equal(s.failure, "")
+	}
+}
+
 // TestPlaceableAgain guards against a holder that goes on leaving although it may own keys again,
 // also if it was marked or is removed by a late proposal.
 func TestPlaceableAgain(t *testing.T) {
--- a/core/keyspace/change.go
+++ b/core/keyspace/change.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"briarwell.dev/core/identity"
 )
 
 const (
@@ -12,6 +14,9 @@
 	// MaxRangesPerHolder bounds the ranges of one holder, so that its grants of about
 	// 24 bytes each fit into the 4 KiB of an answer to a report.
 	MaxRangesPerHolder = 150
+	// alignedRanges is the number of ranges of a holder from which a further one gets the epoch
+	// of an adjacent one if that is higher than its own. Both then take one row of the grant.
+	alignedRanges = 100
 )
 
 // ReleasedSpan is a span of keys that an upstream has given up.
@@ -57,8 +62,8 @@
 }
 
 // MarkLeaving marks the holder on an instance as leaving and sets the next owners of
-// its keys. Moves to holders that stay are kept. If no other holder can take the keys,
-// they stay until it is removed or MarkLeaving is called again.
+// its keys. Moves to holders that stay are kept. If no other holder can take the keys, they
+// stay until it is removed or MarkLeaving is called again.
 func (a Assignment) MarkLeaving(instance string) Assignment {
 	a = a.clone()
 	i, ok := a.holderIndex(instance)
@@ -77,12 +82,121 @@
 		withdrawn = withdrawn || !found && r.nextOwner != ""
 		r.nextOwner = nextOwner
 	}
+	a.spreadRest(instance)
 	if withdrawn {
 		a.holders[i].moveGeneration++
 	}
 	return a
 }
 
+// spreadRest sets the next owners of the ranges of an instance that have none because the other
+// holders have MaxRangesPerHolder ranges each, as when most holders leave. They get the ranges
+// next to those that move to them, which take no further row of the grant, and others as long as
+// the rows, not the ranges, are below that limit.
+func (a Assignment) spreadRest(instance string) {
+	rows := a.grantRows()
+	for {
+		first := -1
+		for found := true; found; {
+			// Each range with a next owner may give one to the ranges on both sides.
+			found, first = false, -1
+			for j := range a.ranges {
+				r := &a.ranges[j]
+				if r.owner != instance || r.nextOwner != "" {
+					continue
+				}
+				r.nextOwner = a.adjacentTaker(j)
+				found = found || r.nextOwner != ""
+				if first < 0 && r.nextOwner == "" {
+					first = j
+				}
+			}
+		}
+		holder := a.fewestRows(rows)
+		if first < 0 || holder == "" {
+			return
+		}
+		a.ranges[first].nextOwner = holder
+		rows[holder]++
+	}
+}
+
+// grantRows returns the number of rows in the grant of each holder once all moves are completed.
+// Adjacent ranges of one holder take one row if they have the same epoch then.
+func (a Assignment) grantRows() map[string]int {
+	rows := make(map[string]int, len(a.holders))
+	for j := range a.ranges {
+		taker := cmp.Or(a.ranges[j].nextOwner, a.ranges[j].owner)
+		if j == 0 || !a.sharesRow(a.ranges[j-1], a.ranges[j]) {
+			rows[taker]++
+		}
+	}
+	return rows
+}
+
+// sharesRow reports whether two adjacent ranges take one row of a grant once their moves are
+// completed.
+func (a Assignment) sharesRow(x, y Range) bool {
+	switch {
+	case cmp.Or(x.nextOwner, x.owner) != cmp.Or(y.nextOwner, y.owner):
+		return false
+	case x.nextOwner != "" && y.nextOwner != "":
+		return true
+	case x.nextOwner != "":
+		return y.epoch > x.epoch
+	case y.nextOwner != "":
+		return x.epoch > y.epoch
+	default:
+		return x.epoch == y.epoch
+	}
+}
+
+// fewestRows returns the holder with the fewest rows among those that stay and have less than
+// MaxRangesPerHolder, "" if there is none.
+func (a Assignment) fewestRows(rows map[string]int) string {
+	best := ""
+	for _, h := range a.holders {
+		if name := h.InstanceName(); !h.leaving && rows[name] < MaxRangesPerHolder && (best == "" || rows[name] < rows[best]) {
+			best = name
+		}
+	}
+	return best
+}
+
+// adjacentTaker returns the holder to which a range can move without a further row in its grant:
+// one to which an adjacent range moves, or has moved under a higher epoch. It returns "" if there
+// is none.
+func (a Assignment) adjacentTaker(j int) string {
+	for _, k := range []int{j - 1, j + 1} {
+		if k < 0 || k >= len(a.ranges) {
+			continue
+		}
+		neighbour := a.ranges[k]
+		if a.isStaying(neighbour.nextOwner) {
+			return neighbour.nextOwner
+		}
+		if neighbour.nextOwner == "" && neighbour.epoch > a.ranges[j].epoch && a.isStaying(neighbour.owner) {
+			return neighbour.owner
+		}
+	}
+	return ""
+}
+
+// epochAt returns the epoch under which a range moves to a holder. It is the new one, or that of
+// an adjacent range of the holder if that is higher than the one of the range: each key still has
+// a higher epoch with each owner.
+func (a Assignment) epochAt(j int, holder string, newEpoch identity.Epoch) identity.Epoch {
+	for _, k := range []int{j - 1, j + 1} {
+		if k < 0 || k >= len(a.ranges) {
+			continue
+		}
+		if neighbour := a.ranges[k]; neighbour.owner == holder && neighbour.nextOwner == "" && neighbour.epoch > a.ranges[j].epoch {
+			return neighbour.epoch
+		}
+	}
+	return newEpoch
+}
+
 // CancelLeaving makes a leaving holder one that stays. Its keys go on moving to their next
 // owners: its upstream may have released them already.
 func (a Assignment) CancelLeaving(instance string) Assignment {
@@ -100,11 +214,11 @@
 		return false
 	}
 	without := false
-	for _, r := range a.ranges {
+	for j, r := range a.ranges {
 		if r.owner != instance {
 			continue
 		}
-		if r.nextOwner != "" && !a.isStaying(r.nextOwner) {
+		if r.nextOwner != "" && !a.isStaying(r.nextOwner) || r.nextOwner == "" && a.adjacentTaker(j) != "" {
 			return true
 		}
 		without = without || r.nextOwner == ""
@@ -112,8 +226,7 @@
 	if !without {
 		return false
 	}
-	ra := a.newRangeAssigner()
-	return len(ra.holders) > 0 && ra.rangeCounts[ra.leastLoaded()] < MaxRangesPerHolder
+	return a.fewestRows(a.grantRows()) != ""
 }
 
 // isStaying reports whether there is a holder on the instance that is not leaving.
@@ -227,7 +340,11 @@
 				continue
 			}
 		}
-		r.owner, r.nextOwner, r.epoch, r.handoverToken, changed = nextOwner, "", epoch, released[i].handoverToken, true
+		rangeEpoch := epoch
+		if ra.rangeCounts[nextOwner] >= alignedRanges {
+			rangeEpoch = a.epochAt(j, nextOwner, epoch)
+		}
+		r.owner, r.nextOwner, r.epoch, r.handoverToken, changed = nextOwner, "", rangeEpoch, released[i].handoverToken, true
 	}
 	if changed {
 		a.epoch = epoch
