--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -157,8 +157,8 @@
 	e.cold.update(func(now clock.Millis) { e.cold.limiter.HandleProcessEnd(now) })
 }
 
-// HandleReturnToUse records that the failure domain of the upstream is in use again. The
-// upstream counts as cold for the service's cold start, until a report that was received more
+// HandleReturnToUse records that the failure domain of the upstream is in use again. It must be
+// called before State says so, as a request may come in between. The upstream counts as cold for the service's cold start, until a report that was received more
 // than 50 ms later says otherwise.
 func (e *Executor) HandleReturnToUse() {
 	e.cold.update(func(now clock.Millis) { e.cold.limiter.HandleReturn(now) })
