coldstart: a return to use before the first manifest counts as cold too

Cause: without a manifest the cold start is unknown, and the upstream counted as cold for 50 ms only after its domain was returned to use: its older reports ended the cold time.

Change: 3 s then, or until a report that was received more than 50 ms later.

Result: TestOutdatedReports fails without the change, passes with it.

--- a/core/coldstart/coldstart.go
+++ b/core/coldstart/coldstart.go
@@ -36,6 +36,9 @@
 	// endedReportDelay is the time in milliseconds after the end of a process for which its
 	// reports may still arrive: they may be seconds late.
 	endedReportDelay clock.Millis = 3000
+	// unknownColdStart is the time in milliseconds for which an upstream counts as cold without
+	// a report while no manifest is known: the usual cold start of the users' upstreams.
+	unknownColdStart clock.Millis = 3000
 	// rankPeriod is the time in milliseconds for which a rank counts as seen, at least.
 	rankPeriod clock.Millis = 10_000
 	// minRetryAfter is the least time in milliseconds after which a refused caller is told to
@@ -237,6 +240,10 @@
 func (l *Limiter) assumeCold(now, until clock.Millis) {
 	now = l.update(now)
 	until = max(until, now+l.settings.ColdStart)
+	if l.settings.Closed {
+		// The cold start may be unknown too.
+		until = max(until, now+unknownColdStart)
+	}
 	if l.cold {
 		until = max(until, l.coldUntil)
 	}
--- a/core/coldstart/coldstart_test.go
+++ b/core/coldstart/coldstart_test.go
@@ -271,6 +271,13 @@
 	l.HandleReport(now+51, 3, 0, false)
 	is.True(!cold(l, now+60))
 
+	l, now = warmLimiter()
+	l.UpdateSettings(now, coldstart.Settings{Closed: true}) // no manifest is known
+	l.HandleReturn(now)
+	is.True(cold(l, now+1000))
+	l.HandleReport(now+1001, 2, 0, false)
+	is.True(!cold(l, now+1001))
+
 	l, now = warmLimiter()
 	l.HandleProcessEnd(now)
 	l.HandleReport(now+1000, 2, 0, false) // of the ended process
