coldstart: a report exactly 50 ms after a return to use does not count

Cause: the rule is more than 50 ms; a report at 50 ms ended the cold time.

Result: TestOutdatedReports checks 50 ms, where it checked 49 ms.

--- a/core/coldstart/coldstart.go
+++ b/core/coldstart/coldstart.go
@@ -203,7 +203,7 @@
 		l.aheadOfReports, l.endedUntil = false, 0
 		l.probes.reset()
 	}
-	mayBeOutdated := now < max(l.returnedUntil, l.endedUntil)
+	mayBeOutdated := now <= max(l.returnedUntil, l.endedUntil)
 	// The time counts from the receipt, so that a delay makes it longer.
 	until := now + withDrift(remaining)
 	switch {
--- a/core/coldstart/coldstart_test.go
+++ b/core/coldstart/coldstart_test.go
@@ -266,7 +266,7 @@
 	}
 	l, now := warmLimiter()
 	l.HandleReturn(now)
-	l.HandleReport(now+50-1, 2, 0, false)
+	l.HandleReport(now+50, 2, 0, false)
 	is.True(cold(l, now+60))
 	l.HandleReport(now+51, 3, 0, false)
 	is.True(!cold(l, now+60))
