--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -203,6 +203,7 @@
 	assignment, revision := s.keyController.Assignment()
 	lease := s.keyController.LeaseEnd() - a.clock.Now()
 	ranges, holders, members := len(assignment.OwnedBy(a.settings.Instance())), len(assignment.Holders()), s.view.MemberCount()
+	outOfUse, domainsOutOfUse := s.domain.OutOfUse(), s.view.OutOfUseCount()
 	s.mu.Unlock()
 	for name, value := range map[string]float64{
 		"manifest_version": float64(a.manifest.Load().Version()), "division_revision": float64(revision),
@@ -212,6 +213,7 @@
 		"retries_promised": float64(retries.Promised), "retries_unpromised": float64(retries.Unpromised),
 		"retries_claimed": float64(retries.Claimed), "retries_expired": float64(retries.Expired),
 		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.logWriter.Dropped()),
+		"out_of_use": boolValue(outOfUse), "domains_out_of_use": float64(domainsOutOfUse),
 		"cold":          boolValue(load.ColdFor > 0),
 		"follows_store": boolValue(a.watching[store.OperatorRows].Load()),
 	} {
