capacity: learn the concurrency limit and the speed of an upstream

Cause: upstreams of one service differ in speed by up to three times, some lose throughput before all their slots are used, and some are slow for moments. Admission used the announced slots.

Change: core/capacity.Estimator learns the speed from the service times by class and from the slowness that the upstream reports (fourth figure of X-Server-Load, now read from each response), and the limit from windows of alternating limits. admission.State uses the limit, dispatch.Executor reports limit, requests per second and the demand relative to them, and the balancer weights upstreams by the limit. briarwelld keeps the announced slots.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"briarwell.dev/core/capacity"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/template"
@@ -155,6 +156,21 @@
 	return g.state.Limit(g.clock.Now())
 }
 
+// Capacity returns the learned capacity of the upstream.
+func (g *Gate) Capacity() capacity.Estimate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.Capacity(g.clock.Now())
+}
+
+// ReportSlowness records the slowness in percent that the upstream reports, 100 at its usual
+// speed.
+func (g *Gate) ReportSlowness(slowness int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state.ReportSlowness(g.clock.Now(), slowness)
+}
+
 // ServiceMillis returns the mean time for which a request holds its slot, 0 before
 // the first sample.
 func (g *Gate) ServiceMillis() clock.Millis {
@@ -163,12 +179,12 @@
 	return g.state.ServiceMillis()
 }
 
-// ClassServiceMillis returns the mean time for which a request of the class holds its
-// slot, or that of all requests if the class has no sample.
+// ClassServiceMillis returns the time for which a request of the class holds its slot, or
+// that of all requests if the class has no sample.
 func (g *Gate) ClassServiceMillis(class string) clock.Millis {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return clock.Millis(g.state.expectedServiceMillis(&Request{class: class}))
+	return g.state.ClassMillis(g.clock.Now(), class)
 }
 
 // BusySlotMillis returns the sum of the times for which released requests held their
--- a/core/admission/state.go
+++ b/core/admission/state.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 
+	"briarwell.dev/core/capacity"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/template"
@@ -50,6 +51,8 @@
 	QueueLimit int
 	// ColdStart is the time in milliseconds over which the limit rises to Slots.
 	ColdStart clock.Millis
+	// FixedLimit disables the learning of a limit below Slots.
+	FixedLimit bool
 }
 
 // Request is a request for a slot of an upstream. It is submitted only once.
@@ -67,6 +70,8 @@
 	submittedAt        clock.Millis
 	sequence           uint64
 	admittedAt         clock.Millis
+	// run is the request at the upstream as known to the estimator.
+	run capacity.Run
 	// decided receives admitted or the reason of the refusal, for the goroutine
 	// that waits in a Gate.
 	decided chan outcome.Reason
@@ -143,11 +148,15 @@
 	reportedSlots       int
 	reportedAt          clock.Millis
 	busySlotMillis      uint64
+	// estimator learns the capacity of the upstream, unless the limit is fixed.
+	estimator capacity.Estimator
 }
 
 // NewState returns a state whose cold start begins at now.
 func NewState(now clock.Millis, settings Settings) *State {
-	return &State{settings: settings, coldStartedAt: now}
+	s := &State{settings: settings}
+	s.BeginColdStart(now)
+	return s
 }
 
 // UpdateSettings takes the settings that the upstream announced. Only changed
@@ -161,9 +170,10 @@
 }
 
 // BeginColdStart resets the limit for a new process of the upstream, and drops the
-// refusals and the load report of the old one.
+// refusals, the load report and the learned capacity of the old one.
 func (s *State) BeginColdStart(now clock.Millis) {
 	s.coldStartedAt = now
+	s.estimator.Reset(now, s.settings.Slots)
 	s.reduction, s.unaccountedInFlight, s.reportedSlots = 0, 0, 0
 }
 
@@ -181,10 +191,36 @@
 // their slots.
 func (s *State) BusySlotMillis() uint64 { return s.busySlotMillis }
 
-// Limit returns the number of requests that may be in flight at now, at least 1.
+// Limit returns the number of requests that should be in flight at now, at least 1: the
+// learned limit, unless refusals, the cold start or a load report lower it further.
 func (s *State) Limit(now clock.Millis) int {
+	if s.settings.FixedLimit {
+		return s.limitWithin(now, max(s.settings.Slots, 1))
+	}
+	return s.limitWithin(now, s.estimator.Limit())
+}
+
+// admissionLimit returns the number of requests that may be in flight at now. It differs
+// from Limit while the estimator compares two limits.
+func (s *State) admissionLimit(now clock.Millis) int {
+	if s.settings.FixedLimit {
+		return s.Limit(now)
+	}
+	return s.limitWithin(now, s.estimator.AdmissionLimit())
+}
+
+// waitLimit returns the number of requests in flight by which waits are estimated.
+func (s *State) waitLimit(now clock.Millis) int {
+	if s.settings.FixedLimit {
+		return s.Limit(now)
+	}
+	return s.limitWithin(now, s.estimator.WaitLimit())
+}
+
+// limitWithin returns the limit that follows from a limit of the upstream.
+func (s *State) limitWithin(now clock.Millis, limit int) int {
 	slots := max(s.settings.Slots, 1)
-	limit := slots - int(math.Ceil(s.reduction))
+	limit = min(limit, slots-int(math.Ceil(s.reduction)))
 	limit = min(limit, s.coldStartLimit(now, slots))
 	if now-s.reportedAt <= reportMaxAge {
 		limit = min(limit-min(s.unaccountedInFlight, slots/2), s.reportedLimit(slots))
@@ -214,7 +250,7 @@
 	if request.deadline <= now {
 		return append(actions, Refuse{request: request, reason: outcome.ReasonQueueTimeout})
 	}
-	if len(s.queue) == 0 && s.inFlight < s.Limit(now) {
+	if len(s.queue) == 0 && s.inFlight < s.admissionLimit(now) {
 		// The expected service time doesn't count here: if it did, one that was
 		// once too long would refuse every request and never be corrected.
 		return append(actions, s.admit(now, request))
@@ -227,7 +263,9 @@
 	waiting := len(s.queue)
 	// The limit may have risen since the last call.
 	actions = s.dispatch(now, actions)
-	return s.shed(now, max(0, index-(waiting-len(s.queue))), actions)
+	actions = s.shed(now, max(0, index-(waiting-len(s.queue))), actions)
+	s.observeQueue(now)
+	return actions
 }
 
 // WouldRefuse reports whether Submit would refuse the request, and why. It changes
@@ -236,14 +274,14 @@
 	if request.deadline <= now {
 		return outcome.ReasonQueueTimeout, true
 	}
-	if len(s.queue) == 0 && s.inFlight < s.Limit(now) {
+	if len(s.queue) == 0 && s.inFlight < s.admissionLimit(now) {
 		return "", false
 	}
 	candidate := *request
 	candidate.sequence, candidate.submittedAt = s.sequence+1, now
 	candidate.missesSoftDeadline = s.willMissSoftDeadline(now, &candidate)
 	index, _ := slices.BinarySearchFunc(s.queue, &candidate, compareRequests)
-	wait := s.meanServiceMillis / float64(s.Limit(now)) * float64(index+1)
+	wait := s.meanServiceMillis / float64(s.waitLimit(now)) * float64(index+1)
 	refused := index >= s.queueLimit() || s.willMissDeadline(now, &candidate, wait) || s.waitsTooLong(now, &candidate, wait)
 	return outcome.ReasonOverloaded, refused
 }
@@ -251,7 +289,7 @@
 // Release frees the slot of a request that the upstream accepted. The time for which
 // the slot was held is a sample of the service time.
 func (s *State) Release(now clock.Millis, request *Request, actions []Action) []Action {
-	s.freeSlot(now, request)
+	s.freeSlot(now, request, true)
 	held := float64(max(now-request.admittedAt, 0))
 	s.meanServiceMillis = movingAverage(s.meanServiceMillis, held)
 	s.recordClassSample(request.class, held)
@@ -311,7 +349,7 @@
 // ReleaseRefused frees the slot of a request that the upstream refused, and lowers
 // the limit.
 func (s *State) ReleaseRefused(now clock.Millis, request *Request, actions []Action) []Action {
-	s.freeSlot(now, request)
+	s.freeSlot(now, request, false)
 	slots := float64(max(s.settings.Slots, 1))
 	if s.reduction == 0 || now-s.reducedAt > decreaseInterval {
 		s.reduction = slots - max(1, math.Floor((slots-s.reduction)*decreaseFactor))
@@ -323,7 +361,7 @@
 // ReleaseWithoutSample frees the slot of a request for which the time that the slot was
 // held says nothing about the service time, such as one that was not sent.
 func (s *State) ReleaseWithoutSample(now clock.Millis, request *Request, actions []Action) []Action {
-	s.freeSlot(now, request)
+	s.freeSlot(now, request, false)
 	return s.dispatch(now, actions)
 }
 
@@ -349,19 +387,57 @@
 func (s *State) admit(now clock.Millis, request *Request) Action {
 	request.admittedAt = now
 	s.inFlight++
+	if !s.settings.FixedLimit {
+		request.run = s.estimator.Start(now, request.class, len(s.queue))
+	}
 	return Admit{request: request}
 }
 
-func (s *State) freeSlot(now clock.Millis, request *Request) {
+// freeSlot frees the slot of a request. isSample is true if the time for which it was held
+// is a sample of the service time.
+func (s *State) freeSlot(now clock.Millis, request *Request, isSample bool) {
 	s.inFlight--
 	s.busySlotMillis += uint64(max(now-request.admittedAt, 0))
+	if !s.settings.FixedLimit {
+		s.estimator.End(now, request.run, len(s.queue), isSample)
+	}
+}
+
+// observeQueue tells the estimator how many requests wait.
+func (s *State) observeQueue(now clock.Millis) {
+	if !s.settings.FixedLimit {
+		s.estimator.Advance(now, len(s.queue))
+	}
+}
+
+// ReportSlowness records the slowness in percent that the upstream reports, 100 at its usual
+// speed.
+func (s *State) ReportSlowness(now clock.Millis, slowness int) { s.estimator.Report(now, slowness) }
+
+// Capacity returns the learned capacity. Its limit is that of Limit, and PerSecond is 0 if
+// the limit is fixed.
+func (s *State) Capacity(now clock.Millis) capacity.Estimate {
+	estimate := s.estimator.Estimate(now)
+	limit := s.Limit(now)
+	estimate.PerSecond *= float64(limit) / float64(estimate.Limit)
+	estimate.Limit = limit
+	return estimate
+}
+
+// ClassMillis returns the time in milliseconds that a request of the class takes at now: the
+// learned one, or the mean of the class if none is learned.
+func (s *State) ClassMillis(now clock.Millis, class string) clock.Millis {
+	if learned := s.estimator.ClassMillis(now, class); learned > 0 {
+		return clock.Millis(learned)
+	}
+	return clock.Millis(s.expectedServiceMillis(&Request{class: class}))
 }
 
 // dispatch admits waiting requests to free slots, and refuses those that can't be
 // served before their deadline any more.
 func (s *State) dispatch(now clock.Millis, actions []Action) []Action {
 	actions = s.updateQueue(now, actions)
-	for len(s.queue) > 0 && s.inFlight < s.Limit(now) {
+	for len(s.queue) > 0 && s.inFlight < s.admissionLimit(now) {
 		next := s.queue[0]
 		s.queue = slices.Delete(s.queue, 0, 1)
 		if s.willMissDeadline(now, next, 0) {
@@ -370,6 +446,7 @@
 		}
 		actions = append(actions, s.admit(now, next))
 	}
+	s.observeQueue(now)
 	return actions
 }
 
@@ -379,7 +456,7 @@
 func (s *State) updateQueue(now clock.Millis, actions []Action) []Action {
 	var late []*Request
 	kept := s.queue[:0]
-	waitPerRequest := s.meanServiceMillis / float64(s.Limit(now))
+	waitPerRequest := s.meanServiceMillis / float64(s.waitLimit(now))
 	for _, request := range s.queue {
 		switch {
 		case request.softDeadline == 0:
@@ -405,7 +482,7 @@
 // shed refuses the waiting requests from index on whose expected wait is too long
 // for their deadlines or maximum wait, and those beyond the queue limit.
 func (s *State) shed(now clock.Millis, index int, actions []Action) []Action {
-	waitPerRequest := s.meanServiceMillis / float64(s.Limit(now))
+	waitPerRequest := s.meanServiceMillis / float64(s.waitLimit(now))
 	kept := s.queue[:index]
 	for _, request := range s.queue[index:] {
 		full := len(kept) >= s.queueLimit()
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -324,14 +324,18 @@
 	return drawn
 }
 
-// capacity returns the relative capacity of a candidate: its slots, reduced by its
-// failure rate and its slowdown. An unknown upstream counts as an average one.
+// capacity returns the relative capacity of a candidate: its slots, or its learned limit,
+// reduced by its failure rate and its slowdown. Requests per second don't count here, as they
+// depend on the classes that the upstream was sent. An unknown upstream counts as an average one.
 func (b *Balancer) capacity(now clock.Millis, c Candidate) float64 {
 	slots := float64(max(c.Slots, 1))
 	u, ok := b.upstreams[c.Name]
 	if !ok {
 		return slots
 	}
+	if u.hasLoad && u.load.Capacity > 0 {
+		slots = float64(max(u.load.Slots, 1))
+	}
 	successRate := 1 - u.decayedFailureRate(now)
 	return slots * successRate * successRate / cmp.Or(u.slowdown, 1)
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -63,6 +63,9 @@
 	// ReachedUpstream is true if the request was sent to the upstream, even if the
 	// upstream refused it.
 	ReachedUpstream bool
+	// Slowness is the service time in percent of the usual one that the upstream reports
+	// with its response, 0 if unknown.
+	Slowness int
 	// RetryAfter is the time in milliseconds after which a refused request may be
 	// retried, 0 if unknown.
 	RetryAfter clock.Millis
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 
 	"briarwell.dev/core/admission"
@@ -92,8 +93,10 @@
 
 // Load returns the load of the upstream and of the link, without ClassServiceTime.
 func (e *Executor) Load() balance.Load {
+	learned := e.gate.Capacity()
 	load := balance.Load{
-		Running: e.gate.InFlight(), Waiting: e.gate.Queued(), Slots: e.gate.Limit(), ServiceTime: e.gate.ServiceMillis(),
+		Running: e.gate.InFlight(), Waiting: e.gate.Queued(), Slots: learned.Limit, ServiceTime: e.gate.ServiceMillis(),
+		Capacity: int(math.Round(learned.PerSecond)),
 	}
 	e.mu.Lock()
 	rate := e.keyMeter.TotalRate(e.clock.Now())
@@ -102,7 +105,11 @@
 	load.InboundBacklog = e.inboundLink.Backlog(e.clock.Now())
 	load.FailurePercent = int(e.failures.at(e.clock.Now()) * percent)
 	e.mu.Unlock()
-	load.DemandPercent = int(rate * float64(load.ServiceTime) / millisPerSecond / float64(max(load.Slots, 1)) * percent)
+	if learned.PerSecond > 0 {
+		load.DemandPercent = int(rate / learned.PerSecond * percent)
+	} else {
+		load.DemandPercent = int(rate * float64(load.ServiceTime) / millisPerSecond / float64(max(load.Slots, 1)) * percent)
+	}
 	return load
 }
 
@@ -245,6 +252,9 @@
 	e.requestStarted(r.ID)
 	defer e.requestEnded(r.ID)
 	reply = e.upstream.Call(ctx, e.upstream.State(now).Process, r, r.Deadline-now)
+	if reply.Slowness > 0 {
+		e.gate.ReportSlowness(reply.Slowness)
+	}
 	return reply
 }
 
--- a/core/upstream/upstream.go
+++ b/core/upstream/upstream.go
@@ -91,6 +91,8 @@
 	InFlight int
 	Slots    int
 	Draining bool
+	// Slowness is the present service time in percent of the usual one, 0 if unknown.
+	Slowness int
 }
 
 // Upstream is a client of the upstream of this instance.
--- a/daemon/localupstream/upstream.go
+++ b/daemon/localupstream/upstream.go
@@ -169,6 +169,7 @@
 		Slots:      next.Slots,
 		QueueLimit: rules.QueueLimit(),
 		ColdStart:  clock.Millis(next.ColdStartMillis),
+		FixedLimit: true,
 	}
 	if u.current != nil && u.announcement == next {
 		if !u.up {
