sidecar: use, log and export the learned capacity

Cause: key moves computed the capacity of a holder from its slots and the mean service time, and an operator could not see what was learned of an upstream.

Change: rebalance uses balance.Load.Capacity where it is reported, also in the load queries between holders. A new process of the upstream discards the learned capacity.

--- a/core/admission/state.go
+++ b/core/admission/state.go
@@ -414,8 +414,8 @@
 // speed.
 func (s *State) ReportSlowness(now clock.Millis, slowness int) { s.estimator.Report(now, slowness) }
 
-// Capacity returns the learned capacity. Its limit is that of Limit, and PerSecond is 0 if
-// the limit is fixed.
+// Capacity returns the learned capacity. Limit is that of State.Limit, and PerSecond belongs
+// to it. Without a learned limit, PerSecond is 0.
 func (s *State) Capacity(now clock.Millis) capacity.Estimate {
 	estimate := s.estimator.Estimate(now)
 	limit := s.Limit(now)
--- a/core/capacity/estimator.go
+++ b/core/capacity/estimator.go
@@ -191,7 +191,9 @@
 // Estimate is what an estimator knows of its upstream.
 type Estimate struct {
 	// Limit is the number of requests that the upstream should run at once, at least 1.
-	Limit int
+	// Learned is the same without the limits that others than the estimator set.
+	Limit   int
+	Learned int
 	// PerSecond is the number of requests per second that it completes at the limit, 0 if
 	// unknown.
 	PerSecond float64
@@ -446,7 +448,7 @@
 
 // Estimate returns what is known at now.
 func (e *Estimator) Estimate(now clock.Millis) Estimate {
-	estimate := Estimate{Limit: e.Limit(), Slowness: 1, Reason: e.reason}
+	estimate := Estimate{Limit: e.Limit(), Learned: e.Limit(), Slowness: 1, Reason: e.reason}
 	if e.samples < minClassSamples {
 		return estimate
 	}
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -19,6 +19,7 @@
 
 	"briarwell.dev/core/admission"
 	"briarwell.dev/core/balance"
+	"briarwell.dev/core/capacity"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/clock/system"
 	"briarwell.dev/core/dispatch"
@@ -76,6 +77,9 @@
 	dispatcher *dispatch.Dispatcher
 	peers      *peerClients
 	telemetry  *telemetry
+	// capacityLog selects the changes of the upstream's capacity to be logged. Only gaugeLoop
+	// uses it.
+	capacityLog capacity.ChangeLog
 	// memory bounds the bodies of all requests and responses in progress.
 	memory *memory.Budget
 	// memoryLimit is the soft limit that was set for the Go runtime's memory in bytes, 0 if
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -71,6 +71,8 @@
 	DemandPercent int          `json:"demandPercent"`
 	// FailurePercent is the share of its requests in percent that the upstream failed.
 	FailurePercent int `json:"failurePercent"`
+	// Capacity is the learned number of requests per second, 0 if unknown.
+	Capacity int `json:"capacity,omitempty"`
 }
 
 // peerClients holds an HTTP client for each address of another sidecar. It is safe for
--- a/sidecar/app/rebalance.go
+++ b/sidecar/app/rebalance.go
@@ -97,10 +97,15 @@
 	return true
 }
 
-// rebalanceHolder returns a holder with its load, without the number of its ranges.
+// rebalanceHolder returns a holder with its load, without the number of its ranges. Its
+// capacity is the learned one, if its sidecar reports one.
 func rebalanceHolder(name string, load balance.Load) rebalance.Holder {
+	capacity := float64(load.Capacity)
+	if capacity == 0 {
+		capacity = requestCapacity(load.Slots, load.ServiceTime)
+	}
 	return rebalance.Holder{
-		Name: name, Demand: float64(load.DemandPercent) / percent, Capacity: requestCapacity(load.Slots, load.ServiceTime),
+		Name: name, Demand: float64(load.DemandPercent) / percent, Capacity: capacity,
 		FailureShare: float64(load.FailurePercent) / percent,
 	}
 }
@@ -132,7 +137,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			loads[h.InstanceName()] = balance.Load{Slots: response.Slots, ServiceTime: response.ServiceTime, DemandPercent: response.DemandPercent, FailurePercent: response.FailurePercent}
+			loads[h.InstanceName()] = balance.Load{Slots: response.Slots, ServiceTime: response.ServiceTime, DemandPercent: response.DemandPercent, FailurePercent: response.FailurePercent, Capacity: response.Capacity}
 		})
 	}
 	wait.Wait()
@@ -142,7 +147,7 @@
 // handleLoad returns the load of this instance's upstream.
 func (a *App) handleLoad(struct{}) loadResponse {
 	load := a.executor.Load()
-	return loadResponse{Slots: load.Slots, ServiceTime: load.ServiceTime, DemandPercent: load.DemandPercent, FailurePercent: load.FailurePercent}
+	return loadResponse{Slots: load.Slots, ServiceTime: load.ServiceTime, DemandPercent: load.DemandPercent, FailurePercent: load.FailurePercent, Capacity: load.Capacity}
 }
 
 // requestCapacity returns the number of requests that the slots can run per second at
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -160,6 +161,7 @@
 		case <-ticker.C:
 		}
 		a.updateGauges()
+		a.logCapacity()
 		a.updateMemoryLimit()
 	}
 }
@@ -197,7 +199,7 @@
 }
 
 func (a *App) updateGauges() {
-	scope, load, s := a.telemetry.scope, a.executor.Load(), a.state
+	scope, load, s, learned := a.telemetry.scope, a.executor.Load(), a.state, a.gate.Capacity()
 	s.mu.Lock()
 	assignment, revision := s.keyController.Assignment()
 	lease := s.keyController.LeaseEnd() - a.clock.Now()
@@ -208,6 +210,7 @@
 		"lease_milliseconds": float64(max(lease, 0)), "owned_ranges": float64(ranges), "holders": float64(holders), "members": float64(members),
 		"running": float64(load.Running), "waiting": float64(load.Waiting), "slots": float64(load.Slots),
 		"service_milliseconds": float64(load.ServiceTime), "demand_percent": float64(load.DemandPercent), "failure_percent": float64(load.FailurePercent),
+		"capacity_per_second": learned.PerSecond, "learned_slots": float64(learned.Learned), "upstream_slowness": learned.Slowness,
 		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.logWriter.Dropped()),
 		"follows_store": boolValue(a.watching[store.OperatorRows].Load()),
 	} {
@@ -215,6 +218,17 @@
 	}
 }
 
+// logCapacity logs a substantial change of the learned capacity since the last call.
+func (a *App) logCapacity() {
+	learned := a.gate.Capacity()
+	reason, ok := a.capacityLog.Observe(learned)
+	if !ok {
+		return
+	}
+	a.log.Info().Str("reason", reason).Int("learnedSlots", learned.Learned).Int("slots", learned.Limit).Float64("perSecond", math.Round(learned.PerSecond)).
+		Float64("slowness", math.Round(learned.Slowness*percent)/percent).Bool("reported", learned.Reported).Msg("upstreamCapacity")
+}
+
 func boolValue(b bool) float64 {
 	if b {
 		return 1
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -130,6 +130,7 @@
 	case heartbeat.Started:
 		s.keyController.HandleUpstreamRestart(now)
 		u.client.CloseIdle()
+		u.app.gate.BeginColdStart()
 	case heartbeat.Accepted:
 	default:
 		return keyowner.Grant{}, verdict
