--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -179,9 +179,17 @@
 	return g.state.ServiceMillis()
 }
 
-// ClassServiceMillis returns the time for which a request of the class holds its slot, or
-// that of all requests if the class has no sample.
+// ClassServiceMillis returns the mean time for which a request of the class holds its
+// slot, or that of all requests if the class has no sample.
 func (g *Gate) ClassServiceMillis(class string) clock.Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return clock.Millis(g.state.expectedServiceMillis(&Request{class: class}))
+}
+
+// LearnedClassMillis returns the time in milliseconds that a request of the class takes now,
+// as learned.
+func (g *Gate) LearnedClassMillis(class string) clock.Millis {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.state.ClassMillis(g.clock.Now(), class)
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -54,6 +54,33 @@
 	is.Equal(candidates[b.Pick(0, candidates, balance.Request{}, nil, alwaysHalf)].Name, "here")
 }
 
+// TestColdUpstream guards against a cold upstream that gets as many requests as warm ones, one
+// that gets none while the others are full, and one that stays cold after the time it stated.
+func TestColdUpstream(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	candidates := newCandidates()[:2]
+	b.RecordLoad(0, "here", "", balance.Load{Slots: 12, ServiceTime: 100, ColdRate: 15, ColdFor: 3000})
+	b.RecordLoad(0, "near", "", balance.Load{Running: 6, Slots: 12, ServiceTime: 100})
+	pick := func(now clock.Millis) string {
+		return candidates[b.Pick(now, candidates, balance.Request{}, nil, alwaysHalf)].Name
+	}
+	is.Equal(pick(0), "near")
+	b.RecordLoad(0, "near", "", balance.Load{Running: 12, Waiting: 30, Slots: 12, ServiceTime: 100})
+	is.Equal(pick(0), "here")
+	b.RecordLoad(2500, "near", "", balance.Load{Running: 6, Slots: 12, ServiceTime: 100})
+	is.Equal(pick(2500), "near") // the report is too old for its load, not for its cold time
+	is.Equal(pick(3500), "here")
+
+	warm := balance.Load{Slots: 12, ServiceTime: 100}
+	is.Equal(warm.RequestRate(), 120.0)
+	warm.Capacity = 70
+	is.Equal(warm.RequestRate(), 70.0)
+	warm.ColdRate, warm.ColdFor = 15, 1
+	is.Equal(warm.RequestRate(), 15.0)
+	is.Equal(balance.Load{Slots: 12, ColdRate: 200, ColdFor: 1}.RequestRate(), 200.0)
+}
+
 // TestPartiallyFailingUpstream guards against preferring an upstream that passes probes but
 // refuses half of its requests. Choosing the fewest requests in flight sends it the most.
 func TestPartiallyFailingUpstream(t *testing.T) {
@@ -127,3 +154,36 @@
 	is.True(!b.Reachable(1300, "here"))
 	is.True(b.Reachable(4000, "here"))
 }
+
+// TestNeedsLoad guards against a load report with each response from another region, and against
+// requests that are sent to a cold upstream there beyond its rate, for lack of a report.
+func TestNeedsLoad(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	candidates := newCandidates()
+	is.True(b.NeedsLoad(0, candidates[2]))
+	for _, c := range candidates {
+		b.RecordLoad(1000, c.Name, "", balance.Load{Slots: 12, ServiceTime: 50})
+	}
+	is.True(b.NeedsLoad(1000, candidates[0]))
+	is.True(b.NeedsLoad(1000, candidates[1]))
+	is.True(!b.NeedsLoad(1200, candidates[2]))
+	is.True(b.NeedsLoad(1300, candidates[2]))
+	b.RecordLoad(1300, "distant", "", balance.Load{Slots: 12, ServiceTime: 50, ColdRate: 15, ColdFor: 500})
+	is.True(b.NeedsLoad(1400, candidates[2]))
+}
+
+// TestResponseWithoutLoadReport guards against a working daemon that counts as frozen since its
+// responses come without load reports.
+func TestResponseWithoutLoadReport(t *testing.T) {
+	is := is.New(t)
+	b := balance.New(here)
+	b.RecordLoad(100, "distant", "", balance.Load{Slots: 12, ServiceTime: 50})
+	b.RecordResponse(250, "distant")
+	b.RecordNoResponse(900, "distant", 200) // it has answered another request since 200
+	is.True(b.Reachable(900, "distant"))
+	b.RecordNoResponse(1300, "distant", 400)
+	is.True(!b.Reachable(1300, "distant"))
+	b.RecordResponse(1350, "distant")
+	is.True(b.Reachable(1350, "distant"))
+}
--- a/core/capacity/probe.go
+++ b/core/capacity/probe.go
@@ -64,6 +64,9 @@
 	// upperShare the higher number of an upward one.
 	lowerShare = 0.7
 	upperShare = 1.15
+	// minLowerShare is the least share: with one of two slots, a probe would cost half of the
+	// throughput.
+	minLowerShare = 0.6
 	// maxProbePairs is the number of pairs of windows after which a probe pauses.
 	maxProbePairs = 8
 	// minChangePairs is the least number of pairs for a change of the limit, so that
@@ -274,7 +277,8 @@
 	} else {
 		p.lo = max(min(int(math.Round(float64(e.limit)*lowerShare)), e.limit-1), 1)
 	}
-	if p.lo == p.hi {
+	if p.lo == p.hi || float64(p.lo) < minLowerShare*float64(p.hi) {
+		p.stop(e, minProbeInterval)
 		return
 	}
 	p.down.decay()
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -29,6 +29,9 @@
 	// Key is the key of the request, valid if Keyed.
 	Key   keyspace.Key
 	Keyed bool
+	// KeyOmitted is true if Header lacks the field in which the caller stated the key: the
+	// upstream gets it again as the decimal form of Key, also if the service is not keyed.
+	KeyOmitted bool
 	// ParentID is the ID of the request that the caller claims to be running, "" if
 	// none.
 	ParentID string
@@ -69,6 +72,9 @@
 	// RetryAfter is the time in milliseconds after which a refused request may be
 	// retried, 0 if unknown.
 	RetryAfter clock.Millis
+	// Promised is true if a refused request was a retry whose caller had been promised a
+	// place. It is not sent to other daemons.
+	Promised bool
 	// Load is the load of the upstream, valid if HasLoad.
 	Load    balance.Load
 	HasLoad bool
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"briarwell.dev/core/memory"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/retry"
+	"briarwell.dev/core/retryafter"
 	"briarwell.dev/core/routes"
 )
 
@@ -23,9 +25,6 @@
 	// ownerWaitShare is the share of the route's target latency for which a request
 	// waits for an owner of its key before it is refused.
 	ownerWaitShare = 0.25
-	// ownerRetryAfter is the time in milliseconds after which a caller may retry a request
-	// whose key has no reachable owner.
-	ownerRetryAfter clock.Millis = 300
 	// minRemainingTime is the time in milliseconds before the deadline from which a request
 	// is not sent again: a round trip between regions takes 40 ms.
 	minRemainingTime clock.Millis = 10
@@ -38,8 +37,8 @@
 	unresponsiveAfter clock.Millis = 600
 	// maxSends bounds the number of times that one request is sent to a daemon.
 	maxSends = 6
-	// maxOverloadRefusals is the number of refusals by overloaded daemons after which a
-	// request is refused: the daemons were selected by load, so the others are no better.
+	// maxOverloadRefusals is the number of refusals by overloaded daemons, or for cold
+	// upstreams, after which a request is refused: the daemons were selected by load, so the others are no better.
 	// A nested request is sent to more daemons, as refusing it wastes the work of its
 	// parent.
 	maxOverloadRefusals       = 2
@@ -83,6 +82,12 @@
 	LatencyBudget clock.Millis
 	// Class groups requests of similar service time.
 	Class string
+	// LoadKnown is true if the dispatcher knows the load of the upstream's instance well
+	// enough: the reply to a request that the upstream serves needs none.
+	LoadKnown bool
+	// CallerRetry is true if the request is known to be the retry of a caller, who has no
+	// further one. A retry after less than firstAttemptTolerance is not known.
+	CallerRetry bool
 }
 
 // Dispatcher handles the requests that originate on this instance: it selects their
@@ -146,6 +151,9 @@
 	defer cancel()
 	d.retryBudget(service).RecordFirstAttempt(d.clock.Now())
 	p := pendingRequest{dispatcher: d, route: route, service: service, request: &bounded, keyed: manifestService.Keyed, excluded: make(map[string]bool)}
+	if len(route.AllowedRegions) == 0 {
+		p.neededRegions = manifest.RestrictedRegions(service)
+	}
 	result := p.run(ctx)
 	result.RouteFound, result.ManifestVersion = true, manifest.Version()
 	result.Route, result.Service = route.Name, service
@@ -183,12 +191,15 @@
 	service    string
 	request    *Request
 	keyed      bool
+	// neededRegions are the regions that restricted routes to the service need, nil if the
+	// request is of such a route itself.
+	neededRegions []string
 	// excluded holds the instances that are not tried again.
 	excluded map[string]bool
 	// upstreamAttempts counts the attempts that reached an upstream, sends all attempts.
 	upstreamAttempts int
 	sends            int
-	// overloadRefusals counts the refusals by overloaded daemons.
+	// overloadRefusals counts the refusals by overloaded daemons and for cold upstreams.
 	overloadRefusals int
 	lastInstance     string
 	lastReply        Reply
@@ -197,7 +208,7 @@
 }
 
 func (p *pendingRequest) run(ctx context.Context) Result {
-	p.lastReply = NotRun(outcome.ReasonNoOwner).WithRetryAfter(ownerRetryAfter)
+	p.lastReply = NotRun(outcome.ReasonNoOwner)
 	for p.sends < maxSends {
 		target, ok := p.nextTarget(ctx)
 		if !ok {
@@ -222,7 +233,12 @@
 		// The last instance did not run the request, but an earlier one may have.
 		p.lastReply = *p.firstUnknown
 	}
-	deadlineExceeded := p.dispatcher.clock.Now() >= p.request.Deadline
+	now := p.dispatcher.clock.Now()
+	if _, refused := p.lastReply.Outcome.(outcome.NotRun); refused && p.lastReply.RetryAfter == 0 && now+minRemainingTime < p.request.Deadline {
+		// No instance has said when the request can be served.
+		p.lastReply.RetryAfter = retryafter.Spread(p.request.Deadline-now, p.request.ID)
+	}
+	deadlineExceeded := now >= p.request.Deadline
 	return Result{Reply: p.lastReply, DeadlineExceeded: deadlineExceeded, Instance: p.lastInstance, Attempts: p.sends}
 }
 
@@ -238,7 +254,10 @@
 	p.sends++
 	p.lastInstance = target.Name
 	sentAt := d.clock.Now()
-	policy := RequestPolicy{Idempotent: p.route.Idempotent, Rank: p.route.Rank, LargeResponse: p.route.LargeResponses, LatencyBudget: p.latencyBudget(), Class: p.route.Name}
+	policy := RequestPolicy{Idempotent: p.route.Idempotent, Rank: p.route.Rank, LargeResponse: p.route.LargeResponses, LatencyBudget: p.latencyBudget(), Class: p.route.Name, CallerRetry: p.isCallerRetry()}
+	d.mu.Lock()
+	policy.LoadKnown = !d.balancer.NeedsLoad(sentAt, target.Candidate)
+	d.mu.Unlock()
 	reply := d.sendCounted(ctx, target, p.service, p.request, policy)
 	if reply.ReachedUpstream {
 		p.upstreamAttempts++
@@ -248,6 +267,8 @@
 	defer d.mu.Unlock()
 	if reply.HasLoad {
 		d.balancer.RecordLoad(now, target.Name, policy.Class, reply.Load)
+	} else if _, done := reply.Outcome.(outcome.Done); done {
+		d.balancer.RecordResponse(now, target.Name)
 	}
 	p.recordReply(ctx, sentAt, policy, reply)
 	return reply
@@ -274,11 +295,22 @@
 	if p.request.Nested || p.route.TargetLatency <= 0 {
 		return 0
 	}
+	return max(p.request.ReceivedAt+p.route.TargetLatency-p.earlierAttempts()-p.dispatcher.clock.Now(), 1)
+}
+
+// isCallerRetry reports whether the request is known to be the retry of a caller.
+func (p *pendingRequest) isCallerRetry() bool {
+	return !p.request.Nested && p.route.Timeout > 0 && p.earlierAttempts() > 0
+}
+
+// earlierAttempts returns the time in milliseconds that the caller spent on an earlier
+// attempt, 0 if there was none.
+func (p *pendingRequest) earlierAttempts() clock.Millis {
 	elapsed := p.route.Timeout - (p.request.Deadline - p.request.ReceivedAt)
 	if elapsed < firstAttemptTolerance {
-		elapsed = 0
+		return 0
 	}
-	return max(p.request.ReceivedAt+p.route.TargetLatency-elapsed-p.dispatcher.clock.Now(), 1)
+	return elapsed
 }
 
 // recordReply records with the balancer what a reply to the latest attempt shows about the
@@ -355,7 +387,7 @@
 			}
 		}
 		p.excluded[p.lastInstance] = true
-		if o.Reason() == outcome.ReasonOverloaded {
+		if o.Reason() == outcome.ReasonOverloaded || o.Reason() == outcome.ReasonCold {
 			p.overloadRefusals++
 		}
 		return p.overloadRefusals < p.overloadRefusalLimit() && (!p.lastReply.ReachedUpstream || p.takeRetry())
@@ -395,20 +427,67 @@
 		return p.awaitOwner(ctx)
 	}
 	d := p.dispatcher
-	targets := d.resolver.Instances(p.service)
+	targets := p.allowedInstances()
 	candidates := make([]balance.Candidate, 0, len(targets))
 	for _, t := range targets {
-		candidates = append(candidates, t.Candidate)
+		candidate := t.Candidate
+		candidate.Needed = len(p.neededRegions) > 0 && slices.Contains(p.neededRegions, t.Location.Region())
+		candidates = append(candidates, candidate)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	i := d.balancer.Pick(d.clock.Now(), candidates, p.balanceRequest(), p.excluded, rand.Float64)
 	if i < 0 {
+		if len(p.route.AllowedRegions) > 0 && p.foundNoUsableUpstream() {
+			p.refuseByRegion()
+		}
 		return Target{}, false
 	}
 	return targets[i], true
 }
 
+// allows reports whether the request may run at the target.
+func (p *pendingRequest) allows(t Target) bool { return p.route.AllowsRegion(t.Location.Region()) }
+
+// allowedInstances returns the instances at which the request may run.
+func (p *pendingRequest) allowedInstances() []Target {
+	targets := p.dispatcher.resolver.Instances(p.service)
+	if len(p.route.AllowedRegions) == 0 {
+		return targets
+	}
+	var allowed []Target
+	for _, t := range targets {
+		if p.allows(t) {
+			allowed = append(allowed, t)
+		}
+	}
+	return allowed
+}
+
+// foundNoUsableUpstream reports whether the request was sent nowhere, or its last reply is
+// that of an instance whose upstream accepts no requests. A refusal by an upstream that is
+// only busy keeps its own reason and retry time.
+func (p *pendingRequest) foundNoUsableUpstream() bool {
+	if p.sends == 0 {
+		return true
+	}
+	refused, ok := p.lastReply.Outcome.(outcome.NotRun)
+	if !ok {
+		return false
+	}
+	switch refused.Reason() {
+	case outcome.ReasonUnreachable, outcome.ReasonMoved, outcome.ReasonDraining, outcome.ReasonOutOfUse:
+		return true
+	default:
+		return false
+	}
+}
+
+// refuseByRegion makes the final reply a refusal due to the route's restriction.
+func (p *pendingRequest) refuseByRegion() {
+	p.lastReply = NotRun(outcome.ReasonRegionNotAllowed)
+}
+
 // balanceRequest describes the request to the balancer.
 func (p *pendingRequest) balanceRequest() balance.Request {
 	request := balance.Request{Class: p.route.Name, LargeResponse: p.route.LargeResponses}
@@ -420,7 +499,9 @@
 
 // awaitOwner returns the owner of the request's key once it is known and reachable, or
 // false if that takes longer than ownerWaitShare of the route's target latency or the
-// request ends.
+// request ends. It does not wait if the request may not run at the owner, or if there is no
+// owner and no upstream that may become one: the key controllers move the keys of a restricted
+// route to its regions, which takes longer.
 func (p *pendingRequest) awaitOwner(ctx context.Context) (Target, bool) {
 	d := p.dispatcher
 	maxWait := clock.Millis(float64(p.route.TargetLatency) * ownerWaitShare)
@@ -431,11 +512,20 @@
 		now := d.clock.Now()
 		if lookUp {
 			target, ok := d.resolver.Owner(p.service, p.request)
+			if ok && !p.allows(target) {
+				p.lastInstance = target.Name
+				p.refuseByRegion()
+				return Target{}, false
+			}
+			if !ok && len(p.route.AllowedRegions) > 0 && len(p.allowedInstances()) == 0 {
+				p.refuseByRegion()
+				return Target{}, false
+			}
 			if ok && d.reachable(now, target.Name) {
 				return target, true
 			}
 			if ok && p.sends == 0 {
-				p.lastInstance, p.lastReply = target.Name, NotRun(outcome.ReasonUnreachable).WithRetryAfter(ownerRetryAfter)
+				p.lastInstance, p.lastReply = target.Name, NotRun(outcome.ReasonUnreachable)
 			}
 		}
 		if now >= until {
