--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -379,14 +379,19 @@
 	return drawn
 }
 
-// capacity returns the relative capacity of a candidate: its slots, or those that the rate of a
-// cold upstream takes, reduced by its failure rate and its slowdown. An unknown upstream counts as an average one.
+// capacity returns the relative capacity of a candidate: its slots, its learned limit, or those
+// that the rate of a cold upstream takes, reduced by its failure rate and its slowdown. Requests
+// per second don't count here, as they depend on the classes that the upstream was sent. An
+// unknown upstream counts as an average one.
 func (b *Balancer) capacity(now clock.Millis, c Candidate) float64 {
 	slots := float64(max(c.Slots, 1))
 	u, ok := b.upstreams[c.Name]
 	if !ok {
 		return slots
 	}
+	if u.hasLoad && u.load.Capacity > 0 {
+		slots = float64(max(u.load.Slots, 1))
+	}
 	if u.isCold(now) {
 		serviceTime := cmp.Or(float64(u.load.ServiceTime), defaultServiceMillis)
 		slots = min(slots, u.load.coldRate()*serviceTime/millisPerSecond)
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 
 	"briarwell.dev/core/admission"
@@ -104,8 +105,10 @@
 
 // Load returns the load of the upstream and of the link, without ClassServiceTime.
 func (e *Executor) Load() balance.Load {
+	learned := e.gate.Capacity()
 	load := balance.Load{
-		Running: e.gate.InFlight(), Waiting: e.gate.Queued(), Slots: e.gate.Limit(), ServiceTime: e.gate.ServiceMillis(),
+		Running: e.gate.InFlight(), Waiting: e.gate.Queued(), Slots: learned.Limit, ServiceTime: e.gate.ServiceMillis(),
+		Capacity: int(math.Round(learned.PerSecond)),
 	}
 	e.mu.Lock()
 	rate := e.keyMeter.TotalRate(e.clock.Now())
@@ -137,7 +140,7 @@
 	}
 	reply.Load, reply.HasLoad = e.Load(), true
 	if done {
-		reply.Load.ClassServiceTime = e.gate.ClassServiceMillis(policy.Class)
+		reply.Load.ClassServiceTime = e.gate.LearnedClassMillis(policy.Class)
 	}
 	return reply
 }
@@ -306,6 +309,9 @@
 	e.requestStarted(r.ID)
 	defer e.requestEnded(r.ID)
 	reply = e.upstream.Call(ctx, e.upstream.State(now).Process, r, r.Deadline-now)
+	if reply.Slowness > 0 {
+		e.gate.ReportSlowness(reply.Slowness)
+	}
 	return reply
 }
 
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -161,6 +162,7 @@
 		case <-ticker.C:
 		}
 		a.updateGauges()
+		a.logCapacity()
 		a.updateMemoryLimit()
 	}
 }
@@ -198,7 +200,7 @@
 }
 
 func (a *App) updateGauges() {
-	scope, load, retries, s := a.telemetry.scope, a.executor.Load(), a.executor.RetryCounts(), a.state
+	scope, load, retries, s, learned := a.telemetry.scope, a.executor.Load(), a.executor.RetryCounts(), a.state, a.gate.Capacity()
 	s.mu.Lock()
 	assignment, revision := s.keyController.Assignment()
 	lease := s.keyController.LeaseEnd() - a.clock.Now()
@@ -210,6 +212,7 @@
 		"lease_milliseconds": float64(max(lease, 0)), "owned_ranges": float64(ranges), "holders": float64(holders), "members": float64(members),
 		"running": float64(load.Running), "waiting": float64(load.Waiting), "slots": float64(load.Slots),
 		"service_milliseconds": float64(load.ServiceTime), "demand_percent": float64(load.DemandPercent), "failure_percent": float64(load.FailurePercent),
+		"capacity_per_second": learned.PerSecond, "learned_slots": float64(learned.Learned), "upstream_slowness": learned.Slowness,
 		"retries_promised": float64(retries.Promised), "retries_unpromised": float64(retries.Unpromised),
 		"retries_claimed": float64(retries.Claimed), "retries_expired": float64(retries.Expired),
 		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.logWriter.Dropped()),
@@ -224,6 +227,17 @@
 	a.coldRefusalsCounted = refused
 }
 
+// logCapacity logs a substantial change of the learned capacity since the last call.
+func (a *App) logCapacity() {
+	learned := a.gate.Capacity()
+	reason, ok := a.capacityLog.Observe(learned)
+	if !ok {
+		return
+	}
+	a.log.Info().Str("reason", reason).Int("learnedSlots", learned.Learned).Int("slots", learned.Limit).Float64("perSecond", math.Round(learned.PerSecond)).
+		Float64("slowness", math.Round(learned.Slowness*percent)/percent).Bool("reported", learned.Reported).Msg("upstreamCapacity")
+}
+
 func boolValue(b bool) float64 {
 	if b {
 		return 1
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -144,6 +144,7 @@
 	case heartbeat.Started:
 		s.keyController.HandleUpstreamRestart(now)
 		u.client.CloseIdle()
+		u.app.gate.BeginColdStart()
 		u.probeClient.CloseIdle()
 	case heartbeat.Accepted:
 	default:
