routes: the same route matches at every sidecar

Two routes with the same host and prefix were matched in the order of a map, so that sidecars sent the same request by different routes. The first by name matches now. A route whose prefix can't be read got every request of its host that no other route matches, with its own services; docs/configuration.md states that it matches nothing, and it does so now. Routes and Services list the parts of a manifest by name, for its check before submission.

TestMatchAmbiguous covers both.

--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -100,7 +101,9 @@
 		m.routesByHost[host] = append(m.routesByHost[host], r)
 	}
 	for _, hostRoutes := range m.routesByHost {
-		slices.SortFunc(hostRoutes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		slices.SortFunc(hostRoutes, func(a, b Route) int {
+			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Name, b.Name))
+		})
 	}
 	for _, s := range services {
 		m.services[s.Name] = s
@@ -155,6 +158,21 @@
 	return s, ok
 }
 
+// Routes returns all routes, sorted by name.
+func (m *Manifest) Routes() []Route {
+	var all []Route
+	for _, hostRoutes := range m.routesByHost {
+		all = append(all, hostRoutes...)
+	}
+	slices.SortFunc(all, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Services returns the settings of all services, sorted by name.
+func (m *Manifest) Services() []Service {
+	return slices.SortedFunc(maps.Values(m.services), func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // OwnerRegions returns the names of the regions, sorted, in which the keys of a keyed service
 // are to be owned: those that all restricted routes to it allow, also routes that send it no
 // requests at the moment. It returns nil if the keys may be owned in any region: if there is no
@@ -174,13 +192,15 @@
 func (m *Manifest) RestrictedRegions(service string) []string { return m.restrictedRegions[service] }
 
 // Match returns the route of the host whose prefix is the longest that matches the
-// path, or false if none matches. The host may include a port.
+// path, or false if none matches. Of routes with the same host and prefix, the first by name
+// matches. A route without a prefix matches nothing: it is unknown which requests it means. The
+// host may include a port.
 func (m *Manifest) Match(host, path string) (Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
 	for _, r := range m.routesByHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
+		if r.Prefix != "" && strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
 	}
--- a/core/routes/routes_test.go
+++ b/core/routes/routes_test.go
@@ -27,6 +27,23 @@
 	is.True(!ok)
 }
 
+// TestMatchAmbiguous guards against sidecars that match different routes since their maps are in
+// different order, and against a route with an unreadable prefix that gets all requests of a host.
+func TestMatchAmbiguous(t *testing.T) {
+	is := is.New(t)
+	for _, names := range [][]string{{"x", "y"}, {"y", "x"}} {
+		m := routes.NewManifest(1, []routes.Route{
+			{Name: names[0], Host: "h", Prefix: "/a/"}, {Name: names[1], Host: "H", Prefix: "/a/"}, {Name: "unknown", Host: "h"},
+		}, []routes.Service{{Name: names[0]}, {Name: names[1]}}, routes.Limits{})
+		r, _ := m.Match("h", "/a/")
+		is.Equal(r.Name, "x")
+		_, ok := m.Match("h", "/b/")
+		is.True(!ok)
+		is.Equal(m.Routes()[1].Name, "x")
+		is.Equal(m.Services()[0].Name, "x")
+	}
+}
+
 // TestTrafficSplit guards against services that get another share than their weight.
 func TestTrafficSplit(t *testing.T) {
 	is := is.New(t)
