--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -35,8 +35,8 @@
 	// unresponsiveAfter is the time in milliseconds without a response after which a daemon
 	// may be frozen: many requests to a working daemon end within it.
 	unresponsiveAfter clock.Millis = 600
-	// maxSends bounds the number of times that one request is sent to a daemon.
-	maxSends = 6
+	// MaxSends bounds the number of times that one request is sent to a daemon.
+	MaxSends = 6
 	// maxOverloadRefusals is the number of refusals by overloaded daemons, or for cold
 	// upstreams, after which a request is refused: the daemons were selected by load, so the others are no better.
 	// A nested request is sent to more daemons, as refusing it wastes the work of its
@@ -209,7 +209,7 @@
 
 func (p *pendingRequest) run(ctx context.Context) Result {
 	p.lastReply = NotRun(outcome.ReasonNoOwner)
-	for p.sends < maxSends {
+	for p.sends < MaxSends {
 		target, ok := p.nextTarget(ctx)
 		if !ok {
 			break
