--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -53,6 +53,15 @@
 	slowRequestThreshold clock.Millis = 2000
 )
 
+// SupportedLimits returns the largest limits for callers that a sidecar applies. The memory of an
+// instance may bound bodies further.
+func SupportedLimits() routes.Limits {
+	return routes.Limits{
+		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: callerhttp.MaxBodyBytes,
+		HeaderTimeout: clock.FromDuration(readHeaderTimeout), IdleTimeout: clock.FromDuration(idleTimeout),
+	}
+}
+
 // newServer returns a server. readTimeout bounds the time for reading a request with its
 // body, 0 if the handler does so.
 func newServer(handler http.Handler, readTimeout time.Duration) *http.Server {
--- a/sidecar/command/command.go
+++ b/sidecar/command/command.go
@@ -29,13 +29,14 @@
 const version = "0.1"
 
 // Run runs the sidecar with the given arguments and returns the exit code: 2 for invalid
-// arguments or settings, 1 if an address can't be bound, a request can't be explained or a background task
-// has failed.
+// arguments or settings, 1 if an address can't be bound, a request can't be explained, a manifest has errors
+// or a background task has failed.
 func Run(arguments []string, out io.Writer) int {
 	parser := flaggy.NewParser("sidecar")
 	parser.Description = "Routes requests to the upstreams that own their keys; runs beside one of them."
 	parser.Version = version
-	parser.ShowHelpOnUnexpected = false
+	// A sidecar starts in spite of unknown arguments; the check of a manifest does not ignore any.
+	parser.ShowHelpOnUnexpected = len(arguments) > 0 && arguments[0] == checkManifestName
 	path := platform.SettingsPath()
 	var checkOnly bool
 	parser.String(&path, "s", "settings", "path of the JSON settings file")
@@ -47,12 +48,20 @@
 	explainCommand.String(&request, "r", "request", "ID of the request")
 	explainCommand.StringSlice(&files, "l", "log", "file with collected log lines; may be given several times")
 	parser.AttachSubcommand(explainCommand, 1)
+	checker := newManifestChecker()
+	parser.AttachSubcommand(checker.subcommand, 1)
+	if err := validateManifestArguments(arguments); err != nil {
+		return fail(out, exitBadInput, err)
+	}
 	if err := parser.ParseArgs(arguments); err != nil {
 		return fail(out, exitBadInput, err)
 	}
 	if explainCommand.Used {
 		return explainRequest(out, request, files)
 	}
+	if checker.subcommand.Used {
+		return checker.run(arguments, parser.TrailingArguments, out)
+	}
 	if checkOnly {
 		if _, err := readSettings(path); err != nil {
 			return fail(out, exitBadInput, err)
--- a/sidecar/command/signals_test.go
+++ b/sidecar/command/signals_test.go
@@ -25,10 +25,21 @@
 // settingsVariable is the environment variable with which the test binary runs as a sidecar.
 const settingsVariable = "SIDECAR_TEST_SETTINGS"
 
+// argumentsVariable is the environment variable with the arguments, separated by spaces, with which
+// the test binary runs as a sidecar. EMPTY stands for an empty one.
+const argumentsVariable = "SIDECAR_TEST_ARGUMENTS"
+
 func TestMain(m *testing.M) {
 	if path := os.Getenv(settingsVariable); path != "" {
 		os.Exit(command.Run([]string{"--settings", path}, os.Stdout))
 	}
+	if line := os.Getenv(argumentsVariable); line != "" {
+		arguments := strings.Fields(line)
+		for i, argument := range arguments {
+			arguments[i] = strings.TrimPrefix(argument, "EMPTY")
+		}
+		os.Exit(command.Run(arguments, os.Stdout))
+	}
 	os.Exit(m.Run())
 }
 
