capacity: probe upward in larger steps and more often

Cause: after a knee had vanished, a limit of 8 of 12 was at 8 to 10 still 120 s later: upward probes used steps of 1.15, waited 30 s and double, and earlier evidence lost a tenth of its weight only.

Change: steps of 1.3, 10 s between probes below the announced slots, evidence of earlier probes weighs 0.6. TestKneeVanishes.

--- a/core/capacity/estimator_test.go
+++ b/core/capacity/estimator_test.go
@@ -105,6 +105,34 @@
 	}
 }
 
+// TestKneeVanishes guards against a limit that stays low once the upstream runs more requests
+// without losing throughput.
+func TestKneeVanishes(t *testing.T) {
+	is := is.New(t)
+	limit, lowest, restoredAt := 0, 12, clock.Millis(0)
+	s := newScenario(12, 1.1, func(s *scenario) {
+		s.knee, s.steepness, s.kneeUntil, s.seconds = 0.6, 2, 30_000, 100
+		s.load = func(now clock.Millis) float64 {
+			if now < s.kneeUntil {
+				return 1.1
+			}
+			return 2 // of the throughput with the knee, so that requests wait
+		}
+		s.observe = func(now clock.Millis, state *admission.State) {
+			before := limit
+			limit = state.Capacity(now).Limit
+			lowest = min(lowest, limit)
+			if limit > before {
+				restoredAt = now
+			}
+		}
+	})
+	simulate(s, learned)
+	t.Logf("limit at least %d, %d of 12 from %d ms on", lowest, limit, restoredAt)
+	is.True(lowest < 12)
+	is.Equal(limit, 12)
+}
+
 // TestNewSpeed guards against a capacity that follows a new speed of the upstream late. After
 // 2 s three quarters of the change (of its logarithm) have to show, with reports all of it but
 // for the 15% that the capacity may be wrong by.
--- a/core/capacity/probe.go
+++ b/core/capacity/probe.go
@@ -50,6 +50,9 @@
 	// probes with a clear result. It doubles with each that changes nothing.
 	minProbeInterval clock.Millis = 30_000
 	maxProbeInterval clock.Millis = 240_000
+	// loweredProbeInterval is this time while the limit is below the announced slots, as a
+	// limit that is too low costs more than a probe.
+	loweredProbeInterval clock.Millis = 10_000
 	// changedProbeInterval and unclearProbeInterval are this time after a change of the
 	// limit and after an unclear result.
 	changedProbeInterval clock.Millis = 500
@@ -63,7 +66,7 @@
 	// lowerShare is the lower number of a downward probe as a share of the limit, and
 	// upperShare the higher number of an upward one.
 	lowerShare = 0.7
-	upperShare = 1.15
+	upperShare = 1.3
 	// minLowerShare is the least share: with one of two slots, a probe would cost half of the
 	// throughput.
 	minLowerShare = 0.6
@@ -99,7 +102,7 @@
 	// sample: the number of running requests then depends on the speed.
 	maxIdleShare = 0.2
 	// evidenceDecay multiplies the weight of earlier pairs at the start of a probe.
-	evidenceDecay = 0.9
+	evidenceDecay = 0.6
 )
 
 // probe compares the service times at two numbers of running requests, in windows of
@@ -313,6 +316,9 @@
 		p.change(e, p.hi, ReasonRaised)
 	case !p.up && slope+keepDeviations*deviation < kneeSlope, p.up && slope-keepDeviations*deviation > kneeSlope:
 		p.interval = min(max(2*p.interval, minProbeInterval), maxProbeInterval)
+		if e.limit < e.slots {
+			p.interval = loweredProbeInterval
+		}
 		p.stop(e, p.interval)
 	case p.pairs >= maxProbePairs:
 		p.stop(e, unclearProbeInterval)
--- a/core/capacity/simulation_test.go
+++ b/core/capacity/simulation_test.go
@@ -26,6 +26,8 @@
 	// knee is the share of the slots above which the service time grows with the power
 	// steepness of the running requests; 0 for none.
 	knee, steepness float64
+	// kneeUntil is the time at which the knee vanishes, 0 if it stays.
+	kneeUntil clock.Millis
 	// factor returns a further factor of an upstream's service times.
 	factor  func(upstream int, now clock.Millis) float64
 	reports bool
@@ -217,6 +219,9 @@
 
 // run advances the requests at an upstream by one step.
 func (s *simulation) run(now clock.Millis, u int) {
+	if s.kneeUntil > 0 && now >= s.kneeUntil {
+		s.knee = 0
+	}
 	factor := s.factor(u, now)
 	progress := stepMillis / (factor * s.slowness[u] * s.shape(len(s.running[u])))
 	kept := make([]*job, 0, s.slots)
