--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -6,6 +6,7 @@
 
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/evacuation"
 	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/identity"
@@ -51,6 +52,10 @@
 	candidatesChanged bool
 	// peerHolders are the members that are holders of the own service.
 	peerHolders []membership.Member
+	// domain is the state of this instance's failure domain, which leaves use within
+	// outOfUseWithin milliseconds.
+	domain         evacuation.Domain
+	outOfUseWithin clock.Millis
 	// encodedMember is the latest content of the own member row with its encoding. Only the
 	// control loop uses it.
 	encodedMember struct {
@@ -73,6 +78,7 @@
 			Instance: instance, Incarnation: incarnation, HoldMax: s.HoldMax(),
 		}, tracker),
 		leaseWitness:     keyowner.NewLeaseWitness(incarnation),
+		outOfUseWithin:   s.OutOfUseWithin(),
 		unreachableUntil: make(map[string]clock.Millis),
 		startedAt:        now,
 		updatedSinceLoad: make(map[string]bool),
@@ -325,8 +331,9 @@
 }
 
 // nextChange returns the change of the own service's assignment that is due at now, if any. Cold
-// is true while the upstream is cold.
-func (s *state) nextChange(now clock.Millis, cold bool) (keyowner.Change, bool) {
+// is true while the upstream is cold. The owner regions are those of the service, nil if its keys
+// may be owned in any region.
+func (s *state) nextChange(now clock.Millis, cold bool, ownerRegions []string) (keyowner.Change, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.keyController.SetCold(cold)
@@ -334,6 +341,7 @@
 		s.candidatesChanged = false
 		s.keyController.SetMembers(s.witnessCandidates(now))
 	}
+	s.keyController.SetPlaceable(s.placeable(ownerRegions))
 	return s.keyController.NextChange(now)
 }
 
