capacity, dispatch: demand and key moves use a capacity averaged over seconds

Cause: the capacity that holders report follows the upstream within half a second. An upstream that shares its machine takes three times as long for moments, so its demand passed the threshold for key moves again and again; keys are not served for about a second while they move.

Admission and the choice among upstreams still use the momentary figures.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -91,7 +91,7 @@
 	LinkBacklog    clock.Millis
 	InboundBacklog clock.Millis
 	// Capacity is the number of requests per second that the upstream serves without
-	// queueing, 0 if unknown.
+	// queueing, averaged over some seconds; 0 if unknown.
 	Capacity int
 	// ColdRate is the number of requests per second that the upstream accepts while it is
 	// cold, 0 if it is not cold or gets none then. ColdFor is the time in milliseconds until it
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -8,6 +8,7 @@
 
 	"briarwell.dev/core/admission"
 	"briarwell.dev/core/balance"
+	"briarwell.dev/core/capacity"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/memory"
@@ -82,6 +83,8 @@
 	responseSizes memory.Estimate
 	// failures is the share of requests that the upstream failed.
 	failures failureShare
+	// sustained is the capacity by which keys are moved.
+	sustained capacity.Sustained
 	cold     coldGate
 	// retries holds the places promised to callers of refused requests.
 	retries retryafter.Schedule
@@ -108,9 +111,9 @@
 	learned := e.gate.Capacity()
 	load := balance.Load{
 		Running: e.gate.InFlight(), Waiting: e.gate.Queued(), Slots: learned.Limit, ServiceTime: e.gate.ServiceMillis(),
-		Capacity: int(math.Round(learned.PerSecond)),
 	}
 	e.mu.Lock()
+	load.Capacity = int(math.Round(e.sustained.Observe(e.clock.Now(), learned.PerSecond)))
 	rate := e.keyMeter.TotalRate(e.clock.Now())
 	load.LinkMbps = int(e.link.Mbps())
 	load.LinkBacklog = e.link.Backlog(e.clock.Now())
@@ -118,8 +121,8 @@
 	load.FailurePercent = int(e.failures.at(e.clock.Now()) * percent)
 	e.mu.Unlock()
 	load.ColdRate, load.ColdFor = e.cold.load()
-	if capacity := load.RequestRate(); capacity > 0 {
-		load.DemandPercent = int(rate / capacity * percent)
+	if perSecond := load.RequestRate(); perSecond > 0 {
+		load.DemandPercent = int(rate / perSecond * percent)
 	}
 	return load
 }
@@ -387,12 +390,12 @@
 	}
 	request := e.retryRequest(r, policy)
 	request.Final = request.Final || promised
-	capacity := retryafter.Capacity{
+	upstreamCapacity := retryafter.Capacity{
 		Slots: load.Slots, Waiting: load.Waiting, ServiceTime: load.ServiceTime, ClassServiceTime: e.gate.ClassServiceMillis(policy.Class),
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.retries.Refuse(e.clock.Now(), capacity, request)
+	return e.retries.Refuse(e.clock.Now(), upstreamCapacity, request)
 }
 
 // queueDrainTime returns the time in milliseconds that the upstream needs for the waiting
