--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -85,7 +85,7 @@
 	failures failureShare
 	// sustained is the capacity by which keys are moved.
 	sustained capacity.Sustained
-	cold     coldGate
+	cold      coldGate
 	// retries holds the places promised to callers of refused requests.
 	retries retryafter.Schedule
 }
