retryafter: a caller without a place retries while its target can still be met

Cause: callers for whom there was no place were told to retry in the second half of what they honour, 250 to 500 ms, when the response misses a target of 400 ms for certain. That happens most at sustained overload.

Change: these retries are spread over the time in which their response can still meet the target, if there is any.

Result: TestUnpromisedRetryMeetsTarget fails without the change.

--- a/core/retryafter/retryafter.go
+++ b/core/retryafter/retryafter.go
@@ -120,7 +120,8 @@
 
 // Refuse returns the time in milliseconds after which the caller of a refused request is
 // told to retry: the next free time in the schedule, or, if there is none that the caller
-// would honour, a time that spreads the retries.
+// would honour, a time that spreads the retries: over the time in which a retry can still meet
+// its target, if there is any.
 func (s *Schedule) Refuse(now clock.Millis, capacity Capacity, r Request) clock.Millis {
 	s.expire(now)
 	remaining := r.Deadline - now
@@ -140,6 +141,11 @@
 		}
 	}
 	s.counts.Unpromised++
+	if inTime := min(r.LatencyBudget-classTime-transitTime, latest); inTime > minDelay {
+		// A retry that can meet its target is worth more than a later one, although it
+		// competes with first attempts.
+		return spreadBetween(minDelay, inTime, r.ID)
+	}
 	return Spread(remaining, r.ID)
 }
 
@@ -261,7 +267,11 @@
 // later retry finds more keys and upstreams, and a constant would make all return at once.
 func Spread(remaining clock.Millis, id string) clock.Millis {
 	latest := longestDelay(remaining)
-	earliest := max(latest/2, min(minDelay, latest))
+	return spreadBetween(max(latest/2, min(minDelay, latest)), latest, id)
+}
+
+// spreadBetween returns a time in milliseconds from earliest to latest that depends on the ID.
+func spreadBetween(earliest, latest clock.Millis, id string) clock.Millis {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id)) // It returns no error.
 	fraction := float64(h.Sum32()*hashMultiplier) / (1 << 32)
--- a/core/retryafter/retryafter_test.go
+++ b/core/retryafter/retryafter_test.go
@@ -69,3 +69,21 @@
 	is.Equal(retryafter.Spread(0, "x"), clock.Millis(1))
 	is.True(retryafter.Spread(120, "x") <= 40)
 }
+
+// TestUnpromisedRetryMeetsTarget guards against callers without a place in the schedule that are
+// told to retry so late that the response misses their target.
+func TestUnpromisedRetryMeetsTarget(t *testing.T) {
+	is := is.New(t)
+	var s retryafter.Schedule
+	capacity := retryafter.Capacity{Slots: 1, Waiting: 8, ServiceTime: 100, ClassServiceTime: 100}
+	earliest, latest := clock.Millis(1000), clock.Millis(0)
+	for i := range 100 {
+		after := s.Refuse(0, capacity, retryafter.Request{ID: fmt.Sprintf("request-%d", i), Class: "r", Deadline: 1500, LatencyBudget: 400})
+		earliest, latest = min(earliest, after), max(latest, after)
+	}
+	is.Equal(s.Counts(0).Promised, uint64(0)) // the queue alone takes 900 ms
+	is.True(earliest < 100)
+	is.True(latest <= 400-100-40)
+	late := s.Refuse(0, capacity, retryafter.Request{ID: "late", Class: "r", Deadline: 1500, LatencyBudget: 120})
+	is.True(late >= 250) // no retry meets the target: later upstreams have more capacity
+}
