retryafter: a first attempt 40 ms later takes no promised place

A place is found from 20 ms before its time on, which is 40 ms after the refusal for the shortest retry time of 60 ms. Deadlines counted as equal up to 40 ms apart. So a first attempt with the same timeout that came exactly 40 ms after a refused one took its place; the retry was then treated as a first attempt and refused.

It depends on which of two requests at the same millisecond comes first, so only some runs fail.

The tolerance now follows from the two other constants (39 ms).

--- a/core/retryafter/retryafter.go
+++ b/core/retryafter/retryafter.go
@@ -21,9 +21,10 @@
 	// way: a round trip between regions takes 41 ms.
 	transitTime clock.Millis = 40
 	// deadlineTolerance is the difference in milliseconds up to which the deadlines of two
-	// attempts of a request differ by the time that each was on its way. It is below
-	// minDelay, so that a first attempt with the same timeout is not taken for a retry.
-	deadlineTolerance clock.Millis = 40
+	// attempts of a request differ by the time that each was on its way. A place is claimed
+	// minDelay - earlyTolerance after the refusal at the earliest. The tolerance is below that,
+	// so that a first attempt with the same timeout is not taken for a retry.
+	deadlineTolerance = minDelay - earlyTolerance - 1
 	// earlyTolerance and lateTolerance bound the difference in milliseconds between the
 	// promised time and the arrival of a retry. A place that is not claimed by then expires.
 	earlyTolerance clock.Millis = 20
--- a/core/retryafter/retryafter_test.go
+++ b/core/retryafter/retryafter_test.go
@@ -42,6 +42,21 @@
 	is.Equal(s.Counts(500).Expired, promised-1)
 }
 
+// TestFirstAttemptsClaimNoPlace guards against a first attempt that takes the place of a refused
+// request with the same timeout, at any time at which the retry may come.
+func TestFirstAttemptsClaimNoPlace(t *testing.T) {
+	is := is.New(t)
+	var s retryafter.Schedule
+	retryAfter := s.Refuse(0, retryafter.Capacity{Slots: 4, ServiceTime: 100}, refused("first", 0))
+	is.Equal(retryAfter, clock.Millis(60)) // the shortest one
+	for now := range clock.Millis(200) {
+		other := refused("other", 0)
+		other.Deadline += now
+		is.True(!s.Arrive(now, other))
+	}
+	is.True(s.Arrive(200, refused("retry", 0)))
+}
+
 // TestAbandonedPlaces guards against places that stay taken although their callers have not
 // come back, and against a schedule without room after a time without load.
 func TestAbandonedPlaces(t *testing.T) {
