dispatch: a failed assertion of TestPromisedRetry does not panic

The sleep until all other requests have ended was the last statement, so a failed assertion left the synctest bubble before it. The bubble then panicked with "deadlock: main bubble goroutine has exited but blocked goroutines remain" and ended the run of the whole package. The sleep is now deferred. The assertions are unchanged.

--- a/core/dispatch/retries_test.go
+++ b/core/dispatch/retries_test.go
@@ -22,6 +22,9 @@
 func TestPromisedRetry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
+		// All other requests end before the bubble does, also after a failed assertion: the
+		// bubble would panic otherwise, and the other tests of the package would not run.
+		defer time.Sleep(30 * time.Second)
 		u := &fakeUpstream{state: dispatch.UpstreamState{Service: "s", Up: true}, serviceTime: 100 * time.Millisecond}
 		c := bubbleClock{start: time.Now()}
 		e := dispatch.NewExecutor(c, u, admission.NewGate(c, admission.Settings{Slots: 2}), 0)
@@ -51,6 +54,5 @@
 		is.True(counts.Promised >= 5)
 		is.Equal(counts.Claimed, counts.Promised)
 		is.True(servedRetries >= counts.Claimed)
-		time.Sleep(30 * time.Second)
 	})
 }
