soak: cold upstreams, evacuations and restricted routes

Upstreams are cold after each start, and turn cold without notice (fault "cold"). Failure domains are evacuated and returned (fault "evacuate"); the operator's writes go through the store's protocol, so that they meet its outages. One route without keys is always restricted to a region, and one with keys is by every second manifest. The instances of both services are spread over regions, and the domains of six instances are their regions.

Checked at the upstreams only: requests in any second while cold, requests in an evacuated domain, regions of restricted routes, and requests after a return. A sidecar must know an evacuation once it has run with its link to the store for 5 s since the acknowledgement; later faults do not excuse it. For a second after a fault of the link to an upstream, requests that the proxy held back may arrive, and the first two checks are not made.

Extending the time of a cold upstream is not tried: two cold phases less than a second apart are a stated limit of docs/design/cold-upstreams.md.

--- a/demo/soak/callers.go
+++ b/demo/soak/callers.go
@@ -29,18 +29,19 @@
 // requestBody returns the body of the request with the given ID.
 func requestBody(id string) string { return strings.Repeat(id+".", bodyRepetitions) }
 
-// runCaller sends requests to an instance until ctx ends, over persistent
-// connections. Half of the requests are idempotent (GET), the others are not (POST).
+// runCaller sends requests to an instance until ctx ends, over persistent connections. The
+// ID of a request begins with the name of its route. Most requests to the keyed service are
+// idempotent (GET), those to the other one are not (POST).
 func (r *Runner) runCaller(ctx context.Context, in *instance) {
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		id := fmt.Sprintf("%s-%d", in.name, requestCount.Add(1))
+		route := [...]string{"browse", "browse", "browse", "book", "book", restrictedRoute, keyedRestrictedRoute}[rand.IntN(7)] //nolint:gosec // Routes need no secure randomness.
+		id := fmt.Sprintf("%s-%s-%d", route, in.name, requestCount.Add(1))
 		c := platformtest.CallerRequest{ID: id, Address: in.ip + ":9001", Host: "h", Key: rand.IntN(keyCount), Timeout: callerTimeout, Body: requestBody(id)} //nolint:gosec // Keys need no secure randomness.
-		if c.Key%2 == 0 {
-			c.Method, c.Path = http.MethodGet, "/browse/"+id
-		} else {
-			c.Method, c.Path = http.MethodPost, "/book/"+id
+		c.Method, c.Path = http.MethodGet, "/"+route+"/"+id
+		if route == "book" || route == restrictedRoute {
+			c.Method = http.MethodPost
 			r.checker.recordNonIdempotent(id)
 		}
 		r.sendRequest(ctx, client, c)
@@ -71,7 +72,8 @@
 	switch {
 	case err != nil:
 		r.checker.recordResponse(false)
-	case response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests:
+	case response.StatusCode == http.StatusNotFound && routeOf(c.ID) == keyedRestrictedRoute, // The manifest lacks it at times.
+		response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests:
 		r.checker.recordRefusal(c.ID, response.StatusCode)
 	case response.StatusCode == http.StatusOK:
 		r.checker.recordResponse(true)
--- a/demo/soak/instance.go
+++ b/demo/soak/instance.go
@@ -37,6 +37,8 @@
 	index          int
 	name           string
 	service        string
+	region         string
+	domain         string
 	ip             string
 	storeProxy     *Proxy
 	heartbeatProxy *Proxy
@@ -52,22 +54,42 @@
 	// departed is the upstream whose shutdown was acknowledged at departedAt.
 	departed   *platformtest.Upstream
 	departedAt time.Time
-	// disturbances counts the faults that delay what the sidecar does, disturbedAt is the end
-	// of the last one.
-	disturbances int
-	disturbedAt  time.Time
+	// slowed has the faults that delay what the sidecar does, cutOff those that keep it from
+	// the store, and lateArrivals those that delay the arrival of requests at the upstream.
+	slowed, cutOff, lateArrivals disturbance
+	// informedOf is the acknowledgement time of the latest evacuation that the sidecar knows.
+	informedOf time.Time
+	// arrivals has the times of the requests in the last second while the upstream is cold.
+	arrivals []time.Time
+	// requestedAt is the time of the last request that an upstream ran.
+	requestedAt time.Time
+}
+
+// disturbance counts the current faults of a kind, and has the end of the last one.
+type disturbance struct {
+	count   int
+	endedAt time.Time
+}
+
+// since returns the time since the end of the last fault, 0 during one.
+func (d disturbance) since() time.Duration {
+	if d.count > 0 {
+		return 0
+	}
+	return time.Since(d.endedAt)
 }
 
 // settingsFormat is the format of the settings file of a sidecar.
-const settingsFormat = `{"instance":%q,"region":"r%d","failureDomain":"r%dd%d","ip":%q,"service":%q,"upstreamAddress":"%[5]s:9010",
-"callerAddress":"%[5]s:9001","requestAddress":"%[5]s:9002","readyAddress":"%[5]s:9003","reportAddress":"%[5]s:9004","peerPort":9005,
-"metricsPort":9006,"storeAddress":"%[5]s:9011","holdMax":"10000ms","drain":"2500ms","grace":"6s","retryShare":0.2,"retrySlack":56,
+const settingsFormat = `{"instance":%q,"region":%q,"failureDomain":%q,"ip":%q,"service":%q,"upstreamAddress":"%[4]s:9010",
+"callerAddress":"%[4]s:9001","requestAddress":"%[4]s:9002","readyAddress":"%[4]s:9003","reportAddress":"%[4]s:9004","peerPort":9005,
+"metricsPort":9006,"storeAddress":"%[4]s:9011","outOfUseWithin":"5s","coldOvershoot":1.5,"coldSlack":8,"holdMax":"10000ms","drain":"2500ms","grace":"6s","retryShare":0.2,"retrySlack":56,
 "retryWindow":"10s","linkMbps":0}`
 
 // newInstance starts the proxies, the upstream and the sidecar of an instance.
 func (r *Runner) newInstance(index int, service, storeAddress string) (*instance, error) {
 	in := &instance{runner: r, index: index, service: service, name: fmt.Sprintf("i%02d", index), ip: fmt.Sprintf("127.%d.0.%d", r.networkNumber(), index+1)}
-	text := fmt.Sprintf(settingsFormat, in.name, index%3, index%3, index%2, in.ip, service)
+	in.region, in.domain = fmt.Sprintf("r%d", index%3), fmt.Sprintf("r%dd%d", index%3, index/6%2)
+	text := fmt.Sprintf(settingsFormat, in.name, in.region, in.domain, in.ip, service)
 	if err := os.WriteFile(r.processes.FilePath(in.name+".json"), []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -96,22 +118,68 @@
 	}
 	in.sidecarStarts++
 	sidecar, err := in.runner.processes.Start(fmt.Sprintf("%s-%d", in.name, in.sidecarStarts), in.runner.options.Program, "--settings", in.runner.processes.FilePath(in.name+".json"))
-	in.sidecar, in.disturbedAt = sidecar, time.Now()
+	in.sidecar, in.slowed.endedAt, in.cutOff.endedAt = sidecar, time.Now(), time.Now()
 	return err
 }
 
-// recordDisturbance records that a fault delays what the sidecar does, until the returned
-// function is called.
-func (in *instance) recordDisturbance() func() {
+// recordDisturbance records a fault of the given kinds, until the returned function is called.
+func (in *instance) recordDisturbance(kinds ...*disturbance) func() {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.disturbances++
+	in.recordInformed()
+	for _, d := range kinds {
+		d.count++
+	}
 	return func() {
 		in.mu.Lock()
 		defer in.mu.Unlock()
-		in.disturbances--
-		in.disturbedAt = time.Now()
+		for _, d := range kinds {
+			d.count--
+			d.endedAt = time.Now()
+		}
+	}
+}
+
+// recordInformed reports whether the failure domain is out of use and the sidecar must know it:
+// since the acknowledgement it has run with its link to the store for outOfUseWithin once. What
+// it knows outlasts later faults. The caller holds in.mu.
+func (in *instance) recordInformed() bool {
+	acknowledged, ok := in.runner.evacuatedAt(in.domain)
+	if ok && min(in.cutOff.since(), time.Since(acknowledged)) > outOfUseWithin {
+		in.informedOf = acknowledged
+	}
+	return ok && in.informedOf.Equal(acknowledged)
+}
+
+// checkArrival checks a request that starts to run against the bounds for upstreams that are
+// out of use or cold.
+func (in *instance) checkArrival(u *platformtest.Upstream, id string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.requestedAt = time.Now()
+	if in.lateArrivals.since() < lateArrivalTime {
+		in.arrivals = nil
+		return // Requests that a fault held back may arrive at any time.
+	}
+	if in.recordInformed() {
+		in.runner.checker.addFinding("request %s started at %s in the evacuated domain %s", id, u.ID, in.domain)
+	}
+	if in.upstream != u || u.ColdRemaining() == 0 {
+		in.arrivals = nil
+		return
+	}
+	in.arrivals = append(in.arrivals, in.requestedAt)
+	for in.requestedAt.Sub(in.arrivals[0]) >= time.Second {
+		in.arrivals = in.arrivals[1:]
 	}
+	in.runner.checker.checkColdCount(len(in.arrivals), u.ID)
+}
+
+// requestedSince reports whether an upstream of the instance has run a request since a time.
+func (in *instance) requestedSince(t time.Time) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.requestedAt.After(t)
 }
 
 // recordDeparture records that the shutdown of an upstream was acknowledged.
@@ -126,7 +194,7 @@
 func (in *instance) sinceDrain(u *platformtest.Upstream) (time.Duration, bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.departed != u || in.disturbances > 0 || time.Since(in.disturbedAt) < contactTime {
+	if in.departed != u || in.slowed.since() < contactTime {
 		return 0, false
 	}
 	return time.Since(in.departedAt) - drainTime, true
@@ -140,12 +208,27 @@
 
 // pauseSidecar suspends the sidecar for a time.
 func (in *instance) pauseSidecar(length time.Duration) error {
-	defer in.recordDisturbance()()
+	defer in.recordDisturbance(&in.slowed, &in.cutOff)()
 	err := in.signalSidecar(syscall.SIGSTOP)
 	time.Sleep(length)
 	return errors.Join(err, in.signalSidecar(syscall.SIGCONT))
 }
 
+// disturbLink applies a fault of a link.
+func (in *instance) disturbLink(f Fault) {
+	proxy, kinds := in.heartbeatProxy, []*disturbance{&in.slowed}
+	switch f.Kind { //nolint:exhaustive // The others are no faults of links.
+	case StoreLink:
+		proxy, kinds = in.storeProxy, append(kinds, &in.cutOff)
+	case UpstreamLink:
+		proxy, kinds = in.upstreamProxy, append(kinds, &in.lateArrivals)
+	}
+	defer in.recordDisturbance(kinds...)()
+	proxy.SetMode(f.Mode)
+	time.Sleep(f.Duration)
+	proxy.SetMode(Pass)
+}
+
 // hangUpSidecar sends SIGHUP to the sidecar again and again for a time.
 func (in *instance) hangUpSidecar(length time.Duration) error {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(hangupInterval) {
@@ -192,11 +275,19 @@
 		ID: fmt.Sprintf("%s-life%d", in.name, in.upstreamStarts), Service: in.service, Address: in.ip + ":9010", Slots: upstreamSlots,
 		ServiceTime: upstreamServiceTime, Keyed: in.service == keyedService, Client: &http.Client{Timeout: heartbeatTimeout},
 	}
+	u.BecomeCold(coldStart)
+	u.OnArrival = func(id string) {
+		if regions := allowedRegions(routeOf(id)); regions != nil {
+			in.runner.checker.checkRegion(id, in.region, regions)
+		}
+	}
+
 	u.OnStart = func(id, key string) { in.runner.checkRequestStart(in, u, id, key) }
 	l, err := net.Listen("tcp", in.ip+":9000")
 	if err != nil {
 		return err
 	}
+	in.arrivals = nil
 	in.upstream, in.upstreamServer = u, &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
 	server := in.upstreamServer
 	go func() { _ = server.Serve(l) }() // Returns when stopUpstream closes the server.
--- a/demo/soak/plan.go
+++ b/demo/soak/plan.go
@@ -40,7 +40,8 @@
 	LostResponses
 	// HistoryLoss makes the feeds of the store respond that the history is gone.
 	HistoryLoss
-	// ManifestChange writes a new manifest with an additional route.
+	// ManifestChange writes a new manifest, with a restricted route of the keyed service if the
+	// previous one had none.
 	ManifestChange
 	// KillAll kills all sidecars and restarts them.
 	KillAll
@@ -51,6 +52,10 @@
 	Hangups
 	// StoreSilence makes calls to the store get no response, also those that are pending.
 	StoreSilence
+	// ColdTurn makes an upstream cold without notice, unless it is cold already.
+	ColdTurn
+	// Evacuate takes the failure domain of an instance out of use and returns it.
+	Evacuate
 	faultKindCount
 )
 
@@ -58,7 +63,7 @@
 func (k FaultKind) String() string {
 	return [...]string{
 		"pause", "kill", "restart", "reload", "crash", "storeLink", "upstreamLink", "reportLink", "outage", "lostAnswers", "history",
-		"manifest", "killAll", "leave", "hangups", "silence",
+		"manifest", "killAll", "leave", "hangups", "silence", "cold", "evacuate",
 	}[k]
 }
 
--- a/demo/soak/responsechecker.go
+++ b/demo/soak/responsechecker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 )
 
@@ -22,6 +23,11 @@
 	servedCount   int
 	refusedCount  int
 	unknownCount  int
+	// maxColdCount is the highest number of requests that a cold upstream got in a second.
+	maxColdCount int
+	// restrictedCount is the number of requests of restricted routes at upstreams.
+	restrictedCount int
+	evacuationCount int
 }
 
 func newResponseChecker() *responseChecker {
@@ -70,6 +76,33 @@
 	c.unknownCount++
 }
 
+// checkColdCount checks the number of requests that a cold upstream got in a second.
+func (c *responseChecker) checkColdCount(count int, upstream string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxColdCount = max(c.maxColdCount, count)
+	if count > maxColdRequests {
+		c.findings = append(c.findings, fmt.Sprintf("cold upstream %s got %d requests in a second", upstream, count))
+	}
+}
+
+// checkRegion checks that an upstream's region is one of those of a route.
+func (c *responseChecker) checkRegion(id, region string, allowed []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.restrictedCount++
+	if !slices.Contains(allowed, region) {
+		c.findings = append(c.findings, fmt.Sprintf("request %s arrived in the region %s, which its route does not allow", id, region))
+	}
+}
+
+// recordEvacuation counts a failure domain that was out of use and returned.
+func (c *responseChecker) recordEvacuation() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuationCount++
+}
+
 // checkExecutions checks the executions against the responses. It must be called
 // after all callers have ended.
 func (c *responseChecker) checkExecutions() {
--- a/demo/soak/runner.go
+++ b/demo/soak/runner.go
@@ -70,12 +70,12 @@
 
 // Runner runs the sidecars, upstreams, callers and faults of one seed.
 type Runner struct {
-	options         Options
-	processes       *harness.ProcessSet
-	store           *platformtest.Store
-	instances       []*instance
-	checker         *responseChecker
-	manifestVersion int
+	options   Options
+	processes *harness.ProcessSet
+	store     *platformtest.Store
+	instances []*instance
+	checker   *responseChecker
+	placement placement
 }
 
 // networkNumber returns the second byte of the loopback addresses of the run.
@@ -88,9 +88,9 @@
 	if err != nil {
 		return err
 	}
-	r := &Runner{options: options, processes: processes, store: &platformtest.Store{}, checker: newResponseChecker(), manifestVersion: 1}
-	r.store.WriteManifest(r.manifestVersion)
-	storeAddress := fmt.Sprintf("127.%d.1.1:9100", r.networkNumber())
+	r := &Runner{options: options, processes: processes, store: &platformtest.Store{}, checker: newResponseChecker()}
+	r.writeManifest(false)
+	storeAddress := r.storeAddress()
 	l, err := net.Listen("tcp", storeAddress)
 	if err != nil {
 		return err
@@ -105,7 +105,7 @@
 	}()
 	for i := range options.Instances {
 		service := keyedService
-		if i%3 == 2 {
+		if i%6 == 2 || i%6 == 3 { // in two of the three regions
 			service = unkeyedService
 		}
 		in, err := r.newInstance(i, service, storeAddress)
@@ -145,11 +145,14 @@
 	if err := r.waitUntilKeysHeld(ctx); err != nil {
 		r.checker.addFinding("keys were not held again after the faults: %v", err)
 	}
+	r.writeManifest(false) // Upstreams of all regions may own keys again.
+	r.checkReturns(ctx)
 	stopCallers()
 	callers.Wait()
 	r.checker.checkExecutions()
 	c := r.checker
-	_, _ = fmt.Fprintf(r.options.Out, "seed=%d served=%d refused=%d unknown=%d findings=%d\n", r.options.Seed, c.servedCount, c.refusedCount, c.unknownCount, len(c.findings))
+	_, _ = fmt.Fprintf(r.options.Out, "seed=%d served=%d refused=%d unknown=%d maxCold=%d evacuations=%d restricted=%d findings=%d\n",
+		r.options.Seed, c.servedCount, c.refusedCount, c.unknownCount, c.maxColdCount, c.evacuationCount, c.restrictedCount, len(c.findings))
 	if len(c.findings) > 0 {
 		return &FindingsError{seed: r.options.Seed, findings: c.findings}
 	}
@@ -183,19 +186,13 @@
 	case Pause:
 		return in.pauseSidecar(f.Duration)
 	case Kill, Restart:
+		defer in.recordDisturbance(&in.cutOff)()
 		// A paused sidecar handles SIGTERM only after it is resumed.
 		err := in.stopSidecar(f.Kind == Restart)
 		time.Sleep(min(f.Duration, time.Second))
 		return errors.Join(err, in.startSidecar())
 	case KillAll:
-		var err error
-		for _, in := range r.instances {
-			err = errors.Join(err, in.stopSidecar(false))
-		}
-		for _, in := range r.instances {
-			err = errors.Join(err, in.startSidecar())
-		}
-		return err
+		return r.killAll()
 	case Reload:
 		return in.signalSidecar(syscall.SIGHUP)
 	case Hangups:
@@ -210,24 +207,41 @@
 		time.Sleep(f.Duration)
 		return in.startUpstream()
 	case StoreLink, UpstreamLink, HeartbeatLink:
-		defer in.recordDisturbance()()
-		proxy := map[FaultKind]*Proxy{StoreLink: in.storeProxy, UpstreamLink: in.upstreamProxy, HeartbeatLink: in.heartbeatProxy}[f.Kind]
-		proxy.SetMode(f.Mode)
-		time.Sleep(f.Duration)
-		proxy.SetMode(Pass)
+		in.disturbLink(f)
 	case StoreOutage, LostResponses, HistoryLoss, StoreSilence:
+		if f.Kind == StoreOutage || f.Kind == StoreSilence {
+			defer r.recordCutOff()()
+		}
 		r.store.SetFaults(newStoreFaults(f.Kind))
 		time.Sleep(f.Duration)
 		r.store.SetFaults(platformtest.StoreFaults{})
 	case ManifestChange:
-		r.manifestVersion++
-		r.store.WriteManifest(r.manifestVersion, fmt.Sprintf("/new%d/", r.manifestVersion))
+		r.writeManifest(true)
+	case ColdTurn:
+		if u := in.currentUpstream(); u != nil && u.ColdRemaining() == 0 {
+			u.BecomeCold(f.Duration)
+		}
+	case Evacuate:
+		return r.evacuate(in.domain, outOfUseWithin+f.Duration)
 	default:
 		return fmt.Errorf("unknown fault kind %d", f.Kind)
 	}
 	return nil
 }
 
+// killAll kills all sidecars and restarts them.
+func (r *Runner) killAll() error {
+	defer r.recordCutOff()()
+	var err error
+	for _, in := range r.instances {
+		err = errors.Join(err, in.stopSidecar(false))
+	}
+	for _, in := range r.instances {
+		err = errors.Join(err, in.startSidecar())
+	}
+	return err
+}
+
 const (
 	// hangupInterval is the time between two signals of Hangups.
 	hangupInterval = 60 * time.Millisecond
@@ -333,6 +347,7 @@
 // if another upstream holds the key. It is called before the request is processed.
 func (r *Runner) checkRequestStart(in *instance, u *platformtest.Upstream, id, key string) {
 	r.checker.recordExecution(id)
+	in.checkArrival(u, id)
 	if late, ok := in.sinceDrain(u); ok && late > 0 {
 		r.checker.addFinding("request %s started at %s %s after its drain time", id, u.ID, late)
 	}
--- a/demo/soak/soak_test.go
+++ b/demo/soak/soak_test.go
@@ -24,7 +24,7 @@
 		kinds[fault.Kind.String()] = true
 		is.True(fault.Instance < 6 && fault.Duration <= 7*time.Second)
 	}
-	is.Equal(len(kinds), 16)
+	is.Equal(len(kinds), 18)
 }
 
 // TestProxyModes guards against a proxy that forwards bytes that its mode holds back.
@@ -75,7 +75,8 @@
 }
 
 // TestRun guards against violations of the sidecar's guarantees under the faults of one
-// seed for a short time.
+// seed for a short time: one whose faults include evacuations, cold upstreams and changes of
+// the restricted routes.
 func TestRun(t *testing.T) {
 	is := is.New(t)
 	sidecar := filepath.Join(t.TempDir(), "sidecar")
@@ -86,7 +87,7 @@
 		t.Fatalf("build: %v\n%s", err, output)
 	}
 	err = soak.Run(context.Background(), soak.Options{
-		Program: sidecar, Folder: filepath.Join(t.TempDir(), "run"), Seed: 1, Instances: 6, FaultPhase: 8 * time.Second, Out: t.Output(),
+		Program: sidecar, Folder: filepath.Join(t.TempDir(), "run"), Seed: 57, Instances: 6, FaultPhase: 8 * time.Second, Out: t.Output(),
 	})
 	is.NoErr(err)
 }
