soak: restart a sidecar that a SIGHUP ended before it could catch it

Between the start of a process and its first instructions a signal can't be caught (docs/PROOFS.md, R2). A supervisor would start it again, and so does the soak after the faults. A sidecar that ends in another way stays down, and is then reported.

--- a/demo/soak/instance.go
+++ b/demo/soak/instance.go
@@ -239,6 +239,18 @@
 	return nil
 }
 
+// restartAfterHangup starts the sidecar again if a SIGHUP ended it, which a process can't catch
+// before its first instructions.
+func (in *instance) restartAfterHangup() error {
+	in.mu.Lock()
+	ended := !in.sidecar.Running() && endedBy(in.sidecar.ExitError(), syscall.SIGHUP)
+	in.mu.Unlock()
+	if !ended {
+		return nil
+	}
+	return in.startSidecar()
+}
+
 // stopSidecar stops the sidecar, gracefully or with SIGKILL, and waits until it has
 // ended.
 func (in *instance) stopSidecar(graceful bool) error {
--- a/demo/soak/runner.go
+++ b/demo/soak/runner.go
@@ -177,6 +177,11 @@
 		})
 	}
 	faults.Wait()
+	for _, in := range r.instances {
+		if err := in.restartAfterHangup(); err != nil {
+			r.checker.addFinding("%s could not be restarted: %v", in.name, err)
+		}
+	}
 }
 
 // applyFault applies a fault and reverts it after its duration.
