backpressure: dispatchers refuse what an overloaded owner would refuse

Each refusal of an overloaded owner took a message to another instance or region and back; a service without keys was asked twice for each.

A dispatcher now refuses callers' requests itself for 120 ms after a refusal, with a probability that leaves the target 1.5 times what it accepts, and forgets what it knows when a response shows a free slot. Nested requests and callers' retries are always sent. Retries are now recognised at the dispatcher, from the first refusal on, not only when 150 ms lack from the timeout.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -111,6 +111,9 @@
 	Instance string
 	// Attempts is the number of times that the request was sent.
 	Attempts int
+	// RefusedLocally is true if the dispatcher refused the request without sending it,
+	// since its owner or its service has refused such requests lately.
+	RefusedLocally bool
 	// ManifestVersion is the version of the manifest that was applied.
 	ManifestVersion uint64
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"briarwell.dev/core/backpressure"
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/memory"
@@ -82,7 +83,7 @@
 	// Class groups requests of similar service time.
 	Class string
 	// CallerRetry is true if the request is known to be the retry of a caller, who has no
-	// further one. A retry after less than firstAttemptTolerance is not known.
+	// further one.
 	CallerRetry bool
 }
 
@@ -96,6 +97,10 @@
 	balancer     *balance.Balancer
 	retryBudgets map[string]*retry.Budget
 	retryLimits  RetryLimits
+	// pressure is what refusals have shown about owners and services, refusals the callers
+	// that may retry.
+	pressure backpressure.State
+	refusals retryafter.Refusals
 	// responseSizes predicts the responses by route.
 	responseSizes memory.Estimate
 }
@@ -147,6 +152,7 @@
 	defer cancel()
 	d.retryBudget(service).RecordFirstAttempt(d.clock.Now())
 	p := pendingRequest{dispatcher: d, route: route, service: service, request: &bounded, keyed: manifestService.Keyed, excluded: make(map[string]bool)}
+	p.callerRetry = p.takeCallerRetry()
 	result := p.run(ctx)
 	result.RouteFound, result.ManifestVersion = true, manifest.Version()
 	result.Route, result.Service = route.Name, service
@@ -184,6 +190,11 @@
 	service    string
 	request    *Request
 	keyed      bool
+	// callerRetry is true if the request is known to be the retry of a caller, who has no
+	// further one.
+	callerRetry bool
+	// refusedLocally is true if the request was refused without being sent.
+	refusedLocally bool
 	// excluded holds the instances that are not tried again.
 	excluded map[string]bool
 	// upstreamAttempts counts the attempts that reached an upstream, sends all attempts.
@@ -204,6 +215,9 @@
 		if !ok {
 			break
 		}
+		if p.refuseLocally(target) {
+			break
+		}
 		if !p.reserveResponse() {
 			// Other instances would need the memory here too.
 			p.lastReply = NotRun(outcome.ReasonOverloaded).WithRetryAfter(memoryRetryAfter)
@@ -219,17 +233,102 @@
 			break
 		}
 	}
+	p.recordPressure()
 	if _, refused := p.lastReply.Outcome.(outcome.NotRun); refused && p.firstUnknown != nil {
 		// The last instance did not run the request, but an earlier one may have.
 		p.lastReply = *p.firstUnknown
 	}
 	now := p.dispatcher.clock.Now()
-	if _, refused := p.lastReply.Outcome.(outcome.NotRun); refused && p.lastReply.RetryAfter == 0 && now+minRemainingTime < p.request.Deadline {
-		// No instance has said when the request can be served.
-		p.lastReply.RetryAfter = retryafter.Spread(p.request.Deadline-now, p.request.ID)
+	if _, refused := p.lastReply.Outcome.(outcome.NotRun); refused {
+		p.setRetryAfter(now)
 	}
 	deadlineExceeded := now >= p.request.Deadline
-	return Result{Reply: p.lastReply, DeadlineExceeded: deadlineExceeded, Instance: p.lastInstance, Attempts: p.sends}
+	return Result{Reply: p.lastReply, DeadlineExceeded: deadlineExceeded, Instance: p.lastInstance, Attempts: p.sends, RefusedLocally: p.refusedLocally}
+}
+
+// setRetryAfter sets the retry time of a refused request, unless an instance has given one,
+// and remembers the request if its caller may retry.
+func (p *pendingRequest) setRetryAfter(now clock.Millis) {
+	if now+minRemainingTime >= p.request.Deadline {
+		return
+	}
+	if p.lastReply.RetryAfter == 0 {
+		p.lastReply.RetryAfter = retryafter.Spread(p.request.Deadline-now, p.request.ID)
+	}
+	if p.request.Nested || p.callerRetry {
+		return
+	}
+	d := p.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refusals.Record(now, p.lastReply.RetryAfter, p.retryRequest())
+}
+
+// refuseLocally refuses a request that its owner, or all upstreams of a service without
+// keys, would refuse. Retries of callers are always sent, as they may have a promised place
+// and have no further retry; nested requests too, as refusing one wastes the work of its
+// parent.
+func (p *pendingRequest) refuseLocally(target Target) bool {
+	if p.sends > 0 || p.request.Nested || p.callerRetry {
+		return false
+	}
+	d := p.dispatcher
+	now := d.clock.Now()
+	d.mu.Lock()
+	after, refused := d.pressure.Refuse(now, p.pressureTarget(target.Name), p.route.Rank, rand.Float64())
+	d.mu.Unlock()
+	if !refused {
+		return false
+	}
+	p.refusedLocally = true
+	p.lastInstance = target.Name
+	p.lastReply = NotRun(outcome.ReasonOverloaded).WithRetryAfter(retryafter.SpreadFrom(after, p.request.Deadline-now, p.request.ID))
+	return true
+}
+
+// recordPressure records whether the last instance refused the request for its load.
+func (p *pendingRequest) recordPressure() {
+	if p.sends == 0 || p.request.Nested {
+		return
+	}
+	d := p.dispatcher
+	now := d.clock.Now()
+	target := p.pressureTarget(p.lastInstance)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch o := p.lastReply.Outcome.(type) {
+	case outcome.Done:
+		load := p.lastReply.Load
+		d.pressure.RecordAccepted(now, target, p.route.Rank, p.lastReply.HasLoad && load.Waiting == 0 && load.Running < load.Slots)
+	case outcome.Unknown:
+		d.pressure.RecordAccepted(now, target, p.route.Rank, false)
+	case outcome.NotRun:
+		if o.Reason() == outcome.ReasonOverloaded || o.Reason() == outcome.ReasonCold {
+			d.pressure.RecordRefused(now, target, p.route.Rank, p.lastReply.RetryAfter)
+		}
+	}
+}
+
+func (p *pendingRequest) pressureTarget(instance string) backpressure.Target {
+	target := backpressure.Target{Service: p.service, Large: p.route.LargeResponses || p.request.hasLargeBody()}
+	if p.keyed {
+		target.Instance = instance
+	}
+	return target
+}
+
+// retryRequest describes the request for the recognition of its retry.
+func (p *pendingRequest) retryRequest() retryafter.Request {
+	return retryafter.Request{Class: p.route.Name, Key: uint32(p.request.Key), Deadline: p.request.Deadline}
+}
+
+// takeCallerRetry reports whether the request is known to be the retry of a caller.
+func (p *pendingRequest) takeCallerRetry() bool {
+	d := p.dispatcher
+	d.mu.Lock()
+	known := d.refusals.TakeRetry(d.clock.Now(), p.retryRequest())
+	d.mu.Unlock()
+	return !p.request.Nested && (known || p.route.Timeout > 0 && p.earlierAttempts() > 0)
 }
 
 // reserveResponse takes memory for the expected response, without which a request would run
@@ -244,7 +343,7 @@
 	p.sends++
 	p.lastInstance = target.Name
 	sentAt := d.clock.Now()
-	policy := RequestPolicy{Idempotent: p.route.Idempotent, Rank: p.route.Rank, LargeResponse: p.route.LargeResponses, LatencyBudget: p.latencyBudget(), Class: p.route.Name, CallerRetry: p.isCallerRetry()}
+	policy := RequestPolicy{Idempotent: p.route.Idempotent, Rank: p.route.Rank, LargeResponse: p.route.LargeResponses, LatencyBudget: p.latencyBudget(), Class: p.route.Name, CallerRetry: p.callerRetry}
 	reply := d.sendCounted(ctx, target, p.service, p.request, policy)
 	if reply.ReachedUpstream {
 		p.upstreamAttempts++
@@ -283,11 +382,6 @@
 	return max(p.request.ReceivedAt+p.route.TargetLatency-p.earlierAttempts()-p.dispatcher.clock.Now(), 1)
 }
 
-// isCallerRetry reports whether the request is known to be the retry of a caller.
-func (p *pendingRequest) isCallerRetry() bool {
-	return !p.request.Nested && p.route.Timeout > 0 && p.earlierAttempts() > 0
-}
-
 // earlierAttempts returns the time in milliseconds that the caller spent on an earlier
 // attempt, 0 if there was none.
 func (p *pendingRequest) earlierAttempts() clock.Millis {
--- a/core/retryafter/retryafter.go
+++ b/core/retryafter/retryafter.go
@@ -260,8 +260,14 @@
 // different requests are spread evenly over the second half of what a caller honours: a
 // later retry finds more keys and upstreams, and a constant would make all return at once.
 func Spread(remaining clock.Millis, id string) clock.Millis {
+	return SpreadFrom(longestDelay(remaining)/2, remaining, id)
+}
+
+// SpreadFrom returns a retry time like Spread, but spreads the times from earliest on, the
+// next free time of an upstream as known from another refusal.
+func SpreadFrom(earliest, remaining clock.Millis, id string) clock.Millis {
 	latest := longestDelay(remaining)
-	earliest := max(latest/2, min(minDelay, latest))
+	earliest = min(max(earliest, minDelay), latest)
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id)) // It returns no error.
 	fraction := float64(h.Sum32()*hashMultiplier) / (1 << 32)
--- a/core/retryafter/retryafter_test.go
+++ b/core/retryafter/retryafter_test.go
@@ -69,3 +69,17 @@
 	is.Equal(retryafter.Spread(0, "x"), clock.Millis(1))
 	is.True(retryafter.Spread(120, "x") <= 40)
 }
+
+// TestRefusals guards against a retry that counts as a first attempt because it comes soon,
+// and against another first attempt for the same key that counts as a retry.
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	var f retryafter.Refusals
+	f.Record(0, 100, refused("first", 0))
+	is.True(!f.TakeRetry(30, refused("other caller", 0))) // the same deadline, but too early
+	later := refused("first attempt 100 ms later", 0)
+	later.Deadline += 100
+	is.True(!f.TakeRetry(100, later))
+	is.True(f.TakeRetry(100, refused("retry", 0)))
+	is.True(!f.TakeRetry(101, refused("second retry", 0)))
+}
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -95,6 +95,9 @@
 func (a *App) recordCallerRequest(ctx context.Context, r *dispatch.Request, result dispatch.Result, status int) {
 	took := a.clock.Now() - r.ReceivedAt
 	a.telemetry.countRequest(result, took)
+	if result.RefusedLocally {
+		a.telemetry.scope.Counter("requests_refused_locally").Inc(1)
+	}
 	outcomeText := "none"
 	if result.Outcome != nil {
 		outcomeText = result.Outcome.String()
@@ -111,7 +114,7 @@
 		Bool("keyed", r.Keyed).Int("key", int(r.Key)).Bool("nested", r.Nested).
 		Str("outcome", outcomeText).Str("reason", string(outcome.ReasonOf(result.Outcome))).Int("status", status).
 		Int64("allowedMillis", int64(r.Deadline-r.ReceivedAt)).Int64("tookMillis", int64(took)).
-		Int64("returnMillis", int64(result.RetryAfter)).Bool("callerLeft", ctx.Err() != nil).
+		Int64("returnMillis", int64(result.RetryAfter)).Bool("refusedLocally", result.RefusedLocally).Bool("callerLeft", ctx.Err() != nil).
 		Int64("omitted", omitted).Msg("requestEnded")
 }
 
