fairness: nested requests have the rank of their parent

Nested requests went before all others. At a service that is overloaded the nested requests of the least urgent kind took the slots of the most urgent callers, and less urgent callers were starved by rank.

A nested request now has the rank of its parent and goes first within that rank only. An executor whose upstream's nested requests are refused for load refuses part of that route's requests itself; each request carries the number for which it stands, so that a kind that is held back still gets its share. Refusals by a target with a free slot are no sign of its load to dispatchers.

--- a/core/backpressure/backpressure.go
+++ b/core/backpressure/backpressure.go
@@ -81,6 +81,16 @@
 	return t.retryAt - now, true
 }
 
+// RefusalShare returns the share of the requests of the rank that Refuse refuses.
+func (s *State) RefusalShare(now clock.Millis, target Target, rank int) float64 {
+	t, ok := s.targets[target]
+	if !ok {
+		return 0
+	}
+	t.decay(now)
+	return t.refusalShare(now, rank)
+}
+
 // refusalShare returns the share of the requests of the rank that are refused: the highest
 // of those of this and all more urgent ranks, as a target that refuses a more urgent request
 // refuses a less urgent one too.
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -34,6 +34,9 @@
 	ParentID string
 	// Nested is true if an upstream makes the request while it runs another.
 	Nested bool
+	// Parent is what the running request passes on, valid if Nested and on the instance
+	// where the request originated.
+	Parent Parent
 	// ReceivedAt and Deadline are times on the daemon's clock.
 	ReceivedAt clock.Millis
 	Deadline   clock.Millis
@@ -69,6 +72,9 @@
 	// Promised is true if a refused request was a retry whose caller had been promised a
 	// place. It is not sent to other daemons.
 	Promised bool
+	// NestedRefused is true if a request was refused because nested requests of its class
+	// were refused. It is not sent to other daemons.
+	NestedRefused bool
 	// Load is the load of the upstream, valid if HasLoad.
 	Load    balance.Load
 	HasLoad bool
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -73,8 +73,12 @@
 // RequestPolicy is what the instance that runs a request needs to know about its route.
 type RequestPolicy struct {
 	Idempotent bool
-	// Rank is the rank of the route in admission; 0 goes first.
+	// Rank is the rank of the route in admission; 0 goes first. A nested request has the
+	// rank of its parent.
 	Rank int
+	// Demand is the number of requests for which this one stands: the others were refused
+	// before they were sent, to spare the upstream. 0 means 1.
+	Demand float64
 	// LargeResponse is true if a large response is expected.
 	LargeResponse bool
 	// LatencyBudget is the time in milliseconds from now within which the response should
@@ -296,14 +300,18 @@
 	target := p.pressureTarget(p.lastInstance)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	load := p.lastReply.Load
+	free := p.lastReply.HasLoad && load.Waiting == 0 && load.Running < load.Slots && load.ColdRate == 0
 	switch o := p.lastReply.Outcome.(type) {
 	case outcome.Done:
-		load := p.lastReply.Load
-		d.pressure.RecordAccepted(now, target, p.route.Rank, p.lastReply.HasLoad && load.Waiting == 0 && load.Running < load.Slots)
+		d.pressure.RecordAccepted(now, target, p.route.Rank, free)
 	case outcome.Unknown:
 		d.pressure.RecordAccepted(now, target, p.route.Rank, false)
 	case outcome.NotRun:
-		if o.Reason() == outcome.ReasonOverloaded || o.Reason() == outcome.ReasonCold {
+		// A target with a free slot refuses for another cause than its load, which may not
+		// concern other routes, or for lack of bandwidth.
+		overloaded := o.Reason() == outcome.ReasonOverloaded && (!free || target.Large)
+		if overloaded || o.Reason() == outcome.ReasonCold {
 			d.pressure.RecordRefused(now, target, p.route.Rank, p.lastReply.RetryAfter)
 		}
 	}
@@ -344,6 +352,13 @@
 	p.lastInstance = target.Name
 	sentAt := d.clock.Now()
 	policy := RequestPolicy{Idempotent: p.route.Idempotent, Rank: p.route.Rank, LargeResponse: p.route.LargeResponses, LatencyBudget: p.latencyBudget(), Class: p.route.Name, CallerRetry: p.callerRetry}
+	if p.request.Nested {
+		policy.Rank, policy.Demand = p.request.Parent.Rank, p.request.Parent.Demand
+	} else {
+		d.mu.Lock()
+		policy.Demand = 1 / (1 - d.pressure.RefusalShare(sentAt, p.pressureTarget(target.Name), policy.Rank))
+		d.mu.Unlock()
+	}
 	reply := d.sendCounted(ctx, target, p.service, p.request, policy)
 	if reply.ReachedUpstream {
 		p.upstreamAttempts++
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -8,6 +8,7 @@
 	"briarwell.dev/core/admission"
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/fairness"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/memory"
 	"briarwell.dev/core/outcome"
@@ -17,11 +18,14 @@
 )
 
 const (
-	// nestedPriority is added to the priority of nested requests: refusing one wastes the
-	// work of its parent.
-	nestedPriority template.Priority = 1000
-	// maxRoutePriority is the priority of requests whose route has rank 0.
-	maxRoutePriority template.Priority = 100
+	// maxRoutePriority is the priority of callers' requests whose route has rank 0.
+	maxRoutePriority template.Priority = 200
+	// rankPriority is the difference in priority between two ranks. In between are the nested
+	// requests of the less urgent one: refusing one wastes the work of its parent.
+	rankPriority template.Priority = 2
+	// starvedPriority is the priority of requests whose rank gets less than its guaranteed
+	// share.
+	starvedPriority = maxRoutePriority + rankPriority
 	// minRetryAfter and maxRetryAfter bound the time in milliseconds after which the caller
 	// of a refused request is told to retry.
 	minRetryAfter clock.Millis = 60
@@ -70,20 +74,50 @@
 	// link is the outbound direction of the instance's link, inboundLink the other one.
 	link        balance.Link
 	inboundLink balance.Link
-	// running counts the requests at the upstream by ID: a caller may use an ID twice.
-	running map[string]int
+	// running holds the requests at the upstream by ID.
+	running map[string]*runningRequest
 	// responseSizes predicts the responses of the upstream by class.
 	responseSizes memory.Estimate
 	// failures is the share of requests that the upstream failed.
 	failures failureShare
 	// retries holds the places promised to callers of refused requests.
 	retries retryafter.Schedule
+	// shares counts the requests by rank, parents those that make nested requests.
+	shares  fairness.Shares
+	parents fairness.Parents
+	counts  FairnessCounts
+}
+
+// runningRequest is a request at the upstream. A caller may use an ID twice: then it stands
+// for both, and has the policy of the first one.
+type runningRequest struct {
+	count  int
+	parent Parent
+	// nestedRefused is true if a nested request was refused.
+	nestedRefused bool
+}
+
+// Parent is what a running request passes on to its nested requests.
+type Parent struct {
+	// Rank is the rank of the request.
+	Rank int
+	// Demand is the number of requests for which it stands, as in RequestPolicy.
+	Demand float64
+}
+
+// FairnessCounts are numbers of requests since the start.
+type FairnessCounts struct {
+	// NotStarted are the requests that were refused because nested requests of their class
+	// were refused.
+	NotStarted uint64
+	// Raised are the requests that went before others because their rank got too few slots.
+	Raised uint64
 }
 
 // NewExecutor returns an executor that admits requests through the gate and sends the
 // responses over a link of the given bandwidth in Mbit/s, 0 if unlimited.
 func NewExecutor(c clock.Clock, upstream Upstream, gate *admission.Gate, linkMbps float64) *Executor {
-	return &Executor{clock: c, upstream: upstream, gate: gate, link: balance.NewLink(linkMbps), inboundLink: balance.NewLink(linkMbps), running: make(map[string]int)}
+	return &Executor{clock: c, upstream: upstream, gate: gate, link: balance.NewLink(linkMbps), inboundLink: balance.NewLink(linkMbps), running: make(map[string]*runningRequest)}
 }
 
 // KeyRates returns the spans of keys that have requests, with their request rates.
@@ -145,8 +179,12 @@
 	now := e.clock.Now()
 	e.mu.Lock()
 	promised := e.retries.HasPlace(now, e.retryRequest(r, policy))
+	starved := e.shares.Starved(now, policy.Rank)
 	e.mu.Unlock()
-	if reason, refused := e.gate.WouldRefuse(e.admissionRequest(r, policy, promised)); refused {
+	if reason, refused := e.gate.WouldRefuse(e.admissionRequest(r, policy, promised, starved)); refused {
+		e.mu.Lock()
+		e.shares.Arrive(now, policy.Rank, policy.Demand)
+		e.mu.Unlock()
 		return balance.Schedule{}, NotRun(reason).WithRetryAfter(e.retryTime(r, policy, promised)), false
 	}
 	e.mu.Lock()
@@ -158,12 +196,12 @@
 	return e.inboundLink.Reserve(now, int(bodyBytes)), Reply{}, true
 }
 
-func (e *Executor) admissionRequest(r *Request, policy RequestPolicy, promised bool) *admission.Request {
+func (e *Executor) admissionRequest(r *Request, policy RequestPolicy, promised, starved bool) *admission.Request {
 	var softDeadline clock.Millis
 	if policy.LatencyBudget > 0 {
 		softDeadline = e.clock.Now() + policy.LatencyBudget
 	}
-	request := admission.NewRequest(priority(r, policy), r.Deadline).WithSoftDeadline(softDeadline, policy.Class)
+	request := admission.NewRequest(priority(r, policy, starved), r.Deadline).WithSoftDeadline(softDeadline, policy.Class)
 	if promised {
 		request.WithPromise()
 	}
@@ -202,20 +240,9 @@
 	if refused, ok := e.checkEligible(service, r); !ok {
 		return refused
 	}
-	now := e.clock.Now()
-	e.mu.Lock()
-	e.keyMeter.Observe(now, r.Key)
-	promised := e.retries.Arrive(now, e.retryRequest(r, policy))
-	delay := e.link.LargeResponseDelay(e.clock.Now(), e.gate.ClassServiceMillis(policy.Class), policy.LatencyBudget)
-	e.mu.Unlock()
-	if policy.LargeResponse && delay > 0 {
-		return NotRun(outcome.ReasonOverloaded).WithRetryAfter(boundedRetryAfter(delay))
-	}
-	slot, err := e.gate.AcquireFor(ctx, e.admissionRequest(r, policy, promised))
-	if err != nil {
-		reply := e.refusalReply(r, policy, promised, err)
-		reply.Promised = promised
-		return reply
+	slot, startedShare, refused := e.acquireSlot(ctx, r, policy)
+	if slot == nil {
+		return refused
 	}
 	// Only the first release counts; this one is for a panic.
 	defer slot.ReleaseWithoutSample()
@@ -223,7 +250,7 @@
 		slot.ReleaseWithoutSample()
 		return refused
 	}
-	now = e.clock.Now()
+	now := e.clock.Now()
 	if now >= r.Deadline {
 		slot.ReleaseWithoutSample()
 		return NotRun(outcome.ReasonQueueTimeout)
@@ -239,7 +266,7 @@
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), (r.Deadline - now).Duration())
 		defer cancel()
 	}
-	reply := e.callUpstream(ctx, r, policy, now)
+	reply := e.callUpstream(ctx, r, policy, now, startedShare)
 	failed, known := failedByUpstream(ctx, reply)
 	if known {
 		e.recordFailure(failed)
@@ -257,6 +284,37 @@
 	return reply
 }
 
+// acquireSlot returns a slot for the request and the share of the requests of its class that
+// are started, or no slot and the refusal.
+func (e *Executor) acquireSlot(ctx context.Context, r *Request, policy RequestPolicy) (*admission.Slot, float64, Reply) {
+	now := e.clock.Now()
+	e.mu.Lock()
+	e.keyMeter.Observe(now, r.Key)
+	promised := e.retries.Arrive(now, e.retryRequest(r, policy))
+	delay := e.link.LargeResponseDelay(now, e.gate.ClassServiceMillis(policy.Class), policy.LatencyBudget)
+	e.mu.Unlock()
+	if policy.LargeResponse && delay > 0 {
+		return nil, 0, NotRun(outcome.ReasonOverloaded).WithRetryAfter(boundedRetryAfter(delay))
+	}
+	startedShare := 1.0
+	if !r.Nested && !promised {
+		var start bool
+		if startedShare, start = e.drawStart(now, policy.Class); !start {
+			reply := NotRun(outcome.ReasonOverloaded).WithRetryAfter(retryafter.Spread(r.Deadline-now, r.ID))
+			reply.NestedRefused = true
+			return nil, 0, reply
+		}
+	}
+	slot, err := e.gate.AcquireFor(ctx, e.admissionRequest(r, policy, promised, e.arrive(now, policy)))
+	if err != nil {
+		reply := e.refusalReply(r, policy, promised, err)
+		reply.Promised = promised
+		return nil, 0, reply
+	}
+	e.admitted(policy)
+	return slot, startedShare, Reply{}
+}
+
 func (e *Executor) recordFailure(failed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -264,40 +322,19 @@
 }
 
 // callUpstream sends the request to the upstream and counts it as running meanwhile.
-func (e *Executor) callUpstream(ctx context.Context, r *Request, policy RequestPolicy, now clock.Millis) Reply {
+// startedShare is the share of the requests of its class that are started.
+func (e *Executor) callUpstream(ctx context.Context, r *Request, policy RequestPolicy, now clock.Millis, startedShare float64) Reply {
 	var reply Reply
 	if policy.LargeResponse {
 		e.withLink(func(l *balance.Link) { l.BeginLargeResponse() })
 		defer func() { e.withLink(func(l *balance.Link) { l.EndLargeResponse(len(reply.Response.Body)) }) }()
 	}
-	e.requestStarted(r.ID)
-	defer e.requestEnded(r.ID)
+	e.requestStarted(r.ID, Parent{Rank: policy.Rank, Demand: max(policy.Demand, 1) / startedShare})
+	defer func() { e.requestEnded(r.ID, policy.Class, reply) }()
 	reply = e.upstream.Call(ctx, e.upstream.State(now).Process, r, r.Deadline-now)
 	return reply
 }
 
-// IsRunning reports whether a request with the ID is running on the upstream. Only then
-// can the upstream make nested requests for it.
-func (e *Executor) IsRunning(id string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.running[id] > 0
-}
-
-func (e *Executor) requestStarted(id string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.running[id]++
-}
-
-func (e *Executor) requestEnded(id string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.running[id]--; e.running[id] == 0 {
-		delete(e.running, id)
-	}
-}
-
 // checkEligible reports whether the upstream may run a request of the service, and returns
 // the refusal if not.
 func (e *Executor) checkEligible(service string, r *Request) (Reply, bool) {
@@ -317,11 +354,15 @@
 	}
 }
 
-// priority returns the admission priority of a request.
-func priority(r *Request, policy RequestPolicy) template.Priority {
-	p := maxRoutePriority - template.Priority(policy.Rank)
+// priority returns the admission priority of a request. The nested requests of a rank go
+// before the callers' requests of the same rank.
+func priority(r *Request, policy RequestPolicy, starved bool) template.Priority {
+	p := maxRoutePriority - rankPriority*template.Priority(policy.Rank)
+	if starved {
+		p = starvedPriority
+	}
 	if r.Nested {
-		p += nestedPriority
+		p++
 	}
 	return p
 }
--- a/core/dispatch/peerhttp/fuzz_test.go
+++ b/core/dispatch/peerhttp/fuzz_test.go
@@ -82,3 +82,19 @@
 		}
 	})
 }
+
+// TestOptionalFields guards against a policy whose optional fields are lost between daemons,
+// or that a daemon which doesn't send them can't express.
+func TestOptionalFields(t *testing.T) {
+	is := is.New(t)
+	for sent, received := range map[dispatch.RequestPolicy]dispatch.RequestPolicy{
+		{Class: "r", Demand: 1}:                       {Class: "r"},
+		{Class: "r", Demand: 2.5, CallerRetry: true}:  {Class: "r", Demand: 2.5, CallerRetry: true},
+		{Class: "r", Demand: 1e9, LatencyBudget: 300}: {Class: "r", Demand: 20, LatencyBudget: 300},
+	} {
+		encoded := peerhttp.EncodeRequest(&dispatch.Request{ID: "1"}, "s", sent, 900)
+		_, _, policy, err := peerhttp.DecodeRequest(&http.Request{Header: encoded.Header}, 100)
+		is.NoErr(err)
+		is.Equal(policy, received)
+	}
+}
--- a/core/dispatch/peerhttp/peerhttp.go
+++ b/core/dispatch/peerhttp/peerhttp.go
@@ -13,6 +13,7 @@
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/fairness"
 	"briarwell.dev/core/httpclient"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/outcome"
@@ -26,6 +27,7 @@
 	headerPolicy          = "Briarwell-Rules"
 	headerReachedUpstream = "Briarwell-Arrived"
 	headerCallerRetry     = "Briarwell-Caller-Retry"
+	headerDemand          = "Briarwell-Demand"
 	headerRetryAfter      = "Briarwell-Return-Millis"
 	headerLoad            = "Briarwell-Load"
 )
@@ -67,6 +69,9 @@
 		header.Set(outcome.HeaderKey, strconv.Itoa(int(r.Key)))
 	}
 	header.Set(headerPolicy, fmt.Sprintf("%t,%t,%t,%d,%d,%s", policy.Idempotent, r.Nested, policy.LargeResponse, policy.Rank, policy.LatencyBudget, policy.Class))
+	if policy.Demand > 1 {
+		header.Set(headerDemand, strconv.FormatFloat(policy.Demand, 'f', 2, 64))
+	}
 	if policy.CallerRetry {
 		header.Set(headerCallerRetry, "true")
 	}
@@ -101,6 +106,9 @@
 	if _, err := fmt.Sscanf(text, "%t,%t,%t,%d,%d,", &policy.Idempotent, &request.Nested, &policy.LargeResponse, &policy.Rank, &policy.LatencyBudget); err != nil {
 		return nil, "", policy, &Error{field: headerPolicy, value: text}
 	}
+	if demand, err := strconv.ParseFloat(r.Header.Get(headerDemand), 64); err == nil && demand > 1 {
+		policy.Demand = min(demand, fairness.MaxDemand)
+	}
 	policy.CallerRetry = r.Header.Get(headerCallerRetry) == "true"
 	policy.Class = text[strings.LastIndexByte(text, ',')+1:]
 	for name, values := range r.Header {
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -106,8 +106,11 @@
 		callerhttp.WriteResult(w, request.ID, abandoned)
 		return
 	}
-	request.Nested = a.executor.IsRunning(request.ParentID)
+	request.Parent, request.Nested = a.executor.Parent(request.ParentID)
 	result := a.handleCaller(r.Context(), manifest, request)
+	if request.Nested {
+		a.executor.RecordNested(request.ParentID, result.Outcome)
+	}
 	status := callerhttp.WriteResult(w, request.ID, result)
 	a.recordCallerRequest(r.Context(), request, result, status)
 }
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -142,7 +142,7 @@
 		Int("running", reply.Load.Running).Int("waiting", reply.Load.Waiting).Int("slots", reply.Load.Slots).
 		Int64("serviceMillis", int64(reply.Load.ServiceTime)).Int("demandPercent", reply.Load.DemandPercent).
 		Int64("linkMillis", int64(reply.Load.LinkBacklog)).Bool("nested", r.Nested).
-		Int64("returnMillis", int64(reply.RetryAfter)).Bool("promised", reply.Promised).Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
+		Int64("returnMillis", int64(reply.RetryAfter)).Bool("promised", reply.Promised).Bool("nestedRefused", reply.NestedRefused).Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
 }
 
 // logAbandoned logs a request that is not run because its sender has disconnected.
@@ -202,6 +202,7 @@
 
 func (a *App) updateGauges() {
 	scope, load, retries, s := a.telemetry.scope, a.executor.Load(), a.executor.RetryCounts(), a.state
+	fairness := a.executor.FairnessCounts()
 	s.mu.Lock()
 	assignment, revision := s.keyController.Assignment()
 	lease := s.keyController.LeaseEnd() - a.clock.Now()
@@ -214,6 +215,7 @@
 		"service_milliseconds": float64(load.ServiceTime), "demand_percent": float64(load.DemandPercent), "failure_percent": float64(load.FailurePercent),
 		"retries_promised": float64(retries.Promised), "retries_unpromised": float64(retries.Unpromised),
 		"retries_claimed": float64(retries.Claimed), "retries_expired": float64(retries.Expired),
+		"requests_not_started": float64(fairness.NotStarted), "requests_raised": float64(fairness.Raised),
 		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.logWriter.Dropped()),
 		"follows_store": boolValue(a.watching[store.OperatorRows].Load()),
 	} {
