--- a/core/backpressure/backpressure.go
+++ b/core/backpressure/backpressure.go
@@ -38,6 +38,9 @@
 	Service string
 	// Instance is the owner of the key, "" for a service without keys.
 	Instance string
+	// Regions names the regions of a service without keys in which the request may run, ""
+	// if all.
+	Regions string
 	// Large is true for requests with a large body or response, which are also refused
 	// for lack of bandwidth.
 	Large bool
@@ -81,6 +84,9 @@
 	return t.retryAt - now, true
 }
 
+// Knows reports whether the target has refused requests since it last had a free slot.
+func (s *State) Knows(target Target) bool { return s.targets[target] != nil }
+
 // RefusalShare returns the share of the requests of the rank that Refuse refuses.
 func (s *State) RefusalShare(now clock.Millis, target Target, rank int) float64 {
 	t, ok := s.targets[target]
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -33,6 +33,10 @@
 	serviceTimeWeight = 0.1
 	// maxRequestClasses bounds the request classes whose service times are kept.
 	maxRequestClasses = 64
+	// loadReportInterval is the age in milliseconds from which a new load report of an
+	// upstream in another region is needed: bytes between regions are billed by volume, and
+	// a report is a quarter of what daemons add to a request and its reply.
+	loadReportInterval clock.Millis = 250
 	// loadDecayMillis is the time constant in milliseconds with which a reported load
 	// decays: after it, about a third is left. It is a few service times long.
 	loadDecayMillis = 400.0
@@ -45,10 +49,17 @@
 	// failureHalfLifeMillis is the time in milliseconds in which the failure rate
 	// halves without requests, so that a failing upstream is tried again.
 	failureHalfLifeMillis = 2500.0
+	// restrictedCost is the cost in milliseconds of taking the last free slot of an upstream
+	// in another region that restricted routes need. From 200 ms on, more than 2% of the
+	// slots of that region stay unused while others refuse requests.
+	restrictedCost = 150.0
 	// initialBackoff and maxBackoff bound the time in milliseconds for which a daemon
 	// that did not answer gets no requests. It doubles with each failure.
 	initialBackoff clock.Millis = 400
 	maxBackoff     clock.Millis = 3000
+	// minColdRate is the rate in requests per second that stands for that of a cold upstream
+	// that gets no requests.
+	minColdRate = 0.1
 	// jitterShare is the largest relative increase of a cost by jitter, which keeps
 	// many daemons from choosing the same upstream among equal ones.
 	jitterShare = 0.15
@@ -83,11 +94,28 @@
 	// queueing, 0 if unknown.
 	Capacity int
 	// ColdRate is the number of requests per second that the upstream accepts while it is
-	// cold, 0 if it is not cold. ColdFor is the time in milliseconds until it is warm.
+	// cold, 0 if it is not cold or gets none then. ColdFor is the time in milliseconds until it
+	// is warm, 0 if it is.
 	ColdRate int
 	ColdFor  clock.Millis
 }
 
+// RequestRate returns the requests per second that the upstream can run at present, 0 if that is
+// unknown: the lower of its capacity and the rate while it is cold.
+func (l Load) RequestRate() float64 {
+	rate := float64(l.Capacity)
+	if rate == 0 && l.ServiceTime > 0 {
+		rate = float64(max(l.Slots, 1)) * millisPerSecond / float64(l.ServiceTime)
+	}
+	if l.ColdFor > 0 && (rate == 0 || l.coldRate() < rate) {
+		return l.coldRate()
+	}
+	return rate
+}
+
+// coldRate returns the requests per second of a cold upstream, above 0.
+func (l Load) coldRate() float64 { return max(float64(l.ColdRate), minColdRate) }
+
 // Candidate is an upstream that may run a request.
 type Candidate struct {
 	// Name is the name of the upstream's instance.
@@ -95,6 +123,9 @@
 	Location identity.Location
 	// Slots is the number of requests that the upstream runs at once.
 	Slots int
+	// Needed is true if requests that may not run in every region need the upstream, and
+	// the request to be balanced is none of them.
+	Needed bool
 }
 
 type upstreamState struct {
@@ -105,6 +136,8 @@
 	reportedAt       clock.Millis
 	inFlightAtReport int
 	hasLoad          bool
+	// respondedAt is when the daemon responded last, with or without a load report.
+	respondedAt clock.Millis
 	// slowdown is the mean ratio of the upstream's service times to those of all
 	// upstreams, class by class; 0 if unknown.
 	slowdown float64
@@ -168,7 +201,7 @@
 func (b *Balancer) RecordLoad(now clock.Millis, name, class string, load Load) {
 	u := b.upstream(name)
 	u.load, u.reportedAt, u.hasLoad, u.inFlightAtReport = load, now, true, u.inFlight
-	u.backoff, u.backoffUntil = 0, 0
+	u.recordResponse(now)
 	if load.ClassServiceTime <= 0 {
 		return
 	}
@@ -183,6 +216,25 @@
 	u.slowdown = smoothedServiceTime(u.slowdown, serviceTime/b.classServiceTimes[class])
 }
 
+// RecordResponse records a response of the named instance without a load report, and ends its
+// backoff.
+func (b *Balancer) RecordResponse(now clock.Millis, name string) {
+	b.upstream(name).recordResponse(now)
+}
+
+func (u *upstreamState) recordResponse(now clock.Millis) {
+	u.respondedAt = now
+	u.backoff, u.backoffUntil = 0, 0
+}
+
+// NeedsLoad reports whether a response to a request that is sent to the candidate now should
+// come with a load report. That of a cold upstream always should: how many requests it still
+// accepts is estimated from those in flight since its report.
+func (b *Balancer) NeedsLoad(now clock.Millis, c Candidate) bool {
+	u, ok := b.upstreams[c.Name]
+	return !ok || !u.hasLoad || u.isCold(now) || c.Location.Region() == b.location.Region() || now-u.reportedAt >= loadReportInterval
+}
+
 // smoothedServiceTime returns the exponentially weighted mean with a new sample, or
 // the sample if there was none before.
 func smoothedServiceTime(mean, sample float64) float64 {
@@ -224,7 +276,7 @@
 // sentAt. A daemon that has sent no other response since then counts as unreachable,
 // as it may be frozen.
 func (b *Balancer) RecordNoResponse(now clock.Millis, name string, sentAt clock.Millis) {
-	if u := b.upstream(name); !u.hasLoad || u.reportedAt < sentAt {
+	if u := b.upstream(name); !u.hasLoad || u.respondedAt < sentAt {
 		b.RecordUnreachable(now, name)
 	}
 }
@@ -260,6 +312,9 @@
 // reachable: traffic between regions is paid by volume, and one such message costs the
 // users more than it is worth to them.
 //
+// A candidate of another region that restricted routes need costs more the fuller it is, so
+// that requests that may run anywhere wait longer in their own region before they go there.
+//
 // random returns numbers in [0, 1).
 func (b *Balancer) Pick(now clock.Millis, candidates []Candidate, request Request, excluded map[string]bool, random func() float64) int {
 	var sameRegion, otherRegions []int
@@ -324,18 +379,36 @@
 	return drawn
 }
 
-// capacity returns the relative capacity of a candidate: its slots, reduced by its
-// failure rate and its slowdown. An unknown upstream counts as an average one.
+// capacity returns the relative capacity of a candidate: its slots, or those that the rate of a
+// cold upstream takes, reduced by its failure rate and its slowdown. An unknown upstream counts as an average one.
 func (b *Balancer) capacity(now clock.Millis, c Candidate) float64 {
 	slots := float64(max(c.Slots, 1))
 	u, ok := b.upstreams[c.Name]
 	if !ok {
 		return slots
 	}
+	if u.isCold(now) {
+		serviceTime := cmp.Or(float64(u.load.ServiceTime), defaultServiceMillis)
+		slots = min(slots, u.load.coldRate()*serviceTime/millisPerSecond)
+	}
 	successRate := 1 - u.decayedFailureRate(now)
 	return slots * successRate * successRate / cmp.Or(u.slowdown, 1)
 }
 
+// isCold reports whether the upstream is cold according to its latest report.
+func (u *upstreamState) isCold(now clock.Millis) bool {
+	return u.hasLoad && now < u.reportedAt+u.load.ColdFor
+}
+
+// coldWait returns the time in milliseconds in which a cold upstream accepts the requests sent
+// to it since its report and one more, 0 if it is warm.
+func (u *upstreamState) coldWait(now clock.Millis) float64 {
+	if !u.isCold(now) {
+		return 0
+	}
+	return float64(1+max(u.inFlight-u.inFlightAtReport, 0)) * millisPerSecond / u.load.coldRate()
+}
+
 // regionReachable reports whether any candidate of the daemon's region is reachable.
 func (b *Balancer) regionReachable(now clock.Millis, candidates []Candidate) bool {
 	return slices.ContainsFunc(candidates, func(c Candidate) bool {
@@ -367,13 +440,18 @@
 	}
 	age := float64(now - u.reportedAt)
 	if !u.hasLoad || age >= float64(loadReportTTL) {
-		wait := queueingDelay(serviceTime, float64(u.inFlight), slots)
+		wait := queueingDelay(serviceTime, float64(u.inFlight), slots) + u.coldWait(now)
 		return cost + requestTime + wait, wait
 	}
 	// Some of the requests counted in the report have ended since.
 	remaining := float64(u.load.Running+u.load.Waiting) * math.Exp(-age/loadDecayMillis)
 	load := max(remaining+float64(max(u.inFlight-u.inFlightAtReport, 0)), float64(u.inFlight))
-	wait := queueingDelay(serviceTime, load, slots)
+	wait := queueingDelay(serviceTime, load, slots) + u.coldWait(now)
+	if c.Needed && c.Location.Region() != b.location.Region() {
+		// The fourth power: an upstream that is half free loses nothing by the request.
+		used := min((load+1)/float64(max(slots, 1)), 1)
+		cost += restrictedCost * used * used * used * used
+	}
 	if request.LargeResponse {
 		// Responses to requests sent since the report share the link. Small responses
 		// don't count: they are sent between the chunks of large ones.
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -37,8 +38,8 @@
 	unresponsiveAfter clock.Millis = 600
 	// maxSends bounds the number of times that one request is sent to a daemon.
 	maxSends = 6
-	// maxOverloadRefusals is the number of refusals by overloaded daemons after which a
-	// request is refused: the daemons were selected by load, so the others are no better.
+	// maxOverloadRefusals is the number of refusals by overloaded daemons, or for cold
+	// upstreams, after which a request is refused: the daemons were selected by load, so the others are no better.
 	// A nested request is sent to more daemons, as refusing it wastes the work of its
 	// parent.
 	maxOverloadRefusals       = 2
@@ -86,6 +87,9 @@
 	LatencyBudget clock.Millis
 	// Class groups requests of similar service time.
 	Class string
+	// LoadKnown is true if the dispatcher knows the load of the upstream's instance well
+	// enough: the reply to a request that the upstream serves needs none.
+	LoadKnown bool
 	// CallerRetry is true if the request is known to be the retry of a caller, who has no
 	// further one.
 	CallerRetry bool
@@ -157,6 +161,9 @@
 	d.retryBudget(service).RecordFirstAttempt(d.clock.Now())
 	p := pendingRequest{dispatcher: d, route: route, service: service, request: &bounded, keyed: manifestService.Keyed, excluded: make(map[string]bool)}
 	p.callerRetry = p.takeCallerRetry()
+	if len(route.AllowedRegions) == 0 {
+		p.neededRegions = manifest.RestrictedRegions(service)
+	}
 	result := p.run(ctx)
 	result.RouteFound, result.ManifestVersion = true, manifest.Version()
 	result.Route, result.Service = route.Name, service
@@ -199,12 +206,15 @@
 	callerRetry bool
 	// refusedLocally is true if the request was refused without being sent.
 	refusedLocally bool
+	// neededRegions are the regions that restricted routes to the service need, nil if the
+	// request is of such a route itself.
+	neededRegions []string
 	// excluded holds the instances that are not tried again.
 	excluded map[string]bool
 	// upstreamAttempts counts the attempts that reached an upstream, sends all attempts.
 	upstreamAttempts int
 	sends            int
-	// overloadRefusals counts the refusals by overloaded daemons.
+	// overloadRefusals counts the refusals by overloaded daemons and for cold upstreams.
 	overloadRefusals int
 	lastInstance     string
 	lastReply        Reply
@@ -321,6 +331,8 @@
 	target := backpressure.Target{Service: p.service, Large: p.route.LargeResponses || p.request.hasLargeBody()}
 	if p.keyed {
 		target.Instance = instance
+	} else {
+		target.Regions = strings.Join(p.route.AllowedRegions, ",")
 	}
 	return target
 }
@@ -352,13 +364,16 @@
 	p.lastInstance = target.Name
 	sentAt := d.clock.Now()
 	policy := RequestPolicy{Idempotent: p.route.Idempotent, Rank: p.route.Rank, LargeResponse: p.route.LargeResponses, LatencyBudget: p.latencyBudget(), Class: p.route.Name, CallerRetry: p.callerRetry}
+	pressureTarget := p.pressureTarget(target.Name)
+	d.mu.Lock()
 	if p.request.Nested {
 		policy.Rank, policy.Demand = p.request.Parent.Rank, p.request.Parent.Demand
 	} else {
-		d.mu.Lock()
-		policy.Demand = 1 / (1 - d.pressure.RefusalShare(sentAt, p.pressureTarget(target.Name), policy.Rank))
-		d.mu.Unlock()
+		policy.Demand = 1 / (1 - d.pressure.RefusalShare(sentAt, pressureTarget, policy.Rank))
 	}
+	// The load shows whether a target that has refused requests has a free slot again.
+	policy.LoadKnown = !d.balancer.NeedsLoad(sentAt, target.Candidate) && !d.pressure.Knows(pressureTarget)
+	d.mu.Unlock()
 	reply := d.sendCounted(ctx, target, p.service, p.request, policy)
 	if reply.ReachedUpstream {
 		p.upstreamAttempts++
@@ -368,6 +383,8 @@
 	defer d.mu.Unlock()
 	if reply.HasLoad {
 		d.balancer.RecordLoad(now, target.Name, policy.Class, reply.Load)
+	} else if _, done := reply.Outcome.(outcome.Done); done {
+		d.balancer.RecordResponse(now, target.Name)
 	}
 	p.recordReply(ctx, sentAt, policy, reply)
 	return reply
@@ -481,7 +498,7 @@
 			}
 		}
 		p.excluded[p.lastInstance] = true
-		if o.Reason() == outcome.ReasonOverloaded {
+		if o.Reason() == outcome.ReasonOverloaded || o.Reason() == outcome.ReasonCold {
 			p.overloadRefusals++
 		}
 		return p.overloadRefusals < p.overloadRefusalLimit() && (!p.lastReply.ReachedUpstream || p.takeRetry())
@@ -521,20 +538,67 @@
 		return p.awaitOwner(ctx)
 	}
 	d := p.dispatcher
-	targets := d.resolver.Instances(p.service)
+	targets := p.allowedInstances()
 	candidates := make([]balance.Candidate, 0, len(targets))
 	for _, t := range targets {
-		candidates = append(candidates, t.Candidate)
+		candidate := t.Candidate
+		candidate.Needed = len(p.neededRegions) > 0 && slices.Contains(p.neededRegions, t.Location.Region())
+		candidates = append(candidates, candidate)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	i := d.balancer.Pick(d.clock.Now(), candidates, p.balanceRequest(), p.excluded, rand.Float64)
 	if i < 0 {
+		if len(p.route.AllowedRegions) > 0 && p.foundNoUsableUpstream() {
+			p.refuseByRegion()
+		}
 		return Target{}, false
 	}
 	return targets[i], true
 }
 
+// allows reports whether the request may run at the target.
+func (p *pendingRequest) allows(t Target) bool { return p.route.AllowsRegion(t.Location.Region()) }
+
+// allowedInstances returns the instances at which the request may run.
+func (p *pendingRequest) allowedInstances() []Target {
+	targets := p.dispatcher.resolver.Instances(p.service)
+	if len(p.route.AllowedRegions) == 0 {
+		return targets
+	}
+	var allowed []Target
+	for _, t := range targets {
+		if p.allows(t) {
+			allowed = append(allowed, t)
+		}
+	}
+	return allowed
+}
+
+// foundNoUsableUpstream reports whether the request was sent nowhere, or its last reply is
+// that of an instance whose upstream accepts no requests. A refusal by an upstream that is
+// only busy keeps its own reason and retry time.
+func (p *pendingRequest) foundNoUsableUpstream() bool {
+	if p.sends == 0 {
+		return true
+	}
+	refused, ok := p.lastReply.Outcome.(outcome.NotRun)
+	if !ok {
+		return false
+	}
+	switch refused.Reason() {
+	case outcome.ReasonUnreachable, outcome.ReasonMoved, outcome.ReasonDraining, outcome.ReasonOutOfUse:
+		return true
+	default:
+		return false
+	}
+}
+
+// refuseByRegion makes the final reply a refusal due to the route's restriction.
+func (p *pendingRequest) refuseByRegion() {
+	p.lastReply = NotRun(outcome.ReasonRegionNotAllowed)
+}
+
 // balanceRequest describes the request to the balancer.
 func (p *pendingRequest) balanceRequest() balance.Request {
 	request := balance.Request{Class: p.route.Name, LargeResponse: p.route.LargeResponses}
@@ -546,7 +610,9 @@
 
 // awaitOwner returns the owner of the request's key once it is known and reachable, or
 // false if that takes longer than ownerWaitShare of the route's target latency or the
-// request ends.
+// request ends. It does not wait if the request may not run at the owner, or if there is no
+// owner and no upstream that may become one: the key controllers move the keys of a restricted
+// route to its regions, which takes longer.
 func (p *pendingRequest) awaitOwner(ctx context.Context) (Target, bool) {
 	d := p.dispatcher
 	maxWait := clock.Millis(float64(p.route.TargetLatency) * ownerWaitShare)
@@ -557,6 +623,15 @@
 		now := d.clock.Now()
 		if lookUp {
 			target, ok := d.resolver.Owner(p.service, p.request)
+			if ok && !p.allows(target) {
+				p.lastInstance = target.Name
+				p.refuseByRegion()
+				return Target{}, false
+			}
+			if !ok && len(p.route.AllowedRegions) > 0 && len(p.allowedInstances()) == 0 {
+				p.refuseByRegion()
+				return Target{}, false
+			}
 			if ok && d.reachable(now, target.Name) {
 				return target, true
 			}
--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -80,6 +80,7 @@
 	responseSizes memory.Estimate
 	// failures is the share of requests that the upstream failed.
 	failures failureShare
+	cold     coldGate
 	// retries holds the places promised to callers of refused requests.
 	retries retryafter.Schedule
 	// shares counts the requests by rank, parents those that make nested requests.
@@ -117,7 +118,10 @@
 // NewExecutor returns an executor that admits requests through the gate and sends the
 // responses over a link of the given bandwidth in Mbit/s, 0 if unlimited.
 func NewExecutor(c clock.Clock, upstream Upstream, gate *admission.Gate, linkMbps float64) *Executor {
-	return &Executor{clock: c, upstream: upstream, gate: gate, link: balance.NewLink(linkMbps), inboundLink: balance.NewLink(linkMbps), running: make(map[string]*runningRequest)}
+	return &Executor{
+		clock: c, upstream: upstream, gate: gate, link: balance.NewLink(linkMbps), inboundLink: balance.NewLink(linkMbps), running: make(map[string]*runningRequest),
+		cold: newColdGate(c, upstream),
+	}
 }
 
 // KeyRates returns the spans of keys that have requests, with their request rates.
@@ -139,12 +143,15 @@
 	load.InboundBacklog = e.inboundLink.Backlog(e.clock.Now())
 	load.FailurePercent = int(e.failures.at(e.clock.Now()) * percent)
 	e.mu.Unlock()
-	load.DemandPercent = int(rate * float64(load.ServiceTime) / millisPerSecond / float64(max(load.Slots, 1)) * percent)
+	load.ColdRate, load.ColdFor = e.cold.load()
+	if capacity := load.RequestRate(); capacity > 0 {
+		load.DemandPercent = int(rate / capacity * percent)
+	}
 	return load
 }
 
 // Serve runs a request on the upstream if the upstream may run it and the gate admits it.
-// The reply includes the load.
+// The reply includes the load, unless the request is served and the policy says that it is known.
 func (e *Executor) Serve(ctx context.Context, service string, r *Request, policy RequestPolicy) Reply {
 	reply := e.serve(ctx, service, r, policy)
 	e.withLink(func(l *balance.Link) {
@@ -153,8 +160,12 @@
 			reply.Schedule = schedule
 		}
 	})
+	_, done := reply.Outcome.(outcome.Done)
+	if done && policy.LoadKnown {
+		return reply
+	}
 	reply.Load, reply.HasLoad = e.Load(), true
-	if _, done := reply.Outcome.(outcome.Done); done {
+	if done {
 		reply.Load.ClassServiceTime = e.gate.ClassServiceMillis(policy.Class)
 	}
 	return reply
@@ -187,6 +198,9 @@
 		e.mu.Unlock()
 		return balance.Schedule{}, NotRun(reason).WithRetryAfter(e.retryTime(r, policy, promised)), false
 	}
+	if err := e.cold.check(r, policy); err != nil {
+		return balance.Schedule{}, e.coldRefusal(r, err), false
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delay := e.inboundLink.BodyDelay(now, e.gate.ClassServiceMillis(policy.Class), policy.LatencyBudget, bodyBytes)
@@ -244,8 +258,14 @@
 	if slot == nil {
 		return refused
 	}
-	// Only the first release counts; this one is for a panic.
+	// Only the first release counts; this one is for refusals and for a panic.
 	defer slot.ReleaseWithoutSample()
+	return e.serveAdmitted(ctx, service, r, policy, slot, startedShare)
+}
+
+// serveAdmitted runs a request that holds a slot, as one of the given share of its class that
+// are started. The caller releases the slot if it is still held.
+func (e *Executor) serveAdmitted(ctx context.Context, service string, r *Request, policy RequestPolicy, slot *admission.Slot, startedShare float64) Reply {
 	if refused, ok := e.checkEligible(service, r); !ok {
 		slot.ReleaseWithoutSample()
 		return refused
@@ -260,13 +280,19 @@
 		return NotRun(outcome.ReasonOverloaded).WithRetryAfter(memoryRetryAfter)
 	}
 	defer r.Memory.ReleaseExpected()
+	permit, err := e.cold.admit(r, policy)
+	if err != nil {
+		return e.coldRefusal(r, err)
+	}
 	if !policy.Idempotent {
 		// A request that must not run twice is completed even if its caller has left.
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), (r.Deadline - now).Duration())
 		defer cancel()
 	}
+	e.admitted(policy)
 	reply := e.callUpstream(ctx, r, policy, now, startedShare)
+	e.cold.finish(permit, reply)
 	failed, known := failedByUpstream(ctx, reply)
 	if known {
 		e.recordFailure(failed)
@@ -296,6 +322,9 @@
 	if policy.LargeResponse && delay > 0 {
 		return nil, 0, NotRun(outcome.ReasonOverloaded).WithRetryAfter(boundedRetryAfter(delay))
 	}
+	if err := e.cold.check(r, policy); err != nil {
+		return nil, 0, e.coldRefusal(r, err)
+	}
 	startedShare := 1.0
 	if !r.Nested && !promised {
 		var start bool
@@ -311,7 +340,6 @@
 		reply.Promised = promised
 		return nil, 0, reply
 	}
-	e.admitted(policy)
 	return slot, startedShare, Reply{}
 }
 
--- a/core/dispatch/parents_test.go
+++ b/core/dispatch/parents_test.go
@@ -40,7 +40,7 @@
 	for reason, notStarted := range map[outcome.Reason]bool{outcome.ReasonOverloaded: true, outcome.ReasonNoOwner: false} {
 		u := &nestingUpstream{reason: reason}
 		u.state = dispatch.UpstreamState{Service: "s", Up: true}
-		u.executor = newExecutorOf(u, 4)
+		u.executor = newExecutorOf(u, 8)
 		serve := func(class string) dispatch.Reply {
 			return u.executor.Serve(context.Background(), "s", keyedRequest(), dispatch.RequestPolicy{Class: class, Rank: 3})
 		}
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -141,7 +141,7 @@
 		Str("outcome", reply.Outcome.String()).Str("reason", string(outcome.ReasonOf(reply.Outcome))).Bool("arrived", reply.ReachedUpstream).
 		Int("running", reply.Load.Running).Int("waiting", reply.Load.Waiting).Int("slots", reply.Load.Slots).
 		Int64("serviceMillis", int64(reply.Load.ServiceTime)).Int("demandPercent", reply.Load.DemandPercent).
-		Int64("linkMillis", int64(reply.Load.LinkBacklog)).Bool("nested", r.Nested).
+		Int64("linkMillis", int64(reply.Load.LinkBacklog)).Int64("coldMillis", int64(reply.Load.ColdFor)).Bool("nested", r.Nested).
 		Int64("returnMillis", int64(reply.RetryAfter)).Bool("promised", reply.Promised).Bool("nestedRefused", reply.NestedRefused).Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
 }
 
@@ -217,10 +217,14 @@
 		"retries_claimed": float64(retries.Claimed), "retries_expired": float64(retries.Expired),
 		"requests_not_started": float64(fairness.NotStarted), "requests_raised": float64(fairness.Raised),
 		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.logWriter.Dropped()),
+		"cold":          boolValue(load.ColdFor > 0),
 		"follows_store": boolValue(a.watching[store.OperatorRows].Load()),
 	} {
 		scope.Gauge(name).Update(value)
 	}
+	refused := a.executor.ColdRefusals()
+	scope.Counter("cold_refused").Inc(int64(refused - a.coldRefusalsCounted))
+	a.coldRefusalsCounted = refused
 }
 
 func boolValue(b bool) float64 {
