--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 
 	"briarwell.dev/core/admission"
@@ -51,6 +52,11 @@
 	Closed bool
 	// Keyed is true if each key of the service has one owner.
 	Keyed bool
+	// OutOfUse is true if the failure domain of the instance is out of use: the upstream gets
+	// no requests without a key. OutOfUseClosed is true if it gets none with a key either,
+	// also for keys that have not been handed over.
+	OutOfUse       bool
+	OutOfUseClosed bool
 }
 
 // Upstream gives access to the upstream of this instance.
@@ -133,8 +139,10 @@
 
 // Load returns the load of the upstream and of the link, without ClassServiceTime.
 func (e *Executor) Load() balance.Load {
+	learned := e.gate.Capacity()
 	load := balance.Load{
-		Running: e.gate.InFlight(), Waiting: e.gate.Queued(), Slots: e.gate.Limit(), ServiceTime: e.gate.ServiceMillis(),
+		Running: e.gate.InFlight(), Waiting: e.gate.Queued(), Slots: learned.Limit, ServiceTime: e.gate.ServiceMillis(),
+		Capacity: int(math.Round(learned.PerSecond)),
 	}
 	e.mu.Lock()
 	rate := e.keyMeter.TotalRate(e.clock.Now())
@@ -166,7 +174,7 @@
 	}
 	reply.Load, reply.HasLoad = e.Load(), true
 	if done {
-		reply.Load.ClassServiceTime = e.gate.ClassServiceMillis(policy.Class)
+		reply.Load.ClassServiceTime = e.gate.LearnedClassMillis(policy.Class)
 	}
 	return reply
 }
@@ -360,6 +368,9 @@
 	e.requestStarted(r.ID, Parent{Rank: policy.Rank, Demand: max(policy.Demand, 1) / startedShare})
 	defer func() { e.requestEnded(r.ID, policy.Class, reply) }()
 	reply = e.upstream.Call(ctx, e.upstream.State(now).Process, r, r.Deadline-now)
+	if reply.Slowness > 0 {
+		e.gate.ReportSlowness(reply.Slowness)
+	}
 	return reply
 }
 
@@ -373,6 +384,8 @@
 		return NotRun(outcome.ReasonMoved), false
 	case !state.Up:
 		return NotRun(outcome.ReasonUnreachable), false
+	case state.OutOfUse && (!state.Keyed || state.OutOfUseClosed):
+		return NotRun(outcome.ReasonOutOfUse), false
 	case state.Closed || state.Leaving && !state.Keyed:
 		return NotRun(outcome.ReasonDraining), false
 	case state.Keyed && !e.upstream.HoldsKey(now, r.Key):
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -57,6 +57,9 @@
 		Leaving: leaving || u.app.stopping.Load(),
 		Closed:  u.app.upstreamClosed.Load() || leaving && now-leavingSince >= u.app.settings.Drain()-drainMargin,
 		Keyed:   serviceConfig.Keyed,
+
+		OutOfUse:       s.domain.OutOfUse(),
+		OutOfUseClosed: s.domain.Closed(now),
 	}
 }
 
@@ -141,6 +144,7 @@
 	case heartbeat.Started:
 		s.keyController.HandleUpstreamRestart(now)
 		u.client.CloseIdle()
+		u.app.gate.BeginColdStart()
 		u.probeClient.CloseIdle()
 	case heartbeat.Accepted:
 	default:
