--- a/core/retryafter/retryafter.go
+++ b/core/retryafter/retryafter.go
@@ -266,8 +266,20 @@
 // different requests are spread evenly over the second half of what a caller honours: a
 // later retry finds more keys and upstreams, and a constant would make all return at once.
 func Spread(remaining clock.Millis, id string) clock.Millis {
+	return SpreadFrom(longestDelay(remaining)/2, remaining, 0, id)
+}
+
+// SpreadFrom returns a retry time like Spread, but spreads the times from earliest on, the
+// next free time of an upstream as known from another refusal. inTime is the time in milliseconds
+// up to which a retry is expected to meet its target; later times are given only if it is over
+// by then.
+func SpreadFrom(earliest, remaining, inTime clock.Millis, id string) clock.Millis {
 	latest := longestDelay(remaining)
-	return spreadBetween(max(latest/2, min(minDelay, latest)), latest, id)
+	earliest = min(max(earliest, minDelay), latest)
+	if inTime > earliest {
+		latest = min(latest, inTime)
+	}
+	return spreadBetween(earliest, latest, id)
 }
 
 // spreadBetween returns a time in milliseconds from earliest to latest that depends on the ID.
--- a/core/retryafter/retryafter_test.go
+++ b/core/retryafter/retryafter_test.go
@@ -87,3 +87,17 @@
 	late := s.Refuse(0, capacity, retryafter.Request{ID: "late", Class: "r", Deadline: 1500, LatencyBudget: 120})
 	is.True(late >= 250) // no retry meets the target: later upstreams have more capacity
 }
+
+// TestRefusals guards against a retry that counts as a first attempt because it comes soon,
+// and against another first attempt for the same key that counts as a retry.
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	var f retryafter.Refusals
+	f.Record(0, 100, refused("first", 0))
+	is.True(!f.TakeRetry(30, refused("other caller", 0))) // the same deadline, but too early
+	later := refused("first attempt 100 ms later", 0)
+	later.Deadline += 100
+	is.True(!f.TakeRetry(100, later))
+	is.True(f.TakeRetry(100, refused("retry", 0)))
+	is.True(!f.TakeRetry(101, refused("second retry", 0)))
+}
