--- a/core/evacuation/evacuation.go
+++ b/core/evacuation/evacuation.go
@@ -21,8 +21,6 @@
 type Domain struct {
 	outOfUse   bool
 	closedFrom clock.Millis
-	returned   bool
-	returnedAt clock.Millis
 }
 
 // TakeOutOfUse records that the daemon learns at now that the domain is out of use. Within is the
@@ -39,8 +37,8 @@
 	}
 }
 
-// Return records that the daemon learns at now that the domain is in use again.
-func (d *Domain) Return(now clock.Millis) { *d = Domain{returned: true, returnedAt: now} }
+// Return records that the daemon learns that the domain is in use again.
+func (d *Domain) Return() { *d = Domain{} }
 
 // OutOfUse reports whether the domain is out of use. The upstream then gets no requests without a
 // key and may own no keys.
@@ -48,7 +46,3 @@
 
 // Closed reports whether the upstream gets no requests at all at now.
 func (d *Domain) Closed(now clock.Millis) bool { return d.outOfUse && now >= d.closedFrom }
-
-// ReturnedAt returns the time at which the daemon learned that the domain is in use again. It
-// returns false if the domain is out of use, or was not before.
-func (d *Domain) ReturnedAt() (clock.Millis, bool) { return d.returnedAt, d.returned }
--- a/core/evacuation/evacuation_test.go
+++ b/core/evacuation/evacuation_test.go
@@ -17,21 +17,14 @@
 	is := is.New(t)
 	var d evacuation.Domain
 	is.True(!d.OutOfUse() && !d.Closed(1000))
-	_, returned := d.ReturnedAt()
-	is.True(!returned)
 	d.TakeOutOfUse(100, within, true)
 	d.TakeOutOfUse(2000, within, true) // the row was written again
 	is.True(d.OutOfUse() && !d.Closed(3099) && d.Closed(3100))
-	d.Return(9000)
+	d.Return()
 	is.True(!d.OutOfUse() && !d.Closed(9000))
-	at, returned := d.ReturnedAt()
-	is.True(returned)
-	is.Equal(at, clock.Millis(9000))
 	d.TakeOutOfUse(9500, within, false)
 	is.True(d.Closed(9500))
-	_, returned = d.ReturnedAt()
-	is.True(!returned)
-	d.Return(9600)
+	d.Return()
 	d.TakeOutOfUse(9700, 1000, true) // a bound below the margin
 	is.True(d.Closed(9700))
 }
--- a/sidecar/app/evacuation.go
+++ b/sidecar/app/evacuation.go
@@ -113,7 +113,7 @@
 			ageKnown := running && !allRead && answeredAt > 0 && now-answeredAt <= maxStoreSilence
 			s.domain.TakeOutOfUse(now, s.outOfUseWithin, ageKnown)
 		case before || running:
-			s.domain.Return(now)
+			s.domain.Return()
 		}
 	}
 	return before != after, nil
@@ -147,12 +147,3 @@
 	a.unplaceable = !placeable
 	a.log.Info().Bool("placeable", placeable).Bool("outOfUse", outOfUse).Strs("ownerRegions", ownerRegions).Msg("keyPlacement")
 }
-
-// ReturnedToUseAt returns the time at which this sidecar learned that its failure domain was
-// returned to use. It returns false if the domain is out of use, or was not while this sidecar
-// has been running.
-func (s *state) ReturnedToUseAt() (clock.Millis, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.domain.ReturnedAt()
-}
