dispatch: a request whose caller has left is not sent

A waiting request whose caller leaves at the time at which a slot becomes free gets the slot or the error of its context, as the runtime picks. With the slot it was sent to the upstream, although no one wanted the response. The context is now checked before the request is sent.

Seen in a trace of TestCallerDisconnectsWhileQueued at load average 25: the test process stood still from 20 to 119 ms after the start, the caller left at 40 ms, the slot was free at 119 ms, and the request ran until 199 ms. The new test fails without the check.

--- a/core/dispatch/executor.go
+++ b/core/dispatch/executor.go
@@ -262,6 +262,11 @@
 		slot.ReleaseWithoutSample()
 		return NotRun(outcome.ReasonQueueTimeout)
 	}
+	if ctx.Err() != nil {
+		// The caller left at the time at which a slot became free.
+		slot.ReleaseWithoutSample()
+		return NotRun(outcome.ReasonDeadlineExceeded)
+	}
 	if err := r.Memory.Expect(e.responseSizes.Expected(policy.Class, len(r.Body))); err != nil {
 		slot.ReleaseWithoutSample()
 		return NotRun(outcome.ReasonOverloaded).WithRetryAfter(memoryRetryAfter)
--- a/core/dispatch/executor_test.go
+++ b/core/dispatch/executor_test.go
@@ -126,6 +126,19 @@
 	is.Equal(u.calls.Load(), int64(1))
 }
 
+// TestCallerLeavesBeforeSend guards against sending a request that got a slot after its caller
+// has left.
+func TestCallerLeavesBeforeSend(t *testing.T) {
+	is := is.New(t)
+	u := &fakeUpstream{state: dispatch.UpstreamState{Service: "s", Up: true}}
+	e := newExecutor(u, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.Equal(e.Serve(ctx, "s", keyedRequest(), dispatch.RequestPolicy{}).Outcome.String(), "not-run")
+	is.Equal(u.calls.Load(), int64(0))
+	is.Equal(e.Load().Running, 0)
+}
+
 // TestIsRunning guards against treating a nested request as a caller's own, and against a
 // caller's request that only claims to be nested.
 func TestIsRunning(t *testing.T) {
