dispatch: TestCallerDisconnectsWhileQueued runs in virtual time

The test assumed that the process does not stand still for 40 ms or more.

The test now runs in a synctest bubble with the same times. It is stricter: the first request must hold the slot, and the second one must be answered at the time at which its caller leaves.

--- a/core/dispatch/executor_test.go
+++ b/core/dispatch/executor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -113,17 +114,26 @@
 // TestCallerDisconnectsWhileQueued guards against sending a queued request to the upstream
 // after its caller has left.
 func TestCallerDisconnectsWhileQueued(t *testing.T) {
-	is := is.New(t)
-	u := &fakeUpstream{state: dispatch.UpstreamState{Service: "s", Up: true}, serviceTime: 80 * time.Millisecond}
-	e := newExecutor(u, 1)
-	go e.Serve(context.Background(), "s", keyedRequest(), dispatch.RequestPolicy{})
-	time.Sleep(20 * time.Millisecond)
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
-	defer cancel()
-	reply := e.Serve(ctx, "s", keyedRequest(), dispatch.RequestPolicy{})
-	is.Equal(reply.Outcome.String(), "not-run")
-	time.Sleep(120 * time.Millisecond)
-	is.Equal(u.calls.Load(), int64(1))
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		u := &fakeUpstream{state: dispatch.UpstreamState{Service: "s", Up: true}, serviceTime: 80 * time.Millisecond}
+		c := bubbleClock{start: time.Now()}
+		e := dispatch.NewExecutor(c, u, admission.NewGate(c, admission.Settings{Slots: 1}), 0)
+		serve := func(ctx context.Context) dispatch.Reply {
+			return e.Serve(ctx, "s", &dispatch.Request{ID: "1", Key: 5, Keyed: true, ReceivedAt: c.Now(), Deadline: c.Now() + 500}, dispatch.RequestPolicy{})
+		}
+		defer time.Sleep(time.Second) // The first request ends before the bubble does.
+		go serve(context.Background())
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(u.calls.Load(), int64(1)) // It has the slot.
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		reply := serve(ctx)
+		is.Equal(reply.Outcome.String(), "not-run")
+		is.Equal(c.Now(), clock.Millis(40)) // It waited until its caller left.
+		time.Sleep(120 * time.Millisecond)
+		is.Equal(u.calls.Load(), int64(1))
+	})
 }
 
 // TestCallerLeavesBeforeSend guards against sending a request that got a slot after its caller
