sidecar: TestReturnedUpstreamCountsAsCold waits until requests are known

A cold upstream gets no requests for 1.1 s after the sidecar starts or the first bound comes into force, as the requests before were not counted. The test wrote the bound and returned the domain to use 0.3 to 1.7 s later. When the return fell into the 1.1 s, the first request was refused, and the sidecars used the warm upstream for the rest of the test.

The test now waits until the bound is in force in both sidecars and the time is over. The assertions are unchanged, but print the number and say which bound was missed.

--- a/sidecar/app/evacuation_test.go
+++ b/sidecar/app/evacuation_test.go
@@ -211,12 +211,18 @@
 		}
 		return true
 	})
-	c.store.Put("op", "evacuate/d0", []byte("{}"))
-	logged := func(text string) bool {
+	count := func(text string) int {
 		c.logs.mu.Lock()
 		defer c.logs.mu.Unlock()
-		return strings.Contains(c.logs.buf.String(), text)
+		return strings.Count(c.logs.buf.String(), text)
 	}
+	logged := func(text string) bool { return count(text) > 0 }
+	c.eventually("bound in force", func() bool { return count("event=manifestInForce version=5") == len(c.instances) })
+	// Requests of the last 1.1 s before a bound is in force are not known, so a cold upstream
+	// gets none for that time. Then no request would reach the returned upstream: once it has
+	// refused one, the sidecars use the warm upstream for the rest of the test.
+	time.Sleep(1200 * time.Millisecond)
+	c.store.Put("op", "evacuate/d0", []byte("{}"))
 	c.eventually("evacuation", func() bool { return logged("outOfUse=true revision=5 own=true") })
 	c.instances[0].silent.Store(true)
 	time.Sleep(300 * time.Millisecond) // for the reports on their way
@@ -226,7 +232,9 @@
 	c.sendAll(950 * time.Millisecond)
 	is.True(logged("outOfUse=false"))
 	runs := c.evacuatedRuns() - before
-	is.True(runs > 0 && runs <= perSecond)
+	t.Logf("%d requests to the returned upstream", runs)
+	is.True(runs > 0)
+	is.True(runs <= perSecond)
 	is.True(!logged("cause=probe"))
 }
 
