soak: one evacuation in five takes all failure domains out of use

A sidecar that takes no notice of evacuations that it learns before its first manifest is still not found.

--- a/demo/soak/placement.go
+++ b/demo/soak/placement.go
@@ -97,6 +97,26 @@
 	return at, ok
 }
 
+// evacuateDomains applies an evacuation to one failure domain or to all. With all of them, the
+// keys can't move, so that the upstreams keep those for which they must get no requests.
+func (r *Runner) evacuateDomains(f Fault) error {
+	domains := map[string]bool{r.instances[f.Instance].domain: true}
+	for _, in := range r.instances {
+		if f.Mode == Silence {
+			domains[in.domain] = true
+		}
+	}
+	errs := make(chan error, len(domains))
+	for domain := range domains {
+		go func() { errs <- r.evacuate(domain, outOfUseWithin+f.Duration) }()
+	}
+	var err error
+	for range domains {
+		err = errors.Join(err, <-errs)
+	}
+	return err
+}
+
 // evacuate takes a failure domain out of use for a time, unless another fault does.
 func (r *Runner) evacuate(domain string, length time.Duration) error {
 	p := &r.placement
--- a/demo/soak/plan.go
+++ b/demo/soak/plan.go
@@ -54,7 +54,8 @@
 	StoreSilence
 	// ColdTurn makes an upstream cold without notice, unless it is cold already.
 	ColdTurn
-	// Evacuate takes the failure domain of an instance out of use and returns it.
+	// Evacuate takes the failure domain of an instance out of use and returns it; with the mode
+	// Silence, all domains at once.
 	Evacuate
 	faultKindCount
 )
@@ -76,7 +77,7 @@
 	// Instance is the index of the affected instance. Faults of the store and KillAll
 	// ignore it.
 	Instance int
-	// Mode is the proxy mode of link faults; other faults ignore it.
+	// Mode is the proxy mode of link faults; other faults but Evacuate ignore it.
 	Mode Mode
 }
 
--- a/demo/soak/runner.go
+++ b/demo/soak/runner.go
@@ -227,7 +227,7 @@
 			u.BecomeCold(f.Duration)
 		}
 	case Evacuate:
-		return r.evacuate(in.domain, outOfUseWithin+f.Duration)
+		return r.evacuateDomains(f)
 	default:
 		return fmt.Errorf("unknown fault kind %d", f.Kind)
 	}
