keyspace: holders get keys from one that owns all in few ranges

Cause: the only holder left owns all keys in one or two ranges, since completed moves merge adjacent ranges. With four holders a quarter of the mean number of ranges is 0, so BalanceRangeCounts moved nothing, and at a low demand key moves by load start nothing either.

Change: with fewer than four ranges per holder on average, long ranges are split before they are balanced, into at most 150 parts, so that the grant of the owner still fits into its answer.

--- a/core/keyspace/change.go
+++ b/core/keyspace/change.go
@@ -11,6 +11,9 @@
 	// initialRangesPerHolder is the number of ranges per holder in the first
 	// assignment. It is high so that adjacent busy keys belong to several holders.
 	initialRangesPerHolder = 64
+	// minRangesPerHolder is the mean number of ranges per holder below which ranges are split
+	// before they are balanced: with fewer, a quarter of the mean is no whole range.
+	minRangesPerHolder = 4
 	// MaxRangesPerHolder bounds the ranges of one holder, so that its grants of about
 	// 24 bytes each fit into the 4 KiB of an answer to a report.
 	MaxRangesPerHolder = 150
@@ -442,31 +445,65 @@
 // BalanceRangeCounts moves ranges from holders with more than an equal share to a
 // holder with less than a quarter of it, such as one that has just joined. It fills
 // that holder up to half a share only; its load then shows how much more it can take.
-// Ranges that are already moving stay as they are. It reports whether it started any
-// move.
+// Ranges that are already moving stay as they are. If there are few ranges, they are split
+// first: a holder that was the only one for a time owns all keys in one merged range. It reports
+// whether it started any move.
 func (a Assignment) BalanceRangeCounts() (Assignment, bool) {
 	ra := a.newRangeAssigner()
 	if len(ra.holders) < 2 || len(a.ranges) == 0 {
 		return a, false
 	}
-	fairShare := len(a.ranges) / len(ra.holders)
+	balanced, stride := a, 1
+	if len(a.ranges) < len(ra.holders)*minRangesPerHolder {
+		parts := min(len(ra.holders)*initialRangesPerHolder, MaxRangesPerHolder)
+		if parts >= len(ra.holders)*2 {
+			// The moved ranges are not adjacent, so that busy keys next to each other get several owners.
+			stride = len(ra.holders)
+		}
+		balanced = a.splitLongRanges(max(parts, len(ra.holders)*2))
+		ra = balanced.newRangeAssigner()
+	}
+	fairShare := len(balanced.ranges) / len(ra.holders)
 	if ra.rangeCounts[ra.leastLoaded()]*4 >= fairShare {
 		return a, false
 	}
-	a = a.clone()
+	balanced = balanced.clone()
 	moved := false
-	for j := range a.ranges {
-		r := &a.ranges[j]
-		least := ra.leastLoaded()
-		if ra.rangeCounts[least]*2 >= fairShare {
-			break
+	for offset := range stride {
+		for j := offset; j < len(balanced.ranges); j += stride {
+			r := &balanced.ranges[j]
+			least := ra.leastLoaded()
+			if ra.rangeCounts[least]*2 >= fairShare {
+				break
+			}
+			if r.owner == "" || r.nextOwner != "" || ra.rangeCounts[r.owner] <= fairShare {
+				continue
+			}
+			ra.rangeCounts[r.owner]--
+			ra.rangeCounts[least]++
+			r.nextOwner, moved = least, true
 		}
-		if r.owner == "" || r.nextOwner != "" || ra.rangeCounts[r.owner] <= fairShare {
-			continue
+	}
+	if !moved {
+		return a, false
+	}
+	return balanced, true
+}
+
+// splitLongRanges splits the ranges that are longer than an equal part of all keys into parts of
+// that length. Ranges that move, or whose owner has yet to use a handover token, stay whole.
+func (a Assignment) splitLongRanges(parts int) Assignment {
+	length := max((int(LastKey)+1)/parts, 1)
+	split := make([]Range, 0, parts)
+	for _, r := range a.ranges {
+		for r.nextOwner == "" && r.handoverToken == "" && int(r.last)-int(r.first) >= length {
+			part := r
+			part.last = r.first + Key(length) - 1 //nolint:gosec // A part of the keys.
+			split = append(split, part)
+			r.first = part.last + 1
 		}
-		ra.rangeCounts[r.owner]--
-		ra.rangeCounts[least]++
-		r.nextOwner, moved = least, true
+		split = append(split, r)
 	}
-	return a, moved
+	a.ranges = split
+	return a
 }
