--- a/core/dispatch/peerhttp/peerhttp.go
+++ b/core/dispatch/peerhttp/peerhttp.go
@@ -1,5 +1,5 @@
 // Package peerhttp encodes requests and replies between daemons as HTTP/1.1 messages: the
-// caller's request or the upstream's response, with additional header fields.
+// caller's request or the upstream's response, with one additional header field.
 package peerhttp
 
 import (
