sidecar: TestColdUpstreams waits until the bound is in force

Cause: an upstream is also logged as cold before the first manifest, while no request is sent, and as warm under the manifest without a bound. The test counted those lines and sent its requests before the manifest with the bound was in force.

Change: the test waits for the manifest in both sidecars and counts the lines from there. The assertions are unchanged.

--- a/sidecar/app/cold_test.go
+++ b/sidecar/app/cold_test.go
@@ -34,7 +34,9 @@
 		defer c.logs.mu.Unlock()
 		return strings.Count(c.logs.buf.String(), text)
 	}
-	c.eventually("cold upstreams", func() bool { return logged("event=upstreamCold") == 2 })
+	// An upstream may have been logged as cold before: there is a bound until the first manifest.
+	c.eventually("bound in force", func() bool { return logged("event=manifestInForce version=5") == len(c.instances) })
+	c.eventually("cold upstreams", func() bool { return logged("event=upstreamCold") >= len(c.instances) })
 	c.sendAll(3 * time.Second)
 	for _, in := range c.instances {
 		times := starts[in]
@@ -44,10 +46,11 @@
 		}
 	}
 	is.True(logged("reason=cold") > 0)
+	warm := logged("event=upstreamWarm")
 	for _, in := range c.instances {
 		in.upstream.BecomeCold(0)
 	}
-	c.eventually("warm upstreams", func() bool { return logged("event=upstreamWarm") == 2 })
+	c.eventually("warm upstreams", func() bool { return logged("event=upstreamWarm") == warm+len(c.instances) })
 	before := len(starts[c.instances[0]])
 	c.sendAll(500 * time.Millisecond)
 	is.True(len(starts[c.instances[0]])-before > perSecond)
