sidecar: own statuses are counted by status and reason, own 4xx logged with their inputs

Why: of the hypotheses on DENIED the logs told apart only some. No metric separated the sidecar's own statuses from an upstream's, the line of a 404 named neither host nor path nor how old the knowledge of the store was, and the line of a rejected request was not limited.

Change: the writers of responses return the status with its reason; own_statuses_total counts it. requestEnded names host and path for an own 4xx and the age of the store's latest answer; requestRejected names the sizes and bounds. Own 4xx lines have a bound of their own, 20 a second, so that refusals under load don't crowd them out.

--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -103,22 +103,20 @@
 		})
 	}
 	if err != nil {
-		status := callerhttp.WriteError(w, callerhttp.RequestID(r), err)
-		a.telemetry.scope.Counter("requests_rejected").Inc(1)
-		a.log.Warn().Err(err).Str("request", callerhttp.RequestID(r)).Int("status", status).Msg("requestRejected")
+		a.recordRejected(r, manifest, callerhttp.WriteError(w, callerhttp.RequestID(r), err), err)
 		return
 	}
 	if senderDisconnected(r.Context()) {
 		a.logAbandoned(request)
 		// A sender that has closed only its sending side still reads the response.
 		abandoned := dispatch.Result{Reply: dispatch.NotRun(outcome.ReasonDeadlineExceeded), RouteFound: true, ManifestVersion: manifest.Version()}
-		callerhttp.WriteResult(w, request.ID, abandoned)
+		a.telemetry.countOwnStatus(callerhttp.WriteResult(w, request.ID, abandoned))
 		return
 	}
 	request.Nested = a.executor.IsRunning(request.ParentID)
 	result := a.handleCaller(r.Context(), manifest, request)
-	status := callerhttp.WriteResult(w, request.ID, result)
-	a.recordCallerRequest(r.Context(), request, result, status)
+	answer := callerhttp.WriteResult(w, request.ID, result)
+	a.recordCallerRequest(r.Context(), request, result, answer)
 }
 
 // withReadDeadline calls read, which reads the body of a request. Reads fail from the
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +19,8 @@
 	"briarwell.dev/core/logs"
 	"briarwell.dev/core/metrics"
 	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/routes"
+	"briarwell.dev/platform/callerhttp"
 	"briarwell.dev/platform/store"
 )
 
@@ -30,6 +34,12 @@
 	// maxRequestSeries bounds the metric series of requests, since the routes, and
 	// with them the services, change while the process runs.
 	maxRequestSeries = 512
+	// maxRejectionLinesPerSecond bounds the log lines per second about requests that this
+	// process ends with a status from 400 to 499. They have a bound of their own, as refusals
+	// are frequent under load.
+	maxRejectionLinesPerSecond = 20
+	// maxLoggedPathBytes bounds the path in a log line.
+	maxLoggedPathBytes = 80
 )
 
 // telemetry holds the metrics of the sidecar and the rate limits of the log lines about
@@ -40,9 +50,12 @@
 	closer             io.Closer
 	callerLogLimiter   *logs.Limiter
 	executorLogLimiter *logs.Limiter
+	// rejectionLogLimiter applies to own statuses from 400 to 499.
+	rejectionLogLimiter *logs.Limiter
 
-	mu     sync.Mutex
-	series map[seriesKey]requestSeries
+	mu          sync.Mutex
+	series      map[seriesKey]requestSeries
+	ownStatuses map[callerhttp.Answer]tally.Counter
 }
 
 type seriesKey struct {
@@ -57,7 +70,11 @@
 }
 
 func newTelemetry() *telemetry {
-	t := &telemetry{callerLogLimiter: logs.NewLimiter(maxRequestLinesPerSecond), executorLogLimiter: logs.NewLimiter(maxRequestLinesPerSecond), series: make(map[seriesKey]requestSeries)}
+	t := &telemetry{
+		callerLogLimiter: logs.NewLimiter(maxRequestLinesPerSecond), executorLogLimiter: logs.NewLimiter(maxRequestLinesPerSecond),
+		rejectionLogLimiter: logs.NewLimiter(maxRejectionLinesPerSecond),
+		series:              make(map[seriesKey]requestSeries), ownStatuses: make(map[callerhttp.Answer]tally.Counter),
+	}
 	t.scope, t.collector, t.closer = metrics.New()
 	return t
 }
@@ -91,11 +108,65 @@
 	}
 }
 
+// countOwnStatus counts a status that this process gave a caller itself, by status and reason.
+func (t *telemetry) countOwnStatus(answer callerhttp.Answer) {
+	if !answer.Own() {
+		return
+	}
+	t.mu.Lock()
+	counter, ok := t.ownStatuses[answer]
+	if !ok && len(t.ownStatuses) < maxRequestSeries {
+		tags := map[string]string{"status": strconv.Itoa(answer.Status()), "reason": string(answer.Reason())}
+		counter = t.scope.Tagged(tags).Counter("own_statuses")
+		t.ownStatuses[answer] = counter
+	}
+	t.mu.Unlock()
+	if counter != nil {
+		counter.Inc(1)
+	}
+}
+
+// isRejection reports whether the answer says that the caller's request is at fault.
+func isRejection(answer callerhttp.Answer) bool {
+	return answer.Own() && answer.Status() >= http.StatusBadRequest && answer.Status() < http.StatusInternalServerError
+}
+
+// recordRejected counts and logs a request that was rejected with err before it had a route.
+func (a *App) recordRejected(r *http.Request, manifest *routes.Manifest, answer callerhttp.Answer, err error) {
+	a.telemetry.scope.Counter("requests_rejected").Inc(1)
+	a.telemetry.countOwnStatus(answer)
+	ok, omitted := a.telemetry.rejectionLogLimiter.Allow(a.clock.Now())
+	if !ok {
+		return
+	}
+	a.log.Warn().Err(err).Str("request", callerhttp.RequestID(r)).Str("host", r.Host).Str("path", loggedPath(r.RequestURI)).
+		Int("status", answer.Status()).Str("reason", string(answer.Reason())).
+		Uint64("manifest", manifest.Version()).Int64("storeAgeMillis", a.storeAgeMillis()).
+		Int64("bytes", r.ContentLength).Int64("manifestMaxBytes", manifest.Limits().MaxBodyBytes).Int64("memoryMaxBytes", a.memory.MaxBody()).
+		Int64("omitted", omitted).Msg("requestRejected")
+}
+
+// loggedPath returns the beginning of the path of a request, without its query.
+func loggedPath(requestURI string) string {
+	path, _, _ := strings.Cut(requestURI, "?")
+	return path[:min(len(path), maxLoggedPathBytes)]
+}
+
+// storeAgeMillis returns the age of the latest known answer of the store, -1 if there is none.
+func (a *App) storeAgeMillis() int64 {
+	age := a.state.storeAnswerAge(a.clock.Now())
+	if age == nil {
+		return -1
+	}
+	return int64(*age)
+}
+
 // recordCallerRequest counts a completed request of a caller. It logs the request unless
 // the upstream served it at the first attempt, in time and without a server error.
-func (a *App) recordCallerRequest(ctx context.Context, r *dispatch.Request, result dispatch.Result, status int) {
-	took := a.clock.Now() - r.ReceivedAt
+func (a *App) recordCallerRequest(ctx context.Context, r *dispatch.Request, result dispatch.Result, answer callerhttp.Answer) {
+	took, status := a.clock.Now()-r.ReceivedAt, answer.Status()
 	a.telemetry.countRequest(result, took)
+	a.telemetry.countOwnStatus(answer)
 	outcomeText := "none"
 	if result.Outcome != nil {
 		outcomeText = result.Outcome.String()
@@ -103,19 +174,31 @@
 			return
 		}
 	}
-	ok, omitted := a.telemetry.callerLogLimiter.Allow(a.clock.Now())
+	limiter, host, path := a.telemetry.callerLogLimiter, "", ""
+	if isRejection(answer) {
+		limiter, host, path = a.telemetry.rejectionLogLimiter, r.Host, loggedPath(r.RequestURI)
+	}
+	ok, omitted := limiter.Allow(a.clock.Now())
 	if !ok {
 		return
 	}
-	a.log.Info().Str("request", r.ID).Str("route", result.Route).Str("service", result.Service).
-		Uint64("manifest", result.ManifestVersion).Str("instance", result.Instance).Int("attempts", result.Attempts).
+	a.log.Info().Str("request", r.ID).Str("host", host).Str("path", path).Str("route", result.Route).Str("service", result.Service).
+		Uint64("manifest", result.ManifestVersion).Int64("storeAgeMillis", a.storeAgeMillis()).Str("instance", result.Instance).Int("attempts", result.Attempts).
 		Bool("keyed", r.Keyed).Int("key", int(r.Key)).Bool("nested", r.Nested).
-		Str("outcome", outcomeText).Str("reason", string(outcome.ReasonOf(result.Outcome))).Int("status", status).
+		Str("outcome", outcomeText).Str("reason", endReason(result, answer)).Int("status", status).
 		Int64("allowedMillis", int64(r.Deadline-r.ReceivedAt)).Int64("tookMillis", int64(took)).
 		Int64("returnMillis", int64(result.RetryAfter)).Bool("callerLeft", ctx.Err() != nil).
 		Int64("omitted", omitted).Msg("requestEnded")
 }
 
+// endReason returns why a request ended with its status, "" if its upstream's response did.
+func endReason(result dispatch.Result, answer callerhttp.Answer) string {
+	if reason := outcome.ReasonOf(result.Outcome); reason != "" {
+		return string(reason)
+	}
+	return string(answer.Reason())
+}
+
 // logNotServed logs a request that this instance's upstream did not serve, with the
 // state that led to it.
 func (a *App) logNotServed(r *dispatch.Request, service string, reply dispatch.Reply) {
