--- /dev/null
+++ b/sidecar/app/manifestage_test.go
@@ -0,0 +1,80 @@
+package app_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"briarwell.dev/platform/platformtest"
+)
+
+// manifestWithin is the time after the acknowledgement of a manifest from which requests are
+// handled as it says.
+const manifestWithin = 2500 * time.Millisecond
+
+// newServingCluster returns a cluster of three instances that all serve bookings.
+func newServingCluster(t *testing.T, subnet int) *cluster {
+	t.Helper()
+	c := newCluster(t, subnet, "ledger", "ledger", "ledger")
+	c.eventually("serving by every sidecar", c.allServe("/book/first"))
+	return c
+}
+
+// allServe returns a condition: whether every sidecar serves requests for the path.
+func (c *cluster) allServe(path string) func() bool {
+	return func() bool {
+		for _, in := range c.instances {
+			if status, _ := c.sendRequest(in, http.MethodGet, path, 1); status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// neverDenies fails the test if a sidecar answers 404 for the path before done returns true.
+func (c *cluster) neverDenies(path string, done func() bool) {
+	c.t.Helper()
+	for !done() {
+		for _, in := range c.instances {
+			if status, _ := c.sendRequest(in, http.MethodGet, path, 1); status == http.StatusNotFound {
+				c.t.Fatalf("%s answers 404 for a route of the manifest in force", in.name)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// TestNewRouteDeniedWhileLargeManifestArrives guards against a manifest that never arrives since
+// it takes longer to transfer than a call may last, and against 404 for its routes meanwhile.
+func TestNewRouteDeniedWhileLargeManifestArrives(t *testing.T) {
+	c := newServingCluster(t, 119)
+	c.store.SetFaults(platformtest.StoreFaults{BytesPerSecond: 300 << 10})
+	c.store.WriteLargeManifest(5, 9000, "/new/") // takes about 5 s
+	time.Sleep(manifestWithin)
+	deadline := time.Now().Add(15 * time.Second)
+	served := c.allServe("/new/")
+	c.neverDenies("/new/", func() bool { return served() || time.Now().After(deadline) })
+	c.within(time.Second, "use of the large manifest by every sidecar", served)
+}
+
+// TestNewRouteDeniedDuringOutage guards against 404 from a sidecar that can't know whether its
+// manifest is the newest: the store refuses it but accepted a new manifest.
+func TestNewRouteDeniedDuringOutage(t *testing.T) {
+	c := newServingCluster(t, 120)
+	c.store.SetFaults(platformtest.StoreFaults{Status: http.StatusServiceUnavailable})
+	c.store.WriteManifest(5, "/new/")
+	time.Sleep(manifestWithin)
+	deadline := time.Now().Add(2 * time.Second)
+	c.neverDenies("/new/", func() bool { return time.Now().After(deadline) })
+	c.store.SetFaults(platformtest.StoreFaults{})
+	c.eventually("use of the new manifest by every sidecar", c.allServe("/new/"))
+}
+
+// TestManifestLargerThanOneMessage guards against a manifest that is too large for the bound of a
+// response of the store or of a message between sidecars, and is then never in force.
+func TestManifestLargerThanOneMessage(t *testing.T) {
+	c := newServingCluster(t, 121)
+	c.store.WriteLargeManifest(5, 40_000, "/new/") // 6 MB
+	c.eventually("use of the large manifest by every sidecar", c.allServe("/new/"))
+}
