httpclient: bounds for the begin of a response and for a stall

Change: a request may bound the time to the first byte and the time between two parts apart from its context.

--- a/core/httpclient/client.go
+++ b/core/httpclient/client.go
@@ -92,19 +92,48 @@
 	conn    net.Conn
 	limited bool
 	allowed int
+	// timeout bounds the next read, stallTimeout those after it; 0 for no bound.
+	timeout      time.Duration
+	stallTimeout time.Duration
 }
 
 func (h *headReader) allow(bytes int) { h.allowed = bytes }
 
+// begin sets the bounds for the reads of one response.
+func (h *headReader) begin(timeout, stallTimeout time.Duration) {
+	h.timeout, h.stallTimeout = timeout, stallTimeout
+}
+
+// end removes the bounds.
+func (h *headReader) end() {
+	if h.timeout > 0 || h.stallTimeout > 0 {
+		h.timeout, h.stallTimeout = 0, 0
+		_ = h.conn.SetReadDeadline(time.Time{}) // Fails if the connection is closed.
+	}
+}
+
 func (h *headReader) Read(p []byte) (int, error) {
-	if !h.limited {
-		return h.conn.Read(p)
+	if h.limited {
+		if h.allowed <= 0 {
+			return 0, errHeadTooLarge
+		}
+		p = p[:min(len(p), h.allowed)]
+	}
+	if h.timeout > 0 {
+		if err := h.conn.SetReadDeadline(time.Now().Add(h.timeout)); err != nil {
+			return 0, err
+		}
 	}
-	if h.allowed <= 0 {
-		return 0, errHeadTooLarge
+	n, err := h.conn.Read(p)
+	if h.limited {
+		h.allowed -= n
+	}
+	if n > 0 && h.timeout != h.stallTimeout {
+		h.timeout = h.stallTimeout
+		if h.timeout == 0 {
+			err = errors.Join(err, h.conn.SetReadDeadline(time.Time{}))
+		}
 	}
-	n, err := h.conn.Read(p[:min(len(p), h.allowed)])
-	h.allowed -= n
 	return n, err
 }
 
--- a/core/httpclient/request.go
+++ b/core/httpclient/request.go
@@ -56,6 +56,11 @@
 	Memory *memory.Account
 	// MaxResponseBytes bounds the body of the response, 0 for the default of 64 MB.
 	MaxResponseBytes int64
+	// BeginTimeout bounds the time until the first byte of the response, StallTimeout the time
+	// between two parts of it; 0 for no bound. Other than a deadline of the context, they don't
+	// bound the size of a response that a slow link can carry.
+	BeginTimeout time.Duration
+	StallTimeout time.Duration
 }
 
 // Response is a complete response.
@@ -138,6 +143,8 @@
 	c.bytesSent, c.requestComplete = 0, false
 	defer func() { c.reused = true }()
 	c.heads.allow(maxHeadBytes)
+	c.heads.begin(r.BeginTimeout, r.StallTimeout)
+	defer c.heads.end()
 	if r.AwaitContinue && len(r.Body) > 0 {
 		if err := c.writeRequest(r, false); err != nil {
 			return Response{}, false, err
