sidecar: 404 only while the manifest is known to be the newest

Cause: a missing route was taken for a denied request. Nothing asked whether a newer manifest may have the route: a store that refuses this instance, or a large manifest that is still on its way, became a false 404. A 404 ends the request for its caller, a 503 with Retry-After does not.

Change: core/freshness compares the revision of the manifest in use with the newest one that is known to exist, and how old that knowledge is. Sidecars exchange it in their sync rounds; the watchers wait for changes of the operator's rows for 1 s instead of 3 s. Without a route, the answer is 404 if every manifest is known that existed manifestWithin ago (setting, the bound within which a manifest is in force), else 503, reason configuration-lags. So a 404 can't be given for a route of a manifest that was acknowledged longer ago than the bound.

TestStoreCallsInOutage now asks for 200 where it asked for anything but 404, which a 503 would meet.

--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +32,6 @@
 	"briarwell.dev/core/replica"
 	"briarwell.dev/core/routes"
 	"briarwell.dev/core/table"
-	"briarwell.dev/platform/manifest"
 	"briarwell.dev/platform/store"
 	"briarwell.dev/sidecar/settings"
 )
@@ -305,38 +303,3 @@
 	}
 	a.log.Info().Bool("changed", s != a.settings).Msg("reloaded")
 }
-
-// applyManifest replaces the current manifest with the encoded one if that is valid and
-// newer. It logs the error.
-func (a *App) applyManifest(value []byte) error {
-	m, problems, err := manifest.Decode(value)
-	if err != nil {
-		a.log.Error().Err(err).Msg("manifestRejected")
-		return err
-	}
-	for {
-		old := a.manifest.Load()
-		if m.Version() <= old.Version() {
-			return nil
-		}
-		if a.manifest.CompareAndSwap(old, m) {
-			a.applyColdSettings()
-			a.log.Info().Uint64("version", m.Version()).Uint64("before", old.Version()).Int("problems", len(problems)).
-				Str("ownerRegions", strings.Join(m.OwnerRegions(a.settings.Service()), ",")).Msg("manifestInForce")
-			a.reportManifestProblems(m.Version(), problems)
-			return nil
-		}
-	}
-}
-
-// maxManifestProblemLines bounds the log lines about one manifest.
-const maxManifestProblemLines = 20
-
-// reportManifestProblems counts and logs the parts of a manifest that this build does not
-// understand.
-func (a *App) reportManifestProblems(version uint64, problems []*manifest.Error) {
-	a.telemetry.scope.Counter("manifest_problems").Inc(int64(len(problems)))
-	for _, problem := range problems[:min(len(problems), maxManifestProblemLines)] {
-		a.log.Warn().Err(problem).Uint64("version", version).Str("field", problem.Field()).Msg("manifestPartNotUnderstood")
-	}
-}
--- /dev/null
+++ b/sidecar/app/manifest.go
@@ -0,0 +1,93 @@
+package app
+
+import (
+	"strings"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/outcome"
+	"briarwell.dev/core/retryafter"
+	"briarwell.dev/core/table"
+	"briarwell.dev/platform/manifest"
+)
+
+// applyManifest replaces the current manifest with the encoded one if that is valid and
+// newer. It logs the error.
+func (a *App) applyManifest(value []byte) error {
+	m, problems, err := manifest.Decode(value)
+	if err != nil {
+		a.log.Error().Err(err).Msg("manifestRejected")
+		return err
+	}
+	for {
+		old := a.manifest.Load()
+		if m.Version() <= old.Version() {
+			return nil
+		}
+		if a.manifest.CompareAndSwap(old, m) {
+			a.applyColdSettings()
+			a.log.Info().Uint64("version", m.Version()).Uint64("before", old.Version()).Int("problems", len(problems)).
+				Str("ownerRegions", strings.Join(m.OwnerRegions(a.settings.Service()), ",")).Msg("manifestInForce")
+			a.reportManifestProblems(m.Version(), problems)
+			return nil
+		}
+	}
+}
+
+// maxManifestProblemLines bounds the log lines about one manifest.
+const maxManifestProblemLines = 20
+
+// reportManifestProblems counts and logs the parts of a manifest that this build does not
+// understand.
+func (a *App) reportManifestProblems(version uint64, problems []*manifest.Error) {
+	a.telemetry.scope.Counter("manifest_problems").Inc(int64(len(problems)))
+	for _, problem := range problems[:min(len(problems), maxManifestProblemLines)] {
+		a.log.Warn().Err(problem).Uint64("version", version).Str("field", problem.Field()).Msg("manifestPartNotUnderstood")
+	}
+}
+
+// recordManifestHeld records the revision of the manifest row in use.
+func (s *state) recordManifestHeld(revision table.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.manifest.RecordHeld(revision)
+}
+
+// observeManifest records the newest revision of the manifest row that existed at a time.
+func (s *state) observeManifest(at clock.Millis, revision table.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.manifest.RecordObservation(at, revision)
+}
+
+// manifestObservation returns the newest revision of the manifest row that is known to exist, and
+// the age of that knowledge in milliseconds, nil if there is none.
+func (s *state) manifestObservation(now clock.Millis) (table.Revision, *clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision, age, ok := s.manifest.Observation(now)
+	if !ok {
+		return 0, nil
+	}
+	return revision, &age
+}
+
+// manifestIsCurrent reports whether the manifest in use is the newest of those that must be in
+// force.
+func (a *App) manifestIsCurrent() bool {
+	s := a.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.manifest.IsCurrent(a.clock.Now(), a.settings.ManifestWithin())
+}
+
+// withUnknownRoute returns the result of a request, with a refusal in place of the missing route if
+// a newer manifest may have one.
+func (a *App) withUnknownRoute(request *dispatch.Request, result dispatch.Result) dispatch.Result {
+	if result.RouteFound || a.manifestIsCurrent() {
+		return result
+	}
+	after := retryafter.Spread(request.Deadline-a.clock.Now(), request.ID)
+	result.Reply, result.RouteFound = dispatch.NotRun(outcome.ReasonConfigurationLags).WithRetryAfter(after), true
+	return result
+}
--- a/sidecar/app/outage_test.go
+++ b/sidecar/app/outage_test.go
@@ -43,7 +43,7 @@
 	c.store.WriteManifest(6, "/new/")
 	c.within(2500*time.Millisecond, "use of the new manifest by every sidecar", func() bool {
 		for _, in := range c.instances {
-			if status, _ := c.sendRequest(in, http.MethodGet, "/new/", 1); status == http.StatusNotFound {
+			if status, _ := c.sendRequest(in, http.MethodGet, "/new/", 1); status != http.StatusOK {
 				return false
 			}
 		}
--- a/sidecar/app/ownstatus_test.go
+++ b/sidecar/app/ownstatus_test.go
@@ -43,7 +43,7 @@
 	defer c.logs.mu.Unlock()
 	text := c.logs.buf.String()
 	is.True(strings.Contains(text, "host=h path=/nowhere/a ") && strings.Contains(text, "reason=no-route status=404"))
-	is.True(strings.Contains(text, "manifest=4 storeAgeMillis="))
+	is.True(strings.Contains(text, "manifest=4 manifestAgeMillis="))
 	is.True(!strings.Contains(text, "secret"))
 	is.True(strings.Count(text, "event=requestRejected") < floods)
 }
--- a/sidecar/app/rowcodec.go
+++ b/sidecar/app/rowcodec.go
@@ -40,6 +40,10 @@
 	Newest   table.Revision `json:"newest,omitempty"`
 	// Rows holds the responder's rows that are newer than the versions in the request.
 	Rows []encodedRow `json:"rows,omitempty"`
+	// ManifestRevision is the newest revision of the manifest that the responder knows to exist,
+	// ManifestAge the age of that knowledge in milliseconds.
+	ManifestRevision table.Revision `json:"manifestRevision,omitempty"`
+	ManifestAge      *clock.Millis  `json:"manifestAgeMillis,omitempty"`
 	// StoreAge is the age in milliseconds of the latest answer of the store that the
 	// responder knows of.
 	StoreAge *clock.Millis `json:"storeAgeMillis,omitempty"`
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -91,6 +91,9 @@
 	_, missing := a.applyEncodedRows(response.Rows)
 	// Only now, since the answer before tells how old an evacuation row may be.
 	a.state.recordStoreAnswerAge(sentAt, response.StoreAge)
+	if response.ManifestAge != nil && *response.ManifestAge >= 0 {
+		a.state.observeManifest(sentAt-*response.ManifestAge, response.ManifestRevision)
+	}
 	if response.Same {
 		return response.Watching
 	}
@@ -138,6 +141,7 @@
 		return syncResponse{Watching: watching, Rows: rows, Behind: a.rows.IsBehind(request.Versions)}
 	}
 	response := syncResponse{Watching: watching, Checksum: a.rows.Checksum(), Newest: a.rows.Newest(), StoreAge: a.state.storeAnswerAge(a.clock.Now())}
+	response.ManifestRevision, response.ManifestAge = a.state.manifestObservation(a.clock.Now())
 	response.Same = request.Checksum == response.Checksum
 	if !response.Same && request.Newest > 0 {
 		response.Rows = a.encodeRowsSince(a.rows.ChangedAfter(request.Newest), request.Assignments)
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -141,7 +141,7 @@
 	if manifest.Version() == 0 {
 		return dispatch.Result{Reply: dispatch.Reply{RetryAfter: retryafter.Spread(request.Deadline-a.clock.Now(), request.ID)}}
 	}
-	return a.dispatcher.Handle(ctx, manifest, request)
+	return a.withUnknownRoute(request, a.dispatcher.Handle(ctx, manifest, request))
 }
 
 // restartRetryAfter is the time in milliseconds after which a refused caller may retry:
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -8,6 +8,7 @@
 	"briarwell.dev/core/dispatch"
 	"briarwell.dev/core/evacuation"
 	"briarwell.dev/core/fleet"
+	"briarwell.dev/core/freshness"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyowner"
@@ -62,6 +63,8 @@
 		member fleet.Member
 		value  []byte
 	}
+	// manifest compares the revision of the manifest in use with the newest one.
+	manifest freshness.Tracker
 	// changeLogs holds the newest changes of the assignments, by row key.
 	changeLogs map[string]*fleet.ChangeLog
 }
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -141,7 +141,7 @@
 	}
 	a.log.Warn().Err(err).Str("request", callerhttp.RequestID(r)).Str("host", r.Host).Str("path", loggedPath(r.RequestURI)).
 		Int("status", answer.Status()).Str("reason", string(answer.Reason())).
-		Uint64("manifest", manifest.Version()).Int64("storeAgeMillis", a.storeAgeMillis()).
+		Uint64("manifest", manifest.Version()).Int64("manifestAgeMillis", a.manifestAgeMillis()).
 		Int64("bytes", r.ContentLength).Int64("manifestMaxBytes", manifest.Limits().MaxBodyBytes).Int64("memoryMaxBytes", a.memory.MaxBody()).
 		Int64("omitted", omitted).Msg("requestRejected")
 }
@@ -152,9 +152,10 @@
 	return path[:min(len(path), maxLoggedPathBytes)]
 }
 
-// storeAgeMillis returns the age of the latest known answer of the store, -1 if there is none.
-func (a *App) storeAgeMillis() int64 {
-	age := a.state.storeAnswerAge(a.clock.Now())
+// manifestAgeMillis returns how long ago it was last known which manifest is the newest, -1 if it was
+// never known.
+func (a *App) manifestAgeMillis() int64 {
+	_, age := a.state.manifestObservation(a.clock.Now())
 	if age == nil {
 		return -1
 	}
@@ -183,7 +184,7 @@
 		return
 	}
 	a.log.Info().Str("request", r.ID).Str("host", host).Str("path", path).Str("route", result.Route).Str("service", result.Service).
-		Uint64("manifest", result.ManifestVersion).Int64("storeAgeMillis", a.storeAgeMillis()).Str("instance", result.Instance).Int("attempts", result.Attempts).
+		Uint64("manifest", result.ManifestVersion).Int64("manifestAgeMillis", a.manifestAgeMillis()).Str("instance", result.Instance).Int("attempts", result.Attempts).
 		Bool("keyed", r.Keyed).Int("key", int(r.Key)).Bool("nested", r.Nested).
 		Str("outcome", outcomeText).Str("reason", endReason(result, answer)).Int("status", status).
 		Int64("allowedMillis", int64(r.Deadline-r.ReceivedAt)).Int64("tookMillis", int64(took)).
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -17,6 +17,9 @@
 	// else shows that the store will never answer a call whose connection stays alive, so it
 	// also bounds for how long this sidecar is out of date.
 	longPollWait clock.Millis = 3000
+	// operatorPollWait is longPollWait for the operator's rows. Between two answers it is not known
+	// whether the manifest is the newest.
+	operatorPollWait clock.Millis = 1000
 	// recheckWait replaces longPollWait for the first call after a failed one, as the store may
 	// still be silent.
 	recheckWait clock.Millis = 300
@@ -54,12 +57,14 @@
 		var rows []table.Row
 		var revision table.Revision
 		var err error
+		asOf := a.clock.Now()
 		if loaded {
-			wait := longPollWait
-			if !reachable {
-				wait = recheckWait
-			}
+			wait := pollWait(feed, reachable)
 			rows, revision, err = a.store.WatchRows(ctx, feed, after, wait)
+			if len(rows) == 0 && a.clock.Now()-asOf >= wait {
+				// The store answers without a change only after the wait.
+				asOf += wait
+			}
 		} else {
 			rows, revision, err = a.store.ReadRows(ctx, feed)
 		}
@@ -88,6 +93,9 @@
 		}
 		// Only now, since the answer before tells how old an evacuation row may be.
 		a.state.recordStoreAnswer(a.clock.Now())
+		if feed == store.OperatorRows {
+			a.state.observeManifest(asOf, a.rows.Get(store.ManifestKey).Version())
+		}
 		if feed == store.RouterRows && !loaded {
 			a.state.markLoaded(a.clock.Now())
 		}
@@ -100,6 +108,18 @@
 	}
 }
 
+// pollWait returns the time in milliseconds for which a call waits for changes of a feed.
+func pollWait(feed store.Feed, reachable bool) clock.Millis {
+	switch {
+	case !reachable:
+		return recheckWait
+	case feed == store.OperatorRows:
+		return operatorPollWait
+	default:
+		return longPollWait
+	}
+}
+
 // awaitWatcherRole waits until it is known whether this sidecar has to watch the store, for
 // at most watcherRoleWait. It returns at once if the sidecar is one of the region's watchers.
 func (a *App) awaitWatcherRole(ctx context.Context) {
@@ -156,7 +176,11 @@
 // With allRead, the row was not read as a change.
 func (a *App) applyToState(row table.Row, allRead bool) error {
 	if row.Key() == store.ManifestKey {
-		return a.applyManifest(row.Value())
+		err := a.applyManifest(row.Value())
+		if err == nil {
+			a.state.recordManifestHeld(row.Version())
+		}
+		return err
 	}
 	if domain, ok := fleet.OutOfUseDomain(row.Key()); ok {
 		return a.applyEvacuation(domain, row, allRead)
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -32,6 +32,7 @@
 	retrySlack      float64
 	retryWindow     clock.Millis
 	outOfUseWithin  clock.Millis
+	manifestWithin  clock.Millis
 	coldOvershoot   float64
 	coldSlack       float64
 	coldProbes      bool
@@ -77,6 +78,7 @@
 		retrySlack:      requiredNumber(object, "retrySlack", maxRetrySlack),
 		retryWindow:     requiredDuration(object, "retryWindow"),
 		outOfUseWithin:  optionalDuration(object, "outOfUseWithin", defaultOutOfUseWithin),
+		manifestWithin:  optionalDuration(object, "manifestWithin", defaultManifestWithin),
 		coldOvershoot:   optionalNumber(object, "coldOvershoot", maxColdOvershoot),
 		coldSlack:       optionalNumber(object, "coldSlack", maxRetrySlack),
 		coldProbes:      object.Optional("coldProbes").BoolOr(true),
@@ -111,8 +113,11 @@
 	return requiredDuration(object, name)
 }
 
-// defaultOutOfUseWithin applies to settings that lack the field.
-const defaultOutOfUseWithin clock.Millis = 5000
+// Defaults for settings that lack the field.
+const (
+	defaultOutOfUseWithin clock.Millis = 5000
+	defaultManifestWithin clock.Millis = 2500
+)
 
 // maxColdOvershoot is the largest accepted factor between the rates that a cold upstream
 // tolerates for a second and for longer.
@@ -205,6 +210,10 @@
 // of a failure domain that was taken out of use.
 func (s Sidecar) OutOfUseWithin() clock.Millis { return s.outOfUseWithin }
 
+// ManifestWithin returns the time in milliseconds after the acknowledgement of a manifest from which
+// all requests are handled as it says.
+func (s Sidecar) ManifestWithin() clock.Millis { return s.manifestWithin }
+
 // ColdOvershoot returns the factor of the rate that a cold upstream tolerates by which the
 // requests of one second may exceed it, at least 1.
 func (s Sidecar) ColdOvershoot() float64 { return max(s.coldOvershoot, 1) }
--- a/sidecar/settings/settings_test.go
+++ b/sidecar/settings/settings_test.go
@@ -61,6 +61,7 @@
 		"coldSlack":       {`"logLevel"`, `"coldSlack":-1,"logLevel"`},
 		"coldProbes":      {`"logLevel"`, `"coldProbes":7,"logLevel"`},
 		"outOfUseWithin":  {`"logLevel"`, `"outOfUseWithin":"0s","logLevel"`},
+		"manifestWithin":  {`"logLevel"`, `"manifestWithin":"soon","logLevel"`},
 		"other":           {`"logLevel"`, `"other":1,"logLevel"`},
 	} {
 		_, err := settings.Parse([]byte(strings.Replace(validSettings, change[0], change[1], 1)))
