sidecar: large rows are offered, and fetched compressed once

Cause: the class is a bound on time or size that ignores what is carried. The manifest travelled whole, in base64, in the small messages between sidecars, which have 600 ms and 4 MB. A transfer that took longer failed, was repeated in each round and by two watchers at once, filled the link, and marked the peer as unreachable, so that weaker sidecars took over as watchers and read the store too.

Sidecars of the earlier build get it whole, as before.

Measured: TestLargeManifestWithoutStore failed before (not in force after 15 s) and passes.

--- /dev/null
+++ b/core/rowfetch/rowfetch_test.go
@@ -0,0 +1,73 @@
+package rowfetch_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/rowfetch"
+	"briarwell.dev/core/table"
+)
+
+// TestQueue guards against a row that is fetched twice at once, in an older version than is offered,
+// or again and again from a peer that fails.
+func TestQueue(t *testing.T) {
+	is := is.New(t)
+	var q rowfetch.Queue
+	held := table.Revision(3)
+	next := func(now int) (rowfetch.Offer, bool) {
+		return q.Next(clock.Millis(now), func(string) table.Revision { return held })
+	}
+	_, ok := next(0)
+	is.True(!ok)
+	q.Add(rowfetch.Offer{Key: "m", Version: 3, From: "a"}) // known already
+	q.Add(rowfetch.Offer{Key: "m", Version: 5, From: "b", NotBefore: 100})
+	_, ok = next(50)
+	is.True(!ok)
+	q.Add(rowfetch.Offer{Key: "m", Version: 7, From: "c", NotBefore: 100})
+	offer, ok := next(100)
+	is.True(ok)
+	is.Equal(offer.From, "c")
+	_, ok = next(100) // one at a time
+	is.True(!ok)
+
+	q.Done(200, offer, false)
+	offer, ok = next(200) // another peer first
+	is.True(ok)
+	is.Equal(offer.From, "b")
+	held = 5
+	q.Done(300, offer, true)
+	_, ok = next(300)
+	is.True(!ok)
+	q.Add(rowfetch.Offer{Key: "m", Version: 7, From: "c", NotBefore: 9000})
+	offer, ok = next(2200) // the offer keeps its earlier time
+	is.True(ok)
+	is.Equal(offer.Version, table.Revision(7))
+}
+
+// TestUnpackRejects guards against a small message that unpacks to more than memory allows, and
+// against damaged data that is taken for a row.
+func TestUnpackRejects(t *testing.T) {
+	is := is.New(t)
+	value := bytes.Repeat([]byte("route"), 50_000)
+	packed, err := rowfetch.Pack(value)
+	is.NoErr(err)
+	is.True(len(packed) < len(value)/50)
+	unpacked, err := rowfetch.Unpack(packed)
+	is.NoErr(err)
+	is.True(bytes.Equal(unpacked, value))
+
+	bomb, err := rowfetch.Pack(make([]byte, rowfetch.MaxBytes+1))
+	is.NoErr(err)
+	_, err = rowfetch.Unpack(bomb)
+	var tooLarge *rowfetch.TooLargeError
+	is.True(errors.As(err, &tooLarge))
+	for _, damaged := range [][]byte{nil, packed[:len(packed)/2], []byte("not packed")} {
+		_, err = rowfetch.Unpack(damaged)
+		var unpackErr *rowfetch.UnpackError
+		is.True(errors.As(err, &unpackErr))
+	}
+}
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -112,6 +112,8 @@
 	// writeOutage bounds the calls that write, probe the store, or read what became of a
 	// write.
 	writeOutage storeOutage
+	// fetches holds the large rows that other sidecars have.
+	fetches fetches
 	// proposals holds the changes that other sidecars proposed to this one.
 	proposals proposalQueue
 	// queriedLoads are the loads that other holders reported at loadsQueriedAt. Only
--- a/sidecar/app/manifestage_test.go
+++ b/sidecar/app/manifestage_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,3 +81,27 @@
 	c.store.WriteLargeManifest(5, 40_000, "/new/") // 6 MB
 	c.eventually("use of the large manifest by every sidecar", c.allServe("/new/"))
 }
+
+// TestLargeManifestWithoutStore guards against a manifest that is too large for a message between
+// sidecars: one that the store refuses then never gets it.
+func TestLargeManifestWithoutStore(t *testing.T) {
+	c := newServingCluster(t, 122)
+	var refusing atomic.Bool
+	gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if refusing.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		c.store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(gate.Close)
+	refused := c.instances[2]
+	refused.stop()
+	<-refused.done
+	refused.settingsJSON = strings.Replace(refused.settingsJSON, c.address, gate.Listener.Addr().String(), 1)
+	c.startInstance(refused)
+	c.eventually("serving by every sidecar", c.allServe("/book/again"))
+	refusing.Store(true)
+	c.store.WriteLargeManifest(5, 40_000, "/new/")
+	c.eventually("use of the large manifest by every sidecar", c.allServe("/new/"))
+}
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -25,6 +25,7 @@
 	pathRows    = "/rows"
 	pathPropose = "/propose"
 	pathLoad    = "/load"
+	pathFetch   = "/fetch"
 )
 
 const (
@@ -38,6 +39,8 @@
 	peerIdleTimeout = idleTimeout / 2
 	// maxControlBytes bounds the body of a control message.
 	maxControlBytes = 4 << 20
+	// maxFetchBytes bounds an answer with a compressed row, in base64.
+	maxFetchBytes = 16 << 20
 )
 
 type renewRequest struct {
@@ -122,20 +125,29 @@
 // call sends a control message as JSON and decodes the response. The error is a
 // *controlStatusError if the status is not 200.
 func (p *peerClients) call(ctx context.Context, address, path string, request, response any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return p.exchange(ctx, address, httpclient.Request{RequestURI: path, MaxResponseBytes: maxControlBytes}, request, response)
+}
+
+// fetch is call for a response that may be large. It may take as long as parts of it arrive.
+func (p *peerClients) fetch(ctx context.Context, address, path string, request, response any) error {
+	r := httpclient.Request{RequestURI: path, MaxResponseBytes: maxFetchBytes, BeginTimeout: fetchBeginTimeout, StallTimeout: fetchBeginTimeout}
+	return p.exchange(ctx, address, r, request, response)
+}
+
+func (p *peerClients) exchange(ctx context.Context, address string, r httpclient.Request, request, response any) error {
 	body, err := json.Marshal(request)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	httpResponse, err := p.client(address).Do(ctx, httpclient.Request{
-		Method: http.MethodPost, RequestURI: path, Host: address, Body: body, MaxResponseBytes: maxControlBytes,
-	})
+	r.Method, r.Host, r.Body = http.MethodPost, address, body
+	httpResponse, err := p.client(address).Do(ctx, r)
 	if err != nil {
 		return err
 	}
 	if httpResponse.Status != http.StatusOK {
-		return &controlStatusError{path: path, status: httpResponse.Status}
+		return &controlStatusError{path: r.RequestURI, status: httpResponse.Status}
 	}
 	return json.Unmarshal(httpResponse.Body, response)
 }
@@ -148,6 +160,7 @@
 	registerControl(mux, pathPropose, a.handlePropose)
 	registerControl(mux, pathLoad, a.handleLoad)
 	registerControl(mux, pathRows, a.handleRows)
+	registerControl(mux, pathFetch, a.handleFetch)
 	return mux
 }
 
--- a/sidecar/app/rowcodec.go
+++ b/sidecar/app/rowcodec.go
@@ -17,6 +17,8 @@
 	// Base is the version that Delta changes.
 	Base  table.Revision `json:"base,omitempty"`
 	Delta []byte         `json:"delta,omitempty"`
+	// Packed is the compressed value of a row that was fetched.
+	Packed []byte `json:"packed,omitempty"`
 }
 
 // syncRequest compares the rows of two sidecars. The first request of a round has the
@@ -28,6 +30,9 @@
 	// Assignments has the versions of the rows with key assignments.
 	Assignments map[string]table.Revision `json:"assignments,omitempty"`
 	Versions    map[string]table.Revision `json:"versions,omitempty"`
+	// Fetches reports whether the sender fetches large rows that are offered to it. One that
+	// does not gets them whole.
+	Fetches bool `json:"fetches,omitempty"`
 }
 
 type syncResponse struct {
@@ -38,8 +43,10 @@
 	// Checksum and Newest describe the responder's rows.
 	Checksum uint64         `json:"sum,omitempty"`
 	Newest   table.Revision `json:"newest,omitempty"`
-	// Rows holds the responder's rows that are newer than the versions in the request.
-	Rows []encodedRow `json:"rows,omitempty"`
+	// Rows holds the responder's rows that are newer than the versions in the request, Offers
+	// the versions of the large ones among them.
+	Rows   []encodedRow              `json:"rows,omitempty"`
+	Offers map[string]table.Revision `json:"offers,omitempty"`
 	// ManifestRevision is the newest revision of the manifest that the responder knows to exist,
 	// ManifestAge the age of that knowledge in milliseconds.
 	ManifestRevision table.Revision `json:"manifestRevision,omitempty"`
@@ -54,6 +61,9 @@
 
 type rowsRequest struct {
 	Rows []encodedRow `json:"rows"`
+	// Offers has the versions of large rows that the sender has at the address From.
+	Offers map[string]table.Revision `json:"offers,omitempty"`
+	From   string                    `json:"from,omitempty"`
 	// StoreAge is the age in milliseconds of the latest answer of the store that the sender
 	// knows of.
 	StoreAge *clock.Millis `json:"storeAgeMillis,omitempty"`
--- /dev/null
+++ b/sidecar/app/rowfetch.go
@@ -0,0 +1,176 @@
+package app
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/rowfetch"
+	"briarwell.dev/core/table"
+	"briarwell.dev/platform/store"
+)
+
+const (
+	// fetchBeginTimeout bounds the time until the answer with a large row begins, and the time
+	// between two parts of it.
+	fetchBeginTimeout = time.Second
+	// fetchTimeout bounds a transfer that goes on.
+	fetchTimeout = 15 * time.Second
+	// ownReadWait is the time in milliseconds for which a sidecar that watches the operator's rows
+	// waits for a large row from the store before it fetches the row from another sidecar.
+	ownReadWait clock.Millis = 1500
+)
+
+// fetchRequest asks another sidecar for a large row that it has offered.
+type fetchRequest struct {
+	Key string `json:"key"`
+}
+
+type fetchResponse struct {
+	Rows []encodedRow `json:"rows"`
+}
+
+// fetches holds the offers of other sidecars, and the large row that was compressed last.
+type fetches struct {
+	mu    sync.Mutex
+	queue rowfetch.Queue
+
+	packMu  sync.Mutex
+	key     string
+	version table.Revision
+	packed  []byte
+}
+
+// separateLarge returns the small rows, and the versions of the large ones, which are offered
+// instead of sent. All rows count as small if the receiver does not fetch.
+func separateLarge(rows []table.Row, receiverFetches bool) ([]table.Row, map[string]table.Revision) {
+	if !receiverFetches {
+		return rows, nil
+	}
+	small := make([]table.Row, 0, len(rows))
+	var offers map[string]table.Revision
+	for _, row := range rows {
+		if len(row.Value()) < rowfetch.MinBytes {
+			small = append(small, row)
+			continue
+		}
+		if offers == nil {
+			offers = make(map[string]table.Revision)
+		}
+		offers[row.Key()] = row.Version()
+	}
+	return small, offers
+}
+
+// addOffers records the large rows that another sidecar has, and fetches those that are newer.
+func (a *App) addOffers(from string, offers map[string]table.Revision) {
+	if len(offers) == 0 {
+		return
+	}
+	notBefore := a.clock.Now()
+	if a.watching[store.OperatorRows].Load() && a.feedReachable[store.OperatorRows].Load() {
+		notBefore += ownReadWait
+	}
+	a.fetches.mu.Lock()
+	for key, version := range offers {
+		if version > a.rows.Get(key).Version() {
+			a.fetches.queue.Add(rowfetch.Offer{Key: key, Version: version, From: from, NotBefore: notBefore})
+		}
+	}
+	a.fetches.mu.Unlock()
+	a.fetchNext()
+}
+
+// fetchNext starts the fetch that is due, if any.
+func (a *App) fetchNext() {
+	a.fetches.mu.Lock()
+	offer, ok := a.fetches.queue.Next(a.clock.Now(), func(key string) table.Revision { return a.rows.Get(key).Version() })
+	a.fetches.mu.Unlock()
+	if !ok {
+		return
+	}
+	a.goOnce("fetchRow", func() {
+		fetched := false
+		defer func() {
+			a.fetches.mu.Lock()
+			a.fetches.queue.Done(a.clock.Now(), offer, fetched)
+			a.fetches.mu.Unlock()
+			a.fetchNext()
+		}()
+		fetched = a.fetchRow(offer)
+	})
+}
+
+// fetchRow fetches a large row from the sidecar that offered it, applies it and relays it. It
+// reports whether it got the offered version.
+func (a *App) fetchRow(offer rowfetch.Offer) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	began := a.clock.Now()
+	var response fetchResponse
+	err := a.peers.fetch(ctx, offer.From, pathFetch, fetchRequest{Key: offer.Key}, &response)
+	for i := range response.Rows {
+		if row := &response.Rows[i]; err == nil && len(row.Packed) > 0 {
+			row.Value, err = rowfetch.Unpack(row.Packed)
+		}
+	}
+	if err != nil {
+		a.log.Warn().Err(err).Str("row", offer.Key).Str("peer", offer.From).Int64("tookMillis", int64(a.clock.Now()-began)).Msg("rowNotFetched")
+		return false
+	}
+	changed, _ := a.applyEncodedRows(response.Rows)
+	a.relayRows(context.Background(), changed, false)
+	version := a.rows.Get(offer.Key).Version()
+	a.log.Info().Str("row", offer.Key).Str("peer", offer.From).Uint64("revision", uint64(version)).Int64("tookMillis", int64(a.clock.Now()-began)).Msg("rowFetched")
+	return version >= offer.Version
+}
+
+// handleFetch answers another sidecar's request for a large row.
+func (a *App) handleFetch(request fetchRequest) fetchResponse {
+	row := a.rows.Get(request.Key)
+	if row.Version() == 0 {
+		return fetchResponse{}
+	}
+	packed, err := a.pack(row)
+	if err != nil {
+		a.log.Error().Err(err).Str("row", request.Key).Msg("rowNotPacked")
+		return fetchResponse{}
+	}
+	response := fetchResponse{}
+	for _, r := range a.withEvacuations([]table.Row{row}) {
+		encoded := encodedRow{Key: r.Key(), Version: r.Version(), Value: r.Value()}
+		if r.Key() == row.Key() {
+			encoded.Value, encoded.Packed = nil, packed
+		}
+		response.Rows = append(response.Rows, encoded)
+	}
+	return response
+}
+
+// pack returns the compressed value of a row.
+func (a *App) pack(row table.Row) ([]byte, error) {
+	f := &a.fetches
+	f.packMu.Lock()
+	defer f.packMu.Unlock()
+	if f.key == row.Key() && f.version == row.Version() {
+		return f.packed, nil
+	}
+	packed, err := rowfetch.Pack(row.Value())
+	if err == nil {
+		f.key, f.version, f.packed = row.Key(), row.Version(), packed
+	}
+	return packed, err
+}
+
+// knowsPeer reports whether a member has the address for control messages.
+func (s *state) knowsPeer(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.view.Members() {
+		if m.Instance.PeerAddress() == address {
+			return true
+		}
+	}
+	return false
+}
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -80,7 +80,7 @@
 // watches the store.
 func (a *App) syncWith(ctx context.Context, member fleet.Member) bool {
 	address := member.Instance.PeerAddress()
-	request := syncRequest{Checksum: a.rows.Checksum(), Newest: a.rows.Newest(), Assignments: a.assignmentVersions()}
+	request := syncRequest{Checksum: a.rows.Checksum(), Newest: a.rows.Newest(), Assignments: a.assignmentVersions(), Fetches: true}
 	var response syncResponse
 	sentAt := a.clock.Now()
 	if err := a.peers.call(ctx, address, pathSync, request, &response); err != nil {
@@ -89,6 +89,7 @@
 		return false
 	}
 	_, missing := a.applyEncodedRows(response.Rows)
+	a.addOffers(address, response.Offers)
 	// Only now, since the answer before tells how old an evacuation row may be.
 	a.state.recordStoreAnswerAge(sentAt, response.StoreAge)
 	if response.ManifestAge != nil && *response.ManifestAge >= 0 {
@@ -116,11 +117,12 @@
 		delete(versions, key)
 	}
 	var response syncResponse
-	if err := a.peers.call(ctx, address, pathSync, syncRequest{Versions: versions}, &response); err != nil {
+	if err := a.peers.call(ctx, address, pathSync, syncRequest{Versions: versions, Fetches: true}, &response); err != nil {
 		a.log.Debug().Err(err).Str("peer", address).Msg("syncFailed")
 		return
 	}
 	a.applyEncodedRows(response.Rows)
+	a.addOffers(address, response.Offers)
 	if response.Behind {
 		// The versions of the other sidecar are not known here, so it gets all rows and
 		// applies the newer ones.
@@ -137,27 +139,38 @@
 		watching = watching && (a.feedReachable[i].Load() || !a.watching[i].Load())
 	}
 	if request.Versions != nil {
-		rows := a.encodeRowsSince(a.rows.NewerThan(request.Versions), request.Versions)
-		return syncResponse{Watching: watching, Rows: rows, Behind: a.rows.IsBehind(request.Versions)}
+		rows, offers := separateLarge(a.rows.NewerThan(request.Versions), request.Fetches)
+		return syncResponse{
+			Watching: watching, Rows: a.encodeRowsSince(rows, request.Versions), Offers: offers, Behind: a.rows.IsBehind(request.Versions),
+		}
 	}
 	response := syncResponse{Watching: watching, Checksum: a.rows.Checksum(), Newest: a.rows.Newest(), StoreAge: a.state.storeAnswerAge(a.clock.Now())}
 	response.ManifestRevision, response.ManifestAge = a.state.manifestObservation(a.clock.Now())
 	response.Same = request.Checksum == response.Checksum
 	if !response.Same && request.Newest > 0 {
-		response.Rows = a.encodeRowsSince(a.rows.ChangedAfter(request.Newest), request.Assignments)
+		var rows []table.Row
+		rows, response.Offers = separateLarge(a.rows.ChangedAfter(request.Newest), request.Fetches)
+		response.Rows = a.encodeRowsSince(rows, request.Assignments)
 	}
 	return response
 }
 
-// sendRows sends rows to another sidecar, assignments as their last change. If that sidecar
-// has another revision, it gets what it lacks.
+// sendRows sends rows to another sidecar, assignments as their last change, and offers it the large
+// ones. If that sidecar has another revision, it gets what it lacks.
 func (a *App) sendRows(ctx context.Context, to fleet.Member, rows []table.Row) {
-	a.sendEncodedRows(ctx, to, a.encodeLastChanges(rows))
+	a.sendEncodedRows(ctx, to, a.newRowsRequest(rows))
+}
+
+// newRowsRequest returns the message with which rows are relayed.
+func (a *App) newRowsRequest(rows []table.Row) rowsRequest {
+	rows, offers := separateLarge(rows, true)
+	return rowsRequest{Rows: a.encodeLastChanges(rows), Offers: offers, From: a.settings.PeerAddress()}
 }
 
-func (a *App) sendEncodedRows(ctx context.Context, to fleet.Member, rows []encodedRow) {
+func (a *App) sendEncodedRows(ctx context.Context, to fleet.Member, request rowsRequest) {
+	request.StoreAge = a.state.storeAnswerAge(a.clock.Now())
 	var response rowsResponse
-	if err := a.peers.call(ctx, to.Instance.PeerAddress(), pathRows, rowsRequest{Rows: rows, StoreAge: a.state.storeAnswerAge(a.clock.Now())}, &response); err != nil {
+	if err := a.peers.call(ctx, to.Instance.PeerAddress(), pathRows, request, &response); err != nil {
 		a.log.Debug().Err(err).Str("peer", to.Instance.Name()).Msg("rowsNotSent")
 		return
 	}
@@ -168,7 +181,7 @@
 	for key := range response.Missing {
 		lacking = append(lacking, a.rows.Get(key))
 	}
-	request := rowsRequest{Rows: a.encodeRowsSince(lacking, response.Missing)}
+	request = rowsRequest{Rows: a.encodeRowsSince(lacking, response.Missing)}
 	if err := a.peers.call(ctx, to.Instance.PeerAddress(), pathRows, request, &response); err != nil {
 		a.log.Debug().Err(err).Str("peer", to.Instance.Name()).Msg("rowsNotSent")
 	}
@@ -179,6 +192,9 @@
 	receivedAt := a.clock.Now()
 	changed, missing := a.applyEncodedRows(request.Rows)
 	a.state.recordStoreAnswerAge(receivedAt, request.StoreAge)
+	if a.state.knowsPeer(request.From) {
+		a.addOffers(request.From, request.Offers)
+	}
 	a.relayRows(context.Background(), changed, false)
 	return rowsResponse{Missing: missing}
 }
@@ -193,9 +209,9 @@
 	if len(targets) == 0 {
 		return
 	}
-	encoded := a.encodeLastChanges(rows)
+	request := a.newRowsRequest(rows)
 	for _, m := range targets {
-		a.goOnce("sendRows", func() { a.sendEncodedRows(ctx, m, encoded) })
+		a.goOnce("sendRows", func() { a.sendEncodedRows(ctx, m, request) })
 	}
 }
 
