dispatch: a request that an unreadable route may mean is refused, not denied

Callers could get 404 for a route that the manifest has, if this build can't decode its host or prefix: the route matched nothing, so the request counted as one without a route. It isn't known which requests such a route means.

Change: Manifest.MayMatch; without another route, requests that it may mean are refused with 503, reason unsupported-route. Found while the cause of DENIED was looked for elsewhere.

Measured: TestRouteThatIsNotUnderstood and TestMayMatch; the method did not exist before, and Handle returned a result without a route.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -129,6 +129,9 @@
 func (d *Dispatcher) Handle(ctx context.Context, manifest *routes.Manifest, r *Request) Result {
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route, ok := manifest.Match(r.Host, path)
+	if !ok && manifest.MayMatch(r.Host, path) {
+		return Result{Reply: NotRun(outcome.ReasonUnsupportedRoute), RouteFound: true, ManifestVersion: manifest.Version()}
+	}
 	if !ok {
 		return Result{ManifestVersion: manifest.Version()}
 	}
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -178,6 +178,18 @@
 	}
 }
 
+// TestRouteThatIsNotUnderstood guards against a request that is denied although a route whose host
+// or prefix can't be decoded may mean it.
+func TestRouteThatIsNotUnderstood(t *testing.T) {
+	is := is.New(t)
+	for _, unclear := range []routes.Route{{Name: "r", Host: "h"}, {Name: "r", Prefix: "/"}} {
+		m := routes.NewManifest(1, []routes.Route{unclear}, nil, routes.Limits{})
+		result := handle(&fakeCluster{}, m)
+		is.True(result.RouteFound)
+		is.Equal(outcome.ReasonOf(result.Outcome), outcome.ReasonUnsupportedRoute)
+	}
+}
+
 // hangingCluster is a cluster in which one instance never responds. Its daemon answers with
 // an unknown outcome once the deadline has passed.
 type hangingCluster struct {
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -207,6 +207,17 @@
 	return Route{}, false
 }
 
+// MayMatch reports whether a route that Match ignores may mean requests of the host for the path:
+// one whose host or prefix is unknown. A request without a match then can't be denied.
+func (m *Manifest) MayMatch(host, path string) bool {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	unknownPrefix := func(r Route) bool { return r.Prefix == "" }
+	unknownHost := func(r Route) bool { return r.Prefix == "" || strings.HasPrefix(path, r.Prefix) }
+	return slices.ContainsFunc(m.routesByHost[strings.ToLower(host)], unknownPrefix) || slices.ContainsFunc(m.routesByHost[""], unknownHost)
+}
+
 // PickService returns the service for one request, at random by weight; "" if the route
 // has none. If all weights are zero, the first service gets all requests.
 func (r Route) PickService() string {
--- a/core/routes/routes_test.go
+++ b/core/routes/routes_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+// TestMayMatch guards against a request that is denied although a route that was not understood may
+// mean it.
+func TestMayMatch(t *testing.T) {
+	is := is.New(t)
+	m := routes.NewManifest(1, []routes.Route{
+		{Name: "known", Host: "h", Prefix: "/a/"}, {Name: "noPrefix", Host: "i"}, {Name: "noHost", Prefix: "/b/"},
+	}, nil, routes.Limits{})
+	is.True(!m.MayMatch("h", "/c/"))
+	is.True(m.MayMatch("I:80", "/c/"))
+	is.True(m.MayMatch("h", "/b/x"))
+	is.True(!(&routes.Manifest{}).MayMatch("h", "/"))
+	all := routes.NewManifest(1, []routes.Route{{Name: "unreadable"}}, nil, routes.Limits{})
+	is.True(all.MayMatch("h", "/"))
+}
+
 // TestTrafficSplit guards against services that get another share than their weight.
 func TestTrafficSplit(t *testing.T) {
 	is := is.New(t)
