sidecar: an answer of the store that is behind is no observation of the newest manifest

Callers could get 404 for a route of the manifest in force: after the store has lost its history a sidecar reads all rows again, and such a read may be behind. It then counted as the present.

Change: an answer with an older revision than an earlier one had does not count.

--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -74,6 +74,9 @@
 	// applyMu protects it.
 	operatorRevision table.Revision
 
+	// newestRevision is the newest revision of the store that an answer for a feed had.
+	newestRevision atomic.Uint64
+
 	manifest   atomic.Pointer[routes.Manifest]
 	state      *state
 	upstream   *upstream
--- a/sidecar/app/manifestage_test.go
+++ b/sidecar/app/manifestage_test.go
@@ -74,6 +74,22 @@
 	c.eventually("use of the new manifest by every sidecar", c.allServe("/new/"))
 }
 
+// TestNewRouteDeniedAfterStaleRead guards against an answer of the store that is behind and counts as
+// the present state: the sidecars have lost its history and read all rows again.
+func TestNewRouteDeniedAfterStaleRead(t *testing.T) {
+	c := newServingCluster(t, 123)
+	version := c.store.Version()
+	time.Sleep(2 * time.Second) // Both watchers get an answer.
+	c.store.SetFaults(platformtest.StoreFaults{HistoryGone: true, ReadsAt: version - 1})
+	time.Sleep(2 * time.Second) // The calls that wait for changes end.
+	c.store.WriteManifest(5, "/new/")
+	time.Sleep(manifestWithin)
+	deadline := time.Now().Add(2 * time.Second)
+	c.neverDenies("/new/", func() bool { return time.Now().After(deadline) })
+	c.store.SetFaults(platformtest.StoreFaults{})
+	c.eventually("use of the new manifest by every sidecar", c.allServe("/new/"))
+}
+
 // TestManifestLargerThanOneMessage guards against a manifest that is too large for the bound of a
 // response of the store or of a message between sidecars, and is then never in force.
 func TestManifestLargerThanOneMessage(t *testing.T) {
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -57,7 +57,8 @@
 		var rows []table.Row
 		var revision table.Revision
 		var err error
-		asOf := a.clock.Now()
+		// An answer that is behind an earlier one is no observation of the present.
+		asOf, newest := a.clock.Now(), a.newestRevision.Load()
 		if loaded {
 			wait := pollWait(feed, reachable)
 			rows, revision, err = a.store.WatchRows(ctx, feed, after, wait)
@@ -93,9 +94,10 @@
 		}
 		// Only now, since the answer before tells how old an evacuation row may be.
 		a.state.recordStoreAnswer(a.clock.Now())
-		if feed == store.OperatorRows {
+		if feed == store.OperatorRows && uint64(revision) >= newest {
 			a.state.observeManifest(asOf, a.rows.Get(store.ManifestKey).Version())
 		}
+		a.recordRevision(revision)
 		if feed == store.RouterRows && !loaded {
 			a.state.markLoaded(a.clock.Now())
 		}
@@ -108,6 +110,16 @@
 	}
 }
 
+// recordRevision records the revision of an answer of the store.
+func (a *App) recordRevision(revision table.Revision) {
+	for {
+		newest := a.newestRevision.Load()
+		if uint64(revision) <= newest || a.newestRevision.CompareAndSwap(newest, uint64(revision)) {
+			return
+		}
+	}
+}
+
 // pollWait returns the time in milliseconds for which a call waits for changes of a feed.
 func pollWait(feed store.Feed, reachable bool) clock.Millis {
 	switch {
