--- a/core/rowfetch/rowfetch_test.go
+++ b/core/rowfetch/rowfetch_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -71,3 +72,44 @@
 		is.True(errors.As(err, &unpackErr))
 	}
 }
+
+// slowLink is the part of a link of 10 Mbit/s, in bytes per millisecond, that is left beside the
+// requests of callers.
+const slowLink = 500
+
+// arrival returns the time in milliseconds after which a row has arrived, if attempts that take
+// longer than timeout are given up and repeated after a pause. It returns false if the row never
+// arrives within a minute.
+func arrival(bytes, timeout, pause int) (int, bool) {
+	for now := 0; now < 60_000; now += timeout + pause {
+		if took := bytes / slowLink; took <= timeout {
+			return now + took, true
+		}
+	}
+	return 0, false
+}
+
+// TestLargeRowOverSlowLink compares the rule with the naive one, which sends the row whole in the
+// messages between instances: their timeout is right for small rows.
+func TestLargeRowOverSlowLink(t *testing.T) {
+	is := is.New(t)
+	const (
+		messageTimeout, syncPause = 600, 600
+		fetchTimeout              = 15_000
+		manifestWithin            = 2500
+	)
+	var manifest bytes.Buffer
+	for i := range 6000 {
+		fmt.Fprintf(&manifest, `"r-%x":{"host":"market.example","prefix":"/%x/","kind":"idempotent","timeout":"800ms","target_latency":"400ms","service":"ledger"},`,
+			uint32(i)*2654435761, uint32(i)*2246822519)
+	}
+	packed, err := rowfetch.Pack(manifest.Bytes())
+	is.NoErr(err)
+	base64Size := func(bytes int) int { return bytes * 4 / 3 }
+	_, arrives := arrival(base64Size(manifest.Len()), messageTimeout, syncPause)
+	is.True(!arrives)
+	took, arrives := arrival(base64Size(len(packed)), fetchTimeout, syncPause)
+	is.True(arrives)
+	is.True(took < manifestWithin)
+	t.Logf("%d bytes, packed %d; naive: never, fetched: %d ms", manifest.Len(), len(packed), took)
+}
