sidecar: the soft memory limit allows for a large manifest

A manifest of 40,000 routes keeps 18 MB alive (2.3 times its size, measured once on a decoded one) beside its row, and as much again while the next version is decoded; with the limit of 40 MB the collector would take up to half of the processor all the time. The limit grows with the manifest, as it does with bodies. Not measured on a running sidecar.

--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -260,6 +260,9 @@
 	// runs. The live heap is small, so that the collector takes a tenth of the processor
 	// time more at the runtime's default of 100.
 	collectorPercent = 200
+	// manifestMemoryFactor is the memory in use for a manifest in multiples of its size: its row,
+	// its routes, and the routes of the next version while that is decoded.
+	manifestMemoryFactor = 6
 	// memoryLimitStep is the difference in bytes from which the limit is set again, since
 	// that stops all goroutines for a moment.
 	memoryLimitStep = 4 << 20
@@ -274,9 +277,10 @@
 }
 
 // updateMemoryLimit raises the soft limit of the Go runtime's memory by the bodies that are
-// in progress, unless the environment sets one.
+// in progress and by the manifest, unless the environment sets one.
 func (a *App) updateMemoryLimit() {
-	limit := baseMemoryBytes + a.memory.Used()/memoryLimitStep*memoryLimitStep
+	used := a.memory.Used() + int64(len(a.rows.Get(store.ManifestKey).Value()))*manifestMemoryFactor
+	limit := baseMemoryBytes + used/memoryLimitStep*memoryLimitStep
 	if os.Getenv("GOMEMLIMIT") == "" && limit != a.memoryLimit {
 		a.memoryLimit = limit
 		debug.SetMemoryLimit(limit)
