memory: an aborted body returns its share of the budget

Seen by callers: a request whose response was given up (too large, no memory, broken off) kept the bytes of that response until the request ended. The next send of an idempotent request then counted as a large body even if its response was small, and other requests were rejected (503) for bytes that nobody used, up to three quarters of the budget for as long as the retries took.

Cause: ReadAll charged the account while it read, and only Close returned the charge.

Evidence: TestAbortedBody failed before in all four cases: 524,388 bytes taken of a budget of 1 MB after the error, 100 expected.

The body is dropped where ReadAll fails, so its charge ends there.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -169,7 +169,7 @@
 // ReadAll reads a body to its end. size is its length in bytes, negative if unknown. The
 // error is a *TooLargeError if the body has more than maxBytes, an *ExhaustedError if it
 // does not fit into the budget, or that of the reader. A body of known size that ends early
-// is an io.ErrUnexpectedEOF.
+// is an io.ErrUnexpectedEOF. After an error, the body takes nothing of the budget.
 func (a *Account) ReadAll(r io.Reader, size, maxBytes int64) ([]byte, error) {
 	if size > maxBytes {
 		return nil, &TooLargeError{limit: maxBytes}
@@ -186,6 +186,7 @@
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
+		a.release(size)
 		return nil, err
 	}
 	return body[:n], nil
@@ -198,6 +199,7 @@
 		if len(body) == cap(body) {
 			grown := max(2*cap(body), firstChunkBytes)
 			if err := a.Reserve(int64(grown - cap(body))); err != nil {
+				a.release(int64(cap(body)))
 				return nil, err
 			}
 			body = append(make([]byte, 0, grown), body...)
@@ -206,11 +208,27 @@
 		body = body[:len(body)+n]
 		switch {
 		case int64(len(body)) > maxBytes:
-			return nil, &TooLargeError{limit: maxBytes}
+			err = &TooLargeError{limit: maxBytes}
 		case err == io.EOF:
 			return body, nil
-		case err != nil:
+		}
+		if err != nil {
+			a.release(int64(cap(body)))
 			return nil, err
 		}
 	}
 }
+
+// release returns bytes of a body that is no longer needed to the budget.
+func (a *Account) release(bytes int64) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return
+	}
+	a.budget.release(bytes)
+	a.bytes -= bytes
+}
--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/matryer/is"
 
@@ -73,3 +74,32 @@
 		is.NoErr(budget.Open().Reserve(2 << 10))
 	}
 }
+
+// TestAbortedBody guards against a body that was given up and keeps its share of the budget, so
+// that the next send of its request, or other requests, have no memory.
+func TestAbortedBody(t *testing.T) {
+	const limit = 1 << 20
+	for name, read := range map[string]func(*memory.Account) error{
+		"too large": func(a *memory.Account) error { _, err := a.ReadAll(endless{}, -1, limit/2); return err },
+		"exhausted": func(a *memory.Account) error { _, err := a.ReadAll(endless{}, -1, 1<<40); return err },
+		"cut":       func(a *memory.Account) error { _, err := a.ReadAll(strings.NewReader("x"), limit/2, limit); return err },
+		"failed": func(a *memory.Account) error {
+			_, err := a.ReadAll(io.MultiReader(io.LimitReader(endless{}, limit/4), iotest.ErrReader(io.ErrClosedPipe)), -1, limit)
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			budget := memory.NewBudget(limit)
+			account := budget.Open()
+			is.NoErr(account.Reserve(100)) // the body of the request
+			is.NoErr(account.Expect(limit / 8))
+			is.True(read(account) != nil)
+			account.ReleaseExpected()
+			is.Equal(budget.Used(), int64(100))
+			is.NoErr(account.Reserve(limit / 2)) // the next response to the same request
+			account.Close()
+			is.Equal(budget.Used(), int64(0))
+		})
+	}
+}
