memory: a body of unknown size takes no more than its bound

What could be seen: a response without end that is bounded to 32 MB (the store's) made the sidecar allocate 64 MB for it, beside the 32 MB from which the bytes were copied; the bound of a response without a budget of 64 MB meant 128 MB. An instance has 184 MB.

Cause: the buffer doubles when it is full, also when it holds exactly as many bytes as the body may have. All bounds are powers of two.

Evidence: TestBoundOfUnknownSize failed before: 4,096 bytes for a bound of 10 (11 needed); with a bound of 32 MB, tried by hand, 67,108,864.

The last buffer has one byte more than the bound, which is enough to see that the body is too large.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -192,13 +192,17 @@
 	return body[:n], nil
 }
 
-// readGrowing reads a body of unknown size into a buffer that doubles when it is full.
+// readGrowing reads a body of unknown size into a buffer that doubles when it is full, up to
+// the size at which the body is too large.
 func (a *Account) readGrowing(r io.Reader, maxBytes int64) ([]byte, error) {
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			grown := max(2*cap(body), firstChunkBytes)
-			if err := a.Reserve(int64(grown - cap(body))); err != nil {
+			grown := max(2*int64(cap(body)), firstChunkBytes)
+			if grown > maxBytes {
+				grown = maxBytes + 1
+			}
+			if err := a.Reserve(grown - int64(cap(body))); err != nil {
 				a.release(int64(cap(body)))
 				return nil, err
 			}
--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -103,3 +103,29 @@
 		})
 	}
 }
+
+// TestBoundOfUnknownSize guards against a body of unknown size whose buffer grows to twice the
+// largest allowed size.
+func TestBoundOfUnknownSize(t *testing.T) {
+	is := is.New(t)
+	budget := memory.NewBudget(1 << 30)
+	for _, maxBytes := range []int64{10, 1 << 10, 100_000, 1 << 20} {
+		peak := int64(0)
+		account := budget.Open()
+		_, err := account.ReadAll(readerFunc(func(p []byte) (int, error) {
+			peak = max(peak, budget.Used())
+			return len(p), nil
+		}), -1, maxBytes)
+		var tooLarge *memory.TooLargeError
+		is.True(errors.As(err, &tooLarge))
+		is.Equal(peak, maxBytes+1)
+		body, err := account.ReadAll(io.LimitReader(endless{}, maxBytes), -1, maxBytes)
+		is.NoErr(err)
+		is.Equal(int64(len(body)), maxBytes)
+		account.Close()
+	}
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
