httpupstream: bound the body of a load report

What could be seen: an upstream that answers the daemon's question for its load, or a grant, with a body without end or with a huge Content-Length ends the daemon, and with it the requests of all other callers on that machine.

Cause: the client for control messages had no MaxResponseBodySize, which means no limit in fasthttp. It allocates a declared length at once.

--- a/core/upstream/httpupstream/options.go
+++ b/core/upstream/httpupstream/options.go
@@ -31,6 +31,8 @@
 	maxControlConnections = 2
 	// controlTimeout bounds the sending of a grant and the reading of a load report.
 	controlTimeout = time.Second
+	// maxControlBytes bounds the body of a load report and of the response to a grant.
+	maxControlBytes = 64 << 10
 	// maxHeadBytes bounds the head of a response.
 	maxHeadBytes = 64 << 10
 	// writeBufferBytes is the size of the buffer for writing a request.
@@ -110,6 +112,7 @@
 	requestPool.ConnPoolStrategy = fasthttp.LIFO // The newest is the least likely to be closing.
 	controlClient := newHostClient(address, dialer, settings.idleTimeout)
 	controlClient.MaxConns = maxControlConnections
+	controlClient.MaxResponseBodySize = maxControlBytes
 	controlClient.MaxConnWaitTimeout = controlTimeout
 	return &Upstream{address: address, inactivityTimeout: settings.inactivityTimeout, requestPool: requestPool, controlClient: controlClient}, nil
 }
