sidecar: bound the memory of control messages together

What could be seen: a faulty process that sends control messages or reports without end takes the memory of a sidecar; the requests of all callers on that machine end with it. Each message was bounded to 4 MB and 2 s, each report to 512 KB, but not their number.

Cause: bodies of control messages, responses to them and reports were read without an account, unlike those of requests.

A message without memory is answered 503, a failed message to its sender.

--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -87,6 +87,8 @@
 	capacityLog capacity.ChangeLog
 	// memory bounds the bodies of all requests and responses in progress.
 	memory *memory.Budget
+	// controlMemory bounds the bodies of all control messages and reports in progress.
+	controlMemory *memory.Budget
 	// memoryLimit is the soft limit that was set for the Go runtime's memory in bytes, 0 if
 	// none. Only gaugeLoop uses it.
 	memoryLimit int64
@@ -158,7 +160,7 @@
 	for i := range a.watching {
 		a.watching[i].Store(true)
 	}
-	a.memory = memory.NewBudget(s.BodyMemoryBytes())
+	a.memory, a.controlMemory = memory.NewBudget(s.BodyMemoryBytes()), memory.NewBudget(controlMemoryBytes)
 	a.log, a.logWriter = logs.New(out, s.LogLevel())
 	a.telemetry = newTelemetry()
 	a.manifest.Store(&routes.Manifest{})
@@ -166,7 +168,7 @@
 	instance := membership.NewInstance(s.Instance(), s.RequestAddress(), s.PeerAddress(), s.Location())
 	a.state = newState(a.clock.Now(), s, instance, incarnation)
 	a.gate = admission.NewGate(a.clock, admission.Settings{})
-	a.peers = newPeerClients(a.localIP)
+	a.peers = newPeerClients(a.localIP, a.controlMemory)
 	a.upstream = &upstream{
 		app: a, client: httpclient.New(s.UpstreamAddress(), a.localIP).WithDistinctSends(), probeClient: httpclient.New(s.UpstreamAddress(), a.localIP),
 	}
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -14,6 +14,7 @@
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/httpclient"
 	"briarwell.dev/core/identity"
+	"briarwell.dev/core/memory"
 	"briarwell.dev/core/peer"
 )
 
@@ -39,6 +40,9 @@
 	peerIdleTimeout = idleTimeout / 2
 	// maxControlBytes bounds the body of a control message.
 	maxControlBytes = 4 << 20
+	// controlMemoryBytes bounds the bodies of all control messages, responses to them and reports
+	// in progress.
+	controlMemoryBytes = 4 * maxControlBytes
 	// maxFetchBytes bounds an answer with a compressed row, in base64.
 	maxFetchBytes = 16 << 20
 )
@@ -92,12 +96,14 @@
 // concurrent use.
 type peerClients struct {
 	localIP net.IP
+	// memory bounds the bodies of responses to control messages.
+	memory  *memory.Budget
 	mu      sync.Mutex
 	clients map[string]*httpclient.Client
 }
 
-func newPeerClients(localIP net.IP) *peerClients {
-	return &peerClients{localIP: localIP, clients: make(map[string]*httpclient.Client)}
+func newPeerClients(localIP net.IP, budget *memory.Budget) *peerClients {
+	return &peerClients{localIP: localIP, memory: budget, clients: make(map[string]*httpclient.Client)}
 }
 
 func (p *peerClients) client(address string) *httpclient.Client {
@@ -127,7 +133,9 @@
 func (p *peerClients) call(ctx context.Context, address, path string, request, response any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	return p.exchange(ctx, address, httpclient.Request{RequestURI: path, MaxResponseBytes: maxControlBytes}, request, response)
+	account := p.memory.Open()
+	defer account.Close()
+	return p.exchange(ctx, address, httpclient.Request{RequestURI: path, Memory: account, MaxResponseBytes: maxControlBytes}, request, response)
 }
 
 // fetch is call for a response that may be large. It may take as long as parts of it arrive.
@@ -154,25 +162,27 @@
 
 func (a *App) controlHandler() http.Handler {
 	mux := http.NewServeMux()
-	registerControl(mux, pathRenew, a.handleRenew)
-	registerControl(mux, pathLapse, a.handleLapse)
-	registerControl(mux, pathSync, a.handleSync)
-	registerControl(mux, pathPropose, a.handlePropose)
-	registerControl(mux, pathLoad, a.handleLoad)
-	registerControl(mux, pathRows, a.handleRows)
-	registerControl(mux, pathFetch, a.handleFetch)
+	registerControl(mux, a.controlMemory, pathRenew, a.handleRenew)
+	registerControl(mux, a.controlMemory, pathLapse, a.handleLapse)
+	registerControl(mux, a.controlMemory, pathSync, a.handleSync)
+	registerControl(mux, a.controlMemory, pathPropose, a.handlePropose)
+	registerControl(mux, a.controlMemory, pathLoad, a.handleLoad)
+	registerControl(mux, a.controlMemory, pathRows, a.handleRows)
+	registerControl(mux, a.controlMemory, pathFetch, a.handleFetch)
 	return mux
 }
 
-func registerControl[Request, Response any](mux *http.ServeMux, path string, respond func(Request) Response) {
+func registerControl[Request, Response any](mux *http.ServeMux, budget *memory.Budget, path string, respond func(Request) Response) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		account := budget.Open()
+		defer account.Close()
 		var request Request
-		body, err := io.ReadAll(io.LimitReader(r.Body, maxControlBytes))
+		body, err := account.ReadAll(r.Body, r.ContentLength, maxControlBytes)
 		if err == nil {
 			err = json.Unmarshal(body, &request)
 		}
 		if err != nil {
-			w.WriteHeader(http.StatusBadRequest)
+			w.WriteHeader(messageErrorStatus(err))
 			return
 		}
 		out, err := json.Marshal(respond(request))
@@ -184,6 +194,15 @@
 	})
 }
 
+// messageErrorStatus returns the HTTP status of the response to a message that can't be read.
+func messageErrorStatus(err error) int {
+	var exhausted *memory.ExhaustedError
+	if errors.As(err, &exhausted) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadRequest
+}
+
 // handleRenew handles a holder's request that this sidecar, as a witness, renews its
 // promise.
 func (a *App) handleRenew(request renewRequest) renewResponse {
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -263,7 +263,9 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxReportBytes))
+	account := a.controlMemory.Open()
+	defer account.Close()
+	body, err := account.ReadAll(r.Body, r.ContentLength, maxReportBytes)
 	if err == nil {
 		var call upstreamrpc.Call
 		if call, err = upstreamrpc.Decode(r.URL.Query(), body); err == nil {
@@ -272,7 +274,7 @@
 		}
 	}
 	a.log.Warn().Err(err).Msg("reportRejected")
-	w.WriteHeader(http.StatusBadRequest)
+	w.WriteHeader(messageErrorStatus(err))
 	_, _ = io.WriteString(w, err.Error()+"\n") // The upstream may have disconnected.
 }
 
