sidecar: the rest of a rejected request's body is read for 2 s only

What could be seen: a sender that goes on with the body of a rejected request, slowly and without end, holds its connection and a goroutine for good (by the code of net/http a stop of the sidecar waits for it too, which was not tried). Another sidecar whose request could not be decoded got no answer before its body had ended.

Cause: net/http reads up to 256 kB of a body that the handler has left unread, to keep the connection. On the listeners for requests, no deadline was set for it: that of withReadDeadline ends with its read, and requests that are rejected by their heads never had one.

Evidence: TestRequestsWithoutEnd, ten kinds of requests without end. Before, five failed: the connection was open 3.5 s after the request with a time limit of 0.5 s, one (of a peer) without any answer. Now all are answered at once or at their deadline and closed 2 s later.

--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -30,6 +30,9 @@
 	// controlReadTimeout bounds the time for reading a report of the upstream or a control
 	// message. Their senders wait for at most a second.
 	controlReadTimeout = 2 * time.Second
+	// unreadBodyTimeout is the time after a response in which a sender that is still sending the
+	// body of a rejected request can read the response.
+	unreadBodyTimeout = 2 * time.Second
 	// idleTimeout is longer than any idle time that the manifest allows callers, so that
 	// no request is sent while the server closes its connection.
 	idleTimeout = 120 * time.Second
@@ -65,6 +68,9 @@
 // newServer returns a server. readTimeout bounds the time for reading a request with its
 // body, 0 if the handler does so.
 func newServer(handler http.Handler, readTimeout time.Duration) *http.Server {
+	if readTimeout == 0 {
+		handler = boundUnreadBody(handler)
+	}
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
@@ -73,6 +79,18 @@
 	}
 }
 
+// boundUnreadBody bounds the time for which the server reads the rest of a body that next has
+// left unread, to unreadBodyTimeout.
+func boundUnreadBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			// Fails if the connection is closed.
+			defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) }()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // connContextKey is the context key of the connection of a request.
 type connContextKey struct{}
 
@@ -155,6 +173,7 @@
 	request, service, policy, err := peerhttp.DecodeRequest(r, a.clock.Now())
 	if err != nil {
 		a.log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("peerRequestRejected")
+		w.Header().Set("Connection", "close") // Otherwise the response waits for the body.
 		peerhttp.WriteReply(w, "", dispatch.NotRun(outcome.ReasonMalformed), a.clock)
 		return
 	}
