sidecar: the store is asked more often for the manifest only while requests have no route

Change: only the first watcher does, and only while this sidecar or one that gets its rows from it has had a request without a route within 10 s; sync requests say so. Until then such a request may get 503 for up to 4 s.

--- a/sidecar/app/manifest.go
+++ b/sidecar/app/manifest.go
@@ -81,10 +81,28 @@
 	return s.manifest.IsCurrent(a.clock.Now(), a.settings.ManifestWithin())
 }
 
+// unroutedMemory is the time in milliseconds for which a request without a route makes the region's
+// first watcher ask more often for a newer manifest.
+const unroutedMemory clock.Millis = 10_000
+
+// unroutedRecently reports whether this sidecar or one that gets its rows from it has had a request
+// without a route recently.
+func (a *App) unroutedRecently() bool {
+	return a.isRecent(a.unroutedAt.Load()) || a.isRecent(a.peerUnroutedAt.Load())
+}
+
+func (a *App) isRecent(at int64) bool {
+	return at > 0 && a.clock.Now()-clock.Millis(at) <= unroutedMemory
+}
+
 // withUnknownRoute returns the result of a request, with a refusal in place of the missing route if
 // a newer manifest may have one.
 func (a *App) withUnknownRoute(request *dispatch.Request, result dispatch.Result) dispatch.Result {
-	if result.RouteFound || a.manifestIsCurrent() {
+	if result.RouteFound {
+		return result
+	}
+	a.unroutedAt.Store(int64(a.clock.Now()))
+	if a.manifestIsCurrent() {
 		return result
 	}
 	after := retryafter.Spread(request.Deadline-a.clock.Now(), request.ID)
--- a/sidecar/app/rowcodec.go
+++ b/sidecar/app/rowcodec.go
@@ -33,6 +33,9 @@
 	// Fetches reports whether the sender fetches large rows that are offered to it. One that
 	// does not gets them whole.
 	Fetches bool `json:"fetches,omitempty"`
+	// Unrouted reports whether the sender has had requests without a route recently: it needs to
+	// know whether its manifest is the newest.
+	Unrouted bool `json:"unrouted,omitempty"`
 }
 
 type syncResponse struct {
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -80,7 +80,10 @@
 // watches the store.
 func (a *App) syncWith(ctx context.Context, member fleet.Member) bool {
 	address := member.Instance.PeerAddress()
-	request := syncRequest{Checksum: a.rows.Checksum(), Newest: a.rows.Newest(), Assignments: a.assignmentVersions(), Fetches: true}
+	request := syncRequest{
+		Checksum: a.rows.Checksum(), Newest: a.rows.Newest(), Assignments: a.assignmentVersions(), Fetches: true,
+		Unrouted: a.isRecent(a.unroutedAt.Load()),
+	}
 	var response syncResponse
 	sentAt := a.clock.Now()
 	if err := a.peers.call(ctx, address, pathSync, request, &response); err != nil {
@@ -134,6 +137,9 @@
 // the response if this sidecar watches the operator's rows and the store answers for each
 // feed that it watches.
 func (a *App) handleSync(request syncRequest) syncResponse {
+	if request.Unrouted {
+		a.peerUnroutedAt.Store(int64(a.clock.Now()))
+	}
 	watching := a.watching[store.OperatorRows].Load()
 	for i := range a.feedReachable {
 		watching = watching && (a.feedReachable[i].Load() || !a.watching[i].Load())
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -17,8 +17,8 @@
 	// else shows that the store will never answer a call whose connection stays alive, so it
 	// also bounds for how long this sidecar is out of date.
 	longPollWait clock.Millis = 3000
-	// operatorPollWait is longPollWait for the operator's rows. Between two answers it is not known
-	// whether the manifest is the newest.
+	// operatorPollWait is longPollWait for the operator's rows at the first watcher of a region while
+	// requests have no route. Between two answers it is not known whether the manifest is the newest.
 	operatorPollWait clock.Millis = 1000
 	// recheckWait replaces longPollWait for the first call after a failed one, as the store may
 	// still be silent.
@@ -60,7 +60,7 @@
 		// An answer that is behind an earlier one is no observation of the present.
 		asOf, newest := a.clock.Now(), a.newestRevision.Load()
 		if loaded {
-			wait := pollWait(feed, reachable)
+			wait := a.pollWait(feed, reachable)
 			rows, revision, err = a.store.WatchRows(ctx, feed, after, wait)
 			if len(rows) == 0 && a.clock.Now()-asOf >= wait {
 				// The store answers without a change only after the wait.
@@ -121,11 +121,11 @@
 }
 
 // pollWait returns the time in milliseconds for which a call waits for changes of a feed.
-func pollWait(feed store.Feed, reachable bool) clock.Millis {
+func (a *App) pollWait(feed store.Feed, reachable bool) clock.Millis {
 	switch {
 	case !reachable:
 		return recheckWait
-	case feed == store.OperatorRows:
+	case feed == store.OperatorRows && a.watching[store.RouterRows].Load() && a.unroutedRecently():
 		return operatorPollWait
 	default:
 		return longPollWait
