upstream: a response that does not repeat the request's ID is not the upstream's

What callers could see: a 302, 400, 404 or 413 of another program, or of spoiled bytes, that ends a proper request (DENIED); a 408, 429 or 503, which promises that the request has not run although it has (REFUSED); and a request that may run once only, run twice (TWICE): a garbled "421" was taken as the upstream's word that it had not run the request, which was sent to another upstream.

Cause: httpclient takes a response without an ID as that to the request if the connection had no earlier one. Upstreams repeat X-Request-Id in every response, so what has none is not theirs, whatever the connection has carried.

It is counted (responses_not_passed_on_total) and logged (responseNotPassedOn), within a bound of its own. Between sidecars nothing changes: a sidecar that can't read a request has no ID to repeat, and what comes without the field Bw is unknown anyway.

Test: TestGarbledStatuses, upstreams that replace 5%, 30% and all of their responses by such ones.

--- a/core/httpclient/request.go
+++ b/core/httpclient/request.go
@@ -50,6 +50,9 @@
 	// without an ID is accepted only on a connection that had no earlier request.
 	ResponseIDHeader string
 	ResponseID       string
+	// ResponseIDRequired makes a response without an ID an error on every connection, for a server
+	// that repeats the ID in each response: one without it is another program's, or none.
+	ResponseIDRequired bool
 	// ResponseIDEnd, if set, is the text that ends the ID in that field; other values follow.
 	ResponseIDEnd string
 	// Memory is charged for the body of the response; nil for no limit.
@@ -107,11 +110,20 @@
 
 var (
 	errUnmatchedResponses = errors.New("server sent only interim responses or responses to other requests")
-	errMissingResponseID  = errors.New("response without a request ID on a reused connection")
 	errHeadTooLarge       = fmt.Errorf("response heads exceed %d bytes", maxHeadBytes)
 	errInvalidHead        = errors.New("method, URI or a header name of the request is empty, or the request head has an invalid character")
 )
 
+// MissingIDError reports a response in which the ID of a request is not repeated.
+type MissingIDError struct{ status int }
+
+// Status returns the status of the response.
+func (e *MissingIDError) Status() int { return e.status }
+
+func (e *MissingIDError) Error() string {
+	return fmt.Sprintf("response with status %d has no request ID", e.status)
+}
+
 // Do sends the request and returns the response. When ctx ends, it closes the connection,
 // which signals the server to stop. The error is an *Error.
 func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
@@ -273,7 +285,7 @@
 	if head.StatusCode < http.StatusOK {
 		return Response{}, false, false, nil
 	}
-	if matched, err := c.matches(r, head.Header); !matched || err != nil {
+	if matched, err := c.matches(r, head); !matched || err != nil {
 		if err == nil {
 			err = skipBody(head.Body)
 		}
@@ -291,12 +303,12 @@
 	return Response{Status: head.StatusCode, Header: head.Header, Body: body}, !head.Close, true, nil
 }
 
-// matches reports whether a response with the header belongs to the request.
-func (c *connection) matches(r Request, header http.Header) (bool, error) {
+// matches reports whether a response with the head belongs to the request.
+func (c *connection) matches(r Request, head *http.Response) (bool, error) {
 	if r.ResponseIDHeader == "" {
 		return true, nil
 	}
-	id := header.Get(r.ResponseIDHeader)
+	id := head.Header.Get(r.ResponseIDHeader)
 	if r.ResponseIDEnd != "" {
 		id, _, _ = strings.Cut(id, r.ResponseIDEnd)
 	}
@@ -305,8 +317,8 @@
 		return true, nil
 	case id != "":
 		return false, nil
-	case c.reused:
-		return false, errMissingResponseID
+	case c.reused || r.ResponseIDRequired:
+		return false, &MissingIDError{status: head.StatusCode}
 	default:
 		return true, nil
 	}
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -68,6 +68,9 @@
 	// ReasonResponseDropped is the reason of a response that was too large or for which
 	// there was no memory.
 	ReasonResponseDropped Reason = "response-dropped"
+	// ReasonInvalidResponse is the reason of a response that is not certainly the upstream's
+	// response to the request.
+	ReasonInvalidResponse Reason = "invalid-response"
 )
 
 // Outcome is Done, NotRun or Unknown.
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -16,6 +16,7 @@
 
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/logs"
 	"briarwell.dev/core/metrics"
 	"briarwell.dev/core/outcome"
@@ -35,8 +36,8 @@
 	// with them the services, change while the process runs.
 	maxRequestSeries = 512
 	// maxRejectionLinesPerSecond bounds the log lines per second about requests that this
-	// process ends with a status from 400 to 499. They have a bound of their own, as refusals
-	// are frequent under load.
+	// process ends with a status from 400 to 499, and those about responses that are not passed
+	// on. They have bounds of their own, as refusals are frequent under load.
 	maxRejectionLinesPerSecond = 20
 	// maxLoggedPathBytes bounds the path in a log line.
 	maxLoggedPathBytes = 80
@@ -52,6 +53,8 @@
 	executorLogLimiter *logs.Limiter
 	// rejectionLogLimiter applies to own statuses from 400 to 499.
 	rejectionLogLimiter *logs.Limiter
+	// responseLogLimiter applies to responses that are not passed on.
+	responseLogLimiter *logs.Limiter
 
 	mu          sync.Mutex
 	series      map[seriesKey]requestSeries
@@ -72,8 +75,8 @@
 func newTelemetry() *telemetry {
 	t := &telemetry{
 		callerLogLimiter: logs.NewLimiter(maxRequestLinesPerSecond), executorLogLimiter: logs.NewLimiter(maxRequestLinesPerSecond),
-		rejectionLogLimiter: logs.NewLimiter(maxRejectionLinesPerSecond),
-		series:              make(map[seriesKey]requestSeries), ownStatuses: make(map[callerhttp.Answer]tally.Counter),
+		rejectionLogLimiter: logs.NewLimiter(maxRejectionLinesPerSecond), responseLogLimiter: logs.NewLimiter(maxRejectionLinesPerSecond),
+		series: make(map[seriesKey]requestSeries), ownStatuses: make(map[callerhttp.Answer]tally.Counter),
 	}
 	t.scope, t.collector, t.closer = metrics.New()
 	return t
@@ -227,6 +230,16 @@
 		Int64("returnMillis", int64(reply.RetryAfter)).Bool("promised", reply.Promised).Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
 }
 
+// recordInvalidResponse counts and logs a response with the status that came in place of that of the
+// upstream's process, and is not passed on for the reason.
+func (a *App) recordInvalidResponse(r *dispatch.Request, process keyspace.Process, status int, reason string) {
+	a.telemetry.scope.Tagged(map[string]string{"reason": reason}).Counter("responses_not_passed_on").Inc(1)
+	if ok, omitted := a.telemetry.responseLogLimiter.Allow(a.clock.Now()); ok {
+		a.log.Warn().Str("request", r.ID).Str("life", process.String()).Int("status", status).Str("reason", reason).
+			Int64("omitted", omitted).Msg("responseNotPassedOn")
+	}
+}
+
 // logAbandoned logs a request that is not run because its sender has disconnected.
 func (a *App) logAbandoned(r *dispatch.Request) {
 	if ok, omitted := a.telemetry.executorLogLimiter.Allow(a.clock.Now()); ok {
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -78,6 +78,11 @@
 	if err == nil {
 		return upstreamhttp.DecodeResponse(response)
 	}
+	var missingID *httpclient.MissingIDError
+	if errors.As(err, &missingID) {
+		u.app.recordInvalidResponse(r, process, missingID.Status(), "no-id")
+		return dispatch.Unknown(outcome.ReasonInvalidResponse)
+	}
 	var clientErr *httpclient.Error
 	if !errors.As(err, &clientErr) || clientErr.Sent() {
 		if ctx.Err() != nil {
--- a/sidecar/explain/explain.go
+++ b/sidecar/explain/explain.go
@@ -199,6 +199,7 @@
 		"timeout":            "unknown: it was sent to the upstream, and its deadline passed without an answer",
 		"connection-lost":    "unknown: the connection was lost after it was sent",
 		"response-dropped":   "unknown: its response was too large, or there was no memory for it",
+		"invalid-response":   "unknown: what came in place of the upstream's response was not certainly that (see responseNotPassedOn)",
 		"":                   "answered by the upstream, but late, after another attempt, or with a server error",
 	}
 }
