httptable: bound a response to 32 MB

What could be seen: one response of the table service without end takes more memory than a daemon's instance has.

Cause: the bound of a response was 256 MB, and its buffer doubles. A message between daemons, which carries the same rows, is bounded to 32 MB.

Several such responses at once are not bounded together.

--- a/core/table/httptable/httptable.go
+++ b/core/table/httptable/httptable.go
@@ -24,9 +24,9 @@
 	defaultMaxConnections = 16
 	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout = 5 * time.Second
-	// maxResponseBytes bounds a response. A scan of all rows of 670 daemons
-	// and their shards takes a few megabytes.
-	maxResponseBytes = 256 << 20
+	// maxResponseBytes bounds a response, like a message between daemons. A scan of all rows of
+	// 670 daemons and their shards takes a few megabytes.
+	maxResponseBytes = 32 << 20
 	// maxErrorTextBytes bounds the part of an unexpected response that an error
 	// contains.
 	maxErrorTextBytes = 200
