httpobject: bound an object to 16 MB

What could be seen: one response of the object store without end takes more memory than a daemon's instance has.

Cause: the bound was 64 MB, and the buffer doubles.

Templates and their history, the only objects, take far less than 16 MB. Four objects at once are not bounded together.

--- a/core/object/httpobject/httpobject.go
+++ b/core/object/httpobject/httpobject.go
@@ -29,7 +29,7 @@
 	idleTimeout = 5 * time.Second
 	// maxObjectBytes bounds the body of an object. Templates and their history are far
 	// smaller.
-	maxObjectBytes = 64 << 20
+	maxObjectBytes = 16 << 20
 	// maxErrorTextBytes bounds the part of an unexpected response that an error
 	// contains.
 	maxErrorTextBytes = 200
