edge: bound the time for a request header and for an unread body

What could be seen: a caller that sends a request without end, slowly, holds a connection of the daemon for good: in its header, or in the body of a request that has been rejected.

Cause: the server had no ReadTimeout, and the deadline for the body was removed after each read.

Evidence: TestRequestsWithoutEnd, seven kinds of requests without end. Before, three failed: "slow head", "slow body" and "slow chunks" were open after 14 s. Now all are closed, these three after 10.2 s, the timeout that the body of a request already had.

The deadline is set for each request by the server, so that removing it after a read is not needed; idle connections get a timeout of their own.

--- a/daemon/edge/body.go
+++ b/daemon/edge/body.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"time"
 )
 
-// callerReadTimeout is the longest time between two reads that return data of a
-// caller's request body. A caller that stalls would otherwise occupy a slot of the
-// upstream.
-const callerReadTimeout = 10 * time.Second
+const (
+	// callerReadTimeout is the longest time for a caller's request header, and between two
+	// reads that return data of the request body. A caller that stalls would otherwise occupy
+	// a slot of the upstream.
+	callerReadTimeout = 10 * time.Second
+	// idleTimeout is the time after which a connection without a request is closed.
+	idleTimeout = 2 * time.Minute
+)
 
 // requestBody reads the request body from the caller's connection.
 type requestBody struct {
@@ -24,13 +27,9 @@
 	if err := b.connection.SetReadDeadline(time.Now().Add(callerReadTimeout)); err != nil {
 		return 0, err
 	}
-	n, err := b.stream.Read(buffer)
-	// The deadline stays set after a failed read, because the connection is not
-	// used again.
-	if err == nil || errors.Is(err, io.EOF) {
-		_ = b.connection.SetReadDeadline(time.Time{})
-	}
-	return n, err
+	// The deadline stays set: it also bounds the time for which the server reads a rest of the
+	// body that the handler leaves, and is set again for the next request.
+	return b.stream.Read(buffer)
 }
 
 // responseBody cancels the context of the request when the response has been
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -55,6 +55,8 @@
 		AppName:                      "briarwelld",
 		ReadBufferSize:               settings.MaxHeaderBytes,
 		BodyLimit:                    maxBodyBytes,
+		ReadTimeout:                  callerReadTimeout,
+		IdleTimeout:                  idleTimeout,
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
 		ErrorHandler:                 s.handleError,
