--- a/core/httpclient/client_test.go
+++ b/core/httpclient/client_test.go
@@ -8,9 +8,7 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -383,134 +381,6 @@
 	}
 }
 
-// TestResponseWithoutEnd guards against a server that sends bytes without end, in a head, in
-// interim responses, in a body with or without a length, or in a response to another
-// request, and that takes the client's memory or keeps the caller waiting.
-func TestResponseWithoutEnd(t *testing.T) {
-	const budgetBytes = 4 << 20
-	const ok = "HTTP/1.1 200 OK\r\nId: 1\r\n"
-	for name, raw := range map[string]struct{ first, repeated string }{
-		"head":           {ok, "X-Filler: " + strings.Repeat("x", 1000) + "\r\n"},
-		"header line":    {ok + "X-Filler: ", strings.Repeat("x", 1000)},
-		"status line":    {"HTTP/1.1 200 ", strings.Repeat("x", 1000)},
-		"interim":        {"", "HTTP/1.1 102 Processing\r\n\r\n"},
-		"interim, large": {"", "HTTP/1.1 102 Processing\r\nX: " + strings.Repeat("x", 20_000) + "\r\n\r\n"},
-		"chunks":         {ok + "Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + strings.Repeat("x", 1000) + "\r\n"},
-		"until close":    {ok + "\r\n", strings.Repeat("x", 1000)},
-		"length":         {ok + "Content-Length: 9000000000\r\n\r\n", strings.Repeat("x", 1000)},
-		"other response": {"HTTP/1.1 200 OK\r\nId: 0\r\n\r\n", strings.Repeat("x", 1000)},
-		"chunk header":   {ok + "Transfer-Encoding: chunked\r\n\r\n3e8;", strings.Repeat("x", 1000)},
-	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			sent := make(chan int, 1)
-			address := startServer(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
-				_, _ = http.ReadRequest(requests)
-				n, err := conn.Write([]byte(raw.first))
-				total := n
-				for err == nil && total < 256<<20 {
-					n, err = conn.Write([]byte(raw.repeated))
-					total += n
-				}
-				sent <- total
-			})
-			budget := memory.NewBudget(budgetBytes)
-			account := budget.Open()
-			request := getRequest("1")
-			request.Memory = account
-			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-			defer cancel()
-			_, err := httpclient.New(address, nil).Do(ctx, request)
-			var failed *httpclient.Error
-			is.True(errors.As(err, &failed))
-			is.True(failed.Sent())
-			is.NoErr(ctx.Err()) // given up by size, not by time
-			is.True(budget.Used() <= budgetBytes)
-			account.Close()
-			is.Equal(budget.Used(), int64(0))
-			is.True(<-sent < 64<<20) // the connection was closed
-		})
-	}
-}
-
-// TestManyResponsesWithoutEnd guards against a hundred connections with endless responses
-// that together take more memory than an instance has.
-func TestManyResponsesWithoutEnd(t *testing.T) {
-	is := is.New(t)
-	address := startServer(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
-		_, _ = http.ReadRequest(requests)
-		_, err := conn.Write([]byte("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"))
-		chunk := []byte("2000\r\n" + strings.Repeat("x", 0x2000) + "\r\n")
-		for err == nil {
-			_, err = conn.Write(chunk)
-		}
-	})
-	budget := memory.NewBudget(8 << 20)
-	var before, during runtime.MemStats
-	runtime.ReadMemStats(&before)
-	var wait sync.WaitGroup
-	var failures atomic.Int64
-	var peak atomic.Int64
-	for range 100 {
-		wait.Go(func() {
-			account := budget.Open()
-			defer account.Close()
-			request := getRequest("1")
-			request.Memory = account
-			if _, err := httpclient.New(address, nil).Do(context.Background(), request); err != nil {
-				failures.Add(1)
-			}
-			peak.Store(max(peak.Load(), budget.Used()))
-		})
-	}
-	wait.Wait()
-	runtime.ReadMemStats(&during)
-	t.Logf("bodies at most %d kB, memory of the process %d to %d kB", peak.Load()>>10, before.Sys>>10, during.Sys>>10)
-	is.Equal(failures.Load(), int64(100))
-	is.True(peak.Load() <= 8<<20)
-	is.True(during.Sys-before.Sys < 64<<20)
-	is.Equal(budget.Used(), int64(0))
-}
-
-// TestResponseInTrickles guards against a connection that stays open because bytes of a
-// response keep arriving: the deadline of the request ends it.
-func TestResponseInTrickles(t *testing.T) {
-	const limit = 400 * time.Millisecond
-	for name, raw := range map[string]struct{ first, repeated string }{
-		"head":        {"HTTP/1.1 200 OK\r\nId: 1\r\nX-Filler: ", "x"},
-		"interim":     {"HTTP/1.1 102 Processing\r\nX: ", "x"},
-		"chunks":      {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
-		"until close": {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "x"},
-		"length":      {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9000\r\n\r\n", "x"},
-	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			closed := make(chan struct{})
-			address := startServer(t, func(_ int, conn net.Conn, requests *bufio.Reader) {
-				defer close(closed)
-				_, _ = http.ReadRequest(requests)
-				_, err := conn.Write([]byte(raw.first))
-				for err == nil {
-					time.Sleep(5 * time.Millisecond)
-					_, err = conn.Write([]byte(raw.repeated))
-				}
-			})
-			ctx, cancel := context.WithTimeout(context.Background(), limit)
-			defer cancel()
-			_, err := httpclient.New(address, nil).Do(ctx, getRequest("1"))
-			var failed *httpclient.Error
-			is.True(errors.As(err, &failed))
-			is.True(failed.Sent())
-			is.True(errors.Is(err, context.DeadlineExceeded))
-			select {
-			case <-closed:
-			case <-time.After(5 * time.Second):
-				t.Fatal("connection was not closed")
-			}
-		})
-	}
-}
-
 // TestMaxResponseBytes guards against a response that takes more memory than the request
 // allows, also if its length is declared and its body never arrives.
 func TestMaxResponseBytes(t *testing.T) {
