sidecar: a request whose body takes long is routed by the manifest in force after it

Callers could get 404 for a route of the manifest in force: serveCaller takes the manifest before it reads the body. If a newer one comes into force meanwhile, the route was looked up in the old one, while the check whether 404 is true looked at the new one.

Change: a request without a route is handled again by the newer manifest. A 404 is given only if the manifest in use was the same before and after the check.

--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -141,7 +141,15 @@
 	if manifest.Version() == 0 {
 		return dispatch.Result{Reply: dispatch.Reply{RetryAfter: retryafter.Spread(request.Deadline-a.clock.Now(), request.ID)}}
 	}
-	return a.withUnknownRoute(request, a.dispatcher.Handle(ctx, manifest, request))
+	for {
+		result := a.withUnknownRoute(request, a.dispatcher.Handle(ctx, manifest, request))
+		// A newer manifest may have come into force while the body was read.
+		newest := a.manifest.Load()
+		if result.RouteFound || newest == manifest {
+			return result
+		}
+		manifest = newest
+	}
 }
 
 // restartRetryAfter is the time in milliseconds after which a refused caller may retry:
