store, sidecar: only an answer without changes shows that the store has waited

Callers could get 404 for a route up to a second later than the bound: an answer of the operator's feed without rows counted as made at the end of the wait, if it arrived after it. The client drops rows that the router does not use (op/NAME other than the manifest and evacuations). For these the store answers at once; if the answer is delayed on its way, it counted as up to 1 s younger than it is.

Change: WatchRows returns Changes, whose None tells an empty answer from one whose rows were dropped.

--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -61,9 +61,10 @@
 		asOf, newest := a.clock.Now(), a.newestRevision.Load()
 		if loaded {
 			wait := pollWait(feed, reachable)
-			rows, revision, err = a.store.WatchRows(ctx, feed, after, wait)
-			if len(rows) == 0 && a.clock.Now()-asOf >= wait {
-				// The store answers without a change only after the wait.
+			var changes store.Changes
+			changes, err = a.store.WatchRows(ctx, feed, after, wait)
+			rows, revision = changes.Rows(), changes.Revision()
+			if changes.None() && a.clock.Now()-asOf >= wait {
 				asOf += wait
 			}
 		} else {
