rowfetch: a sidecar serves large rows only as fast as its link may carry them

In a large region a manifest could come into force nowhere: all sidecars fetch it at once from the two watchers, the transfers share a link of 10 Mbit/s, and after 15 s (fetchTimeout) all end unfinished and begin again. For 6,000 routes (117 kB on the wire) that is from 160 fetchers on, for 40,000 from 24.

Change: rowfetch.Budget lets 2 MB be sent at once, or one row of any size; further fetches get 503, count as failed and are tried elsewhere or 2 s later. A transfer to a receiver that has gone ends with its write deadline. Each sync round tries offers again whose pause is over; until now only a new offer did.

TestBudget passes. The retry by rounds has no test of its own. TestMalformedPeerMessages also sends to /fetch.

--- a/core/rowfetch/rowfetch.go
+++ b/core/rowfetch/rowfetch.go
@@ -103,3 +103,25 @@
 		}
 	}
 }
+
+// maxServedBytes bounds the bytes of the transfers that a peer serves at once. They take 1.7 s on a
+// link of 10 Mbit/s.
+const maxServedBytes = 2 << 20
+
+// Budget decides whether a peer serves another transfer. Load pattern: hundreds of instances fetch a
+// large row from the same peer; if all transfers share its link, none ends in time. The zero value
+// serves none yet. It is not safe for concurrent use.
+type Budget struct{ served int }
+
+// Start reports whether a transfer of the size in bytes may start. Done must then be called at its
+// end. One transfer is allowed at any size.
+func (b *Budget) Start(size int) bool {
+	if b.served > 0 && b.served+size > maxServedBytes {
+		return false
+	}
+	b.served += size
+	return true
+}
+
+// Done records the end of a transfer of the size in bytes.
+func (b *Budget) Done(size int) { b.served -= size }
--- a/core/rowfetch/rowfetch_test.go
+++ b/core/rowfetch/rowfetch_test.go
@@ -113,3 +113,18 @@
 	is.True(took < manifestWithin)
 	t.Logf("%d bytes, packed %d; naive: never, fetched: %d ms", manifest.Len(), len(packed), took)
 }
+
+// TestBudget guards against transfers that are all served at once, and against a large one that is
+// never served.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	var b rowfetch.Budget
+	is.True(b.Start(rowfetch.MaxBytes)) // alone
+	is.True(!b.Start(1))
+	b.Done(rowfetch.MaxBytes)
+	is.True(b.Start(1 << 20))
+	is.True(b.Start(1 << 20))
+	is.True(!b.Start(1))
+	b.Done(1 << 20)
+	is.True(b.Start(1))
+}
--- a/sidecar/app/peermessages_test.go
+++ b/sidecar/app/peermessages_test.go
@@ -41,7 +41,7 @@
 		status, _ := c.sendRequest(in, http.MethodGet, "/browse/first", 7)
 		return status == http.StatusOK
 	})
-	for _, path := range []string{"/renew", "/lapse", "/sync", "/rows", "/propose", "/load"} {
+	for _, path := range []string{"/renew", "/lapse", "/sync", "/rows", "/propose", "/load", "/fetch"} {
 		for _, body := range []string{"", "\x00\xff", "[]", "null", "7", `{"rows":7}`, `{"service":"wardrobe","holder":"x"}`, `{"versions":[]}`, strings.Repeat("[", 20_000)} {
 			post(t, in, path, body)
 		}
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -160,30 +160,38 @@
 	registerControl(mux, pathPropose, a.handlePropose)
 	registerControl(mux, pathLoad, a.handleLoad)
 	registerControl(mux, pathRows, a.handleRows)
-	registerControl(mux, pathFetch, a.handleFetch)
+	mux.HandleFunc("POST "+pathFetch, a.serveFetch)
 	return mux
 }
 
 func registerControl[Request, Response any](mux *http.ServeMux, path string, respond func(Request) Response) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var request Request
-		body, err := io.ReadAll(io.LimitReader(r.Body, maxControlBytes))
-		if err == nil {
-			err = json.Unmarshal(body, &request)
-		}
-		if err != nil {
+		if err := readControl(r, &request); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		out, err := json.Marshal(respond(request))
-		if err != nil {
-			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		_, _ = w.Write(out) // The other sidecar may have disconnected.
+		writeControl(w, respond(request))
 	})
 }
 
+func readControl(r *http.Request, request any) error {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxControlBytes))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, request)
+}
+
+func writeControl(w http.ResponseWriter, response any) {
+	out, err := json.Marshal(response)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(out) // The other sidecar may have disconnected.
+}
+
 // handleRenew handles a holder's request that this sidecar, as a witness, renews its
 // promise.
 func (a *App) handleRenew(request renewRequest) renewResponse {
--- a/sidecar/app/rowfetch.go
+++ b/sidecar/app/rowfetch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -20,6 +22,9 @@
 	// ownReadWait is the time in milliseconds for which a sidecar that watches the operator's rows
 	// waits for a large row from the store before it fetches the row from another sidecar.
 	ownReadWait clock.Millis = 1500
+	// fetchWriteBuffer bounds the part of a large row in the kernel, which no longer counts as
+	// being sent.
+	fetchWriteBuffer = 64 << 10
 )
 
 // fetchRequest asks another sidecar for a large row that it has offered.
@@ -33,8 +38,9 @@
 
 // fetches holds the offers of other sidecars, and the large row that was compressed last.
 type fetches struct {
-	mu    sync.Mutex
-	queue rowfetch.Queue
+	mu     sync.Mutex
+	queue  rowfetch.Queue
+	budget rowfetch.Budget
 
 	packMu  sync.Mutex
 	key     string
@@ -126,6 +132,40 @@
 	return version >= offer.Version
 }
 
+// serveFetch sends a large row to another sidecar, unless too many are being sent.
+func (a *App) serveFetch(w http.ResponseWriter, r *http.Request) {
+	var request fetchRequest
+	if err := readControl(r, &request); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	response := a.handleFetch(request)
+	size := 0
+	for _, row := range response.Rows {
+		size += len(row.Packed)
+	}
+	a.fetches.mu.Lock()
+	started := a.fetches.budget.Start(size)
+	a.fetches.mu.Unlock()
+	if !started {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() {
+		a.fetches.mu.Lock()
+		a.fetches.budget.Done(size)
+		a.fetches.mu.Unlock()
+	}()
+	if conn, ok := r.Context().Value(connContextKey{}).(*net.TCPConn); ok {
+		_ = conn.SetWriteBuffer(fetchWriteBuffer) // Fails if the connection is closed.
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(time.Now().Add(fetchTimeout)) // Fails if the connection is closed.
+	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
+	writeControl(w, response)
+	_ = controller.Flush()
+}
+
 // handleFetch answers another sidecar's request for a large row.
 func (a *App) handleFetch(request fetchRequest) fetchResponse {
 	row := a.rows.Get(request.Key)
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -39,6 +39,7 @@
 func (a *App) syncLoop(ctx context.Context) {
 	for round := 1; ctx.Err() == nil; round++ {
 		sleepJittered(ctx, syncInterval*2/3)
+		a.fetchNext() // A transfer that has failed may be due again.
 		watchers, ownIndex := a.state.regionWatchers(a.clock.Now())
 		anyWatching := a.syncWithAll(ctx, watchers)
 		a.setWatching(store.OperatorRows, !anyWatching || ownIndex >= 0)
