httptable: a test of a scan over a slow link, failing

The class of DENIED in briarwelld: a call to the table service has 2 s for its whole response, whatever its size. A daemon on 10 Mbit/s whose scan has more than 2.5 MB never gets its rows and never serves. The rows of 670 daemons take "a few megabytes" by the comment of maxResponseBytes.

Measured: TestScanOverSlowLink fails (3 MB, read deadline after 2 s, one run). Not fixed: fasthttp bounds a response as a whole.

--- /dev/null
+++ b/core/table/httptable/slowlink_test.go
@@ -0,0 +1,36 @@
+package httptable_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"briarwell.dev/core/table/httptable"
+	"briarwell.dev/core/table/wire"
+)
+
+// TestScanOverSlowLink guards against a scan that never succeeds, as the response takes longer than a
+// call may last although it arrives without a pause.
+func TestScanOverSlowLink(t *testing.T) {
+	is := is.New(t)
+	body, err := json.Marshal(wire.ScanResponse{Revision: 1, Rows: []wire.Row{{Key: "k", Version: 1, Value: make([]byte, 3<<20)}}})
+	is.NoErr(err)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for part := range slices.Chunk(body, 10_000_000/8/20) { // 10 Mbit/s
+			if _, err := w.Write(part); err != nil || http.NewResponseController(w).Flush() != nil {
+				return
+			}
+			time.Sleep(time.Second / 20)
+		}
+	}))
+	defer server.Close()
+	client, err := httptable.New(server.URL)
+	is.NoErr(err)
+	_, _, err = client.Scan(t.Context(), "", 0)
+	is.NoErr(err)
+}
