--- a/sidecar/app/earlyanswer_test.go
+++ b/sidecar/app/earlyanswer_test.go
@@ -48,8 +48,8 @@
 	c.eventually("call that waits for changes", waiting.Load)
 	c.store.Put("op", "other", []byte("x"))
 	time.Sleep(50 * time.Millisecond) // The store answers.
-	c.store.WriteManifest(5, "/new/")
+	c.store.WriteManifest(5, "/newer/")
 	time.Sleep(manifestWithin)
 	deadline := time.Now().Add(2 * time.Second)
-	c.neverDenies("/new/", func() bool { return time.Now().After(deadline) })
+	c.neverDenies("/newer/", func() bool { return time.Now().After(deadline) })
 }
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -60,13 +60,9 @@
 		// An answer that is behind an earlier one is no observation of the present.
 		asOf, newest := a.clock.Now(), a.newestRevision.Load()
 		if loaded {
-			wait := pollWait(feed, reachable)
 			var changes store.Changes
-			changes, err = a.store.WatchRows(ctx, feed, after, wait)
+			changes, asOf, err = a.watchRows(ctx, feed, after, pollWait(feed, reachable))
 			rows, revision = changes.Rows(), changes.Revision()
-			if changes.None() && a.clock.Now()-asOf >= wait {
-				asOf += wait
-			}
 		} else {
 			rows, revision, err = a.store.ReadRows(ctx, feed)
 		}
@@ -111,6 +107,16 @@
 	}
 }
 
+// watchRows waits for changes of a feed. It also returns a time as of which they are complete.
+func (a *App) watchRows(ctx context.Context, feed store.Feed, after table.Revision, wait clock.Millis) (store.Changes, clock.Millis, error) {
+	asOf := a.clock.Now()
+	changes, err := a.store.WatchRows(ctx, feed, after, wait)
+	if changes.None() && a.clock.Now()-asOf >= wait {
+		asOf += wait
+	}
+	return changes, asOf, err
+}
+
 // recordRevision records the revision of an answer of the store.
 func (a *App) recordRevision(revision table.Revision) {
 	for {
