--- a/sidecar/app/rowfetch.go
+++ b/sidecar/app/rowfetch.go
@@ -134,9 +134,10 @@
 
 // serveFetch sends a large row to another sidecar, unless too many are being sent.
 func (a *App) serveFetch(w http.ResponseWriter, r *http.Request) {
+	account := a.controlMemory.Open()
+	defer account.Close()
 	var request fetchRequest
-	if err := readControl(r, &request); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	if !readControl(w, r, account, &request) {
 		return
 	}
 	response := a.handleFetch(request)
