--- a/core/router/entry_handler.go
+++ b/core/router/entry_handler.go
@@ -86,9 +86,6 @@
 	if !hasValidLease(now, view) {
 		return withOutcomeHeaders(newRefusal(outcome.NewNotRun(outcome.ReasonNoLease)), 0)
 	}
-	if view.Catalog().Version() == 0 {
-		return withOutcomeHeaders(newRefusal(outcome.NewNotRun(outcome.ReasonConfigurationLags)), 0)
-	}
 	r := &entryRequest{handler: e}
 	if err := r.parse(now, view, caller); err != nil {
 		return withOutcomeHeaders(newRefusal(parseErrorOutcome(err)), 0)
