--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -168,7 +168,7 @@
 	registerControl(mux, a.controlMemory, pathPropose, a.handlePropose)
 	registerControl(mux, a.controlMemory, pathLoad, a.handleLoad)
 	registerControl(mux, a.controlMemory, pathRows, a.handleRows)
-	registerControl(mux, a.controlMemory, pathFetch, a.handleFetch)
+	mux.HandleFunc("POST "+pathFetch, a.serveFetch)
 	return mux
 }
 
@@ -177,23 +177,33 @@
 		account := budget.Open()
 		defer account.Close()
 		var request Request
-		body, err := account.ReadAll(r.Body, r.ContentLength, maxControlBytes)
-		if err == nil {
-			err = json.Unmarshal(body, &request)
+		if readControl(w, r, account, &request) {
+			writeControl(w, respond(request))
 		}
-		if err != nil {
-			w.WriteHeader(messageErrorStatus(err))
-			return
-		}
-		out, err := json.Marshal(respond(request))
-		if err != nil {
-			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		_, _ = w.Write(out) // The other sidecar may have disconnected.
 	})
 }
 
+// readControl reads a control message. If that fails, it writes the response and returns false.
+func readControl(w http.ResponseWriter, r *http.Request, account *memory.Account, request any) bool {
+	body, err := account.ReadAll(r.Body, r.ContentLength, maxControlBytes)
+	if err == nil {
+		err = json.Unmarshal(body, request)
+	}
+	if err != nil {
+		w.WriteHeader(messageErrorStatus(err))
+	}
+	return err == nil
+}
+
+func writeControl(w http.ResponseWriter, response any) {
+	out, err := json.Marshal(response)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(out) // The other sidecar may have disconnected.
+}
+
 // messageErrorStatus returns the HTTP status of the response to a message that can't be read.
 func messageErrorStatus(err error) int {
 	var exhausted *memory.ExhaustedError
