dispatch: a key that is none matters only to services divided by key

What callers could see: 400 for any X-Shard-Key that is no number from 0 to 65535 ('+5' too), also on a route whose service has no keys; such a request ended before its route was known.

Cause: the field was checked while the request was decoded, where neither the route nor the age of the manifest is known.

Now the dispatcher refuses it (reason invalid-key, 400) only if the service of the matched route is divided by key, and the sidecar says so only while its manifest is known to be the newest; otherwise 503, as for a missing route. Elsewhere the field is forwarded as it was sent.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -29,6 +29,8 @@
 	// Key is the key of the request, valid if Keyed.
 	Key   keyspace.Key
 	Keyed bool
+	// KeyInvalid is true if the caller stated a key that is none. Only keyed services refuse it.
+	KeyInvalid bool
 	// KeyOmitted is true if Header lacks the field in which the caller stated the key: the
 	// upstream gets it again as the decimal form of Key, also if the service is not keyed.
 	KeyOmitted bool
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -143,6 +143,12 @@
 			RouteFound: true, ManifestVersion: manifest.Version(), Route: route.Name, Service: service,
 		}
 	}
+	if manifestService.Keyed && r.KeyInvalid {
+		return Result{
+			Reply:      NotRun(outcome.ReasonInvalidKey),
+			RouteFound: true, ManifestVersion: manifest.Version(), Route: route.Name, Service: service,
+		}
+	}
 	deadline := r.Deadline
 	if route.Timeout > 0 {
 		deadline = min(deadline, r.ReceivedAt+route.Timeout)
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -190,6 +190,20 @@
 	}
 }
 
+// TestInvalidKeyOfUnkeyedServiceDenied guards against a request that is denied for its key although
+// its service is not divided by key, and against one that is sent to the owner of another key.
+func TestInvalidKeyOfUnkeyedServiceDenied(t *testing.T) {
+	is := is.New(t)
+	c := system.Clock{}
+	for _, keyed := range []bool{false, true} {
+		cluster := &fakeCluster{owner: "a", replies: map[string][]dispatch.Reply{"any": {doneReply()}}}
+		d := dispatch.NewDispatcher(c, cluster, cluster, balance.New(identity.Location{}), dispatch.RetryLimits{})
+		result := d.Handle(context.Background(), manifest(true, keyed, 1), &dispatch.Request{Host: "h", RequestURI: "/", KeyInvalid: true, ReceivedAt: c.Now(), Deadline: c.Now() + 900})
+		is.Equal(len(cluster.sentTo) == 0, keyed)
+		is.Equal(outcome.ReasonOf(result.Outcome) == outcome.ReasonInvalidKey, keyed)
+	}
+}
+
 // hangingCluster is a cluster in which one instance never responds. Its daemon answers with
 // an unknown outcome once the deadline has passed.
 type hangingCluster struct {
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -57,6 +57,7 @@
 	ReasonDeadlineExceeded  Reason = "deadline-exceeded"
 	ReasonConfigurationLags Reason = "configuration-lags"
 	ReasonUnsupportedRoute  Reason = "unsupported-route"
+	ReasonInvalidKey        Reason = "invalid-key"
 )
 
 // Reasons of Unknown.
--- a/sidecar/app/manifest.go
+++ b/sidecar/app/manifest.go
@@ -81,10 +81,12 @@
 	return s.manifest.IsCurrent(a.clock.Now(), a.settings.ManifestWithin())
 }
 
-// withUnknownRoute returns the result of a request, with a refusal in place of the missing route if
-// a newer manifest may have one.
+// withUnknownRoute returns the result of a request, with a refusal in place of a missing route or
+// an invalid key if a newer manifest may have the route, or send its requests to a service without
+// keys.
 func (a *App) withUnknownRoute(request *dispatch.Request, result dispatch.Result) dispatch.Result {
-	if result.RouteFound || a.manifestIsCurrent() {
+	denied := !result.RouteFound || outcome.ReasonOf(result.Outcome) == outcome.ReasonInvalidKey
+	if !denied || a.manifestIsCurrent() {
 		return result
 	}
 	after := retryafter.Spread(request.Deadline-a.clock.Now(), request.ID)
--- /dev/null
+++ b/sidecar/app/properrequests_test.go
@@ -0,0 +1,55 @@
+package app_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// sendHead sends bytes to a sidecar as a caller, and returns the status of the response, 0 if none.
+func (c *cluster) sendHead(in *instance, text string) int {
+	c.t.Helper()
+	conn, err := net.Dial("tcp", in.ip+":9001")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(3 * time.Second)); err != nil {
+		c.t.Fatal(err)
+	}
+	if _, err = conn.Write([]byte(text)); err != nil {
+		return 0
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// TestProperRequestDeniedForItsForm guards against a 4xx for a request that the protocol and the
+// manifest allow.
+func TestProperRequestDeniedForItsForm(t *testing.T) {
+	c := newCluster(t, 140, "ledger")
+	in := c.instances[0]
+	c.eventually("serving", c.allServe("/book/first"))
+	for name, want := range map[string]struct {
+		line, fields string
+		status       int
+	}{
+		"plain":            {"GET /book/a", "Host: h\r\n", http.StatusOK},
+		"spent time":       {"GET /book/a", "Host: h\r\nX-Deadline-Ms: -1\r\n", http.StatusServiceUnavailable},
+		"key of no number": {"GET /book/a", "Host: h\r\nX-Shard-Key: +5\r\n", http.StatusOK},
+		"spaces":           {"GET /book/a", "Host:  h \r\nX-Deadline-Ms:  900 \r\nX-Shard-Key:  7 \r\n", http.StatusOK},
+	} {
+		status := c.sendHead(in, fmt.Sprintf("%s HTTP/1.1\r\nX-Request-Id: %s\r\n%s\r\n", want.line, strings.ReplaceAll(name, " ", "-"), want.fields))
+		if status != want.status {
+			t.Errorf("%s: status %d, not %d", name, status, want.status)
+		}
+	}
+}
--- a/sidecar/explain/explain.go
+++ b/sidecar/explain/explain.go
@@ -195,6 +195,7 @@
 		"upstream-refused":   "not run: the upstream itself refused the request",
 		"deadline-exceeded":  "not run: its deadline passed, or its caller disconnected, while it waited",
 		"unsupported-route":  "not run: the manifest's route or service was not understood (see manifestPartNotUnderstood)",
+		"invalid-key":        "not run: its key is no number from 0 to 65535, and its service is divided by key",
 		"malformed":          "not run: the other sidecar could not read the request, or not all of its body",
 		"timeout":            "unknown: it was sent to the upstream, and its deadline passed without an answer",
 		"connection-lost":    "unknown: the connection was lost after it was sent",
