callerhttp: 413 only for the manifest's limit, while it is known to be the newest

Cause: the three bounds were one number, so that the answer could not tell the caller's fault from what this process can't do.

Now the machine's bounds give 503 with Retry-After, reason body-capacity: another instance may have the memory. A known length above the manifest's limit gives 413 also where the machine's bound is lower; chunks that exceed only the machine's bound can't be known to exceed the manifest's. A limit of a manifest that may not be the newest gives 503, configuration-lags.

TestUpload demanded 413 for the machine's bound; it demands 503 with Retry-After now, 413 for a body above the manifest's limit, and both in the metric.

--- a/sidecar/app/manifest.go
+++ b/sidecar/app/manifest.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"errors"
 	"strings"
 
 	"briarwell.dev/core/clock"
@@ -8,6 +9,7 @@
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/retryafter"
 	"briarwell.dev/core/table"
+	"briarwell.dev/platform/callerhttp"
 	"briarwell.dev/platform/manifest"
 )
 
@@ -93,3 +95,13 @@
 	result.Reply, result.RouteFound = dispatch.NotRun(outcome.ReasonConfigurationLags).WithRetryAfter(after), true
 	return result
 }
+
+// withLaggingLimits returns the error of a request that was not read, with a refusal in place of a
+// rejection by the limits of the manifest if a newer one may allow more.
+func (a *App) withLaggingLimits(request *dispatch.Request, err error) error {
+	var rejected *callerhttp.Error
+	if !errors.As(err, &rejected) || !rejected.ByLimits() || a.manifestIsCurrent() {
+		return err
+	}
+	return rejected.RefusedForLag(retryafter.Spread(request.Deadline-a.clock.Now(), request.ID))
+}
--- a/sidecar/app/properrequests_test.go
+++ b/sidecar/app/properrequests_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"briarwell.dev/platform/platformtest"
 )
 
 // sendHead sends bytes to a sidecar as a caller, and returns the status of the response, 0 if none.
@@ -53,3 +55,22 @@
 		}
 	}
 }
+
+// TestBodyDeniedByOldLimit guards against 413 from a sidecar that can't know whether the newest
+// manifest allows the body: the store refuses it.
+func TestBodyDeniedByOldLimit(t *testing.T) {
+	c := newCluster(t, 141, "ledger")
+	in := c.instances[0]
+	c.eventually("serving", c.allServe("/book/first"))
+	const head = "POST /book/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nContent-Length: 1000001\r\n\r\n"
+	if status := c.sendHead(in, head); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d by the newest limit", status)
+	}
+	c.store.SetFaults(platformtest.StoreFaults{Status: http.StatusServiceUnavailable})
+	time.Sleep(manifestWithin)
+	if status := c.sendHead(in, head); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d by a limit that may be old", status)
+	}
+	c.store.SetFaults(platformtest.StoreFaults{})
+	c.eventually("413 again", func() bool { return c.sendHead(in, head) == http.StatusRequestEntityTooLarge })
+}
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -101,6 +101,7 @@
 		err = a.withReadDeadline(w, request.Deadline, func() error {
 			return callerhttp.ReadBody(r, request, manifest.Limits(), a.memory.MaxBody())
 		})
+		err = a.withLaggingLimits(request, err)
 	}
 	if err != nil {
 		a.recordRejected(r, manifest, callerhttp.WriteError(w, callerhttp.RequestID(r), err), err)
--- a/sidecar/app/upload_test.go
+++ b/sidecar/app/upload_test.go
@@ -58,8 +58,8 @@
 	return response.StatusCode, string(text), response.Header
 }
 
-// TestUpload guards against a large body that arrives changed or runs twice, and against
-// the wrong answer to one that is too large.
+// TestUpload guards against a large body that arrives changed or runs twice, against 413 for one that
+// only this instance can't hold, and against another answer to one that the manifest forbids.
 func TestUpload(t *testing.T) {
 	is := is.New(t)
 	c, in, upstream := newUploadCluster(t, 43)
@@ -73,10 +73,18 @@
 			is.Equal(upstream.RunCount(id), 1)
 		}
 		id := fmt.Sprintf("large-%t", chunked)
-		status, _, _ := c.sendUpload(t.Context(), in, id, make([]byte, 200_000), chunked)
-		is.True(status == http.StatusRequestEntityTooLarge || status == 0) // 0: closed while the body was sent
+		status, _, header := c.sendUpload(t.Context(), in, id, make([]byte, 200_000), chunked)
+		is.True(status == http.StatusServiceUnavailable && header.Get("Retry-After") != "" || status == 0) // 0: closed while the body was sent
 		is.Equal(upstream.RunCount(id), 0)
 	}
+	// The chunks of a body over the limit are read only as far as this instance can hold them.
+	status, _, _ := c.sendUpload(t.Context(), in, "forbidden", make([]byte, 1_000_001), false)
+	is.True(status == http.StatusRequestEntityTooLarge || status == 0)
+	is.Equal(upstream.RunCount("forbidden"), 0)
+	c.eventually("statuses", func() bool {
+		return c.metric(in, `own_statuses_total{reason="body-too-large",status="413"}`) == "1" &&
+			c.metric(in, `own_statuses_total{reason="body-capacity",status="503"}`) == "2"
+	})
 }
 
 // TestUploadsExceedMemory guards against uploads that together take more memory than a
