httpserver: 408 only if the sender stalled, and a caller that leaves is no 400

What callers could see: - 408 for a body that had arrived before the deadline but was read after it: a read after the deadline fails before it looks for data, so a process that stood still blames its caller. - 400 for a body that was read whole, or that could have been, if the connection takes no read deadline (the failure to set it, or to take it back, was joined to the result and ended as 'every other error'). - The deadline was set also for a request without a body. net/http then already reads in the background; a deadline that has passed ends that read and cancels the request's context while it is dispatched. What operators saw: 400 in own_statuses_total for each caller that left while it sent its body.

Now httpserver.Body sets the deadline at the first read only, ignores that it can't be set (the connection is closed then, which the read reports), and returns a *LateError if bytes wait at the deadline: 503, not run. The same for bodies between sidecars, which were refused as malformed. A body that ends with its connection counts in requests_broken_off, not as a status; it keeps its 400 on the wire for a caller that has closed only its sending side.

--- a/core/httpclient/client.go
+++ b/core/httpclient/client.go
@@ -227,13 +227,6 @@
 	return ok && idleconn.IsReusable(tcp)
 }
 
-// ClosedByPeer reports whether the client has closed conn after its request was read, and
-// no longer waits for the response.
-func ClosedByPeer(conn net.Conn) bool {
-	tcp, ok := conn.(*net.TCPConn)
-	return ok && idleconn.IsClosedByPeer(tcp)
-}
-
 // popIdle removes and returns the idle connection that was used last and has not carried the
 // response ID with the hash, 0 for none. It returns nil if there is none.
 func (c *Client) popIdle(idHash uint64) *connection {
--- a/core/httpclient/client_test.go
+++ b/core/httpclient/client_test.go
@@ -238,31 +238,6 @@
 	is.True(!failed.Sent())
 }
 
-// TestClosedByPeer guards against running a request that was delayed until its client gave
-// up, so that the request and the end of its connection arrive together.
-func TestClosedByPeer(t *testing.T) {
-	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer listener.Close()
-	client, err := net.Dial("tcp", listener.Addr().String())
-	is.NoErr(err)
-	conn, err := listener.Accept()
-	is.NoErr(err)
-	defer conn.Close()
-	is.True(!httpclient.ClosedByPeer(conn)) // no request yet
-	_, err = client.Write([]byte("x"))
-	is.NoErr(err)
-	time.Sleep(20 * time.Millisecond)
-	is.True(!httpclient.ClosedByPeer(conn)) // a request to read
-	_, err = conn.Read(make([]byte, 1))
-	is.NoErr(err)
-	is.True(!httpclient.ClosedByPeer(conn))
-	is.NoErr(client.Close())
-	time.Sleep(20 * time.Millisecond)
-	is.True(httpclient.ClosedByPeer(conn))
-}
-
 // TestAwaitContinue guards against sending the body of a request that the server refuses,
 // and against a request that the server waits for.
 func TestAwaitContinue(t *testing.T) {
--- /dev/null
+++ b/core/httpserver/httpserver.go
@@ -0,0 +1,89 @@
+// Package httpserver supplements net/http servers for requests that are forwarded: it tells a sender
+// that stalls from a process that reads too late, and finds out whether the sender has disconnected.
+// Load pattern: senders that stall or leave while they send large bodies, on a machine that stands
+// still for seconds.
+package httpserver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"briarwell.dev/core/clock"
+	"briarwell.dev/core/internal/idleconn"
+)
+
+// contextKey is the context key of the connection of a request.
+type contextKey struct{}
+
+// ConnContext is the ConnContext of a server whose requests are passed to SenderDisconnected and
+// NewBody.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, conn)
+}
+
+// connOf returns the connection of a request, nil if it is not known.
+func connOf(ctx context.Context) syscall.Conn {
+	conn, _ := ctx.Value(contextKey{}).(syscall.Conn)
+	return conn
+}
+
+// SenderDisconnected reports whether the sender of a request has closed the connection
+// or cancelled the request. A request that was delayed on its way may arrive together
+// with the end of its connection, which net/http detects too late to keep the request
+// from the upstream.
+func SenderDisconnected(ctx context.Context) bool {
+	conn := connOf(ctx)
+	return ctx.Err() != nil || conn != nil && idleconn.IsClosedByPeer(conn)
+}
+
+// LateError reports that the time for reading a body had passed before this process read what the
+// sender had sent.
+type LateError struct{}
+
+func (e *LateError) Error() string { return "body was not read in time" }
+
+// Body is the body of a request that must arrive by a deadline.
+type Body struct {
+	body       io.ReadCloser
+	conn       syscall.Conn
+	controller *http.ResponseController
+	deadline   time.Time
+	begun      bool
+}
+
+// NewBody returns the body of a request, which must be read within timeout from now. A read after
+// that returns an os.ErrDeadlineExceeded if the sender has stalled, a *LateError if there were bytes
+// to read, and otherwise that of the body.
+func NewBody(w http.ResponseWriter, r *http.Request, timeout clock.Millis) *Body {
+	return &Body{body: r.Body, conn: connOf(r.Context()), controller: http.NewResponseController(w), deadline: time.Now().Add(timeout.Duration())}
+}
+
+// Read implements io.Reader.
+func (b *Body) Read(p []byte) (int, error) {
+	if !b.begun {
+		// Not before: net/http already waits for the next request after one without a body,
+		// and a deadline would cancel its context. A connection that takes no deadline is
+		// closed, which the read reports.
+		b.begun = true
+		_ = b.controller.SetReadDeadline(b.deadline)
+	}
+	n, err := b.body.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, os.ErrDeadlineExceeded) && b.conn != nil && idleconn.HasUnread(b.conn):
+		err = &LateError{}
+	}
+	// The server goes on reading, to notice that the sender disconnects.
+	_ = b.controller.SetReadDeadline(time.Time{})
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *Body) Close() error { return b.body.Close() }
--- a/core/internal/idleconn/idleconn.go
+++ b/core/internal/idleconn/idleconn.go
@@ -18,6 +18,12 @@
 	return n == 0 && err == nil
 }
 
+// HasUnread reports whether the peer has sent data that has not been read.
+func HasUnread(conn syscall.Conn) bool {
+	n, err := peekByte(conn)
+	return n > 0 && err == nil
+}
+
 // peekByte returns the number of bytes, 0 or 1, that can be read next, without consuming
 // them or blocking. It returns 0 and no error at the end of the stream, and EAGAIN if
 // the connection is open without data.
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 	"briarwell.dev/core/dispatch/peerhttp"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/httpclient"
+	"briarwell.dev/core/httpserver"
 	"briarwell.dev/core/keyowner"
 	"briarwell.dev/core/memory"
 	"briarwell.dev/core/outcome"
@@ -67,24 +67,10 @@
 func newServer(handler http.Handler, readTimeout time.Duration) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connContextKey{}, conn)
-		},
+		ConnContext: httpserver.ConnContext,
 	}
 }
 
-// connContextKey is the context key of the connection of a request.
-type connContextKey struct{}
-
-// senderDisconnected reports whether the sender of a request has closed the connection
-// or cancelled the request. A request that was delayed on its way may arrive together
-// with the end of its connection, which net/http detects too late to keep the request
-// from the upstream.
-func senderDisconnected(ctx context.Context) bool {
-	conn, ok := ctx.Value(connContextKey{}).(net.Conn)
-	return ctx.Err() != nil || ok && httpclient.ClosedByPeer(conn)
-}
-
 // serveCaller handles a request that was made on this instance.
 func (a *App) serveCaller(w http.ResponseWriter, r *http.Request) {
 	a.inFlight.Add(1)
@@ -98,16 +84,14 @@
 	request, err := callerhttp.DecodeRequest(r, a.clock.Now(), a.settings.Service())
 	if err == nil {
 		request.Memory = account
-		err = a.withReadDeadline(w, request.Deadline, func() error {
-			return callerhttp.ReadBody(r, request, manifest.Limits(), a.memory.MaxBody())
-		})
-		err = a.withLaggingLimits(request, err)
+		r.Body = httpserver.NewBody(w, r, request.Deadline-a.clock.Now())
+		err = a.withLaggingLimits(request, callerhttp.ReadBody(r, request, manifest.Limits(), a.memory.MaxBody()))
 	}
 	if err != nil {
 		a.recordRejected(r, manifest, callerhttp.WriteError(w, callerhttp.RequestID(r), err), err)
 		return
 	}
-	if senderDisconnected(r.Context()) {
+	if httpserver.SenderDisconnected(r.Context()) {
 		a.logAbandoned(request)
 		// A sender that has closed only its sending side still reads the response.
 		abandoned := dispatch.Result{Reply: dispatch.NotRun(outcome.ReasonDeadlineExceeded), RouteFound: true, ManifestVersion: manifest.Version()}
@@ -120,18 +104,6 @@
 	a.recordCallerRequest(r.Context(), request, result, answer)
 }
 
-// withReadDeadline calls read, which reads the body of a request. Reads fail from the
-// deadline on, so that a stalled body is given up.
-func (a *App) withReadDeadline(w http.ResponseWriter, deadline clock.Millis, read func() error) error {
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(time.Now().Add((deadline - a.clock.Now()).Duration())); err != nil {
-		return err
-	}
-	err := read()
-	// The server goes on reading, to notice that the sender disconnects.
-	return errors.Join(err, controller.SetReadDeadline(time.Time{}))
-}
-
 // handleCaller routes a caller's request. It refuses the request while the sidecar stops,
 // and returns a result without a route before the first manifest.
 func (a *App) handleCaller(ctx context.Context, manifest *routes.Manifest, request *dispatch.Request) dispatch.Result {
@@ -168,7 +140,7 @@
 		peerhttp.WriteReply(w, request.ID, refusal, a.clock)
 		return
 	}
-	if senderDisconnected(r.Context()) {
+	if httpserver.SenderDisconnected(r.Context()) {
 		a.logAbandoned(request)
 		peerhttp.WriteReply(w, request.ID, dispatch.NotRun(outcome.ReasonDeadlineExceeded), a.clock)
 		return
@@ -193,14 +165,19 @@
 			return refusal, false
 		}
 	}
-	err := a.withReadDeadline(w, request.Deadline, func() error { return peerhttp.ReadBody(r, request, schedule, a.clock) })
+	r.Body = httpserver.NewBody(w, r, request.Deadline-a.clock.Now())
+	err := peerhttp.ReadBody(r, request, schedule, a.clock)
 	if err == nil {
 		return dispatch.Reply{}, true
 	}
 	a.log.Warn().Err(err).Str("request", request.ID).Str("peer", r.RemoteAddr).Int64("bytes", r.ContentLength).Msg("peerBodyNotRead")
 	var exhausted *memory.ExhaustedError
-	if errors.As(err, &exhausted) {
+	var late *httpserver.LateError
+	switch {
+	case errors.As(err, &exhausted):
 		return dispatch.NotRun(outcome.ReasonOverloaded).WithRetryAfter(memoryRetryAfter), false
+	case errors.As(err, &late):
+		return dispatch.NotRun(outcome.ReasonDeadlineExceeded), false
 	}
 	return dispatch.NotRun(outcome.ReasonMalformed), false
 }
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -133,6 +133,13 @@
 
 // recordRejected counts and logs a request that was rejected with err before it had a route.
 func (a *App) recordRejected(r *http.Request, manifest *routes.Manifest, answer callerhttp.Answer, err error) {
+	if answer.Abandoned() {
+		a.telemetry.scope.Counter("requests_broken_off").Inc(1)
+		if ok, omitted := a.telemetry.executorLogLimiter.Allow(a.clock.Now()); ok {
+			a.log.Info().Err(err).Str("request", callerhttp.RequestID(r)).Int64("bytes", r.ContentLength).Int64("omitted", omitted).Msg("requestBrokenOff")
+		}
+		return
+	}
 	a.telemetry.scope.Counter("requests_rejected").Inc(1)
 	a.telemetry.countOwnStatus(answer)
 	ok, omitted := a.telemetry.rejectionLogLimiter.Allow(a.clock.Now())
--- a/sidecar/app/upload_test.go
+++ b/sidecar/app/upload_test.go
@@ -134,7 +134,7 @@
 }
 
 // TestUnfinishedUploads guards against an upload that stalls or breaks off and that runs,
-// or that keeps memory.
+// that keeps memory, or that counts as denied.
 func TestUnfinishedUploads(t *testing.T) {
 	is := is.New(t)
 	c, in, upstream := newUploadCluster(t, 45)
@@ -154,6 +154,10 @@
 	})
 	is.Equal(upstream.RunCount("stalled"), 0)
 	is.Equal(upstream.RunCount("left-0"), 0)
+	c.eventually("metrics of uploads", func() bool {
+		return c.metric(in, "requests_broken_off_total") == "20" && c.metric(in, `own_statuses_total{reason="body-timeout",status="408"}`) == "1" &&
+			c.metric(in, `own_statuses_total{reason="body-incomplete",status="400"}`) == ""
+	})
 }
 
 // TestUpstreamRespondsBeforeUploadEnds guards against a response to an upload that is lost,
