sidecar: the manifest's limits for heads and times apply, not the server's

What callers could see: 431 by net/http, unlogged and uncounted, for a head above 64 KiB that the manifest allows, from the sidecar of the caller or, as a lost connection, from the one that runs the request, whose head is larger by the fields that sidecars add. A closed connection after 10 s for a slow head or after 120 s without a request, whatever header_timeout and idle_timeout allow. max_header_bytes was never applied.

Cause: one set of bounds for all listeners, which net/http applies itself.

Now callers may send heads of 1 MiB, in a minute, on connections that were idle for ten minutes; sidecars take 64 KiB more from each other.

Evidence: TestHeaderDeniedByServerBound on: 'header of 200000 bytes: status 431, not 200', the same for 299900, and no 503 for an old limit. The two times are from reading; no test waits for minutes.

--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -192,20 +192,20 @@
 	for _, l := range []struct {
 		name, address string
 		handler       http.Handler
-		readTimeout   time.Duration
+		newServer     func(http.Handler) *http.Server
 	}{
-		{"peers", a.settings.PeerAddress(), a.controlHandler(), controlReadTimeout},
-		{"requests", a.settings.RequestAddress(), http.HandlerFunc(a.servePeerRequest), 0},
-		{"reports", a.settings.ReportAddress(), http.HandlerFunc(a.serveReport), controlReadTimeout},
-		{"callers", a.settings.CallerAddress(), http.HandlerFunc(a.serveCaller), 0},
-		{"ready", a.settings.ReadyAddress(), http.HandlerFunc(a.serveReady), controlReadTimeout},
-		{"metrics", a.settings.MetricsAddress(), http.HandlerFunc(a.serveMetrics), controlReadTimeout},
+		{"peers", a.settings.PeerAddress(), a.controlHandler(), newControlServer},
+		{"requests", a.settings.RequestAddress(), http.HandlerFunc(a.servePeerRequest), newPeerServer},
+		{"reports", a.settings.ReportAddress(), http.HandlerFunc(a.serveReport), newControlServer},
+		{"callers", a.settings.CallerAddress(), http.HandlerFunc(a.serveCaller), newCallerServer},
+		{"ready", a.settings.ReadyAddress(), http.HandlerFunc(a.serveReady), newControlServer},
+		{"metrics", a.settings.MetricsAddress(), http.HandlerFunc(a.serveMetrics), newControlServer},
 	} {
 		bound, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return eris.Wrap(err, l.name+" address can't be bound")
 		}
-		a.listeners = append(a.listeners, &listener{name: l.name, netListener: bound, server: newServer(a.recoverPanics(l.name, l.handler), l.readTimeout)})
+		a.listeners = append(a.listeners, &listener{name: l.name, netListener: bound, server: l.newServer(a.recoverPanics(l.name, l.handler))})
 	}
 	return nil
 }
--- a/sidecar/app/properrequests_test.go
+++ b/sidecar/app/properrequests_test.go
@@ -67,10 +67,37 @@
 		t.Errorf("status %d by the newest limit", status)
 	}
 	c.store.SetFaults(platformtest.StoreFaults{Status: http.StatusServiceUnavailable})
-	time.Sleep(manifestWithin)
-	if status := c.sendHead(in, head); status != http.StatusServiceUnavailable {
-		t.Errorf("status %d by a limit that may be old", status)
-	}
+	c.eventually("refusal by a limit that may be old", func() bool { return c.sendHead(in, head) == http.StatusServiceUnavailable })
 	c.store.SetFaults(platformtest.StoreFaults{})
 	c.eventually("413 again", func() bool { return c.sendHead(in, head) == http.StatusRequestEntityTooLarge })
 }
+
+// TestHeaderDeniedByServerBound guards against 431 for a header that the manifest allows, from the
+// sidecar of the caller or from the one that runs the request, and against a limit of the manifest
+// that is not applied, or applied while a newer one may allow more.
+func TestHeaderDeniedByServerBound(t *testing.T) {
+	c := newCluster(t, 143, "wardrobe", "ledger")
+	in := c.instances[0]
+	c.eventually("serving", func() bool { return c.sendHead(in, bookingWithHeader(10)) == http.StatusOK })
+	send := func(bytes, want int) {
+		t.Helper()
+		if status := c.sendHead(in, bookingWithHeader(bytes)); status != want {
+			t.Errorf("header of %d bytes: status %d, not %d", bytes, status, want)
+		}
+	}
+	send(200_000, http.StatusOK)
+	c.store.WriteLimitsManifest(5, `{"max_header_bytes":300000}`)
+	c.eventually("limit in force", func() bool {
+		return c.sendHead(in, bookingWithHeader(300_001)) == http.StatusRequestHeaderFieldsTooLarge
+	})
+	send(299_900, http.StatusOK)
+	c.store.SetFaults(platformtest.StoreFaults{Status: http.StatusServiceUnavailable})
+	c.eventually("refusal by a limit that may be old", func() bool {
+		return c.sendHead(in, bookingWithHeader(300_001)) == http.StatusServiceUnavailable
+	})
+}
+
+// bookingWithHeader returns a booking with a header field of the given size.
+func bookingWithHeader(bytes int) string {
+	return "GET /book/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nCookie: " + strings.Repeat("c", bytes) + "\r\n\r\n"
+}
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -24,17 +24,27 @@
 )
 
 const (
-	// readHeaderTimeout bounds the time for reading a request's header. The limit in the
-	// manifest is checked by the callers themselves and changes while a server runs.
+	// readHeaderTimeout bounds the time for reading the header of a request of another sidecar
+	// or of the upstream.
 	readHeaderTimeout = 10 * time.Second
 	// controlReadTimeout bounds the time for reading a report of the upstream or a control
 	// message. Their senders wait for at most a second.
 	controlReadTimeout = 2 * time.Second
-	// idleTimeout is longer than any idle time that the manifest allows callers, so that
-	// no request is sent while the server closes its connection.
+	// idleTimeout is longer than the time for which sidecars and upstreams keep connections,
+	// so that no request is sent while the server closes its connection.
 	idleTimeout = 120 * time.Second
-	// maxHeaderBytes bounds the size of a request's header.
+	// maxHeaderBytes bounds the size of the header of a message from the platform or an
+	// upstream.
 	maxHeaderBytes = 64 << 10
+	// callerHeaderTimeout, callerIdleTimeout and maxCallerHeaderBytes are above what manifests
+	// allow callers: net/http answers or closes by them without a reason, and they can't
+	// follow the manifest while the server runs.
+	callerHeaderTimeout  = time.Minute
+	callerIdleTimeout    = 10 * time.Minute
+	maxCallerHeaderBytes = 1 << 20
+	// maxPeerHeaderBytes bounds the header of a forwarded request, to which a sidecar adds
+	// fields.
+	maxPeerHeaderBytes = maxCallerHeaderBytes + maxHeaderBytes
 	// maxReportBytes bounds the body of a report: 16,384 rows of 32 bytes.
 	maxReportBytes = 512 << 10
 	// firstGrantWait is the longest time in milliseconds for which the response to an
@@ -57,20 +67,40 @@
 // instance may bound bodies further.
 func SupportedLimits() routes.Limits {
 	return routes.Limits{
-		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: callerhttp.MaxBodyBytes,
-		HeaderTimeout: clock.FromDuration(readHeaderTimeout), IdleTimeout: clock.FromDuration(idleTimeout),
+		MaxHeaderBytes: maxCallerHeaderBytes, MaxBodyBytes: callerhttp.MaxBodyBytes,
+		HeaderTimeout: clock.FromDuration(callerHeaderTimeout), IdleTimeout: clock.FromDuration(callerIdleTimeout),
 	}
 }
 
-// newServer returns a server. readTimeout bounds the time for reading a request with its
-// body, 0 if the handler does so.
-func newServer(handler http.Handler, readTimeout time.Duration) *http.Server {
+// newServer returns a server whose handler bounds the time for reading a body.
+func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: httpserver.ConnContext,
 	}
 }
 
+// newControlServer returns a server for short messages.
+func newControlServer(handler http.Handler) *http.Server {
+	s := newServer(handler)
+	s.ReadTimeout = controlReadTimeout
+	return s
+}
+
+// newCallerServer returns a server for callers.
+func newCallerServer(handler http.Handler) *http.Server {
+	s := newServer(handler)
+	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = callerHeaderTimeout, callerIdleTimeout, maxCallerHeaderBytes
+	return s
+}
+
+// newPeerServer returns a server for forwarded requests.
+func newPeerServer(handler http.Handler) *http.Server {
+	s := newServer(handler)
+	s.MaxHeaderBytes = maxPeerHeaderBytes
+	return s
+}
+
 // serveCaller handles a request that was made on this instance.
 func (a *App) serveCaller(w http.ResponseWriter, r *http.Request) {
 	a.inFlight.Add(1)
@@ -84,8 +114,7 @@
 	request, err := callerhttp.DecodeRequest(r, a.clock.Now(), a.settings.Service())
 	if err == nil {
 		request.Memory = account
-		r.Body = httpserver.NewBody(w, r, request.Deadline-a.clock.Now())
-		err = a.withLaggingLimits(request, callerhttp.ReadBody(r, request, manifest.Limits(), a.memory.MaxBody()))
+		err = a.withLaggingLimits(request, a.readCallerBody(w, r, request, manifest.Limits()))
 	}
 	if err != nil {
 		a.recordRejected(r, manifest, callerhttp.WriteError(w, callerhttp.RequestID(r), err), err)
@@ -104,6 +133,16 @@
 	a.recordCallerRequest(r.Context(), request, result, answer)
 }
 
+// readCallerBody checks the size of a request's header and reads its body. The error is a
+// *callerhttp.Error.
+func (a *App) readCallerBody(w http.ResponseWriter, r *http.Request, request *dispatch.Request, limits routes.Limits) error {
+	if err := callerhttp.CheckHeader(r, limits); err != nil {
+		return err
+	}
+	r.Body = httpserver.NewBody(w, r, request.Deadline-a.clock.Now())
+	return callerhttp.ReadBody(r, request, limits, a.memory.MaxBody())
+}
+
 // handleCaller routes a caller's request. It refuses the request while the sidecar stops,
 // and returns a result without a route before the first manifest.
 func (a *App) handleCaller(ctx context.Context, manifest *routes.Manifest, request *dispatch.Request) dispatch.Result {
