sidecar: statuses that net/http gives callers are counted, and fewer of them

What callers could see from a sidecar, without a line or a count anywhere: - 400, 417, 431, 501 and 505 that net/http writes before any handler; - 200 for 'OPTIONS *', a success that no upstream gave; - 404 for a request with an absolute URI as its target, which every HTTP/1.1 server has to accept, and for a Host with the dot of an absolute name.

Cause: net/http answers by itself, on the raw connection; the target went to the match of routes as it was; hosts were compared without their dot.

Now the callers' listener wraps its connections: a status that is written while no handler has the request is counted (own_statuses_total with reason http-protocol) and logged (requestRejected), unless its caller has left. 'OPTIONS *' goes to the handler: 404.

Evidence: TestProperRequestDeniedForItsForm on: 'options asterisk: status 200, not 404', 'absolute form: status 404, not 200', 'host with dot: status 404, not 200', and no metric for two 400 and a 417 of net/http. Ports and case in Host, HTTP/1.0, Upgrade, trailers, chunk extensions, Expect: 100-continue, unusual and UTF-8 paths were served before and are. '%zz' in a path and 'Expect: x' are still rejected (400, 417): neither is proper. The cost per request was not measured.

--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -97,7 +97,7 @@
 func NewManifest(version uint64, routes []Route, services []Service, limits Limits) *Manifest {
 	m := &Manifest{version: version, routesByHost: make(map[string][]Route), services: make(map[string]Service), limits: limits}
 	for _, r := range routes {
-		host := strings.ToLower(r.Host)
+		host := canonicalHost(r.Host)
 		m.routesByHost[host] = append(m.routesByHost[host], r)
 	}
 	for _, hostRoutes := range m.routesByHost {
@@ -194,12 +194,9 @@
 // Match returns the route of the host whose prefix is the longest that matches the
 // path, or false if none matches. Of routes with the same host and prefix, the first by name
 // matches. A route without a prefix matches nothing: it is unknown which requests it means. The
-// host may include a port.
+// host may include a port, and the dot at the end of an absolute domain name.
 func (m *Manifest) Match(host, path string) (Route, bool) {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	for _, r := range m.routesByHost[strings.ToLower(host)] {
+	for _, r := range m.routesByHost[hostName(host)] {
 		if r.Prefix != "" && strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
@@ -207,15 +204,22 @@
 	return Route{}, false
 }
 
-// MayMatch reports whether a route that Match ignores may mean requests of the host for the path:
-// one whose host or prefix is unknown. A request without a match then can't be denied.
-func (m *Manifest) MayMatch(host, path string) bool {
+// hostName returns the canonical name in a Host field.
+func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
+	return canonicalHost(host)
+}
+
+func canonicalHost(name string) string { return strings.ToLower(strings.TrimSuffix(name, ".")) }
+
+// MayMatch reports whether a route that Match ignores may mean requests of the host for the path:
+// one whose host or prefix is unknown. A request without a match then can't be denied.
+func (m *Manifest) MayMatch(host, path string) bool {
 	unknownPrefix := func(r Route) bool { return r.Prefix == "" }
 	unknownHost := func(r Route) bool { return r.Prefix == "" || strings.HasPrefix(path, r.Prefix) }
-	return slices.ContainsFunc(m.routesByHost[strings.ToLower(host)], unknownPrefix) || slices.ContainsFunc(m.routesByHost[""], unknownHost)
+	return slices.ContainsFunc(m.routesByHost[hostName(host)], unknownPrefix) || slices.ContainsFunc(m.routesByHost[""], unknownHost)
 }
 
 // PickService returns the service for one request, at random by weight; "" if the route
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -25,6 +25,7 @@
 	"briarwell.dev/core/coldstart"
 	"briarwell.dev/core/dispatch"
 	"briarwell.dev/core/httpclient"
+	"briarwell.dev/core/httpserver"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/logs"
 	"briarwell.dev/core/membership"
@@ -140,6 +141,9 @@
 	failures chan error
 }
 
+// callersListener is the name of the listener for callers.
+const callersListener = "callers"
+
 type listener struct {
 	name        string
 	netListener net.Listener
@@ -197,7 +201,7 @@
 		{"peers", a.settings.PeerAddress(), a.controlHandler(), newControlServer},
 		{"requests", a.settings.RequestAddress(), http.HandlerFunc(a.servePeerRequest), newPeerServer},
 		{"reports", a.settings.ReportAddress(), http.HandlerFunc(a.serveReport), newControlServer},
-		{"callers", a.settings.CallerAddress(), http.HandlerFunc(a.serveCaller), newCallerServer},
+		{callersListener, a.settings.CallerAddress(), http.HandlerFunc(a.serveCaller), newCallerServer},
 		{"ready", a.settings.ReadyAddress(), http.HandlerFunc(a.serveReady), newControlServer},
 		{"metrics", a.settings.MetricsAddress(), http.HandlerFunc(a.serveMetrics), newControlServer},
 	} {
@@ -205,7 +209,11 @@
 		if err != nil {
 			return eris.Wrap(err, l.name+" address can't be bound")
 		}
-		a.listeners = append(a.listeners, &listener{name: l.name, netListener: bound, server: l.newServer(a.recoverPanics(l.name, l.handler))})
+		server := l.newServer(a.recoverPanics(l.name, l.handler))
+		if l.name == callersListener {
+			bound = httpserver.Watch(server, bound, a.recordProtocolStatus)
+		}
+		a.listeners = append(a.listeners, &listener{name: l.name, netListener: bound, server: server})
 	}
 	return nil
 }
--- a/sidecar/app/properrequests_test.go
+++ b/sidecar/app/properrequests_test.go
@@ -35,7 +35,7 @@
 }
 
 // TestProperRequestDeniedForItsForm guards against a 4xx for a request that the protocol and the
-// manifest allow.
+// manifest allow, against a success that no upstream gave, and against a status that isn't counted.
 func TestProperRequestDeniedForItsForm(t *testing.T) {
 	c := newCluster(t, 140, "ledger")
 	in := c.instances[0]
@@ -47,13 +47,35 @@
 		"plain":            {"GET /book/a", "Host: h\r\n", http.StatusOK},
 		"spent time":       {"GET /book/a", "Host: h\r\nX-Deadline-Ms: -1\r\n", http.StatusServiceUnavailable},
 		"key of no number": {"GET /book/a", "Host: h\r\nX-Shard-Key: +5\r\n", http.StatusOK},
+		"absolute form":    {"GET http://h:80/book/a", "Host: other\r\n", http.StatusOK},
+		"host with port":   {"GET /book/a", "Host: H:9001\r\n", http.StatusOK},
+		"host with dot":    {"GET /book/a", "Host: h.\r\n", http.StatusOK},
+		"connection":       {"GET /book/a", "Host: h\r\nConnection: keep-alive, Upgrade\r\nUpgrade: websocket\r\n", http.StatusOK},
+		"version 1.0":      {"GET /book/a", "Host: h\r\nConnection: keep-alive\r\n", http.StatusOK},
+		"unusual path":     {"GET /book//a;b=1,|\"<>[]{}^`\\?x=%zz&<>", "Host: h\r\n", http.StatusOK},
+		"path in UTF-8":    {"GET /book/\xc3\xa9", "Host: h\r\n", http.StatusOK},
+		"expect":           {"POST /book/a", "Host: h\r\nExpect: 100-Continue\r\nContent-Length: 0\r\n", http.StatusOK},
+		"trailer":          {"POST /book/a", "Host: h\r\nTrailer: X-End\r\nTransfer-Encoding: chunked\r\n\r\n1;e=x\r\nb\r\n0\r\nX-End: 1\r\n", http.StatusOK},
+		"options":          {"OPTIONS /book/a", "Host: h\r\n", http.StatusOK},
+		"options asterisk": {"OPTIONS *", "Host: h\r\n", http.StatusNotFound},
+		"bad escape":       {"GET /book/%zz", "Host: h\r\n", http.StatusBadRequest},
+		"other expect":     {"GET /book/a", "Host: h\r\nExpect: x\r\n", http.StatusExpectationFailed},
+		"no host":          {"GET /book/a", "", http.StatusBadRequest},
 		"spaces":           {"GET /book/a", "Host:  h \r\nX-Deadline-Ms:  900 \r\nX-Shard-Key:  7 \r\n", http.StatusOK},
 	} {
-		status := c.sendHead(in, fmt.Sprintf("%s HTTP/1.1\r\nX-Request-Id: %s\r\n%s\r\n", want.line, strings.ReplaceAll(name, " ", "-"), want.fields))
+		minor := 1
+		if name == "version 1.0" {
+			minor = 0
+		}
+		status := c.sendHead(in, fmt.Sprintf("%s HTTP/1.%d\r\nX-Request-Id: %s\r\n%s\r\n", want.line, minor, strings.ReplaceAll(name, " ", "-"), want.fields))
 		if status != want.status {
 			t.Errorf("%s: status %d, not %d", name, status, want.status)
 		}
 	}
+	c.eventually("metrics of statuses by net/http", func() bool {
+		return c.metric(in, `own_statuses_total{reason="http-protocol",status="400"}`) == "2" &&
+			c.metric(in, `own_statuses_total{reason="http-protocol",status="417"}`) == "1"
+	})
 }
 
 // TestBodyDeniedByOldLimit guards against 413 from a sidecar that can't know whether the newest
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -90,6 +90,8 @@
 // newCallerServer returns a server for callers.
 func newCallerServer(handler http.Handler) *http.Server {
 	s := newServer(handler)
+	// net/http would answer "OPTIONS *" with a success of its own.
+	s.DisableGeneralOptionsHandler = true
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = callerHeaderTimeout, callerIdleTimeout, maxCallerHeaderBytes
 	return s
 }
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -16,6 +16,7 @@
 
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/httpserver"
 	"briarwell.dev/core/logs"
 	"briarwell.dev/core/metrics"
 	"briarwell.dev/core/outcome"
@@ -153,6 +154,15 @@
 		Int64("omitted", omitted).Msg("requestRejected")
 }
 
+// recordProtocolStatus counts and logs a status that net/http gave a caller itself.
+func (a *App) recordProtocolStatus(conn *httpserver.Conn, status int) {
+	a.telemetry.countOwnStatus(callerhttp.ProtocolAnswer(status))
+	if ok, omitted := a.telemetry.rejectionLogLimiter.Allow(a.clock.Now()); ok {
+		a.log.Warn().Str("caller", conn.RemoteAddr().String()).Int("status", status).Str("reason", string(callerhttp.ReasonProtocol)).
+			Int("maxHeaderBytes", maxCallerHeaderBytes).Int64("omitted", omitted).Msg("requestRejected")
+	}
+}
+
 // loggedPath returns the beginning of the path of a request, without its query.
 func loggedPath(requestURI string) string {
 	path, _, _ := strings.Cut(requestURI, "?")
