edge: a request that can't be parsed is not run

What callers could see: briarwelld answers 400 or 431, not-run, to a request with an invalid header field or length, or with a head above the limit, and had run it, without its body. A caller that repeats it runs it twice.

Cause: the handler was registered by fiber's Use. fiber calls these handlers also for a request that fasthttp could not parse, before its error handler, with what was parsed until then: the request line.

Evidence: TestMalformedRequestRuns before: '5 != 1': each of four malformed requests reached the handler, beside the proper one.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -59,7 +59,8 @@
 		DisablePreParseMultipartForm: true,
 		ErrorHandler:                 s.handleError,
 	})
-	app.Use(s.serve)
+	// Not by Use: fiber calls those handlers also for requests that it could not parse.
+	app.All("*", s.serve)
 	return app
 }
 
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/gofiber/fiber/v3"
@@ -107,6 +108,34 @@
 	}
 }
 
+// Guards against running a request that the HTTP library could not parse, which is then answered
+// as not run.
+func TestMalformedRequestRuns(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	address := startServer(t, handlerFunc(func(router.CallerRequest) *router.Response {
+		runs.Add(1)
+		return &router.Response{Outcome: outcome.Done{}, Status: 201}
+	}))
+	for request, status := range map[string]int{
+		"POST /lagos/bookings/k HTTP/1.1\r\nHost: a\r\nBad Header\r\n\r\n":                                 400,
+		"POST /lagos/bookings/k HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n":                          400,
+		"POST /lagos/bookings/k HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 8192) + "\r\n\r\n":       431,
+		"PATCH /lagos/bookings/k HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nBad Header\r\n\r\n0": 400,
+		"GET /lagos/bookings/k HTTP/1.1\r\nHost: a\r\n\r\n":                                                201,
+	} {
+		connection, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		_, err = io.WriteString(connection, request)
+		is.NoErr(err)
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, status)
+		is.NoErr(connection.Close())
+	}
+	is.Equal(runs.Load(), int64(1)) // the last one
+}
+
 // truncatedBody is a response body that ends early.
 type truncatedBody struct{ text io.Reader }
 
