router: a proper request is not denied for its time or a missing configuration

What callers could see from briarwelld: 400 for a time that is spent (0 or less) or that is larger than 31 bits, and 404 for any service while the daemon has a lease but no configuration yet. No metric told its own statuses apart by status, and those for bytes that are no HTTP request were counted nowhere.

Now: 503, deadline-exceeded, for a spent time; a time above 31 bits counts as the largest one; 503, configuration-lags, without a configuration. own_statuses_total{status,reason} counts each own status.

Evidence: TestProperRequestDenied before: '400 != 503'; TestUnroutableRequests before: no such metric.

--- a/core/router/entry_handler.go
+++ b/core/router/entry_handler.go
@@ -88,7 +88,7 @@
 	}
 	r := &entryRequest{handler: e}
 	if err := r.parse(now, view, caller); err != nil {
-		return withOutcomeHeaders(newRefusal(parseErrorOutcome(err)), 0)
+		return withOutcomeHeaders(newRefusal(parseErrorOutcome(err, view.Catalog().Version())), 0)
 	}
 	e.settings.Budget.RecordFirstAttempt(now)
 	for {
@@ -138,8 +138,8 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	if headers.timeout > 0 {
-		timeout = min(timeout, headers.timeout)
+	if headers.timed {
+		timeout = max(min(timeout, headers.timeout), 0)
 	}
 	r.keyed, r.idempotent = target.rules.IsKeyed(), route.Idempotent()
 	r.request = Request{
--- a/core/router/headers.go
+++ b/core/router/headers.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 
@@ -97,7 +98,9 @@
 type callerHeaders struct {
 	requestID string
 	stamp     string
-	timeout   clock.Millis
+	// timeout is valid if timed. It is 0 or less if no time is left.
+	timeout clock.Millis
+	timed   bool
 }
 
 func parseCallerHeaders(headers []upstream.Header) (callerHeaders, error) {
@@ -113,10 +116,10 @@
 			parsed.stamp = header.Value()
 		case strings.EqualFold(header.Name(), outcome.HeaderTimeout):
 			millis, err := strconv.ParseInt(header.Value(), 10, 32)
-			if err != nil || millis <= 0 {
+			if err != nil && !errors.Is(err, strconv.ErrRange) {
 				return parsed, &MalformedError{field: outcome.HeaderTimeout, found: header.Value()}
 			}
-			parsed.timeout = clock.Millis(millis)
+			parsed.timeout, parsed.timed = clock.Millis(millis), true
 		}
 	}
 	if len(parsed.requestID) > maxRequestIDBytes {
--- a/core/router/status.go
+++ b/core/router/status.go
@@ -38,10 +38,14 @@
 	}
 }
 
-// parseErrorOutcome returns the outcome of a request for which Parse returned err.
-func parseErrorOutcome(err error) outcome.Outcome {
+// parseErrorOutcome returns the outcome of a request for which Parse returned err by the catalog of
+// the version, 0 if no catalog is known yet.
+func parseErrorOutcome(err error, version uint64) outcome.Outcome {
 	var unknown *UnknownServiceError
 	if errors.As(err, &unknown) {
+		if version == 0 {
+			return outcome.NewNotRun(outcome.ReasonConfigurationLags)
+		}
 		return outcome.NewNotRun(outcome.ReasonUnknownService)
 	}
 	return outcome.NewNotRun(outcome.ReasonMalformed)
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -28,6 +28,9 @@
 // under which the request was routed.
 const HeaderConfigVersion = "Briarwell-Config-Version"
 
+// reasonProtocol is the reason in the metric of a status for bytes that are no HTTP request.
+const reasonProtocol = "http-protocol"
+
 // Handler serves requests of callers. router.EntryHandler implements it.
 type Handler interface {
 	Serve(ctx context.Context, caller router.CallerRequest) *router.Response
@@ -120,6 +123,14 @@
 	reason := string(outcome.ReasonOf(response.Outcome))
 	s.latency.RecordDuration(duration)
 	s.settings.Scope.Tagged(map[string]string{"outcome": response.Outcome.String(), "reason": reason}).Counter("requests").Inc(1)
+	if _, done := response.Outcome.(outcome.Done); !done {
+		s.countOwnStatus(response.Status, reason)
+	}
+}
+
+// countOwnStatus counts a status that no upstream gave.
+func (s *server) countOwnStatus(status int, reason string) {
+	s.settings.Scope.Tagged(map[string]string{"status": strconv.Itoa(status), "reason": reason}).Counter("own_statuses").Inc(1)
 }
 
 // handleError responds to a request that the HTTP library could not parse.
@@ -131,6 +142,7 @@
 	}
 	c.Response().Header.Set(outcome.HeaderOutcome, outcome.NotRun{}.String())
 	c.Response().Header.Set(outcome.HeaderReason, string(outcome.ReasonMalformed))
+	s.countOwnStatus(status, reasonProtocol)
 	s.settings.Log.Warn().Err(cause).Int("status", status).Msg("requestRejected")
 	return c.Status(status).SendString(cause.Error() + "\n")
 }
