--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -25,6 +25,7 @@
 	"briarwell.dev/core/coldstart"
 	"briarwell.dev/core/dispatch"
 	"briarwell.dev/core/httpclient"
+	"briarwell.dev/core/httpserver"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/logs"
 	"briarwell.dev/core/membership"
@@ -152,6 +153,9 @@
 	failures chan error
 }
 
+// callersListener is the name of the listener for callers.
+const callersListener = "callers"
+
 type listener struct {
 	name        string
 	netListener net.Listener
@@ -204,20 +208,24 @@
 	for _, l := range []struct {
 		name, address string
 		handler       http.Handler
-		readTimeout   time.Duration
+		newServer     func(http.Handler) *http.Server
 	}{
-		{"peers", a.settings.PeerAddress(), a.controlHandler(), controlReadTimeout},
-		{"requests", a.settings.RequestAddress(), http.HandlerFunc(a.servePeerRequest), 0},
-		{"reports", a.settings.ReportAddress(), http.HandlerFunc(a.serveReport), controlReadTimeout},
-		{"callers", a.settings.CallerAddress(), http.HandlerFunc(a.serveCaller), 0},
-		{"ready", a.settings.ReadyAddress(), http.HandlerFunc(a.serveReady), controlReadTimeout},
-		{"metrics", a.settings.MetricsAddress(), http.HandlerFunc(a.serveMetrics), controlReadTimeout},
+		{"peers", a.settings.PeerAddress(), a.controlHandler(), newControlServer},
+		{"requests", a.settings.RequestAddress(), http.HandlerFunc(a.servePeerRequest), newPeerServer},
+		{"reports", a.settings.ReportAddress(), http.HandlerFunc(a.serveReport), newControlServer},
+		{callersListener, a.settings.CallerAddress(), http.HandlerFunc(a.serveCaller), newCallerServer},
+		{"ready", a.settings.ReadyAddress(), http.HandlerFunc(a.serveReady), newControlServer},
+		{"metrics", a.settings.MetricsAddress(), http.HandlerFunc(a.serveMetrics), newControlServer},
 	} {
 		bound, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return eris.Wrap(err, l.name+" address can't be bound")
 		}
-		a.listeners = append(a.listeners, &listener{name: l.name, netListener: bound, server: newServer(a.recoverPanics(l.name, l.handler), l.readTimeout)})
+		server := l.newServer(a.recoverPanics(l.name, l.handler))
+		if l.name == callersListener {
+			bound = httpserver.Watch(server, bound, a.recordProtocolStatus)
+		}
+		a.listeners = append(a.listeners, &listener{name: l.name, netListener: bound, server: server})
 	}
 	return nil
 }
--- a/sidecar/app/manifest.go
+++ b/sidecar/app/manifest.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"errors"
 	"strings"
 
 	"briarwell.dev/core/clock"
@@ -8,6 +9,7 @@
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/retryafter"
 	"briarwell.dev/core/table"
+	"briarwell.dev/platform/callerhttp"
 	"briarwell.dev/platform/manifest"
 )
 
@@ -95,10 +97,11 @@
 	return at > 0 && a.clock.Now()-clock.Millis(at) <= unroutedMemory
 }
 
-// withUnknownRoute returns the result of a request, with a refusal in place of the missing route if
-// a newer manifest may have one.
+// withUnknownRoute returns the result of a request, with a refusal in place of a missing route or
+// an invalid key if a newer manifest may have the route, or send its requests to a service without
+// keys.
 func (a *App) withUnknownRoute(request *dispatch.Request, result dispatch.Result) dispatch.Result {
-	if result.RouteFound {
+	if result.RouteFound && outcome.ReasonOf(result.Outcome) != outcome.ReasonInvalidKey {
 		return result
 	}
 	a.unroutedAt.Store(int64(a.clock.Now()))
@@ -109,3 +112,13 @@
 	result.Reply, result.RouteFound = dispatch.NotRun(outcome.ReasonConfigurationLags).WithRetryAfter(after), true
 	return result
 }
+
+// withLaggingLimits returns the error of a request that was not read, with a refusal in place of a
+// rejection by the limits of the manifest if a newer one may allow more.
+func (a *App) withLaggingLimits(request *dispatch.Request, err error) error {
+	var rejected *callerhttp.Error
+	if !errors.As(err, &rejected) || !rejected.ByLimits() || a.manifestIsCurrent() {
+		return err
+	}
+	return rejected.RefusedForLag(retryafter.Spread(request.Deadline-a.clock.Now(), request.ID))
+}
--- a/sidecar/app/rowfetch.go
+++ b/sidecar/app/rowfetch.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/httpserver"
 	"briarwell.dev/core/rowfetch"
 	"briarwell.dev/core/table"
 	"briarwell.dev/platform/store"
@@ -157,9 +157,7 @@
 		a.fetches.budget.Done(size)
 		a.fetches.mu.Unlock()
 	}()
-	if conn, ok := r.Context().Value(connContextKey{}).(*net.TCPConn); ok {
-		_ = conn.SetWriteBuffer(fetchWriteBuffer) // Fails if the connection is closed.
-	}
+	httpserver.SetWriteBuffer(r.Context(), fetchWriteBuffer)
 	controller := http.NewResponseController(w)
 	_ = controller.SetWriteDeadline(time.Now().Add(fetchTimeout)) // Fails if the connection is closed.
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 	"briarwell.dev/core/dispatch/peerhttp"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/httpclient"
+	"briarwell.dev/core/httpserver"
 	"briarwell.dev/core/keyowner"
 	"briarwell.dev/core/memory"
 	"briarwell.dev/core/outcome"
@@ -24,8 +24,8 @@
 )
 
 const (
-	// readHeaderTimeout bounds the time for reading a request's header. The limit in the
-	// manifest is checked by the callers themselves and changes while a server runs.
+	// readHeaderTimeout bounds the time for reading the header of a request of another sidecar
+	// or of the upstream.
 	readHeaderTimeout = 10 * time.Second
 	// controlReadTimeout bounds the time for reading a report of the upstream or a control
 	// message. Their senders wait for at most a second.
@@ -33,11 +33,21 @@
 	// unreadBodyTimeout is the time after a response in which a sender that is still sending the
 	// body of a rejected request can read the response.
 	unreadBodyTimeout = 2 * time.Second
-	// idleTimeout is longer than any idle time that the manifest allows callers, so that
-	// no request is sent while the server closes its connection.
+	// idleTimeout is longer than the time for which sidecars and upstreams keep connections,
+	// so that no request is sent while the server closes its connection.
 	idleTimeout = 120 * time.Second
-	// maxHeaderBytes bounds the size of a request's header.
+	// maxHeaderBytes bounds the size of the header of a message from the platform or an
+	// upstream.
 	maxHeaderBytes = 64 << 10
+	// callerHeaderTimeout, callerIdleTimeout and maxCallerHeaderBytes are above what manifests
+	// allow callers: net/http answers or closes by them without a reason, and they can't
+	// follow the manifest while the server runs.
+	callerHeaderTimeout  = time.Minute
+	callerIdleTimeout    = 10 * time.Minute
+	maxCallerHeaderBytes = 1 << 20
+	// maxPeerHeaderBytes bounds the header of a forwarded request, to which a sidecar adds
+	// fields.
+	maxPeerHeaderBytes = maxCallerHeaderBytes + maxHeaderBytes
 	// maxReportBytes bounds the body of a report: 16,384 rows of 32 bytes.
 	maxReportBytes = 512 << 10
 	// firstGrantWait is the longest time in milliseconds for which the response to an
@@ -60,22 +70,16 @@
 // instance may bound bodies further.
 func SupportedLimits() routes.Limits {
 	return routes.Limits{
-		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: callerhttp.MaxBodyBytes,
-		HeaderTimeout: clock.FromDuration(readHeaderTimeout), IdleTimeout: clock.FromDuration(idleTimeout),
+		MaxHeaderBytes: maxCallerHeaderBytes, MaxBodyBytes: callerhttp.MaxBodyBytes,
+		HeaderTimeout: clock.FromDuration(callerHeaderTimeout), IdleTimeout: clock.FromDuration(callerIdleTimeout),
 	}
 }
 
-// newServer returns a server. readTimeout bounds the time for reading a request with its
-// body, 0 if the handler does so.
-func newServer(handler http.Handler, readTimeout time.Duration) *http.Server {
-	if readTimeout == 0 {
-		handler = boundUnreadBody(handler)
-	}
+// newServer returns a server whose handler bounds the time for reading a body.
+func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connContextKey{}, conn)
-		},
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: httpserver.ConnContext,
 	}
 }
 
@@ -91,16 +95,27 @@
 	})
 }
 
-// connContextKey is the context key of the connection of a request.
-type connContextKey struct{}
+// newControlServer returns a server for short messages.
+func newControlServer(handler http.Handler) *http.Server {
+	s := newServer(handler)
+	s.ReadTimeout = controlReadTimeout
+	return s
+}
 
-// senderDisconnected reports whether the sender of a request has closed the connection
-// or cancelled the request. A request that was delayed on its way may arrive together
-// with the end of its connection, which net/http detects too late to keep the request
-// from the upstream.
-func senderDisconnected(ctx context.Context) bool {
-	conn, ok := ctx.Value(connContextKey{}).(net.Conn)
-	return ctx.Err() != nil || ok && httpclient.ClosedByPeer(conn)
+// newCallerServer returns a server for callers.
+func newCallerServer(handler http.Handler) *http.Server {
+	s := newServer(boundUnreadBody(handler))
+	// net/http would answer "OPTIONS *" with a success of its own.
+	s.DisableGeneralOptionsHandler = true
+	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = callerHeaderTimeout, callerIdleTimeout, maxCallerHeaderBytes
+	return s
+}
+
+// newPeerServer returns a server for forwarded requests.
+func newPeerServer(handler http.Handler) *http.Server {
+	s := newServer(boundUnreadBody(handler))
+	s.MaxHeaderBytes = maxPeerHeaderBytes
+	return s
 }
 
 // serveCaller handles a request that was made on this instance.
@@ -116,15 +131,13 @@
 	request, err := callerhttp.DecodeRequest(r, a.clock.Now(), a.settings.Service())
 	if err == nil {
 		request.Memory = account
-		err = a.withReadDeadline(w, request.Deadline, func() error {
-			return callerhttp.ReadBody(r, request, manifest.Limits(), a.memory.MaxBody())
-		})
+		err = a.withLaggingLimits(request, a.readCallerBody(w, r, request, manifest.Limits()))
 	}
 	if err != nil {
 		a.recordRejected(r, manifest, callerhttp.WriteError(w, callerhttp.RequestID(r), err), err)
 		return
 	}
-	if senderDisconnected(r.Context()) {
+	if httpserver.SenderDisconnected(r.Context()) {
 		a.logAbandoned(request)
 		// A sender that has closed only its sending side still reads the response.
 		abandoned := dispatch.Result{Reply: dispatch.NotRun(outcome.ReasonDeadlineExceeded), RouteFound: true, ManifestVersion: manifest.Version()}
@@ -137,16 +150,14 @@
 	a.recordCallerRequest(r.Context(), request, result, answer)
 }
 
-// withReadDeadline calls read, which reads the body of a request. Reads fail from the
-// deadline on, so that a stalled body is given up.
-func (a *App) withReadDeadline(w http.ResponseWriter, deadline clock.Millis, read func() error) error {
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(time.Now().Add((deadline - a.clock.Now()).Duration())); err != nil {
+// readCallerBody checks the size of a request's header and reads its body. The error is a
+// *callerhttp.Error.
+func (a *App) readCallerBody(w http.ResponseWriter, r *http.Request, request *dispatch.Request, limits routes.Limits) error {
+	if err := callerhttp.CheckHeader(r, limits); err != nil {
 		return err
 	}
-	err := read()
-	// The server goes on reading, to notice that the sender disconnects.
-	return errors.Join(err, controller.SetReadDeadline(time.Time{}))
+	r.Body = httpserver.NewBody(w, r, request.Deadline-a.clock.Now())
+	return callerhttp.ReadBody(r, request, limits, a.memory.MaxBody())
 }
 
 // handleCaller routes a caller's request. It refuses the request while the sidecar stops,
@@ -194,7 +205,7 @@
 		peerhttp.WriteReply(w, request.ID, refusal, a.clock)
 		return
 	}
-	if senderDisconnected(r.Context()) {
+	if httpserver.SenderDisconnected(r.Context()) {
 		a.logAbandoned(request)
 		peerhttp.WriteReply(w, request.ID, dispatch.NotRun(outcome.ReasonDeadlineExceeded), a.clock)
 		return
@@ -219,14 +230,19 @@
 			return refusal, false
 		}
 	}
-	err := a.withReadDeadline(w, request.Deadline, func() error { return peerhttp.ReadBody(r, request, schedule, a.clock) })
+	r.Body = httpserver.NewBody(w, r, request.Deadline-a.clock.Now())
+	err := peerhttp.ReadBody(r, request, schedule, a.clock)
 	if err == nil {
 		return dispatch.Reply{}, true
 	}
 	a.log.Warn().Err(err).Str("request", request.ID).Str("peer", r.RemoteAddr).Int64("bytes", r.ContentLength).Msg("peerBodyNotRead")
 	var exhausted *memory.ExhaustedError
-	if errors.As(err, &exhausted) {
+	var late *httpserver.LateError
+	switch {
+	case errors.As(err, &exhausted):
 		return dispatch.NotRun(outcome.ReasonOverloaded).WithRetryAfter(memoryRetryAfter), false
+	case errors.As(err, &late):
+		return dispatch.NotRun(outcome.ReasonDeadlineExceeded), false
 	}
 	return dispatch.NotRun(outcome.ReasonMalformed), false
 }
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -16,6 +16,7 @@
 
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/httpserver"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/logs"
 	"briarwell.dev/core/metrics"
@@ -137,6 +138,13 @@
 
 // recordRejected counts and logs a request that was rejected with err before it had a route.
 func (a *App) recordRejected(r *http.Request, manifest *routes.Manifest, answer callerhttp.Answer, err error) {
+	if answer.Abandoned() {
+		a.telemetry.scope.Counter("requests_broken_off").Inc(1)
+		if ok, omitted := a.telemetry.executorLogLimiter.Allow(a.clock.Now()); ok {
+			a.log.Info().Err(err).Str("request", callerhttp.RequestID(r)).Int64("bytes", r.ContentLength).Int64("omitted", omitted).Msg("requestBrokenOff")
+		}
+		return
+	}
 	a.telemetry.scope.Counter("requests_rejected").Inc(1)
 	a.telemetry.countOwnStatus(answer)
 	ok, omitted := a.telemetry.rejectionLogLimiter.Allow(a.clock.Now())
@@ -150,6 +158,15 @@
 		Int64("omitted", omitted).Msg("requestRejected")
 }
 
+// recordProtocolStatus counts and logs a status that net/http gave a caller itself.
+func (a *App) recordProtocolStatus(conn *httpserver.Conn, status int) {
+	a.telemetry.countOwnStatus(callerhttp.ProtocolAnswer(status))
+	if ok, omitted := a.telemetry.rejectionLogLimiter.Allow(a.clock.Now()); ok {
+		a.log.Warn().Str("caller", conn.RemoteAddr().String()).Int("status", status).Str("reason", string(callerhttp.ReasonProtocol)).
+			Int("maxHeaderBytes", maxCallerHeaderBytes).Int64("omitted", omitted).Msg("requestRejected")
+	}
+}
+
 // loggedPath returns the beginning of the path of a request, without its query.
 func loggedPath(requestURI string) string {
 	path, _, _ := strings.Cut(requestURI, "?")
