httptable: a scan is bounded by stalls, not by its size

A daemon could never read its rows: a scan of 3 MB over 10 Mbit/s ended after 2 s, however often it was repeated.

Change: 2 s to the begin of the response and between its parts, 40 s in all, for scans only.

--- a/core/table/httptable/httptable.go
+++ b/core/table/httptable/httptable.go
@@ -16,8 +16,12 @@
 )
 
 const (
-	// defaultCallTimeout bounds each call, in addition to its context.
+	// defaultCallTimeout bounds each call, in addition to its context. Of a scan it bounds the time
+	// until the response begins, and the time between two parts of it.
 	defaultCallTimeout = 2 * time.Second
+	// scanTimeout bounds a scan whose response goes on. One of maxResponseBytes takes 27 s on a link
+	// of 10 Mbit/s.
+	scanTimeout = 40 * time.Second
 	// dialTimeout bounds the set-up of a connection.
 	dialTimeout = time.Second
 	// defaultMaxConnections bounds the connections of one daemon.
@@ -48,7 +52,8 @@
 	localIP        net.IP
 }
 
-// CallTimeout bounds the duration of each call, in addition to its context.
+// CallTimeout bounds the duration of each call, in addition to its context; of a scan the time until
+// the response begins, and the time between two parts of it.
 func CallTimeout(timeout time.Duration) Option {
 	return func(o *options) { o.callTimeout = timeout }
 }
@@ -92,7 +97,7 @@
 	}
 	client := &fasthttp.HostClient{
 		Addr:                      parsed.Host,
-		Dial:                      func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) },
+		Dial:                      func(address string) (net.Conn, error) { return dialStalling(dialer, address, settings.callTimeout) },
 		MaxConns:                  settings.maxConnections,
 		MaxConnWaitTimeout:        settings.callTimeout,
 		MaxIdleConnDuration:       idleTimeout,
@@ -119,7 +124,7 @@
 // and the table's revision.
 func (t *Table) Scan(ctx context.Context, prefix string, since table.Revision) ([]table.Row, table.Revision, error) {
 	var response wire.ScanResponse
-	if err := t.call(ctx, wire.PathScan, wire.ScanRequest{Prefix: prefix, Since: since}, &response); err != nil {
+	if err := t.callWithin(ctx, scanTimeout, wire.PathScan, wire.ScanRequest{Prefix: prefix, Since: since}, &response); err != nil {
 		return nil, 0, err
 	}
 	return wire.ToRows(response.Rows), response.Revision, nil
@@ -138,9 +143,14 @@
 // CloseIdleConnections closes the connections that are not in use.
 func (t *Table) CloseIdleConnections() { t.client.CloseIdleConnections() }
 
-// call posts request as JSON and decodes the response. Cancelling ctx does not
-// interrupt a call before its deadline, as fasthttp supports only deadlines.
+// call is callWithin for a call with a short response.
 func (t *Table) call(ctx context.Context, path string, request, response any) error {
+	return t.callWithin(ctx, t.callTimeout, path, request, response)
+}
+
+// callWithin posts request as JSON and decodes the response. Cancelling ctx does not
+// interrupt a call before its deadline, as fasthttp supports only deadlines.
+func (t *Table) callWithin(ctx context.Context, timeout time.Duration, path string, request, response any) error {
 	operation := path[1:]
 	if err := ctx.Err(); err != nil {
 		return table.NewOutageError(operation, err)
@@ -149,7 +159,7 @@
 	if err != nil {
 		return table.NewOutageError(operation, err)
 	}
-	deadline := time.Now().Add(t.callTimeout)
+	deadline := time.Now().Add(timeout)
 	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
 		deadline = limit
 	}
--- a/core/table/httptable/slowlink_test.go
+++ b/core/table/httptable/slowlink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -34,3 +35,25 @@
 	_, _, err = client.Scan(t.Context(), "", 0)
 	is.NoErr(err)
 }
+
+// TestScanOfSilentServer guards against a scan that is waited for although nothing of it arrives.
+func TestScanOfSilentServer(t *testing.T) {
+	is := is.New(t)
+	for _, part := range []string{"", "{"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // Otherwise the server does not notice the disconnect.
+			if part != "" {
+				_, _ = w.Write([]byte(part))
+				_ = http.NewResponseController(w).Flush()
+			}
+			<-r.Context().Done()
+		}))
+		client, err := httptable.New(server.URL, httptable.CallTimeout(300*time.Millisecond))
+		is.NoErr(err)
+		began := time.Now()
+		_, _, err = client.Scan(t.Context(), "", 0)
+		is.True(err != nil)
+		is.True(time.Since(began) < 3*time.Second)
+		server.Close()
+	}
+}
