shutdown: requests that may outlast the process are refused

Until 3.6 s after the stop signal every request of a caller was accepted, and at 5.4 s of 6 s all connections were closed; the deadline of a request was compared with nothing, and neither time depended on the grace period.

Before the change TestLateRequestsOfPlannedStop failed: of 12 bookings sent 2.7 to 3.8 s after the signal on kept connections, with an upstream that takes 2.6 s, the six sent at 2.9, 3.1, 3.2, 3.3, 3.5 and 3.6 s ran and lost their connection. Now they get 503 "draining" and did not run; two whose own time ends before the process (sent at 3.0 and 3.4 s) are still accepted.

shutdown.Plan decides before each send, so also after a wait for an owner or a refusal elsewhere: after 2.6 s, or half of the grace period, a request must have its deadline (time budget and route timeout) before the end of the process. An accepted request then gets its response, or its own 504, while the process lives. A nested request is accepted to the end: its parent runs here, and was refused from 3.6 s on before.

Before the listeners close, all requests are refused, so that one that crosses the close of an idle connection is not passed on.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 	"briarwell.dev/core/retry"
 	"briarwell.dev/core/retryafter"
 	"briarwell.dev/core/routes"
+	"briarwell.dev/core/shutdown"
 )
 
 const (
@@ -100,6 +101,8 @@
 	balancer     *balance.Balancer
 	retryBudgets map[string]*retry.Budget
 	retryLimits  RetryLimits
+	// shutdownPlan returns the current plan, nil for a process that goes on.
+	shutdownPlan func() shutdown.Plan
 	// responseSizes predicts the responses by route.
 	responseSizes memory.Estimate
 }
@@ -209,9 +212,10 @@
 
 func (p *pendingRequest) run(ctx context.Context) Result {
 	p.lastReply = NotRun(outcome.ReasonNoOwner)
-	for p.sends < MaxSends {
+	for p.sends < MaxSends && !p.refusedByShutdown() {
 		target, ok := p.nextTarget(ctx)
-		if !ok {
+		// The wait for an owner may last until the request can't be sent any more.
+		if !ok || p.refusedByShutdown() {
 			break
 		}
 		if !p.reserveResponse() {
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -31,6 +31,7 @@
 	"briarwell.dev/core/memory"
 	"briarwell.dev/core/replica"
 	"briarwell.dev/core/routes"
+	"briarwell.dev/core/shutdown"
 	"briarwell.dev/core/table"
 	"briarwell.dev/platform/store"
 	"briarwell.dev/sidecar/settings"
@@ -43,12 +44,8 @@
 	readinessDelay clock.Millis = 2600
 	// callerRefusalDelay is the time in milliseconds after a stop signal from which
 	// requests of callers are refused. Some still arrive after readinessDelay if most
-	// other instances of the failure domain are down, and the requests in flight must
-	// end before the kill.
+	// other instances of the failure domain are down.
 	callerRefusalDelay clock.Millis = 3600
-	// killMargin is the time in milliseconds before the platform kills the process at
-	// which the sidecar exits, even with requests in flight.
-	killMargin clock.Millis = 600
 	// retryShareFraction and retrySlackFraction are the fractions of the retry share
 	// and the retry slack in the settings that the sidecars use. The rest is a reserve:
 	// the windows in which the retries are counted slide, and each sidecar can
@@ -122,13 +119,9 @@
 	loadsQueriedAt clock.Millis
 	// consecutiveConflicts counts the write conflicts since the last successful write.
 	consecutiveConflicts atomic.Int64
-	// stopping is set from the stop signal on: callers should use other instances.
-	stopping atomic.Bool
-	// upstreamClosed is set when the upstream gets no more requests from this process.
-	upstreamClosed atomic.Bool
-	// refusingCallers is set when requests of callers are refused.
-	refusingCallers atomic.Bool
-	inFlight        atomic.Int64
+	// shutdownPlan is nil until the stop signal.
+	shutdownPlan atomic.Pointer[shutdown.Plan]
+	inFlight     atomic.Int64
 	// coldSettingsMu keeps the order in which the bounds for cold upstreams are applied.
 	coldSettingsMu sync.Mutex
 	// coldLogged is the state of the upstream in the latest log line about it.
@@ -176,7 +169,7 @@
 	a.dispatcher = dispatch.NewDispatcher(a.clock, a.state, &sender{app: a}, balance.New(s.Location()), dispatch.RetryLimits{
 		Ratio:        s.RetryShare() * retryShareFraction,
 		MinPerSecond: s.RetrySlack() * retrySlackFraction * millisPerSecond / float64(s.RetryWindow()),
-	})
+	}).WithShutdown(a.currentShutdown)
 	return a, a.listen()
 }
 
@@ -237,7 +230,7 @@
 	case <-ctx.Done():
 	case failure = <-a.failures:
 	}
-	a.closeListeners(a.stop())
+	a.stop()
 	cancel()
 	tasks.Wait()
 	a.log.Info().Err(failure).Int64("droppedLines", a.logWriter.Dropped()).Msg("stopped")
@@ -247,54 +240,6 @@
 	return failure
 }
 
-// closeListeners closes the listeners and the idle connections. It waits until deadline for
-// the responses to requests that were read meanwhile.
-func (a *App) closeListeners(deadline clock.Millis) {
-	ctx, cancel := context.WithTimeout(context.Background(), (deadline - a.clock.Now()).Duration())
-	defer cancel()
-	var closing conc.WaitGroup
-	for _, l := range a.listeners {
-		closing.Go(func() {
-			if err := l.server.Shutdown(ctx); err != nil {
-				a.log.Warn().Err(err).Str("listener", l.name).Msg("requestsCutOff")
-				_ = l.server.Close()
-			}
-		})
-	}
-	closing.Wait()
-}
-
-// stop waits until callers have noticed that this instance is not ready, then admits
-// no more requests to its upstream and waits for those in flight. It returns the time by
-// which the process should end, killMargin before the end of the grace period.
-func (a *App) stop() clock.Millis {
-	a.stopping.Store(true)
-	began := a.clock.Now()
-	end := began + a.settings.Grace() - killMargin
-	a.log.Info().Int64("inFlight", a.inFlight.Load()).Msg("stopping")
-	for {
-		waited := a.clock.Now() - began
-		if waited >= readinessDelay {
-			a.upstreamClosed.Store(true)
-		}
-		if waited >= callerRefusalDelay {
-			a.refusingCallers.Store(true)
-		}
-		if a.clock.Now() >= end || waited >= readinessDelay+peerDrainTime && a.inFlight.Load() == 0 {
-			a.log.Info().Int64("inFlight", a.inFlight.Load()).Int64("waitedMillis", int64(waited)).Msg("leaving")
-			return end
-		}
-		time.Sleep(stopPollInterval)
-	}
-}
-
-// peerDrainTime is the time in milliseconds after upstreamClosed is set in which
-// requests that other sidecars have already sent still arrive and are refused.
-const peerDrainTime clock.Millis = 60
-
-// stopPollInterval is the time between two checks of the requests in flight.
-const stopPollInterval = 20 * time.Millisecond
-
 // Reload logs whether the settings file, read again, is valid and differs from the
 // settings in use. It doesn't apply them: the addresses of a running sidecar are
 // bound, and the platform restarts the sidecar to change its settings.
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -296,7 +296,7 @@
 // publishMember writes this sidecar's member row if it differs from the known one.
 func (a *App) publishMember(ctx context.Context) {
 	s := a.state
-	member, known := s.ownMember(a.stopping.Load())
+	member, known := s.ownMember(a.isStopping())
 	if !known && a.clock.Now()-a.startedAt < firstReportWait && !s.departureUnwritten() {
 		return
 	}
--- a/sidecar/app/rebalance.go
+++ b/sidecar/app/rebalance.go
@@ -50,7 +50,7 @@
 		}
 		serviceConfig, _ := a.manifest.Load().Service(a.settings.Service())
 		now := a.clock.Now()
-		if serviceConfig.Keyed && !a.stopping.Load() && now-last >= rebalanceCooldown && a.rebalance(ctx) {
+		if serviceConfig.Keyed && !a.isStopping() && now-last >= rebalanceCooldown && a.rebalance(ctx) {
 			last = now
 		}
 	}
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -89,7 +89,7 @@
 func (a *App) serveCaller(w http.ResponseWriter, r *http.Request) {
 	a.inFlight.Add(1)
 	defer a.inFlight.Add(-1)
-	if a.stopping.Load() {
+	if a.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
 	manifest := a.manifest.Load()
@@ -134,20 +134,12 @@
 // handleCaller routes a caller's request. It refuses the request while the sidecar stops,
 // and returns a result without a route before the first manifest.
 func (a *App) handleCaller(ctx context.Context, manifest *routes.Manifest, request *dispatch.Request) dispatch.Result {
-	if a.refusingCallers.Load() {
-		reply := dispatch.NotRun(outcome.ReasonDraining).WithRetryAfter(restartRetryAfter)
-		return dispatch.Result{Reply: reply, RouteFound: true, ManifestVersion: manifest.Version()}
-	}
 	if manifest.Version() == 0 {
 		return dispatch.Result{Reply: dispatch.Reply{RetryAfter: retryafter.Spread(request.Deadline-a.clock.Now(), request.ID)}}
 	}
 	return a.withUnknownRoute(request, a.dispatcher.Handle(ctx, manifest, request))
 }
 
-// restartRetryAfter is the time in milliseconds after which a refused caller may retry:
-// in it a sidecar ends and is started again.
-const restartRetryAfter clock.Millis = 800
-
 // servePeerRequest handles a request that another sidecar forwarded.
 func (a *App) servePeerRequest(w http.ResponseWriter, r *http.Request) {
 	a.inFlight.Add(1)
@@ -249,7 +241,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if a.stopping.Load() || a.manifest.Load().Version() == 0 || !a.state.hasMembers() {
+	if a.isStopping() || a.manifest.Load().Version() == 0 || !a.state.hasMembers() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -46,6 +46,7 @@
 func (u *upstream) State(now clock.Millis) dispatch.UpstreamState {
 	s := u.app.state
 	serviceConfig, _ := u.app.manifest.Load().Service(s.service)
+	shutdownPlan := u.app.currentShutdown()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last, seen := s.tracker.Last()
@@ -54,8 +55,8 @@
 		Service: s.service,
 		Process: last.Process,
 		Up:      seen && !s.tracker.Ended(),
-		Leaving: leaving || u.app.stopping.Load(),
-		Closed:  u.app.upstreamClosed.Load() || leaving && now-leavingSince >= u.app.settings.Drain()-drainMargin,
+		Leaving: leaving || shutdownPlan.Begun(),
+		Closed:  shutdownPlan.ClosedToPeers(now) || leaving && now-leavingSince >= u.app.settings.Drain()-drainMargin,
 		Keyed:   serviceConfig.Keyed,
 
 		OutOfUse:       s.domain.OutOfUse(),
