sidecar: requests in flight at the end of a stop are answered

Callers saw their connection closed without an answer when a request that was accepted before, or early in, a planned stop was still in flight 0.6 s before the kill, also where its body had not been read completely and so nothing had been sent.

The stop closed all connections at that time without ending the requests. A request that may run only once does not end with its caller; the call to the upstream is bound to the end separately.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -68,6 +68,8 @@
 	// ReasonResponseDropped is the reason of a response that was too large or for which
 	// there was no memory.
 	ReasonResponseDropped Reason = "response-dropped"
+	// ReasonStopped is the reason of a request that was in flight when its process had to end.
+	ReasonStopped Reason = "stopped"
 )
 
 // Outcome is Done, NotRun or Unknown.
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -122,6 +122,9 @@
 	// shutdownPlan is nil until the stop signal.
 	shutdownPlan atomic.Pointer[shutdown.Plan]
 	inFlight     atomic.Int64
+	// requests is the context of all requests. giveUpRequests ends it.
+	requests       context.Context //nolint:containedctx // Requests outlive the call that creates it.
+	giveUpRequests context.CancelFunc
 	// coldSettingsMu keeps the order in which the bounds for cold upstreams are applied.
 	coldSettingsMu sync.Mutex
 	// coldLogged is the state of the upstream in the latest log line about it.
@@ -148,6 +151,7 @@
 	}
 	a := &App{settings: s, localIP: net.ParseIP(s.IP()), controlWake: make(chan struct{}, 1), writeSemaphore: make(chan struct{}, 1), memberSemaphore: make(chan struct{}, 1), failures: make(chan error, 1)}
 	a.startedAt = a.clock.Now()
+	a.requests, a.giveUpRequests = context.WithCancel(context.Background())
 	for i := range a.watching {
 		a.watching[i].Store(true)
 	}
@@ -198,7 +202,7 @@
 		if err != nil {
 			return eris.Wrap(err, l.name+" address can't be bound")
 		}
-		a.listeners = append(a.listeners, &listener{name: l.name, netListener: bound, server: newServer(a.recoverPanics(l.name, l.handler), l.readTimeout)})
+		a.listeners = append(a.listeners, &listener{name: l.name, netListener: bound, server: newServer(a.requests, a.recoverPanics(l.name, l.handler), l.readTimeout)})
 	}
 	return nil
 }
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -62,11 +62,12 @@
 	}
 }
 
-// newServer returns a server. readTimeout bounds the time for reading a request with its
+// newServer returns a server whose requests end with ctx. readTimeout bounds the time for reading a request with its
 // body, 0 if the handler does so.
-func newServer(handler http.Handler, readTimeout time.Duration) *http.Server {
+func newServer(ctx context.Context, handler http.Handler, readTimeout time.Duration) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return ctx },
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connContextKey{}, conn)
 		},
@@ -98,10 +99,16 @@
 	request, err := callerhttp.DecodeRequest(r, a.clock.Now(), a.settings.Service())
 	if err == nil {
 		request.Memory = account
-		err = a.withReadDeadline(w, request.Deadline, func() error {
+		err = a.withReadDeadline(w, r, request.Deadline, func() error {
 			return callerhttp.ReadBody(r, request, manifest.Limits(), a.memory.MaxBody())
 		})
 	}
+	if err != nil && request != nil && a.requests.Err() != nil {
+		w.Header().Set("Connection", "close")
+		result := dispatch.Result{Reply: a.explainGivenUp(dispatch.NotRun(outcome.ReasonDraining)), RouteFound: true, ManifestVersion: manifest.Version()}
+		a.recordCallerRequest(r.Context(), request, result, callerhttp.WriteResult(w, request.ID, result))
+		return
+	}
 	if err != nil {
 		a.recordRejected(r, manifest, callerhttp.WriteError(w, callerhttp.RequestID(r), err), err)
 		return
@@ -109,7 +116,7 @@
 	if senderDisconnected(r.Context()) {
 		a.logAbandoned(request)
 		// A sender that has closed only its sending side still reads the response.
-		abandoned := dispatch.Result{Reply: dispatch.NotRun(outcome.ReasonDeadlineExceeded), RouteFound: true, ManifestVersion: manifest.Version()}
+		abandoned := dispatch.Result{Reply: a.explainGivenUp(dispatch.NotRun(outcome.ReasonDeadlineExceeded)), RouteFound: true, ManifestVersion: manifest.Version()}
 		a.telemetry.countOwnStatus(callerhttp.WriteResult(w, request.ID, abandoned))
 		return
 	}
@@ -120,13 +127,18 @@
 }
 
 // withReadDeadline calls read, which reads the body of a request. Reads fail from the
-// deadline on, so that a stalled body is given up.
-func (a *App) withReadDeadline(w http.ResponseWriter, deadline clock.Millis, read func() error) error {
+// deadline on, or once requests are given up, so that a stalled body is given up.
+func (a *App) withReadDeadline(w http.ResponseWriter, r *http.Request, deadline clock.Millis, read func() error) error {
+	if r.ContentLength == 0 {
+		return read()
+	}
 	controller := http.NewResponseController(w)
 	if err := controller.SetReadDeadline(time.Now().Add((deadline - a.clock.Now()).Duration())); err != nil {
 		return err
 	}
+	stop := context.AfterFunc(r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })
 	err := read()
+	stop()
 	// The server goes on reading, to notice that the sender disconnects.
 	return errors.Join(err, controller.SetReadDeadline(time.Time{}))
 }
@@ -137,7 +149,9 @@
 	if manifest.Version() == 0 {
 		return dispatch.Result{Reply: dispatch.Reply{RetryAfter: retryafter.Spread(request.Deadline-a.clock.Now(), request.ID)}}
 	}
-	return a.withUnknownRoute(request, a.dispatcher.Handle(ctx, manifest, request))
+	result := a.dispatcher.Handle(ctx, manifest, request)
+	result.Reply = a.explainGivenUp(result.Reply)
+	return a.withUnknownRoute(request, result)
 }
 
 // servePeerRequest handles a request that another sidecar forwarded.
@@ -164,7 +178,7 @@
 		peerhttp.WriteReply(w, request.ID, dispatch.NotRun(outcome.ReasonDeadlineExceeded), a.clock)
 		return
 	}
-	reply := a.executor.Serve(r.Context(), service, request, policy)
+	reply := a.explainGivenUp(a.executor.Serve(r.Context(), service, request, policy))
 	a.logNotServed(request, service, reply)
 	peerhttp.WriteReply(w, request.ID, reply, a.clock)
 }
@@ -184,7 +198,7 @@
 			return refusal, false
 		}
 	}
-	err := a.withReadDeadline(w, request.Deadline, func() error { return peerhttp.ReadBody(r, request, schedule, a.clock) })
+	err := a.withReadDeadline(w, r, request.Deadline, func() error { return peerhttp.ReadBody(r, request, schedule, a.clock) })
 	if err == nil {
 		return dispatch.Reply{}, true
 	}
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -75,6 +75,8 @@
 
 // Call sends the request to the upstream and waits for its response.
 func (u *upstream) Call(ctx context.Context, process keyspace.Process, r *dispatch.Request, remaining clock.Millis) dispatch.Reply {
+	ctx, cancel := u.app.withEndOfRequests(ctx)
+	defer cancel()
 	response, err := u.client.Do(ctx, upstreamhttp.EncodeRequest(r, process, remaining))
 	if err == nil {
 		return upstreamhttp.DecodeResponse(response)
