--- a/core/httpserver/httpserver.go
+++ b/core/httpserver/httpserver.go
@@ -63,13 +63,16 @@
 	controller *http.ResponseController
 	deadline   time.Time
 	begun      bool
+	ctx        context.Context //nolint:containedctx // That of the request, which the body belongs to.
+	// stop ends the watch of ctx.
+	stop func() bool
 }
 
-// NewBody returns the body of a request, which must be read within timeout from now. A read after
-// that returns an os.ErrDeadlineExceeded if the sender has stalled, a *LateError if there were bytes
+// NewBody returns the body of a request, which must be read within timeout from now and before the
+// context of the request ends. A read after that returns an os.ErrDeadlineExceeded if the sender has stalled, a *LateError if there were bytes
 // to read, and otherwise that of the body.
 func NewBody(w http.ResponseWriter, r *http.Request, timeout clock.Millis) *Body {
-	return &Body{body: r.Body, conn: connOf(r.Context()), controller: http.NewResponseController(w), deadline: time.Now().Add(timeout.Duration())}
+	return &Body{body: r.Body, conn: connOf(r.Context()), controller: http.NewResponseController(w), deadline: time.Now().Add(timeout.Duration()), ctx: r.Context()}
 }
 
 // Read implements io.Reader.
@@ -80,6 +83,7 @@
 		// closed, which the read reports.
 		b.begun = true
 		_ = b.controller.SetReadDeadline(b.deadline)
+		b.stop = context.AfterFunc(b.ctx, func() { _ = b.controller.SetReadDeadline(time.Now()) })
 	}
 	n, err := b.body.Read(p)
 	switch {
@@ -88,10 +92,19 @@
 	case errors.Is(err, os.ErrDeadlineExceeded) && b.conn != nil && idleconn.HasUnread(b.conn):
 		err = &LateError{}
 	}
+	b.Release()
 	// The server goes on reading, to notice that the sender disconnects.
 	_ = b.controller.SetReadDeadline(time.Time{})
 	return n, err
 }
 
+// Release ends the watch of the request's context, which ends with the handler: later it would break
+// off the next request on the connection.
+func (b *Body) Release() {
+	if b.stop != nil {
+		b.stop()
+	}
+}
+
 // Close implements io.Closer.
 func (b *Body) Close() error { return b.body.Close() }
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -72,6 +72,8 @@
 	// ReasonInvalidResponse is the reason of a response that is not certainly the upstream's
 	// response to the request.
 	ReasonInvalidResponse Reason = "invalid-response"
+	// ReasonStopped is the reason of a request that was in flight when its process had to end.
+	ReasonStopped Reason = "stopped"
 )
 
 // Outcome is Done, NotRun or Unknown.
--- a/sidecar/app/manifest.go
+++ b/sidecar/app/manifest.go
@@ -8,6 +8,7 @@
 	"briarwell.dev/core/dispatch"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/retryafter"
+	"briarwell.dev/core/routes"
 	"briarwell.dev/core/table"
 	"briarwell.dev/platform/callerhttp"
 	"briarwell.dev/platform/manifest"
@@ -97,11 +98,17 @@
 	return at > 0 && a.clock.Now()-clock.Millis(at) <= unroutedMemory
 }
 
+// isDenied reports whether the manifest says that the request is at fault: it has no route, or a key
+// that is none.
+func isDenied(result dispatch.Result) bool {
+	return !result.RouteFound || outcome.ReasonOf(result.Outcome) == outcome.ReasonInvalidKey
+}
+
 // withUnknownRoute returns the result of a request, with a refusal in place of a missing route or
 // an invalid key if a newer manifest may have the route, or send its requests to a service without
 // keys.
 func (a *App) withUnknownRoute(request *dispatch.Request, result dispatch.Result) dispatch.Result {
-	if result.RouteFound && outcome.ReasonOf(result.Outcome) != outcome.ReasonInvalidKey {
+	if !isDenied(result) {
 		return result
 	}
 	a.unroutedAt.Store(int64(a.clock.Now()))
@@ -114,10 +121,11 @@
 }
 
 // withLaggingLimits returns the error of a request that was not read, with a refusal in place of a
-// rejection by the limits of the manifest if a newer one may allow more.
-func (a *App) withLaggingLimits(request *dispatch.Request, err error) error {
+// rejection by the limits of the applied manifest if a newer one may allow more.
+func (a *App) withLaggingLimits(request *dispatch.Request, applied *routes.Manifest, err error) error {
 	var rejected *callerhttp.Error
-	if !errors.As(err, &rejected) || !rejected.ByLimits() || a.manifestIsCurrent() {
+	// A newer manifest may have come into force while the body was read.
+	if !errors.As(err, &rejected) || !rejected.ByLimits() || a.manifestIsCurrent() && a.manifest.Load() == applied {
 		return err
 	}
 	return rejected.RefusedForLag(retryafter.Spread(request.Deadline-a.clock.Now(), request.ID))
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -122,7 +122,7 @@
 func (a *App) serveCaller(w http.ResponseWriter, r *http.Request) {
 	a.inFlight.Add(1)
 	defer a.inFlight.Add(-1)
-	if a.stopping.Load() {
+	if a.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
 	manifest := a.manifest.Load()
@@ -131,7 +131,13 @@
 	request, err := callerhttp.DecodeRequest(r, a.clock.Now(), a.settings.Service())
 	if err == nil {
 		request.Memory = account
-		err = a.withLaggingLimits(request, a.readCallerBody(w, r, request, manifest.Limits()))
+		err = a.withLaggingLimits(request, manifest, a.readCallerBody(w, r, request, manifest.Limits()))
+	}
+	if err != nil && request != nil && a.requests.Err() != nil {
+		w.Header().Set("Connection", "close")
+		result := dispatch.Result{Reply: a.explainGivenUp(dispatch.NotRun(outcome.ReasonDraining)), RouteFound: true, ManifestVersion: manifest.Version()}
+		a.recordCallerRequest(r.Context(), request, result, callerhttp.WriteResult(w, request.ID, result))
+		return
 	}
 	if err != nil {
 		a.recordRejected(r, manifest, callerhttp.WriteError(w, callerhttp.RequestID(r), err), err)
@@ -140,7 +146,7 @@
 	if httpserver.SenderDisconnected(r.Context()) {
 		a.logAbandoned(request)
 		// A sender that has closed only its sending side still reads the response.
-		abandoned := dispatch.Result{Reply: dispatch.NotRun(outcome.ReasonDeadlineExceeded), RouteFound: true, ManifestVersion: manifest.Version()}
+		abandoned := dispatch.Result{Reply: a.explainGivenUp(dispatch.NotRun(outcome.ReasonDeadlineExceeded)), RouteFound: true, ManifestVersion: manifest.Version()}
 		a.telemetry.countOwnStatus(callerhttp.WriteResult(w, request.ID, abandoned))
 		return
 	}
@@ -156,35 +162,31 @@
 	if err := callerhttp.CheckHeader(r, limits); err != nil {
 		return err
 	}
-	r.Body = httpserver.NewBody(w, r, request.Deadline-a.clock.Now())
+	body := httpserver.NewBody(w, r, request.Deadline-a.clock.Now())
+	defer body.Release()
+	r.Body = body
 	return callerhttp.ReadBody(r, request, limits, a.memory.MaxBody())
 }
 
 // handleCaller routes a caller's request. It refuses the request while the sidecar stops,
 // and returns a result without a route before the first manifest.
 func (a *App) handleCaller(ctx context.Context, manifest *routes.Manifest, request *dispatch.Request) dispatch.Result {
-	if a.refusingCallers.Load() {
-		reply := dispatch.NotRun(outcome.ReasonDraining).WithRetryAfter(restartRetryAfter)
-		return dispatch.Result{Reply: reply, RouteFound: true, ManifestVersion: manifest.Version()}
-	}
 	if manifest.Version() == 0 {
 		return dispatch.Result{Reply: dispatch.Reply{RetryAfter: retryafter.Spread(request.Deadline-a.clock.Now(), request.ID)}}
 	}
 	for {
-		result := a.withUnknownRoute(request, a.dispatcher.Handle(ctx, manifest, request))
+		result := a.dispatcher.Handle(ctx, manifest, request)
+		result.Reply = a.explainGivenUp(result.Reply)
+		result = a.withUnknownRoute(request, result)
 		// A newer manifest may have come into force while the body was read.
 		newest := a.manifest.Load()
-		if result.RouteFound || newest == manifest {
+		if !isDenied(result) || newest == manifest {
 			return result
 		}
 		manifest = newest
 	}
 }
 
-// restartRetryAfter is the time in milliseconds after which a refused caller may retry:
-// in it a sidecar ends and is started again.
-const restartRetryAfter clock.Millis = 800
-
 // servePeerRequest handles a request that another sidecar forwarded.
 func (a *App) servePeerRequest(w http.ResponseWriter, r *http.Request) {
 	a.inFlight.Add(1)
@@ -210,7 +212,7 @@
 		peerhttp.WriteReply(w, request.ID, dispatch.NotRun(outcome.ReasonDeadlineExceeded), a.clock)
 		return
 	}
-	reply := a.executor.Serve(r.Context(), service, request, policy)
+	reply := a.explainGivenUp(a.executor.Serve(r.Context(), service, request, policy))
 	a.logNotServed(request, service, reply)
 	peerhttp.WriteReply(w, request.ID, reply, a.clock)
 }
@@ -230,7 +232,9 @@
 			return refusal, false
 		}
 	}
-	r.Body = httpserver.NewBody(w, r, request.Deadline-a.clock.Now())
+	received := httpserver.NewBody(w, r, request.Deadline-a.clock.Now())
+	defer received.Release()
+	r.Body = received
 	err := peerhttp.ReadBody(r, request, schedule, a.clock)
 	if err == nil {
 		return dispatch.Reply{}, true
@@ -292,7 +296,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if a.stopping.Load() || a.manifest.Load().Version() == 0 || !a.state.hasMembers() {
+	if a.isStopping() || a.manifest.Load().Version() == 0 || !a.state.hasMembers() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
