sidecar: listen address for control messages behind a proxy

The soak can't put a proxy between sidecars, as each listens on the address that it tells the others. The optional setting peerListenAddress separates the two; without it nothing changes.

--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -194,7 +194,7 @@
 		handler       http.Handler
 		readTimeout   time.Duration
 	}{
-		{"peers", a.settings.PeerAddress(), a.controlHandler(), controlReadTimeout},
+		{"peers", a.settings.PeerListenAddress(), a.controlHandler(), controlReadTimeout},
 		{"requests", a.settings.RequestAddress(), http.HandlerFunc(a.servePeerRequest), 0},
 		{"reports", a.settings.ReportAddress(), http.HandlerFunc(a.serveReport), controlReadTimeout},
 		{"callers", a.settings.CallerAddress(), http.HandlerFunc(a.serveCaller), 0},
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -23,6 +24,7 @@
 	readyAddress    string
 	reportAddress   string
 	peerPort        int64
+	peerListen      string
 	metricsPort     int64
 	storeAddress    string
 	holdMax         clock.Millis
@@ -69,6 +71,7 @@
 		readyAddress:    object.Required("readyAddress").Text(settings.IPPort()),
 		reportAddress:   object.Required("reportAddress").Text(settings.IPPort()),
 		peerPort:        object.Required("peerPort").Int(settings.NewIntRange(1, maxPort, "")),
+		peerListen:      object.Optional("peerListenAddress").TextOr("", settings.IPPort()),
 		metricsPort:     object.Required("metricsPort").Int(settings.NewIntRange(1, maxPort, "")),
 		storeAddress:    object.Required("storeAddress").Text(settings.HostPort()),
 		holdMax:         requiredDuration(object, "holdMax"),
@@ -175,9 +178,13 @@
 // ReportAddress returns the listen address for the upstream's reports.
 func (s Sidecar) ReportAddress() string { return s.reportAddress }
 
-// PeerAddress returns the listen address for control messages of other sidecars.
+// PeerAddress returns the address to which other sidecars send control messages.
 func (s Sidecar) PeerAddress() string { return fmt.Sprintf("%s:%d", s.ip, s.peerPort) }
 
+// PeerListenAddress returns the listen address for control messages. It differs from PeerAddress
+// behind a proxy.
+func (s Sidecar) PeerListenAddress() string { return cmp.Or(s.peerListen, s.PeerAddress()) }
+
 // MetricsAddress returns the listen address for requests for metrics.
 func (s Sidecar) MetricsAddress() string { return fmt.Sprintf("%s:%d", s.ip, s.metricsPort) }
 
--- a/sidecar/settings/settings_test.go
+++ b/sidecar/settings/settings_test.go
@@ -23,12 +23,23 @@
 	s, err := settings.Parse([]byte(validSettings))
 	is.NoErr(err)
 	is.Equal(s.PeerAddress(), "10.0.0.1:7600")
+	is.Equal(s.PeerListenAddress(), "10.0.0.1:7600")
 	is.Equal(s.Grace(), clock.Millis(6000))
 	is.Equal(s.RetryShare(), 0.2)
 	is.Equal(s.RetrySlack(), 56.0)
 	is.Equal(s.MemoryMB(), 184.0)
 }
 
+// TestParsePeerListenAddress guards against a sidecar behind a proxy that tells others the address
+// on which it listens.
+func TestParsePeerListenAddress(t *testing.T) {
+	is := is.New(t)
+	s, err := settings.Parse([]byte(strings.Replace(validSettings, `"peerPort"`, `"peerListenAddress":"10.0.0.2:7601","peerPort"`, 1)))
+	is.NoErr(err)
+	is.Equal(s.PeerAddress(), "10.0.0.1:7600")
+	is.Equal(s.PeerListenAddress(), "10.0.0.2:7601")
+}
+
 // TestParseNumbers guards against numbers that the platform renders as fractions or with
 // an exponent and that stop a sidecar from starting.
 func TestParseNumbers(t *testing.T) {
