sidecar: failing test of a 404 for a request whose body arrives while the manifest changes

Callers see 404 for a route whose manifest was acknowledged over 2.5 s before the request.

Cause: serveCaller takes the manifest in use before it reads the body. While the body arrives, a newer manifest comes into force; the request is compared with the old one, and the sidecar is then found to have the newest, so that it answers 404 instead of 503.

--- a/sidecar/app/manifestage_test.go
+++ b/sidecar/app/manifestage_test.go
@@ -1,6 +1,7 @@
 package app_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -105,3 +106,38 @@
 	c.store.WriteLargeManifest(5, 40_000, "/new/")
 	c.eventually("use of the large manifest by every sidecar", c.allServe("/new/"))
 }
+
+// TestNewRouteDeniedDuringUpload guards against 404 for a request that was compared with the manifest
+// in use when its head arrived, after a newer one has come into force while its body arrived.
+func TestNewRouteDeniedDuringUpload(t *testing.T) {
+	c := newServingCluster(t, 157)
+	c.store.SetFaults(platformtest.StoreFaults{Status: http.StatusServiceUnavailable})
+	c.store.WriteManifest(5, "/new/")
+	time.Sleep(manifestWithin)
+	in := c.instances[0]
+	body, writer := io.Pipe()
+	r, err := platformtest.CallerRequest{ID: "upload", Method: http.MethodGet, Address: in.ip + ":9001", Host: "h", Path: "/new/upload", Timeout: 8 * time.Second}.HTTPRequest(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Body, r.ContentLength = body, -1
+	statuses := make(chan int, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			statuses <- 0
+			return
+		}
+		_ = response.Body.Close()
+		statuses <- response.StatusCode
+	}()
+	// A shorter part would wait in the client together with the head.
+	_, _ = writer.Write(make([]byte, 16<<10))
+	time.Sleep(100 * time.Millisecond)
+	c.store.SetFaults(platformtest.StoreFaults{})
+	c.eventually("use of the new manifest by every sidecar", c.allServe("/new/"))
+	_ = writer.Close()
+	if status := <-statuses; status == http.StatusNotFound || status == 0 {
+		t.Fatalf("a request for a route of the manifest in force got %d", status)
+	}
+}
