soak: manifests of thousands of routes, slow links, and checks of their routes

The incident's conditions did not occur in the soak: its manifests had four routes, links had no rate, and a 404 was accepted for each request of the route that the manifest lacked at times.

A second series of faults runs beside the existing one, whose plans stay the same: manifests grow by 100 to 4,000 routes at once or in steps, lose routes, and grow while the store refuses instances, right before restarts, while all sidecars are without power, and on links of 100 to 600 kB/s. A link is shared by the connections of an instance to the store and to other sidecars, except forwarded requests, which still go past the proxies.

Checks, within the 2.5 s of the settings: no 404 for a route that each manifest in force has, at any sidecar; each manifest is in force at each sidecar that runs undisturbed and reaches the store or a sidecar of its region that does; there a route that no manifest has gets 404, and is not served. They replace the exception for 404 on keyedRestrictedRoute: its times are now recorded like those of other routes. Responses with 408 count as refusals, since some bodies now pause. After the faults, a last manifest is checked at every sidecar, and one that gives no response to check is a finding.

TestPlanRepeatsForSeed asks for the new kinds too.

--- a/demo/soak/callers.go
+++ b/demo/soak/callers.go
@@ -22,21 +22,49 @@
 	callerTimeout = 1500 * time.Millisecond
 	// bodyRepetitions makes request bodies of several KB.
 	bodyRepetitions = 200
+	// One in slowBodyShare requests has a body that pauses for up to maxBodyPause.
+	slowBodyShare = 10
+	maxBodyPause  = time.Second
 )
 
+// slowBody is a body that pauses after its first part.
+type slowBody struct {
+	io.Reader
+	pause time.Duration
+	began bool
+}
+
+func (b *slowBody) Read(part []byte) (int, error) {
+	if !b.began {
+		b.began = true
+		return b.Reader.Read(part[:min(len(part), bodyRepetitions)])
+	}
+	time.Sleep(b.pause)
+	b.pause = 0
+	return b.Reader.Read(part)
+}
+
+// Close does nothing.
+func (b *slowBody) Close() error { return nil }
+
 var requestCount atomic.Int64 //nolint:gochecknoglobals // Request IDs must be unique across the runs of a process.
 
 // requestBody returns the body of the request with the given ID.
 func requestBody(id string) string { return strings.Repeat(id+".", bodyRepetitions) }
 
+// randomRoute returns one of the routes that the first manifests have.
+func randomRoute() string {
+	return [...]string{"browse", "browse", "browse", "book", "book", restrictedRoute, keyedRestrictedRoute}[rand.IntN(7)] //nolint:gosec // Routes need no secure randomness.
+}
+
 // runCaller sends requests to an instance until ctx ends, over persistent connections. The
-// ID of a request begins with the name of its route. Most requests to the keyed service are
-// idempotent (GET), those to the other one are not (POST).
-func (r *Runner) runCaller(ctx context.Context, in *instance) {
+// ID of a request begins with the name of its route, which nextRoute returns. Most requests to the
+// keyed service are idempotent (GET), those to the other one are not (POST).
+func (r *Runner) runCaller(ctx context.Context, in *instance, nextRoute func() string) {
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		route := [...]string{"browse", "browse", "browse", "book", "book", restrictedRoute, keyedRestrictedRoute}[rand.IntN(7)] //nolint:gosec // Routes need no secure randomness.
+		route := nextRoute()
 		id := fmt.Sprintf("%s-%s-%d", route, in.name, requestCount.Add(1))
 		c := platformtest.CallerRequest{ID: id, Address: in.ip + ":9001", Host: "h", Key: rand.IntN(keyCount), Timeout: callerTimeout, Body: requestBody(id)} //nolint:gosec // Keys need no secure randomness.
 		c.Method, c.Path = http.MethodGet, "/"+route+"/"+id
@@ -44,7 +72,7 @@
 			c.Method = http.MethodPost
 			r.checker.recordNonIdempotent(id)
 		}
-		r.sendRequest(ctx, client, c)
+		r.sendRequest(ctx, client, in, c)
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(rand.ExpFloat64() * float64(meanCallerPause))): //nolint:gosec // Pauses need no secure randomness.
@@ -53,7 +81,7 @@
 }
 
 // sendRequest sends a request, and checks and records its response.
-func (r *Runner) sendRequest(ctx context.Context, client *http.Client, c platformtest.CallerRequest) {
+func (r *Runner) sendRequest(ctx context.Context, client *http.Client, in *instance, c platformtest.CallerRequest) {
 	// The caller gives up somewhat later than the timeout that it sends.
 	requestCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callerTimeout+callerTimeout/2)
 	defer cancel()
@@ -62,6 +90,10 @@
 		r.checker.addFinding("request %s could not be created: %v", c.ID, err)
 		return
 	}
+	if rand.IntN(slowBodyShare) == 0 { //nolint:gosec // Pauses need no secure randomness.
+		request.Body = &slowBody{Reader: request.Body, pause: time.Duration(rand.Int64N(int64(maxBodyPause)))} //nolint:gosec // Pauses need no secure randomness.
+	}
+	sentAt := time.Now()
 	response, err := client.Do(request)
 	if err != nil {
 		r.checker.recordResponse(false) // The sidecar is down, or it did not respond in time.
@@ -69,10 +101,14 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
+	if err == nil {
+		r.checkRoute(in, callerResponse{id: c.ID, sentAt: sentAt, doneAt: time.Now(), status: response.StatusCode, body: string(body)})
+	}
 	switch {
 	case err != nil:
 		r.checker.recordResponse(false)
-	case response.StatusCode == http.StatusNotFound && routeOf(c.ID) == keyedRestrictedRoute, // The manifest lacks it at times.
+	case response.StatusCode == http.StatusNotFound, // checkRoute checks it.
+		response.StatusCode == http.StatusRequestTimeout, // Slow bodies may arrive too late.
 		response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests:
 		r.checker.recordRefusal(c.ID, response.StatusCode)
 	case response.StatusCode == http.StatusOK:
--- a/demo/soak/instance.go
+++ b/demo/soak/instance.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -43,6 +44,8 @@
 	storeProxy     *Proxy
 	heartbeatProxy *Proxy
 	upstreamProxy  *Proxy
+	peerProxy      *Proxy
+	link           *Link
 
 	// mu protects the fields below.
 	mu             sync.Mutex
@@ -57,6 +60,9 @@
 	// slowed has the faults that delay what the sidecar does, cutOff those that keep it from
 	// the store, and lateArrivals those that delay the arrival of requests at the upstream.
 	slowed, cutOff, lateArrivals disturbance
+	// halted has the faults in which the sidecar did not run, squeezed those that limit its link
+	// below the nominal rate, and feedLost those in which the store has no feed.
+	halted, squeezed, feedLost disturbance
 	// informedOf is the acknowledgement time of the latest evacuation that the sidecar knows.
 	informedOf time.Time
 	// arrivals has the times of the requests in the last second while the upstream is cold.
@@ -81,13 +87,15 @@
 
 // settingsFormat is the format of the settings file of a sidecar.
 const settingsFormat = `{"instance":%q,"region":%q,"failureDomain":%q,"ip":%q,"service":%q,"upstreamAddress":"%[4]s:9010",
-"callerAddress":"%[4]s:9001","requestAddress":"%[4]s:9002","readyAddress":"%[4]s:9003","reportAddress":"%[4]s:9004","peerPort":9005,
-"metricsPort":9006,"storeAddress":"%[4]s:9011","outOfUseWithin":"5s","coldOvershoot":1.5,"coldSlack":8,"holdMax":"10000ms","drain":"2500ms","grace":"6s","retryShare":0.2,"retrySlack":56,
+"callerAddress":"%[4]s:9001","requestAddress":"%[4]s:9002","readyAddress":"%[4]s:9003","reportAddress":"%[4]s:9004","peerPort":9005,"peerListenAddress":"%[4]s:9007",
+"metricsPort":9006,"storeAddress":"%[4]s:9011","outOfUseWithin":"5s","manifestWithin":"2500ms","coldOvershoot":1.5,"coldSlack":8,"holdMax":"10000ms","drain":"2500ms","grace":"6s","retryShare":0.2,"retrySlack":56,
 "retryWindow":"10s","linkMbps":0}`
 
 // newInstance starts the proxies, the upstream and the sidecar of an instance.
 func (r *Runner) newInstance(index int, service, storeAddress string) (*instance, error) {
-	in := &instance{runner: r, index: index, service: service, name: fmt.Sprintf("i%02d", index), ip: fmt.Sprintf("127.%d.0.%d", r.networkNumber(), index+1)}
+	in := &instance{runner: r, index: index, service: service, name: fmt.Sprintf("i%02d", index), ip: fmt.Sprintf("127.%d.0.%d", r.networkNumber(), index+1), link: &Link{}}
+	in.link.SetRate(r.nominalRate())
+	r.links.Store(in.ip, in.link)
 	in.region, in.domain = fmt.Sprintf("r%d", index%3), fmt.Sprintf("r%dd%d", index%3, index/6%2)
 	text := fmt.Sprintf(settingsFormat, in.name, in.region, in.domain, in.ip, service)
 	if err := os.WriteFile(r.processes.FilePath(in.name+".json"), []byte(text), 0o600); err != nil {
@@ -98,8 +106,14 @@
 		proxy  **Proxy
 		port   int
 		target string
-	}{{&in.upstreamProxy, 9010, in.ip + ":9000"}, {&in.storeProxy, 9011, storeAddress}, {&in.heartbeatProxy, 9012, in.ip + ":9004"}} {
-		if *p.proxy, err = NewProxy(fmt.Sprintf("%s:%d", in.ip, p.port), p.target); err != nil {
+		links  ProxyLinks
+	}{
+		{&in.upstreamProxy, 9010, in.ip + ":9000", ProxyLinks{}},
+		{&in.storeProxy, 9011, storeAddress, ProxyLinks{LocalIP: in.ip, OfClient: r.linkOf}},
+		{&in.heartbeatProxy, 9012, in.ip + ":9004", ProxyLinks{}},
+		{&in.peerProxy, 9005, in.ip + ":9007", ProxyLinks{OfClient: r.linkOf, OfTarget: in.link}},
+	} {
+		if *p.proxy, err = NewLinkedProxy(fmt.Sprintf("%s:%d", in.ip, p.port), p.target, p.links); err != nil {
 			return nil, err
 		}
 	}
@@ -118,7 +132,7 @@
 	}
 	in.sidecarStarts++
 	sidecar, err := in.runner.processes.Start(fmt.Sprintf("%s-%d", in.name, in.sidecarStarts), in.runner.options.Program, "--settings", in.runner.processes.FilePath(in.name+".json"))
-	in.sidecar, in.slowed.endedAt, in.cutOff.endedAt = sidecar, time.Now(), time.Now()
+	in.sidecar, in.slowed.endedAt, in.cutOff.endedAt, in.halted.endedAt = sidecar, time.Now(), time.Now(), time.Now()
 	return err
 }
 
@@ -208,7 +222,7 @@
 
 // pauseSidecar suspends the sidecar for a time.
 func (in *instance) pauseSidecar(length time.Duration) error {
-	defer in.recordDisturbance(&in.slowed, &in.cutOff)()
+	defer in.recordDisturbance(&in.slowed, &in.cutOff, &in.halted)()
 	err := in.signalSidecar(syscall.SIGSTOP)
 	time.Sleep(length)
 	return errors.Join(err, in.signalSidecar(syscall.SIGCONT))
@@ -229,6 +243,42 @@
 	proxy.SetMode(Pass)
 }
 
+// restartSidecar stops the sidecar, gracefully or with SIGKILL, and starts it after a time of at most
+// a second.
+func (in *instance) restartSidecar(graceful bool, pause time.Duration) error {
+	defer in.recordDisturbance(&in.cutOff, &in.halted)()
+	// A paused sidecar handles SIGTERM only after it is resumed.
+	err := in.stopSidecar(graceful)
+	time.Sleep(min(pause, time.Second))
+	return errors.Join(err, in.startSidecar())
+}
+
+// inTouchSince reports whether the sidecar has been in touch since contactTime before a time: with
+// the store, or with a sidecar of its region that was.
+func (in *instance) inTouchSince(t time.Time) bool {
+	running, reading := in.contactSince(t)
+	if !running || reading {
+		return running
+	}
+	return slices.ContainsFunc(in.runner.instances, func(other *instance) bool {
+		if other == in || other.region != in.region {
+			return false
+		}
+		_, reading := other.contactSince(t)
+		return reading
+	})
+}
+
+// contactSince reports whether the sidecar has run undisturbed since contactTime before a time, and
+// whether it has also reached the store.
+func (in *instance) contactSince(t time.Time) (running, reading bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	required := time.Since(t) + contactTime
+	running = in.sidecar.Running() && min(in.halted.since(), in.squeezed.since()) > required
+	return running, running && min(in.cutOff.since(), in.feedLost.since()) > required
+}
+
 // hangUpSidecar sends SIGHUP to the sidecar again and again for a time.
 func (in *instance) hangUpSidecar(length time.Duration) error {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(hangupInterval) {
@@ -292,6 +342,9 @@
 		if regions := allowedRegions(routeOf(id)); regions != nil {
 			in.runner.checker.checkRegion(id, in.region, regions)
 		}
+		if routeOf(id) == unknownRoute {
+			in.runner.checker.addFinding("request %s arrived at %s although no manifest has its route", id, u.ID)
+		}
 	}
 
 	u.OnStart = func(id, key string) { in.runner.checkRequestStart(in, u, id, key) }
@@ -337,5 +390,5 @@
 // close stops the upstream and the proxies. The process set stops the sidecar.
 func (in *instance) close() error {
 	in.stopUpstream()
-	return errors.Join(in.upstreamProxy.Close(), in.storeProxy.Close(), in.heartbeatProxy.Close())
+	return errors.Join(in.upstreamProxy.Close(), in.storeProxy.Close(), in.heartbeatProxy.Close(), in.peerProxy.Close())
 }
--- a/demo/soak/placement.go
+++ b/demo/soak/placement.go
@@ -49,23 +49,9 @@
 	return route
 }
 
-// manifestFormat takes the version and the further route keyedRoute.
-const (
-	manifestFormat = `{"version":"%08x","routes":{
-	"browse":{"host":"h","prefix":"/browse/","kind":"idempotent","timeout":"2s","target_latency":"1s","priority":2,"service":"wardrobe","max_attempts":2},
-	"book":{"host":"h","prefix":"/book/","kind":"non_idempotent","timeout":"2s","target_latency":"1s","priority":1,"service":"ledger","max_attempts":2},
-	"local":{"host":"h","prefix":"/local/","kind":"non_idempotent","timeout":"2s","target_latency":"1s","priority":1,"service":"ledger","max_attempts":2,"allowed_regions":["r0"]}%s},
-	"services":{"wardrobe":{"max_connections":110,"sharded":true,"health_path":"/health","cold_start":"3s","cold_per_s":15},
-	"ledger":{"max_connections":110,"health_path":"/health","cold_start":"3s","cold_per_s":15}},"limits":{"max_body_bytes":1000000}}`
-	keyedRoute = `,"near":{"host":"h","prefix":"/near/","kind":"idempotent","timeout":"2s","target_latency":"1s","priority":2,"service":"wardrobe","max_attempts":2,"allowed_regions":["r0","r1"]}`
-)
-
-// placement has what the operator has written. It is safe for concurrent use.
+// placement has the evacuations that the operator has written. It is safe for concurrent use.
 type placement struct {
-	mu              sync.Mutex
-	manifestVersion int
-	// restricted is whether the manifest has keyedRestrictedRoute.
-	restricted bool
+	mu sync.Mutex
 	// busy has the failure domains that an evacuation is applied to, acknowledgedAt the times
 	// at which the store acknowledged those in force, and returned the domains returned to use.
 	busy           map[string]bool
@@ -73,21 +59,6 @@
 	returned       map[string]bool
 }
 
-// writeManifest writes the next manifest. With alternate, it has keyedRestrictedRoute if the
-// previous one had not.
-func (r *Runner) writeManifest(alternate bool) {
-	p := &r.placement
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.manifestVersion++
-	p.restricted = alternate && !p.restricted
-	further := ""
-	if p.restricted {
-		further = keyedRoute
-	}
-	r.store.Put("op", "config", fmt.Appendf(nil, manifestFormat, p.manifestVersion, further))
-}
-
 // evacuatedAt returns the time at which the store acknowledged that a failure domain is out of
 // use. It returns false if it is in use.
 func (r *Runner) evacuatedAt(domain string) (time.Time, bool) {
@@ -176,9 +147,14 @@
 
 // recordCutOff records a fault that cuts all sidecars off from the store.
 func (r *Runner) recordCutOff() func() {
+	return r.recordForAll(func(in *instance) []*disturbance { return []*disturbance{&in.cutOff} })
+}
+
+// recordForAll records a fault of some kinds for each instance.
+func (r *Runner) recordForAll(kinds func(in *instance) []*disturbance) func() {
 	ends := make([]func(), 0, len(r.instances))
 	for _, in := range r.instances {
-		ends = append(ends, in.recordDisturbance(&in.cutOff))
+		ends = append(ends, in.recordDisturbance(kinds(in)...))
 	}
 	return func() {
 		for _, end := range ends {
--- a/demo/soak/plan.go
+++ b/demo/soak/plan.go
@@ -60,11 +60,32 @@
 	faultKindCount
 )
 
+// The kinds of the series of manifests and slow links, which runs beside the other faults. A change
+// of their order changes the series of each seed.
+const (
+	// Grow adds routes to the manifest at once.
+	Grow FaultKind = faultKindCount + iota
+	// GrowInSteps adds routes in several manifests, one after another.
+	GrowInSteps
+	// Shrink removes routes.
+	Shrink
+	// GrowWhileRefused adds routes while the store refuses the calls of some instances.
+	GrowWhileRefused
+	// GrowBeforeRestart adds routes and restarts some sidecars at once, gracefully or with SIGKILL.
+	GrowBeforeRestart
+	// GrowInPowerLoss adds routes after all sidecars were killed, before they are restarted.
+	GrowInPowerLoss
+	// GrowOnSlowLinks adds routes while the links of some instances are slow.
+	GrowOnSlowLinks
+	seriesKindEnd
+)
+
 // String returns the name of the kind.
 func (k FaultKind) String() string {
 	return [...]string{
 		"pause", "kill", "restart", "reload", "crash", "storeLink", "upstreamLink", "reportLink", "outage", "lostAnswers", "history",
 		"manifest", "killAll", "leave", "hangups", "silence", "cold", "evacuate",
+		"grow", "growInSteps", "shrink", "growWhileRefused", "growBeforeRestart", "growInPowerLoss", "growOnSlowLinks",
 	}[k]
 }
 
@@ -77,13 +98,16 @@
 	// Instance is the index of the affected instance. Faults of the store and KillAll
 	// ignore it.
 	Instance int
-	// Mode is the proxy mode of link faults; other faults but Evacuate ignore it.
+	// Mode is the proxy mode of link faults. It selects the scope of Evacuate and of the series;
+	// other faults ignore it.
 	Mode Mode
+	// Routes is the number of routes that the series adds.
+	Routes int
 }
 
 // String returns the fault as key=value pairs for logs.
 func (f Fault) String() string {
-	return fmt.Sprintf("%s instance=%d mode=%s at=%s length=%s", f.Kind, f.Instance, f.Mode, f.Start.Round(time.Millisecond), f.Duration.Round(time.Millisecond))
+	return fmt.Sprintf("%s instance=%d mode=%s at=%s length=%s routes=%d", f.Kind, f.Instance, f.Mode, f.Start.Round(time.Millisecond), f.Duration.Round(time.Millisecond), f.Routes)
 }
 
 const (
@@ -96,6 +120,11 @@
 	minFaultDuration       = 200 * time.Millisecond
 	meanExtraFaultDuration = 2500 * time.Millisecond
 	maxFaultDuration       = 7 * time.Second
+	// meanSeriesInterval is meanFaultInterval for the series of manifests and slow links.
+	meanSeriesInterval = 1700 * time.Millisecond
+	// Manifests grow by minGrowth to maxGrowth routes.
+	minGrowth = 100
+	maxGrowth = 4000
 )
 
 // NewPlan returns the faults of a seed for a number of instances, ordered by start.
@@ -114,6 +143,25 @@
 		}
 		plan = append(plan, f)
 	}
+	plan = append(plan, newSeries(seed, instances, faultPhase)...)
 	slices.SortFunc(plan, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return plan
 }
+
+// newSeries returns the manifests and slow links of a seed.
+func newSeries(seed uint64, instances int, faultPhase time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 12)) //nolint:gosec // Equal seeds must give equal faults.
+	var series []Fault
+	for start := time.Duration(0); ; {
+		start += time.Duration(rng.ExpFloat64() * float64(meanSeriesInterval))
+		f := Fault{
+			Start: start, Kind: Grow + FaultKind(rng.IntN(int(seriesKindEnd-Grow))), Instance: rng.IntN(instances), Mode: Mode(1 + rng.IntN(int(modeCount)-1)),
+			Duration: min(minFaultDuration+time.Duration(rng.ExpFloat64()*float64(meanExtraFaultDuration)), maxFaultDuration),
+			Routes:   minGrowth + rng.IntN(maxGrowth-minGrowth),
+		}
+		if start >= faultPhase {
+			return series
+		}
+		series = append(series, f)
+	}
+}
--- a/demo/soak/proxy.go
+++ b/demo/soak/proxy.go
@@ -48,6 +48,7 @@
 type Proxy struct {
 	listener net.Listener
 	target   string
+	links    ProxyLinks
 	mu       sync.Mutex
 	mode     Mode
 	// stallCount is the number of times that the mode was set to Stall. Connections
@@ -60,11 +61,16 @@
 // NewProxy returns a proxy that listens at an address and forwards to a target, in
 // the mode Pass.
 func NewProxy(address, target string) (*Proxy, error) {
+	return NewLinkedProxy(address, target, ProxyLinks{})
+}
+
+// NewLinkedProxy is NewProxy for connections that pass links.
+func NewLinkedProxy(address, target string, links ProxyLinks) (*Proxy, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, connections: make(map[net.Conn]bool)}
+	p := &Proxy{listener: l, target: target, links: links, connections: make(map[net.Conn]bool)}
 	go p.acceptConnections()
 	return p, nil
 }
@@ -122,7 +128,11 @@
 		resetConnection(client)
 		return
 	}
-	target, err := net.Dial("tcp", p.target)
+	dialer := net.Dialer{}
+	if p.links.LocalIP != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(p.links.LocalIP)}
+	}
+	target, err := dialer.Dial("tcp", p.target)
 	if err != nil {
 		resetConnection(client)
 		return
@@ -130,9 +140,23 @@
 	p.mu.Lock()
 	p.connections[client], p.connections[target] = true, true
 	p.mu.Unlock()
+	var clientLink *Link
+	if address, ok := client.RemoteAddr().(*net.TCPAddr); ok && p.links.OfClient != nil {
+		clientLink = p.links.OfClient(address.IP.String())
+	}
 	var directions sync.WaitGroup
-	directions.Go(func() { p.forward(target, client, stallCount, false) })
-	directions.Go(func() { p.forward(client, target, stallCount, true) })
+	directions.Go(func() {
+		p.forward(target, client, stallCount, false, func(n int) {
+			clientLink.carry(linkOut, n)
+			p.links.OfTarget.carry(linkIn, n)
+		})
+	})
+	directions.Go(func() {
+		p.forward(client, target, stallCount, true, func(n int) {
+			p.links.OfTarget.carry(linkOut, n)
+			clientLink.carry(linkIn, n)
+		})
+	})
 	directions.Wait()
 	p.mu.Lock()
 	delete(p.connections, client)
@@ -143,12 +167,14 @@
 }
 
 // forward copies one direction of a connection, subject to the mode. stallCount is
-// the proxy's count when the connection was opened, fromTarget the direction.
-func (p *Proxy) forward(to, from net.Conn, stallCount int, fromTarget bool) {
+// the proxy's count when the connection was opened, fromTarget the direction. carry waits until the
+// links have sent a number of bytes.
+func (p *Proxy) forward(to, from net.Conn, stallCount int, fromTarget bool, carry func(bytes int)) {
 	buffer := make([]byte, maxChunkBytes)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			carry(n)
 			p.waitForMode(stallCount, fromTarget)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
--- a/demo/soak/responsechecker.go
+++ b/demo/soak/responsechecker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 )
 
 // keyCount is the number of keys of a keyed service.
@@ -28,6 +29,14 @@
 	// restrictedCount is the number of requests of restricted routes at upstreams.
 	restrictedCount int
 	evacuationCount int
+	// routedCount and unroutedCount count the responses that were checked against manifests that had
+	// to be in force, with and without the route. laggingCount counts the requests that were refused
+	// as the manifest was not known to be the newest.
+	routedCount, unroutedCount, laggingCount int
+	// calmFrom is the time from which answersInCalm counts the responses of each instance that were
+	// checked: those to routes of the manifest, and to other ones.
+	calmFrom      time.Time
+	answersInCalm map[string][2]int
 }
 
 func newResponseChecker() *responseChecker {
--- a/demo/soak/runner.go
+++ b/demo/soak/runner.go
@@ -76,6 +76,16 @@
 	instances []*instance
 	checker   *responseChecker
 	placement placement
+	operator  operator
+	// links has the links by IP address.
+	links sync.Map
+}
+
+// linkOf returns the link of the instance with an IP address, nil if there is none.
+func (r *Runner) linkOf(ip string) *Link {
+	link, _ := r.links.Load(ip)
+	l, _ := link.(*Link)
+	return l
 }
 
 // networkNumber returns the second byte of the loopback addresses of the run.
@@ -95,7 +105,7 @@
 	if err != nil {
 		return err
 	}
-	storeServer := &http.Server{Handler: r.store, ReadHeaderTimeout: time.Second}
+	storeServer := &http.Server{Handler: r, ReadHeaderTimeout: time.Second}
 	go func() { _ = storeServer.Serve(l) }() // Returns when the run ends and closes the server.
 	defer func() {
 		err = errors.Join(err, storeServer.Close(), processes.Close())
@@ -138,8 +148,9 @@
 	var callers sync.WaitGroup
 	for _, in := range r.instances {
 		for range callersPerInstance {
-			callers.Go(func() { r.runCaller(callerCtx, in) })
+			callers.Go(func() { r.runCaller(callerCtx, in, randomRoute) })
 		}
+		callers.Go(func() { r.runCaller(callerCtx, in, r.probedRoute) })
 	}
 	r.injectFaults(ctx)
 	if err := r.waitUntilKeysHeld(ctx); err != nil {
@@ -147,12 +158,14 @@
 	}
 	r.writeManifest(false) // Upstreams of all regions may own keys again.
 	r.checkReturns(ctx)
+	r.checkCalm(ctx)
 	stopCallers()
 	callers.Wait()
 	r.checker.checkExecutions()
 	c := r.checker
-	_, _ = fmt.Fprintf(r.options.Out, "seed=%d served=%d refused=%d unknown=%d maxCold=%d evacuations=%d restricted=%d findings=%d\n",
-		r.options.Seed, c.servedCount, c.refusedCount, c.unknownCount, c.maxColdCount, c.evacuationCount, c.restrictedCount, len(c.findings))
+	_, _ = fmt.Fprintf(r.options.Out, "seed=%d served=%d refused=%d unknown=%d maxCold=%d evacuations=%d restricted=%d manifests=%d maxRoutes=%d checkedRouted=%d checkedUnrouted=%d lagging=%d findings=%d\n",
+		r.options.Seed, c.servedCount, c.refusedCount, c.unknownCount, c.maxColdCount, c.evacuationCount, c.restrictedCount,
+		r.operator.version, r.operator.maxCount, c.routedCount, c.unroutedCount, c.laggingCount, len(c.findings))
 	if len(c.findings) > 0 {
 		return &FindingsError{seed: r.options.Seed, findings: c.findings}
 	}
@@ -191,13 +204,9 @@
 	case Pause:
 		return in.pauseSidecar(f.Duration)
 	case Kill, Restart:
-		defer in.recordDisturbance(&in.cutOff)()
-		// A paused sidecar handles SIGTERM only after it is resumed.
-		err := in.stopSidecar(f.Kind == Restart)
-		time.Sleep(min(f.Duration, time.Second))
-		return errors.Join(err, in.startSidecar())
+		return in.restartSidecar(f.Kind == Restart, f.Duration)
 	case KillAll:
-		return r.killAll()
+		return r.killAll(func() {})
 	case Reload:
 		return in.signalSidecar(syscall.SIGHUP)
 	case Hangups:
@@ -217,6 +226,9 @@
 		if f.Kind == StoreOutage || f.Kind == StoreSilence {
 			defer r.recordCutOff()()
 		}
+		if f.Kind == HistoryLoss {
+			defer r.recordForAll(func(in *instance) []*disturbance { return []*disturbance{&in.feedLost} })()
+		}
 		r.store.SetFaults(newStoreFaults(f.Kind))
 		time.Sleep(f.Duration)
 		r.store.SetFaults(platformtest.StoreFaults{})
@@ -229,18 +241,19 @@
 	case Evacuate:
 		return r.evacuateDomains(f)
 	default:
-		return fmt.Errorf("unknown fault kind %d", f.Kind)
+		return r.applySeriesFault(f)
 	}
 	return nil
 }
 
-// killAll kills all sidecars and restarts them.
-func (r *Runner) killAll() error {
-	defer r.recordCutOff()()
+// killAll kills all sidecars, calls between and restarts them.
+func (r *Runner) killAll(between func()) error {
+	defer r.recordForAll(func(in *instance) []*disturbance { return []*disturbance{&in.cutOff, &in.halted} })()
 	var err error
 	for _, in := range r.instances {
 		err = errors.Join(err, in.stopSidecar(false))
 	}
+	between()
 	for _, in := range r.instances {
 		err = errors.Join(err, in.startSidecar())
 	}
--- a/demo/soak/soak_test.go
+++ b/demo/soak/soak_test.go
@@ -24,7 +24,7 @@
 		kinds[fault.Kind.String()] = true
 		is.True(fault.Instance < 6 && fault.Duration <= 7*time.Second)
 	}
-	is.Equal(len(kinds), 18)
+	is.Equal(len(kinds), 25)
 }
 
 // TestProxyModes guards against a proxy that forwards bytes that its mode holds back.
@@ -74,9 +74,47 @@
 	is.True(exchange(other, time.Second) != nil)
 }
 
-// TestRun guards against violations of the sidecar's guarantees under the faults of one
-// seed for a short time: one whose faults include evacuations, cold upstreams and changes of
-// the restricted routes.
+// TestLinkRate guards against a link whose connections together exceed its rate.
+func TestLinkRate(t *testing.T) {
+	is := is.New(t)
+	sink, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer sink.Close()
+	received := make(chan struct{}, 2)
+	go func() {
+		for {
+			conn, err := sink.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.CopyN(io.Discard, conn, 50_000)
+				received <- struct{}{}
+			}()
+		}
+	}()
+	link := &soak.Link{}
+	link.SetRate(200_000)
+	proxy, err := soak.NewLinkedProxy("127.0.0.1:39872", sink.Addr().String(), soak.ProxyLinks{OfClient: func(string) *soak.Link { return link }})
+	is.NoErr(err)
+	defer proxy.Close()
+	start := time.Now()
+	for range 2 {
+		conn, err := net.Dial("tcp", "127.0.0.1:39872")
+		is.NoErr(err)
+		defer conn.Close()
+		_, err = conn.Write(make([]byte, 50_000))
+		is.NoErr(err)
+	}
+	<-received
+	<-received
+	is.True(time.Since(start) >= 500*time.Millisecond)
+	is.True(time.Since(start) < 5*time.Second)
+}
+
+// TestRun guards against violations of the sidecar's guarantees under the faults of two seeds
+// for a short time: one whose faults include evacuations, cold upstreams and changes of the
+// restricted routes, and one with slow links and manifests that grow in power losses.
 func TestRun(t *testing.T) {
 	is := is.New(t)
 	sidecar := filepath.Join(t.TempDir(), "sidecar")
@@ -86,8 +124,10 @@
 	if err != nil {
 		t.Fatalf("build: %v\n%s", err, output)
 	}
-	err = soak.Run(context.Background(), soak.Options{
-		Program: sidecar, Folder: filepath.Join(t.TempDir(), "run"), Seed: 57, Instances: 6, FaultPhase: 8 * time.Second, Out: t.Output(),
-	})
-	is.NoErr(err)
+	for _, seed := range []uint64{57, 157} {
+		err = soak.Run(context.Background(), soak.Options{
+			Program: sidecar, Folder: filepath.Join(t.TempDir(), "run"), Seed: seed, Instances: 6, FaultPhase: 8 * time.Second, Out: t.Output(),
+		})
+		is.NoErr(err)
+	}
 }
