--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -206,7 +206,7 @@
 		handler       http.Handler
 		newServer     func(http.Handler) *http.Server
 	}{
-		{"peers", a.settings.PeerAddress(), a.controlHandler(), newControlServer},
+		{"peers", a.settings.PeerListenAddress(), a.controlHandler(), newControlServer},
 		{"requests", a.settings.RequestAddress(), http.HandlerFunc(a.servePeerRequest), newPeerServer},
 		{"reports", a.settings.ReportAddress(), http.HandlerFunc(a.serveReport), newControlServer},
 		{callersListener, a.settings.CallerAddress(), http.HandlerFunc(a.serveCaller), newCallerServer},
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -21,7 +21,7 @@
 	// requests have no route. Between two answers it is not known whether the manifest is the newest.
 	operatorPollWait clock.Millis = 1000
 	// recheckWait replaces longPollWait for the first call after a failed one, as the store may
-	// still be silent.
+	// still be silent, and operatorPollWait after a change.
 	recheckWait clock.Millis = 300
 	// minStoreBackoff is the shortest pause after a call that the store refused; a random
 	// time of up to the same length is added. During an outage, retry.Outage decides.
@@ -47,7 +47,7 @@
 // keeps them up to date until ctx ends.
 func (a *App) watchLoop(ctx context.Context, feed store.Feed) {
 	var after table.Revision
-	loaded, reachable := false, true
+	loaded, reachable, changedLast := false, true, false
 	var outage storeOutage
 	for ctx.Err() == nil {
 		if loaded && !a.watching[feed].Load() {
@@ -61,7 +61,7 @@
 		asOf, newest := a.clock.Now(), a.newestRevision.Load()
 		if loaded {
 			var changes store.Changes
-			changes, asOf, err = a.watchRows(ctx, feed, after, a.pollWait(feed, reachable))
+			changes, asOf, err = a.watchRows(ctx, feed, after, a.pollWait(feed, reachable, changedLast))
 			rows, revision = changes.Rows(), changes.Revision()
 		} else {
 			rows, revision, err = a.store.ReadRows(ctx, feed)
@@ -86,6 +86,7 @@
 			continue
 		}
 		outage.recordSuccess()
+		changedLast = len(rows) > 0
 		if changed := a.applyFeed(feed, rows, revision, !loaded); loaded && len(changed) > 0 {
 			a.relayRows(ctx, changed, true)
 		}
@@ -127,12 +128,14 @@
 	}
 }
 
-// pollWait returns the time in milliseconds for which a call waits for changes of a feed.
-func (a *App) pollWait(feed store.Feed, reachable bool) clock.Millis {
+// pollWait returns the time in milliseconds for which a call waits for changes of a feed. changedLast
+// is true if the call before ended with a change: its answer only shows the state at its begin.
+func (a *App) pollWait(feed store.Feed, reachable, changedLast bool) clock.Millis {
+	unrouted := feed == store.OperatorRows && a.watching[store.RouterRows].Load() && a.unroutedRecently()
 	switch {
-	case !reachable:
+	case !reachable || unrouted && changedLast:
 		return recheckWait
-	case feed == store.OperatorRows && a.watching[store.RouterRows].Load() && a.unroutedRecently():
+	case unrouted: // the first watcher
 		return operatorPollWait
 	default:
 		return longPollWait
