sidecar: a request without a route asks which manifest is the newest

Cause: polls the store more often only after such a request, so that the knowledge of the manifest was up to 4 s old until then; polls of 1 s for all broke TestStoreCallsOfRestarts.

Change: no poll is shorter than before. Without an answer it is 503 as before.

--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -74,10 +74,8 @@
 	// manifestDecoder decodes the manifest row. applyMu protects it.
 	manifestDecoder manifest.Decoder
 
-	// unroutedAt is the time of the latest request without a route here, peerUnroutedAt that of the
-	// latest message of a sidecar that had one, in milliseconds; 0 for none.
-	unroutedAt     atomic.Int64
-	peerUnroutedAt atomic.Int64
+	// confirmation is the search for the newest manifest that is in progress, if any.
+	confirmation confirmation
 	// newestRevision is the newest revision of the store that an answer for a feed had.
 	newestRevision atomic.Uint64
 
--- a/sidecar/app/manifest.go
+++ b/sidecar/app/manifest.go
@@ -84,20 +84,6 @@
 	return s.manifest.IsCurrent(a.clock.Now(), a.settings.ManifestWithin())
 }
 
-// unroutedMemory is the time in milliseconds for which a request without a route makes the region's
-// first watcher ask more often for a newer manifest.
-const unroutedMemory clock.Millis = 10_000
-
-// unroutedRecently reports whether this sidecar or one that gets its rows from it has had a request
-// without a route recently.
-func (a *App) unroutedRecently() bool {
-	return a.isRecent(a.unroutedAt.Load()) || a.isRecent(a.peerUnroutedAt.Load())
-}
-
-func (a *App) isRecent(at int64) bool {
-	return at > 0 && a.clock.Now()-clock.Millis(at) <= unroutedMemory
-}
-
 // isDenied reports whether the manifest says that the request is at fault: it has no route, or a key
 // that is none.
 func isDenied(result dispatch.Result) bool {
@@ -111,7 +97,9 @@
 	if !isDenied(result) {
 		return result
 	}
-	a.unroutedAt.Store(int64(a.clock.Now()))
+	if !a.manifestIsCurrent() {
+		a.confirmManifest()
+	}
 	if a.manifestIsCurrent() {
 		return result
 	}
--- a/sidecar/app/rowcodec.go
+++ b/sidecar/app/rowcodec.go
@@ -33,9 +33,8 @@
 	// Fetches reports whether the sender fetches large rows that are offered to it. One that
 	// does not gets them whole.
 	Fetches bool `json:"fetches,omitempty"`
-	// Unrouted reports whether the sender has had requests without a route recently: it needs to
-	// know whether its manifest is the newest.
-	Unrouted bool `json:"unrouted,omitempty"`
+	// Confirm asks a watcher to find out at the store which manifest is the newest.
+	Confirm bool `json:"confirm,omitempty"`
 }
 
 type syncResponse struct {
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -80,10 +80,16 @@
 // syncWith exchanges newer rows with another sidecar and reports whether that sidecar
 // watches the store.
 func (a *App) syncWith(ctx context.Context, member fleet.Member) bool {
+	return a.syncConfirming(ctx, member, false)
+}
+
+// syncConfirming is syncWith. With confirm, the other sidecar is to find out which manifest is the
+// newest.
+func (a *App) syncConfirming(ctx context.Context, member fleet.Member, confirm bool) bool {
 	address := member.Instance.PeerAddress()
 	request := syncRequest{
 		Checksum: a.rows.Checksum(), Newest: a.rows.Newest(), Assignments: a.assignmentVersions(), Fetches: true,
-		Unrouted: a.isRecent(a.unroutedAt.Load()),
+		Confirm: confirm,
 	}
 	var response syncResponse
 	sentAt := a.clock.Now()
@@ -138,8 +144,8 @@
 // the response if this sidecar watches the operator's rows and the store answers for each
 // feed that it watches.
 func (a *App) handleSync(request syncRequest) syncResponse {
-	if request.Unrouted {
-		a.peerUnroutedAt.Store(int64(a.clock.Now()))
+	if request.Confirm && a.watching[store.OperatorRows].Load() {
+		a.confirmManifest()
 	}
 	watching := a.watching[store.OperatorRows].Load()
 	for i := range a.feedReachable {
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -17,11 +17,8 @@
 	// else shows that the store will never answer a call whose connection stays alive, so it
 	// also bounds for how long this sidecar is out of date.
 	longPollWait clock.Millis = 3000
-	// operatorPollWait is longPollWait for the operator's rows at the first watcher of a region while
-	// requests have no route. Between two answers it is not known whether the manifest is the newest.
-	operatorPollWait clock.Millis = 1000
 	// recheckWait replaces longPollWait for the first call after a failed one, as the store may
-	// still be silent, and operatorPollWait after a change.
+	// still be silent.
 	recheckWait clock.Millis = 300
 	// minStoreBackoff is the shortest pause after a call that the store refused; a random
 	// time of up to the same length is added. During an outage, retry.Outage decides.
@@ -47,25 +44,15 @@
 // keeps them up to date until ctx ends.
 func (a *App) watchLoop(ctx context.Context, feed store.Feed) {
 	var after table.Revision
-	loaded, reachable, changedLast := false, true, false
+	loaded, reachable := false, true
 	var outage storeOutage
 	for ctx.Err() == nil {
 		if loaded && !a.watching[feed].Load() {
 			sleepJittered(ctx, watchingPollInterval)
 			continue
 		}
-		var rows []table.Row
-		var revision table.Revision
-		var err error
-		// An answer that is behind an earlier one is no observation of the present.
-		asOf, newest := a.clock.Now(), a.newestRevision.Load()
-		if loaded {
-			var changes store.Changes
-			changes, asOf, err = a.watchRows(ctx, feed, after, a.pollWait(feed, reachable, changedLast))
-			rows, revision = changes.Rows(), changes.Revision()
-		} else {
-			rows, revision, err = a.store.ReadRows(ctx, feed)
-		}
+		newest := a.newestRevision.Load()
+		rows, revision, asOf, err := a.readFeed(ctx, feed, after, loaded, reachable)
 		if ctx.Err() != nil {
 			return
 		}
@@ -86,13 +73,12 @@
 			continue
 		}
 		outage.recordSuccess()
-		changedLast = len(rows) > 0
 		if changed := a.applyFeed(feed, rows, revision, !loaded); loaded && len(changed) > 0 {
 			a.relayRows(ctx, changed, true)
 		}
 		// Only now, since the answer before tells how old an evacuation row may be.
 		a.state.recordStoreAnswer(a.clock.Now())
-		if feed == store.OperatorRows && uint64(revision) >= newest {
+		if feed == store.OperatorRows && uint64(revision) >= newest { // An answer that is behind an earlier one shows nothing of the present.
 			a.state.observeManifest(asOf, a.rows.Get(store.ManifestKey).Version())
 		}
 		a.recordRevision(revision)
@@ -108,6 +94,22 @@
 	}
 }
 
+// readFeed reads all rows of a feed, or waits for changes after a revision if the rows are loaded. It
+// also returns a time as of which the rows are complete.
+func (a *App) readFeed(ctx context.Context, feed store.Feed, after table.Revision, loaded, reachable bool) ([]table.Row, table.Revision, clock.Millis, error) {
+	if !loaded {
+		asOf := a.clock.Now()
+		rows, revision, err := a.store.ReadRows(ctx, feed)
+		return rows, revision, asOf, err
+	}
+	wait := longPollWait
+	if !reachable {
+		wait = recheckWait
+	}
+	changes, asOf, err := a.watchRows(ctx, feed, after, wait)
+	return changes.Rows(), changes.Revision(), asOf, err
+}
+
 // watchRows waits for changes of a feed. It also returns a time as of which they are complete.
 func (a *App) watchRows(ctx context.Context, feed store.Feed, after table.Revision, wait clock.Millis) (store.Changes, clock.Millis, error) {
 	asOf := a.clock.Now()
@@ -128,20 +130,6 @@
 	}
 }
 
-// pollWait returns the time in milliseconds for which a call waits for changes of a feed. changedLast
-// is true if the call before ended with a change: its answer only shows the state at its begin.
-func (a *App) pollWait(feed store.Feed, reachable, changedLast bool) clock.Millis {
-	unrouted := feed == store.OperatorRows && a.watching[store.RouterRows].Load() && a.unroutedRecently()
-	switch {
-	case !reachable || unrouted && changedLast:
-		return recheckWait
-	case unrouted: // the first watcher
-		return operatorPollWait
-	default:
-		return longPollWait
-	}
-}
-
 // awaitWatcherRole waits until it is known whether this sidecar has to watch the store, for
 // at most watcherRoleWait. It returns at once if the sidecar is one of the region's watchers.
 func (a *App) awaitWatcherRole(ctx context.Context) {
