sidecar: the test of a delayed answer has one instance, and guards again

Cause, from the race detector's report: the test shortened the list of instances (earlyanswer_test.go:43) while the heartbeats of the cluster read it (app_test.go:123). It starts with one instance now.

Found on the way: since a call waits for changes for 3 s again, so an answer that is delayed by 2.3 s no longer reached the condition that the test guards; with that condition reverted it passed. The delay is 3.3 s now.

--- a/sidecar/app/earlyanswer_test.go
+++ b/sidecar/app/earlyanswer_test.go
@@ -13,8 +13,9 @@
 // than it is: it came before the wait for changes was over, for a row that is no manifest, and
 // was then delayed on its way.
 func TestNewRouteDeniedAfterDelayedAnswer(t *testing.T) {
-	c := newServingCluster(t, 151)
-	const delay = 2300 * time.Millisecond
+	c := newCluster(t, 151, "ledger")
+	c.eventually("serving by the sidecar", c.allServe("/book/first"))
+	const delay = 3300 * time.Millisecond
 	var delaying, refusing, waiting atomic.Bool
 	gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if refusing.Load() {
@@ -34,13 +35,10 @@
 		c.store.ServeHTTP(w, r)
 	}))
 	t.Cleanup(gate.Close)
-	for _, in := range c.instances {
-		in.stop()
-		<-in.done
-	}
 	in := c.instances[0]
+	in.stop()
+	<-in.done
 	in.settingsJSON = strings.Replace(in.settingsJSON, c.address, gate.Listener.Addr().String(), 1)
-	c.instances = c.instances[:1]
 	c.startInstance(in)
 	c.eventually("serving by the sidecar", c.allServe("/book/again"))
 	time.Sleep(2 * time.Second)
