--- a/review/standin-2/recover.go
+++ b/review/standin-2/recover.go
@@ -210,7 +210,7 @@
 }
 
 // scaledMachines is the number of machines of scaledIn at the start.
-const scaledMachines = 39
+const scaledMachines = 57
 
 // scaledIn takes away all machines of a keyed service but three, as planned: each backend drains, gives
 // up its keys and exits, then the sidecar beside it gets SIGTERM.
