--- a/review/standin-2/recover.go
+++ b/review/standin-2/recover.go
@@ -212,23 +212,32 @@
 // scaledMachines is the number of machines of scaledIn at the start.
 const scaledMachines = 57
 
-// scaledIn takes away all machines of a keyed service but three, as planned: each backend drains, gives
-// up its keys and exits, then the sidecar beside it gets SIGTERM.
+// scaleInPause is the time from the shutdown of one zone to that of the next one.
+const scaleInPause = 4 * time.Second
+
+// scaledIn takes away all machines of a keyed service but three, as planned and zone by zone: each
+// backend drains, gives up its keys and exits, then the sidecar beside it gets SIGTERM.
 func scaledIn(f *fleet, trouble bool) (verdict, error) {
 	d := &day{fleet: f, service: "wardrobe", method: http.MethodGet, kind: "idempotent", perS: 30}
 	machines := f.addMachines(d.service, scaledMachines)
 	return d.play(machines, func() ([]*machine, error) {
-		time.Sleep(10 * time.Second)
+		time.Sleep(8 * time.Second)
 		if !trouble {
-			time.Sleep(20 * time.Second)
+			time.Sleep(30 * time.Second)
 			return machines, nil
 		}
 		// One machine of each region stays.
 		staying := []*machine{machines[0], machines[2], machines[4]}
-		leaving := slices.DeleteFunc(slices.Clone(machines), func(m *machine) bool { return slices.Contains(staying, m) })
-		forEach(leaving, (*machine).takeAway)
-		f.record.add("%d machines are taken away as planned", len(leaving))
-		time.Sleep(10 * time.Second)
+		var leaving sync.WaitGroup
+		for _, z := range zones {
+			zoneLeaves := slices.DeleteFunc(slices.Clone(machines), func(m *machine) bool { return m.zone != z.name || slices.Contains(staying, m) })
+			f.record.add("%d machines of %s are to leave as planned", len(zoneLeaves), z.name)
+			leaving.Go(func() { forEach(zoneLeaves, (*machine).takeAway) })
+			time.Sleep(scaleInPause)
+		}
+		leaving.Wait()
+		f.record.add("they are gone")
+		time.Sleep(4 * time.Second)
 		return staying, nil
 	})
 }
