--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -72,6 +73,8 @@
 	keyed    map[string]bool
 	machines []*machine
 	version  int
+	// routeTo names the services of routes that have another name than their service.
+	routeTo map[string]string
 }
 
 type machine struct {
@@ -270,13 +273,14 @@
 	wait.Wait()
 }
 
-// writeManifest writes a manifest as the operator does, with a route and a service for each name.
+// writeManifest writes a manifest as the operator does, with a route and its service for each name.
 func (f *fleet) writeManifest(kinds map[string]string) {
 	f.version++
 	routes, services := map[string]any{}, map[string]any{}
-	for service, kind := range kinds {
-		routes["r-"+service] = map[string]any{
-			"host": "fleet.example", "prefix": "/" + service + "/", "kind": kind, "timeout": "1000ms", "target_latency": "400ms",
+	for name, kind := range kinds {
+		service := cmp.Or(f.routeTo[name], name)
+		routes["r-"+name] = map[string]any{
+			"host": "fleet.example", "prefix": "/" + name + "/", "kind": kind, "timeout": "1000ms", "target_latency": "400ms",
 			"priority": 1, "service": service, "max_attempts": 2,
 		}
 		services[service] = map[string]any{"sharded": f.keyed[service], "max_connections": 110, "health_path": healthPath}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -33,6 +33,7 @@
 	"lost-one-by-one": lostOneByOne,
 	"scaled-in":       scaledIn,
 	"last-machine":    lastMachine,
+	"stale-manifest":  staleManifest,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/requester.go
+++ b/review/standin-2/requester.go
@@ -18,6 +18,12 @@
 	served bool
 }
 
+// answer is a complete success.
+type answer struct {
+	sentAt time.Time
+	text   string
+}
+
 // traffic sends requests to a service, from all machines that take requesters in turn.
 type traffic struct {
 	fleet   *fleet
@@ -28,6 +34,7 @@
 
 	mu      sync.Mutex
 	results []result
+	answers []answer
 	wait    sync.WaitGroup
 }
 
@@ -91,6 +98,7 @@
 		r.Header.Set("X-Shard-Key", strconv.Itoa(key))
 	}
 	t.fleet.record.add("sent %s key %d to %s", id, key, m.name)
+	sentAt := time.Now()
 	response, err := freshConnections.RoundTrip(r)
 	if err != nil {
 		t.fleet.record.add("no answer to %s: %v", id, err)
@@ -106,6 +114,11 @@
 	if status/100 == 2 && response.Header.Get("X-Server-Signature") == "" {
 		status = 0
 	}
+	if status/100 == 2 {
+		t.mu.Lock()
+		t.answers = append(t.answers, answer{sentAt: sentAt, text: string(text)})
+		t.mu.Unlock()
+	}
 	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	t.fleet.record.add("answer to %s: %d %q", id, response.StatusCode, strings.TrimSpace(string(text)))
 	return status, time.Duration(seconds * float64(time.Second))
@@ -129,3 +142,10 @@
 	}
 	return sent, float64(served) / float64(max(sent, 1))
 }
+
+// attempts returns the attempts that ended with success.
+func (t *traffic) attempts() []answer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answers
+}
