sidecar: bound the connections of callers, and replace idle and slow ones

Callers saw: with 1,500 silent connections to a sidecar that may open 1,024 descriptors, an ordinary request got no answer for 30 s and the store could not be reached. Crowds that send heads, or one header field after the other, took 1,022 descriptors.

Cause: net/http accepts as many connections as there are descriptors. Only its own timeouts end one, a minute for a head and ten minutes without one, although the manifest allows 3 s for a head.

Change: core/connlimit holds the connections of a listener as a plain state machine. At the limit a new connection replaces that of a client below 16 kB/s or the one that has been idle for longest; it is refused with 503 ("not run") only if all are in use. A head that takes longer than header_timeout of the manifest is refused with 408. httpserver.Guard applies it. The limit for callers is what 3/8 of the instance's memory hold, or a quarter of the descriptors (setting maxDescriptors, or what the operating system allows), whichever is less; 32 for readiness probes, reports and metrics. Connections of other sidecars have no limit, as their number grows with that of the sidecars. Closed connections are counted by listener and reason and logged, 20 lines a second.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
@@ -47,6 +48,12 @@
 	Memory *memory.Account
 }
 
+// Path returns the path without the query.
+func (r *Request) Path() string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
 // LargeBodyBytes is the size in bytes from which a body is large: it takes longer to send
 // than other messages should wait for a slow link.
 const LargeBodyBytes = 16 << 10
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -130,7 +129,7 @@
 // Handle sends a request to its target, retries if allowed, and returns the result. The
 // same version of the manifest applies to all attempts.
 func (d *Dispatcher) Handle(ctx context.Context, manifest *routes.Manifest, r *Request) Result {
-	path, _, _ := strings.Cut(r.RequestURI, "?")
+	path := r.Path()
 	route, ok := manifest.Match(r.Host, path)
 	if !ok && manifest.MayMatch(r.Host, path) {
 		return Result{Reply: NotRun(outcome.ReasonUnsupportedRoute), RouteFound: true, ManifestVersion: manifest.Version()}
--- a/core/httpserver/httpserver.go
+++ b/core/httpserver/httpserver.go
@@ -42,6 +42,13 @@
 	return ctx.Err() != nil || conn != nil && idleconn.IsClosedByPeer(conn)
 }
 
+// HeadRefused reports whether there is no memory for the head of a request, which the handler must refuse
+// at once. Only a Guard whose handler refuses reports it.
+func HeadRefused(ctx context.Context) bool {
+	conn, ok := ctx.Value(contextKey{}).(*Conn)
+	return ok && conn.headRefused.Load()
+}
+
 // SetWriteBuffer sets the size in bytes of the kernel's buffer for what is sent on the connection of a
 // request. It does nothing if the connection is not known or has no such buffer.
 func SetWriteBuffer(ctx context.Context, bytes int) {
@@ -70,7 +77,7 @@
 
 // NewBody returns the body of a request, which must be read within timeout from now and before the
 // context of the request ends. A read after that returns an os.ErrDeadlineExceeded if the sender has stalled, a *LateError if there were bytes
-// to read, and otherwise that of the body.
+// to read, an *EvictedError if a Guard has closed the connection, and otherwise that of the body.
 func NewBody(w http.ResponseWriter, r *http.Request, timeout clock.Millis) *Body {
 	return &Body{body: r.Body, conn: connOf(r.Context()), controller: http.NewResponseController(w), deadline: time.Now().Add(timeout.Duration()), ctx: r.Context()}
 }
@@ -85,7 +92,7 @@
 		_ = b.controller.SetReadDeadline(b.deadline)
 		b.stop = context.AfterFunc(b.ctx, func() { _ = b.controller.SetReadDeadline(time.Now()) })
 	}
-	n, err := b.body.Read(p)
+	n, err := b.read(p)
 	switch {
 	case err == nil:
 		return n, nil
@@ -98,6 +105,13 @@
 	return n, err
 }
 
+func (b *Body) read(p []byte) (int, error) {
+	if conn, ok := b.conn.(*Conn); ok {
+		return conn.readBody(b.body, p)
+	}
+	return b.body.Read(p)
+}
+
 // Release ends the watch of the request's context, which ends with the handler: later it would break
 // off the next request on the connection.
 func (b *Body) Release() {
--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -18,6 +18,8 @@
 	largeShareDivisor = 4
 	// singleShareDivisor bounds one body to this part of the budget.
 	singleShareDivisor = 4
+	// pressedShareDivisor is the part of a budget above which it is pressed.
+	pressedShareDivisor = 2
 	// firstChunkBytes is the size of the first buffer for a body of unknown size.
 	firstChunkBytes = 4 << 10
 )
@@ -58,6 +60,14 @@
 	return b.used
 }
 
+// Pressed reports whether more than half of the budget is taken: a sender that keeps its share for long
+// takes it from others.
+func (b *Budget) Pressed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limit > 0 && b.used > b.limit/pressedShareDivisor
+}
+
 // MaxBody returns the size in bytes of the largest body that the budget allows, 0 if there
 // is no limit.
 func (b *Budget) MaxBody() int64 { return b.limit / singleShareDivisor }
--- /dev/null
+++ b/demo/crowds/crowd_test.go
@@ -0,0 +1,170 @@
+package crowds_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Sizes of the messages of the crowds. The manifest of the tests allows heads of maxHeaderBytes and
+// bodies of maxBodyBytes.
+const (
+	maxHeaderBytes = 16384
+	maxBodyBytes   = 4_000_000
+	longFields     = 14
+	longFieldBytes = 1000
+	shortFields    = 5000
+)
+
+// crowd is a group of connections that misbehave in the same way.
+type crowd struct {
+	name        string
+	connections int
+	// opening returns what a connection sends first.
+	opening func(r request) string
+	// repeated, if set, returns what it sends then, again and again with a pause, for as long as it
+	// is open. n counts from 0.
+	repeated func(r request, n int) string
+	pause    time.Duration
+	// readPause is the time between two bytes that it reads, of which there are at most maxRead, 0 if
+	// it reads nothing.
+	readPause time.Duration
+	maxRead   int
+	// complete is set if the crowd sends complete requests.
+	complete bool
+}
+
+// request identifies the requests of one connection of a crowd.
+type request struct {
+	target target
+	member int
+}
+
+// target is where a crowd sends its requests.
+type target struct {
+	name    string
+	address string
+	path    string
+}
+
+// head returns the head of request n without its end.
+func (r request) head(method string, n int) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd-%d-%d\r\nX-Deadline-Ms: 600000\r\n", method, r.target.path, r.member, n)
+}
+
+// shortFieldLines returns count header fields with names of three letters, from number first on.
+func shortFieldLines(first, count int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	var lines strings.Builder
+	for i := first; i < first+count; i++ {
+		lines.Write([]byte{letters[i/676%26], letters[i/26%26], letters[i%26], ':', '\r', '\n'})
+	}
+	return lines.String()
+}
+
+func withLength(length int) func(r request) string {
+	return func(r request) string {
+		return r.head("POST", 0) + "Content-Length: " + strconv.Itoa(length) + "\r\n\r\n"
+	}
+}
+
+func chunked(r request) string { return r.head("POST", 0) + "Transfer-Encoding: chunked\r\n\r\n" }
+
+func nothing(request) string { return "" }
+
+// crowds returns the kinds of clients that operators of similar systems have met.
+func crowds() []crowd {
+	longField := "X-Long-%d: " + strings.Repeat("v", longFieldBytes) + "\r\n"
+	longHead := func(r request) string {
+		head := r.head("GET", 0)
+		for i := range longFields {
+			head += fmt.Sprintf(longField, i)
+		}
+		return head
+	}
+	return []crowd{
+		{name: "silent", connections: 1500, opening: nothing},
+		{name: "heads cut short", connections: 1000, opening: longHead},
+		{
+			name: "heads in small pieces", connections: 1000, pause: 50 * time.Millisecond, opening: func(r request) string { return r.head("GET", 0) },
+			repeated: func(_ request, n int) string { return shortFieldLines(n%shortFields, 1) },
+		},
+	}
+}
+
+// exchange sends the request of one member and returns the status and the body of the answer, 0 if there
+// is none.
+func (c crowd) exchange(r request) (int, string) {
+	conn, err := net.DialTimeout("tcp", r.target.address, dialTimeout)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = conn.Close() }()
+	go c.send(conn, r)
+	_ = conn.SetReadDeadline(time.Now().Add(hangTime))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(body)
+}
+
+// send sends what a connection of the crowd sends, until the connection ends.
+func (c crowd) send(conn net.Conn, r request) {
+	_, err := io.WriteString(conn, c.opening(r))
+	for n := 0; err == nil && c.repeated != nil; n++ {
+		_, err = io.WriteString(conn, c.repeated(r, n))
+		time.Sleep(c.pause)
+	}
+}
+
+// press opens the connections of a crowd to a target. It returns once each of them was opened and
+// pressTime has passed, and a function that closes them.
+func (c crowd) press(t target) func() {
+	var members, opened sync.WaitGroup
+	done := make(chan struct{})
+	for i := range c.connections {
+		opened.Add(1)
+		members.Go(func() { c.misbehave(request{target: t, member: i}, opened.Done, done) })
+	}
+	opened.Wait()
+	time.Sleep(pressTime)
+	return func() {
+		close(done)
+		members.Wait()
+	}
+}
+
+// misbehave runs one connection of the crowd until done is closed. Its errors are not reported: the
+// process may close the connection.
+func (c crowd) misbehave(r request, opened func(), done <-chan struct{}) {
+	conn, err := net.DialTimeout("tcp", r.target.address, dialTimeout)
+	opened()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		c.send(conn, r)
+	}()
+	if c.readPause > 0 {
+		go func() {
+			for n := 0; n < c.maxRead && err == nil; n++ {
+				time.Sleep(c.readPause)
+				_, err = conn.Read(make([]byte, 1))
+			}
+		}()
+	}
+	<-done
+	_ = conn.Close()
+	<-written
+}
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -146,13 +146,20 @@
 	failures chan error
 }
 
-// callersListener is the name of the listener for callers.
-const callersListener = "callers"
+// Names of listeners: for callers, for forwarded requests, for control messages and for reports of the
+// upstream.
+const (
+	callersListener  = "callers"
+	requestsListener = "requests"
+	peersListener    = "peers"
+	reportsListener  = "reports"
+)
 
 type listener struct {
 	name        string
 	netListener net.Listener
 	server      *http.Server
+	guard       *httpserver.Guard
 }
 
 // New creates the components of a sidecar and binds its addresses. The error names
@@ -204,9 +211,9 @@
 		handler       http.Handler
 		newServer     func(http.Handler) *http.Server
 	}{
-		{"peers", a.settings.PeerListenAddress(), a.controlHandler(), newControlServer},
-		{"requests", a.settings.RequestAddress(), http.HandlerFunc(a.servePeerRequest), newPeerServer},
-		{"reports", a.settings.ReportAddress(), http.HandlerFunc(a.serveReport), newControlServer},
+		{peersListener, a.settings.PeerListenAddress(), a.controlHandler(), newControlServer},
+		{requestsListener, a.settings.RequestAddress(), http.HandlerFunc(a.servePeerRequest), newPeerServer},
+		{reportsListener, a.settings.ReportAddress(), http.HandlerFunc(a.serveReport), newControlServer},
 		{callersListener, a.settings.CallerAddress(), http.HandlerFunc(a.serveCaller), newCallerServer},
 		{"ready", a.settings.ReadyAddress(), http.HandlerFunc(a.serveReady), newControlServer},
 		{"metrics", a.settings.MetricsAddress(), http.HandlerFunc(a.serveMetrics), newControlServer},
@@ -217,10 +224,13 @@
 		}
 		server := l.newServer(a.recoverPanics(l.name, l.handler))
 		server.BaseContext = func(net.Listener) context.Context { return a.requests }
+		var onStatus func(conn *httpserver.Conn, status int)
 		if l.name == callersListener {
-			bound = httpserver.Watch(server, bound, a.recordProtocolStatus)
+			onStatus = a.recordProtocolStatus
 		}
-		a.listeners = append(a.listeners, &listener{name: l.name, netListener: bound, server: server})
+		guard := a.newGuard(l.name, a.connectionLimit(l.name))
+		watched := httpserver.Watch(server, bound, onStatus).WithGuard(guard)
+		a.listeners = append(a.listeners, &listener{name: l.name, netListener: watched, server: server, guard: guard})
 	}
 	return nil
 }
@@ -244,6 +254,7 @@
 	a.startTask(&tasks, "control", func() { a.controlLoop(background) })
 	a.startTask(&tasks, "sync", func() { a.syncLoop(background) })
 	a.startTask(&tasks, "rebalance", func() { a.rebalanceLoop(background) })
+	a.startTask(&tasks, "connections", func() { a.guardLoop(background) })
 	a.startTask(&tasks, "gauges", func() { a.gaugeLoop(background) })
 	a.log.Info().Str("instance", a.settings.Instance()).Str("incarnation", a.state.incarnation.String()).
 		Str("service", a.settings.Service()).Msg("started")
--- /dev/null
+++ b/sidecar/app/guards.go
@@ -0,0 +1,126 @@
+package app
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"briarwell.dev/core/connlimit"
+	"briarwell.dev/core/httpserver"
+	"briarwell.dev/platform/callerhttp"
+	"briarwell.dev/sidecar/settings"
+)
+
+const (
+	// guardInterval is the time between two checks of the connections for slow clients.
+	guardInterval = 500 * time.Millisecond
+	// connectionMemoryShare and connectionMemoryDivisor define the share of an instance's memory
+	// for the connections of callers.
+	connectionMemoryShare   = 3
+	connectionMemoryDivisor = 8
+	// minCallerConnections is the least number of connections of callers.
+	minCallerConnections = 64
+	// reservedDescriptors are those of a process that are not available for connections, by the
+	// users' pages.
+	reservedDescriptors = 200
+	// callerDescriptorDivisor is the part of the other descriptors for connections of callers. The
+	// rest is for those between sidecars, to the upstream and to the store.
+	callerDescriptorDivisor = 4
+	// maxLocalConnections bounds the connections for readiness probes, reports and metrics, for
+	// each of these. Their clients use one or two.
+	maxLocalConnections = 32
+	bytesPerMB          = 1 << 20
+)
+
+// maxCallerConnections returns the largest number of connections of callers, for a process that may
+// open the given number of descriptors, 0 if unknown. It returns 0 for no limit.
+func maxCallerConnections(s settings.Sidecar, descriptors int) int {
+	limit := 0
+	if s.MemoryMB() > 0 {
+		limit = int(s.MemoryMB() * bytesPerMB * connectionMemoryShare / connectionMemoryDivisor / httpserver.ConnectionBytes)
+	}
+	if descriptors > 0 {
+		byDescriptors := (descriptors - reservedDescriptors) / callerDescriptorDivisor
+		if limit == 0 || byDescriptors < limit {
+			limit = byDescriptors
+		}
+	}
+	if limit == 0 {
+		return 0
+	}
+	return max(limit, minCallerConnections)
+}
+
+// descriptorLimit returns the number of descriptors that this process may open: the setting, or less
+// if the operating system allows less. It returns 0 if neither is known.
+func descriptorLimit(s settings.Sidecar) int {
+	limit := s.MaxDescriptors()
+	var allowed syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &allowed) == nil && (limit == 0 || allowed.Cur < uint64(limit)) {
+		limit = int(min(allowed.Cur, maxDescriptors))
+	}
+	return limit
+}
+
+// maxDescriptors bounds a limit of the operating system that means that there is none.
+const maxDescriptors = 1 << 20
+
+// newGuard returns the guard of a listener.
+func (a *App) newGuard(name string, maxConnections int) *httpserver.Guard {
+	return httpserver.NewGuard(httpserver.GuardSettings{
+		MaxConnections: maxConnections, Refusal: callerhttp.Refusal,
+		OnClosing: func(remote net.Addr, reason connlimit.Reason, connections int) {
+			a.recordClosing(name, remote.String(), reason, connections, maxConnections)
+		},
+	})
+}
+
+// isOpenToClients reports whether processes other than sidecars and the own upstream connect to a
+// listener. The traffic between sidecars must not depend on what is left by clients.
+func isOpenToClients(listener string) bool {
+	return listener != requestsListener && listener != peersListener && listener != reportsListener
+}
+
+// connectionLimit returns the largest number of connections of a listener, 0 for no limit. Those of
+// other sidecars grow with their number.
+func (a *App) connectionLimit(listener string) int {
+	switch listener {
+	case callersListener:
+		return maxCallerConnections(a.settings, descriptorLimit(a.settings))
+	case requestsListener, peersListener:
+		return 0
+	default:
+		return maxLocalConnections
+	}
+}
+
+// guardLoop closes the connections of slow clients until ctx ends.
+func (a *App) guardLoop(ctx context.Context) {
+	ticker := time.NewTicker(guardInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		headTimeout := a.manifest.Load().Limits().HeaderTimeout
+		for _, l := range a.listeners {
+			if isOpenToClients(l.name) {
+				l.guard.Sweep(headTimeout, connlimit.Pressure{})
+			} else {
+				l.guard.Sweep(0, connlimit.Pressure{})
+			}
+		}
+	}
+}
+
+// heldMemory returns the bytes that requests, responses and connections take now.
+func (a *App) heldMemory() int64 {
+	connections := 0
+	for _, l := range a.listeners {
+		connections += l.guard.Connections()
+	}
+	return a.memory.Used() + int64(connections)*httpserver.ConnectionHeapBytes
+}
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -242,8 +242,9 @@
 	a.log.Warn().Err(err).Str("request", request.ID).Str("peer", r.RemoteAddr).Int64("bytes", r.ContentLength).Msg("peerBodyNotRead")
 	var exhausted *memory.ExhaustedError
 	var late *httpserver.LateError
+	var evicted *httpserver.EvictedError
 	switch {
-	case errors.As(err, &exhausted):
+	case errors.As(err, &exhausted), errors.As(err, &evicted):
 		return dispatch.NotRun(outcome.ReasonOverloaded).WithRetryAfter(memoryRetryAfter), false
 	case errors.As(err, &late):
 		return dispatch.NotRun(outcome.ReasonDeadlineExceeded), false
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/connlimit"
 	"briarwell.dev/core/dispatch"
 	"briarwell.dev/core/httpserver"
 	"briarwell.dev/core/keyspace"
@@ -55,6 +56,8 @@
 	executorLogLimiter *logs.Limiter
 	// rejectionLogLimiter applies to own statuses from 400 to 499.
 	rejectionLogLimiter *logs.Limiter
+	// closingLogLimiter applies to connections that are closed for a limit.
+	closingLogLimiter *logs.Limiter
 	// responseLogLimiter applies to responses that are not passed on.
 	responseLogLimiter *logs.Limiter
 
@@ -78,7 +81,8 @@
 	t := &telemetry{
 		callerLogLimiter: logs.NewLimiter(maxRequestLinesPerSecond), executorLogLimiter: logs.NewLimiter(maxRequestLinesPerSecond),
 		rejectionLogLimiter: logs.NewLimiter(maxRejectionLinesPerSecond), responseLogLimiter: logs.NewLimiter(maxRejectionLinesPerSecond),
-		series: make(map[seriesKey]requestSeries), ownStatuses: make(map[callerhttp.Answer]tally.Counter),
+		closingLogLimiter: logs.NewLimiter(maxRejectionLinesPerSecond),
+		series:            make(map[seriesKey]requestSeries), ownStatuses: make(map[callerhttp.Answer]tally.Counter),
 	}
 	t.scope, t.collector, t.closer = metrics.New()
 	return t
@@ -167,6 +171,19 @@
 	}
 }
 
+// recordClosing counts and logs a connection that is closed for a limit, and the status that its client
+// gets.
+func (a *App) recordClosing(listener, client string, reason connlimit.Reason, connections, maxConnections int) {
+	a.telemetry.scope.Tagged(map[string]string{"listener": listener, "reason": string(reason)}).Counter("connections_closed").Inc(1)
+	answer, _ := callerhttp.RefusalAnswer(reason)
+	a.telemetry.countOwnStatus(answer)
+	if ok, omitted := a.telemetry.closingLogLimiter.Allow(a.clock.Now()); ok {
+		a.log.Warn().Str("listener", listener).Str("client", client).Str("reason", string(reason)).Int("status", answer.Status()).
+			Int("connections", connections).Int("maxConnections", maxConnections).Int64("bodyBytes", a.memory.Used()).
+			Int64("omitted", omitted).Msg("connectionClosed")
+	}
+}
+
 // loggedPath returns the beginning of the path of a request, without its query.
 func loggedPath(requestURI string) string {
 	path, _, _ := strings.Cut(requestURI, "?")
@@ -308,10 +325,10 @@
 	}
 }
 
-// updateMemoryLimit raises the soft limit of the Go runtime's memory by the bodies that are
-// in progress and by the manifest, unless the environment sets one.
+// updateMemoryLimit raises the soft limit of the Go runtime's memory by the requests and responses that
+// are in progress, by the connections and by the manifest, unless the environment sets one.
 func (a *App) updateMemoryLimit() {
-	used := a.memory.Used() + int64(len(a.rows.Get(store.ManifestKey).Value()))*manifestMemoryFactor
+	used := a.heldMemory() + int64(len(a.rows.Get(store.ManifestKey).Value()))*manifestMemoryFactor
 	limit := baseMemoryBytes + used/memoryLimitStep*memoryLimitStep
 	if os.Getenv("GOMEMLIMIT") == "" && limit != a.memoryLimit {
 		a.memoryLimit = limit
@@ -320,6 +337,12 @@
 }
 
 func (a *App) updateGauges() {
+	connections := 0
+	for _, l := range a.listeners {
+		if l.name == callersListener {
+			connections = l.guard.Connections()
+		}
+	}
 	scope, load, retries, s, learned := a.telemetry.scope, a.executor.Load(), a.executor.RetryCounts(), a.state, a.gate.Capacity()
 	s.mu.Lock()
 	assignment, revision := s.keyController.Assignment()
@@ -335,6 +358,7 @@
 		"capacity_per_second": learned.PerSecond, "learned_slots": float64(learned.Learned), "upstream_slowness": learned.Slowness,
 		"retries_promised": float64(retries.Promised), "retries_unpromised": float64(retries.Unpromised),
 		"retries_claimed": float64(retries.Claimed), "retries_expired": float64(retries.Expired),
+		"caller_connections": float64(connections), "body_bytes": float64(a.memory.Used()),
 		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.logWriter.Dropped()),
 		"out_of_use": boolValue(outOfUse), "domains_out_of_use": float64(domainsOutOfUse),
 		"cold":          boolValue(load.ColdFor > 0),
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -40,6 +40,7 @@
 	coldProbes      bool
 	linkMbps        float64
 	memoryMB        float64
+	maxDescriptors  float64
 	cpuShare        float64
 	logLevel        string
 }
@@ -55,6 +56,9 @@
 // maxMemoryMB is the largest accepted memory of an instance.
 const maxMemoryMB = 1 << 20
 
+// maxDescriptors is the largest accepted number of descriptors of a process.
+const maxDescriptors = 1 << 20
+
 // Parse decodes settings from JSON. If any field is invalid, missing or unknown, the error
 // is a *settings.ValidationError that lists all of these fields.
 func Parse(data []byte) (Sidecar, error) {
@@ -87,6 +91,7 @@
 		coldProbes:      object.Optional("coldProbes").BoolOr(true),
 		linkMbps:        requiredNumber(object, "linkMbps", maxMbps),
 		memoryMB:        optionalNumber(object, "memoryMB", maxMemoryMB),
+		maxDescriptors:  optionalNumber(object, "maxDescriptors", maxDescriptors),
 		cpuShare:        optionalNumber(object, "cpuShare", maxCPUShare),
 		logLevel:        object.Optional("logLevel").TextOr(settings.DefaultLogLevel, settings.OneOf("debug", "info", "warn", "error")),
 	}
@@ -238,6 +243,10 @@
 // MemoryMB returns the memory of the instance in megabytes, 0 for no limit.
 func (s Sidecar) MemoryMB() float64 { return s.memoryMB }
 
+// MaxDescriptors returns the number of descriptors that the process may open, 0 if only the operating
+// system limits it.
+func (s Sidecar) MaxDescriptors() int { return int(s.maxDescriptors) }
+
 // CPUShare returns the number of cores that the instance may use, 0 if unknown.
 func (s Sidecar) CPUShare() float64 { return s.cpuShare }
 
--- a/sidecar/settings/settings_test.go
+++ b/sidecar/settings/settings_test.go
@@ -98,6 +98,7 @@
 		"{{bounds.hold_max|json}}", `"10000ms"`, "{{bounds.drain|json}}", `"2500ms"`, "{{bounds.grace|json}}", `"6s"`,
 		"{{bounds.retry_budget_ratio|json}}", "0.2", "{{bounds.budget_slack|json}}", "56", "{{bounds.retry_window|json}}", `"10s"`,
 		"{{limits.bandwidth_mbps|json}}", "1000.0", "{{limits.memory_mb|json}}", "284", "{{limits.cpu_share|json}}", "0.32",
+		"{{limits.max_fds|json}}", "4100",
 	)
 	text = values.Replace(text)
 	bounds := map[string]string{"bounds.evacuate": `"5000ms"`, "bounds.cold_overshoot": "1.5", "bounds.cold_slack": "8"}
@@ -106,6 +107,7 @@
 	is.Equal(s.OutOfUseWithin(), clock.Millis(5000))
 	is.Equal(s.ColdOvershoot(), 1.5)
 	is.Equal(s.ColdSlack(), 8.0)
+	is.Equal(s.MaxDescriptors(), 4100)
 	s, err = settings.Parse([]byte(renderSections(text, nil)))
 	is.NoErr(err)
 	is.Equal(s.ColdOvershoot(), 1.0)
