sidecar: account for the memory of the heads that are read

Cause: net/http keeps 100 bytes for a field besides its text, the map of the forwarded fields 80 more, and the limits count names and values only, once a head is complete. Nothing bounds all heads together.

Change: what is read of a head takes memory from a budget before net/http parses it, 2 bytes for a byte and 200 for a field, until its request has ended. A request without memory for its head is refused with 503 ("not run: head-memory") and its connection closed; while more than half of the budget is taken, slow heads are closed. The budget is a sixteenth of the instance's memory, 5 MB at least, which holds any head of 16 KiB; forwarded requests have another one of the same size and are refused by the handler, in the format between sidecars. Reports and control messages don't depend on either.

--- a/demo/crowds/crowd_test.go
+++ b/demo/crowds/crowd_test.go
@@ -88,13 +88,20 @@
 		}
 		return head
 	}
+	shortHead := func(r request) string { return r.head("POST", 0) + shortFieldLines(0, shortFields) }
 	return []crowd{
 		{name: "silent", connections: 1500, opening: nothing},
 		{name: "heads cut short", connections: 1000, opening: longHead},
+		{name: "heads of short fields cut short", connections: 500, opening: shortHead},
+		{name: "heads of short fields", connections: 500, opening: func(r request) string { return shortHead(r) + "Content-Length: 10\r\n\r\nbbbbbbbbb" }},
 		{
 			name: "heads in small pieces", connections: 1000, pause: 50 * time.Millisecond, opening: func(r request) string { return r.head("GET", 0) },
 			repeated: func(_ request, n int) string { return shortFieldLines(n%shortFields, 1) },
 		},
+		{
+			name: "heads without end", connections: 100, opening: func(r request) string { return r.head("GET", 0) },
+			repeated: func(_ request, n int) string { return shortFieldLines(n*100, 100) },
+		},
 	}
 }
 
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -92,6 +92,10 @@
 	capacityLog capacity.ChangeLog
 	// memory bounds the bodies of all requests and responses in progress.
 	memory *memory.Budget
+	// heads bounds the memory for the heads of requests of clients, forwardedHeads that for the heads
+	// of requests that other sidecars forward.
+	heads          *memory.Budget
+	forwardedHeads *memory.Budget
 	// controlMemory bounds the bodies of all control messages and reports in progress.
 	controlMemory *memory.Budget
 	// memoryLimit is the soft limit that was set for the Go runtime's memory in bytes, 0 if
@@ -176,6 +180,7 @@
 		a.watching[i].Store(true)
 	}
 	a.memory, a.controlMemory = memory.NewBudget(s.BodyMemoryBytes()), memory.NewBudget(controlMemoryBytes)
+	a.heads, a.forwardedHeads = memory.NewBudget(headMemory(s)), memory.NewBudget(headMemory(s))
 	a.log, a.logWriter = logs.New(out, s.LogLevel())
 	a.telemetry = newTelemetry()
 	a.manifest.Store(&routes.Manifest{})
--- a/sidecar/app/guards.go
+++ b/sidecar/app/guards.go
@@ -15,6 +15,12 @@
 const (
 	// guardInterval is the time between two checks of the connections for slow clients.
 	guardInterval = 500 * time.Millisecond
+	// headMemoryDivisor is the part of an instance's memory for the heads of requests of clients, and
+	// as much for those of requests that other sidecars forward.
+	headMemoryDivisor = 16
+	// minHeadMemoryBytes is the least memory for heads: one of 16 KiB, the limit in the users'
+	// manifests, that consists of fields of one letter, beside small ones.
+	minHeadMemoryBytes = 5 << 20
 	// connectionMemoryShare and connectionMemoryDivisor define the share of an instance's memory
 	// for the connections of callers.
 	connectionMemoryShare   = 3
@@ -33,6 +39,14 @@
 	bytesPerMB          = 1 << 20
 )
 
+// headMemory returns the memory in bytes for the heads of the requests of clients, 0 for no limit.
+func headMemory(s settings.Sidecar) int64 {
+	if s.MemoryMB() <= 0 {
+		return 0
+	}
+	return max(int64(s.MemoryMB()*bytesPerMB/headMemoryDivisor), minHeadMemoryBytes)
+}
+
 // maxCallerConnections returns the largest number of connections of callers, for a process that may
 // open the given number of descriptors, 0 if unknown. It returns 0 for no limit.
 func maxCallerConnections(s settings.Sidecar, descriptors int) int {
@@ -68,8 +82,15 @@
 
 // newGuard returns the guard of a listener.
 func (a *App) newGuard(name string, maxConnections int) *httpserver.Guard {
+	heads := a.heads
+	switch name {
+	case requestsListener:
+		heads = a.forwardedHeads
+	case peersListener, reportsListener:
+		heads = nil
+	}
 	return httpserver.NewGuard(httpserver.GuardSettings{
-		MaxConnections: maxConnections, Refusal: callerhttp.Refusal,
+		MaxConnections: maxConnections, Heads: heads, Refusal: callerhttp.Refusal, HandlerRefuses: name == requestsListener,
 		OnClosing: func(remote net.Addr, reason connlimit.Reason, connections int) {
 			a.recordClosing(name, remote.String(), reason, connections, maxConnections)
 		},
@@ -106,9 +127,10 @@
 		case <-ticker.C:
 		}
 		headTimeout := a.manifest.Load().Limits().HeaderTimeout
+		pressure := connlimit.Pressure{Heads: a.heads.Pressed()}
 		for _, l := range a.listeners {
 			if isOpenToClients(l.name) {
-				l.guard.Sweep(headTimeout, connlimit.Pressure{})
+				l.guard.Sweep(headTimeout, pressure)
 			} else {
 				l.guard.Sweep(0, connlimit.Pressure{})
 			}
@@ -122,5 +144,5 @@
 	for _, l := range a.listeners {
 		connections += l.guard.Connections()
 	}
-	return a.memory.Used() + int64(connections)*httpserver.ConnectionHeapBytes
+	return a.memory.Used() + a.heads.Used() + a.forwardedHeads.Used() + int64(connections)*httpserver.ConnectionHeapBytes
 }
--- a/sidecar/app/guards_test.go
+++ b/sidecar/app/guards_test.go
@@ -1,12 +1,14 @@
 package app_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -40,6 +42,45 @@
 	return conn
 }
 
+// refusal returns the status and the text of a response with a time to retry, 0 for any other.
+func refusal(conn net.Conn) (int, string) {
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	text, err := io.ReadAll(response.Body)
+	if err != nil || response.Header.Get("Retry-After") == "" {
+		return 0, "incomplete"
+	}
+	return response.StatusCode, string(text)
+}
+
+// TestRefusalsAreTold guards against a request that is refused for a limit without being told that it
+// was not run, that runs all the same, or that no metric counts.
+func TestRefusalsAreTold(t *testing.T) {
+	is := is.New(t)
+	c, in := startLimited(t, 143)
+	const head = "POST /photos/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: refused\r\nX-Deadline-Ms: 600000\r\n"
+	status, text := refusal(c.sendPart(in, head+"X-Cut: "))
+	is.Equal(status, http.StatusRequestTimeout)
+	is.Equal(text, "not run: head-timeout\n")
+	status, text = refusal(c.sendPart(in, head+strings.Repeat("a:\r\n", 30_000)))
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(text, "not run: head-memory\n")
+	is.Equal(in.upstream.RunCount("refused"), 0)
+	for series, count := range map[string]string{
+		`connections_closed_total{listener="callers",reason="head-timeout"}`: "1",
+		`connections_closed_total{listener="callers",reason="head-memory"}`:  "1",
+		`own_statuses_total{reason="head-timeout",status="408"}`:             "1",
+		`own_statuses_total{reason="head-memory",status="503"}`:              "1",
+	} {
+		c.eventually(series, func() bool { return c.metric(in, series) == count })
+	}
+	status, _ = c.sendRequest(in, http.MethodPost, "/book/after", 1)
+	is.Equal(status, http.StatusOK)
+}
+
 // TestFloodOfConnections guards against a log that grows with the number of connections, and against
 // connections that keep others from being served.
 func TestFloodOfConnections(t *testing.T) {
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -9,6 +9,7 @@
 
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/connlimit"
 	"briarwell.dev/core/dispatch"
 	"briarwell.dev/core/dispatch/peerhttp"
 	"briarwell.dev/core/heartbeat"
@@ -221,6 +222,10 @@
 // accepts it. It returns the refusal and false if the body was not read; the request then
 // has not been run.
 func (a *App) readPeerBody(w http.ResponseWriter, r *http.Request, request *dispatch.Request, service string, policy dispatch.RequestPolicy) (dispatch.Reply, bool) {
+	if httpserver.HeadRefused(r.Context()) {
+		a.recordClosing(requestsListener, r.RemoteAddr, connlimit.ReasonHeadMemory, 0, 0)
+		return dispatch.NotRun(outcome.ReasonOverloaded).WithRetryAfter(memoryRetryAfter), false
+	}
 	if r.ContentLength == 0 {
 		return dispatch.Reply{}, true
 	}
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -179,7 +179,7 @@
 	a.telemetry.countOwnStatus(answer)
 	if ok, omitted := a.telemetry.closingLogLimiter.Allow(a.clock.Now()); ok {
 		a.log.Warn().Str("listener", listener).Str("client", client).Str("reason", string(reason)).Int("status", answer.Status()).
-			Int("connections", connections).Int("maxConnections", maxConnections).Int64("bodyBytes", a.memory.Used()).
+			Int("connections", connections).Int("maxConnections", maxConnections).Int64("headBytes", a.heads.Used()).Int64("bodyBytes", a.memory.Used()).
 			Int64("omitted", omitted).Msg("connectionClosed")
 	}
 }
@@ -358,7 +358,7 @@
 		"capacity_per_second": learned.PerSecond, "learned_slots": float64(learned.Learned), "upstream_slowness": learned.Slowness,
 		"retries_promised": float64(retries.Promised), "retries_unpromised": float64(retries.Unpromised),
 		"retries_claimed": float64(retries.Claimed), "retries_expired": float64(retries.Expired),
-		"caller_connections": float64(connections), "body_bytes": float64(a.memory.Used()),
+		"caller_connections": float64(connections), "head_bytes": float64(a.heads.Used()), "body_bytes": float64(a.memory.Used()),
 		"requests_in_flight": float64(a.inFlight.Load()), "log_lines_dropped": float64(a.logWriter.Dropped()),
 		"out_of_use": boolValue(outOfUse), "domains_out_of_use": float64(domainsOutOfUse),
 		"cold":          boolValue(load.ColdFor > 0),
