sidecar: give up slow bodies when memory is short, and late ones

Cause: a body keeps its share of the memory until the deadline that its sender states, of which X-Deadline-Ms may say ten minutes, although the route ends the request after 2 s.

Change: while more than half of the memory for bodies is taken, a sender below 16 kB/s for a second is refused with 503 ("slow-body", not run) and its connection closed. A body is awaited until the timeout of its route, or 10 s without a route, and then refused with 408.

--- a/demo/crowds/crowd_test.go
+++ b/demo/crowds/crowd_test.go
@@ -20,6 +20,10 @@
 	longFields     = 14
 	longFieldBytes = 1000
 	shortFields    = 5000
+	bodyBytes      = 512 << 10
+	minBodyBytes   = 4 << 10
+	smallBodyBytes = 16 << 10
+	pieceBytes     = 1000
 )
 
 // crowd is a group of connections that misbehave in the same way.
@@ -78,6 +82,30 @@
 
 func nothing(request) string { return "" }
 
+func constant(text string) func(request, int) string {
+	return func(request, int) string { return text }
+}
+
+// bodyLength returns the length of the body of a request: bodyBytes or a half, a quarter and so on down
+// to minBodyBytes, so that the bodies fill whatever they are held in.
+func (r request) bodyLength() int { return max(bodyBytes>>(r.member%8), minBodyBytes) }
+
+// withBody returns the head of a request and its body without the last byte.
+func withBody(r request) string {
+	return withLength(r.bodyLength())(r) + strings.Repeat("b", r.bodyLength()-1)
+}
+
+// withSmallBody is withBody with a body of smallBodyBytes.
+func withSmallBody(r request) string {
+	return withLength(smallBodyBytes)(r) + strings.Repeat("b", smallBodyBytes-1)
+}
+
+// withChunks returns the head of a request and its body in chunks without the last one.
+func withChunks(r request) string {
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", minBodyBytes, strings.Repeat("c", minBodyBytes))
+	return chunked(r) + strings.Repeat(chunk, r.bodyLength()/minBodyBytes)
+}
+
 // crowds returns the kinds of clients that operators of similar systems have met.
 func crowds() []crowd {
 	longField := "X-Long-%d: " + strings.Repeat("v", longFieldBytes) + "\r\n"
@@ -102,6 +130,22 @@
 			name: "heads without end", connections: 100, opening: func(r request) string { return r.head("GET", 0) },
 			repeated: func(_ request, n int) string { return shortFieldLines(n*100, 100) },
 		},
+		{name: "bodies cut short", connections: 400, opening: withBody},
+		{name: "small bodies cut short", connections: 1000, opening: withSmallBody},
+		{
+			name: "bodies in small pieces", connections: 500, pause: 20 * time.Millisecond,
+			opening: func(r request) string { return withLength(r.bodyLength())(r) },
+			repeated: func(r request, n int) string {
+				return strings.Repeat("b", max(min(pieceBytes, r.bodyLength()-1-n*pieceBytes), 0))
+			},
+		},
+		{name: "bodies in chunks cut short", connections: 200, opening: withChunks},
+		{name: "chunks of one byte", connections: 1000, pause: 20 * time.Millisecond, opening: chunked, repeated: constant("1\r\nc\r\n")},
+		{name: "bodies over the limit", connections: 100, opening: withLength(1 << 40), repeated: constant(strings.Repeat("b", 64<<10))},
+		{
+			name: "chunks over the limit", connections: 100, opening: chunked,
+			repeated: constant(fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat("c", 64<<10))),
+		},
 	}
 }
 
--- a/sidecar/app/guards.go
+++ b/sidecar/app/guards.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"briarwell.dev/core/clock"
 	"briarwell.dev/core/connlimit"
 	"briarwell.dev/core/httpserver"
 	"briarwell.dev/platform/callerhttp"
@@ -36,7 +37,10 @@
 	// maxLocalConnections bounds the connections for readiness probes, reports and metrics, for
 	// each of these. Their clients use one or two.
 	maxLocalConnections = 32
-	bytesPerMB          = 1 << 20
+	// unroutedBodyTimeout bounds the time in milliseconds for the body of a request without a route,
+	// of which no caller needs the response for longer.
+	unroutedBodyTimeout clock.Millis = 10_000
+	bytesPerMB                       = 1 << 20
 )
 
 // headMemory returns the memory in bytes for the heads of the requests of clients, 0 for no limit.
@@ -127,7 +131,7 @@
 		case <-ticker.C:
 		}
 		headTimeout := a.manifest.Load().Limits().HeaderTimeout
-		pressure := connlimit.Pressure{Heads: a.heads.Pressed()}
+		pressure := connlimit.Pressure{Heads: a.heads.Pressed(), Bodies: a.memory.Pressed()}
 		for _, l := range a.listeners {
 			if isOpenToClients(l.name) {
 				l.guard.Sweep(headTimeout, pressure)
--- a/sidecar/app/guards_test.go
+++ b/sidecar/app/guards_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -62,6 +63,16 @@
 	is := is.New(t)
 	c, in := startLimited(t, 143)
 	const head = "POST /photos/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: refused\r\nX-Deadline-Ms: 600000\r\n"
+	const body = head + "Content-Length: 40000\r\n\r\n"
+	held := make([]net.Conn, 0, 8) // 8 bodies take more than half of the 512 kB for bodies.
+	for range cap(held) {
+		held = append(held, c.sendPart(in, body+strings.Repeat("b", 39_999)))
+	}
+	for _, conn := range held {
+		status, text := refusal(conn)
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.True(strings.Contains(text, "slow-body"))
+	}
 	status, text := refusal(c.sendPart(in, head+"X-Cut: "))
 	is.Equal(status, http.StatusRequestTimeout)
 	is.Equal(text, "not run: head-timeout\n")
@@ -70,8 +81,10 @@
 	is.Equal(text, "not run: head-memory\n")
 	is.Equal(in.upstream.RunCount("refused"), 0)
 	for series, count := range map[string]string{
+		`connections_closed_total{listener="callers",reason="slow-body"}`:    strconv.Itoa(len(held)),
 		`connections_closed_total{listener="callers",reason="head-timeout"}`: "1",
 		`connections_closed_total{listener="callers",reason="head-memory"}`:  "1",
+		`own_statuses_total{reason="slow-body",status="503"}`:                strconv.Itoa(len(held)),
 		`own_statuses_total{reason="head-timeout",status="408"}`:             "1",
 		`own_statuses_total{reason="head-memory",status="503"}`:              "1",
 	} {
@@ -81,6 +94,18 @@
 	is.Equal(status, http.StatusOK)
 }
 
+// TestBodyBeyondRouteTimeout guards against a body that is awaited for longer than its request may take.
+func TestBodyBeyondRouteTimeout(t *testing.T) {
+	is := is.New(t)
+	c, in := startLimited(t, 144)
+	conn := c.sendPart(in, "POST /photos/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: late\r\nX-Deadline-Ms: 600000\r\nContent-Length: 10\r\n\r\n123456789")
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second)) // The timeout of the route is 2 s.
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusRequestTimeout)
+	is.Equal(in.upstream.RunCount("late"), 0)
+}
+
 // TestFloodOfConnections guards against a log that grows with the number of connections, and against
 // connections that keep others from being served.
 func TestFloodOfConnections(t *testing.T) {
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -163,12 +163,25 @@
 	if err := callerhttp.CheckHeader(r, limits); err != nil {
 		return err
 	}
-	body := httpserver.NewBody(w, r, request.Deadline-a.clock.Now())
+	body := httpserver.NewBody(w, r, a.bodyDeadline(request)-a.clock.Now())
 	defer body.Release()
 	r.Body = body
 	return callerhttp.ReadBody(r, request, limits, a.memory.MaxBody())
 }
 
+// bodyDeadline returns the time by which the body of a request must have arrived to be of use.
+func (a *App) bodyDeadline(request *dispatch.Request) clock.Millis {
+	route, found := a.manifest.Load().Match(request.Host, request.Path())
+	switch {
+	case !found:
+		return min(request.Deadline, request.ReceivedAt+unroutedBodyTimeout)
+	case route.Timeout > 0:
+		return min(request.Deadline, request.ReceivedAt+route.Timeout)
+	default:
+		return request.Deadline
+	}
+}
+
 // handleCaller routes a caller's request. It refuses the request while the sidecar stops,
 // and returns a result without a route before the first manifest.
 func (a *App) handleCaller(ctx context.Context, manifest *routes.Manifest, request *dispatch.Request) dispatch.Result {
