sidecar: bound what unread responses hold

Cause: a response keeps its share of the memory until it is written, without a limit in time, and the kernel lets a send buffer grow to megabytes.

The kernel's buffers of a client's connection hold 64 kB in each direction.

--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -87,10 +87,15 @@
 	// transfer is the phase that pace belongs to.
 	transfer Phase
 	pace     pace
+	// wait is the number of the last wait. A phase ends the wait that began before it.
+	wait Wait
 	// evicted is set once the connection no longer counts.
 	evicted bool
 }
 
+// Wait is one wait of a server for a client. The zero value is none.
+type Wait uint64
+
 // pace measures the speed of a client in the time for which the server waits for it.
 type pace struct {
 	waiting      bool
@@ -232,6 +237,7 @@
 // becomes idle.
 func (l *Limiter) Enter(c *Client, phase Phase, now clock.Millis) {
 	c.pace.waiting = false
+	c.wait++
 	if (phase == Head || phase == Body || phase == Response) && c.transfer != phase {
 		c.transfer, c.pace = phase, pace{}
 	}
@@ -250,17 +256,28 @@
 	c.heads = nil
 }
 
-// BeginWait records that the server begins to wait for bytes of the client, or for the client to read
-// some. It has no effect in the phase Serving.
-func (l *Limiter) BeginWait(c *Client, now clock.Millis) {
-	if c.phase != Serving {
-		c.pace.waiting, c.pace.waitingSince = true, now
+// BeginRead records that the server begins to wait for bytes of the client. It returns no wait in phases
+// in which none are expected: net/http also reads while it serves a request or writes a response.
+func (l *Limiter) BeginRead(c *Client, now clock.Millis) Wait {
+	if c.phase == Serving || c.phase == Response {
+		return 0
 	}
+	return c.beginWait(now)
+}
+
+// BeginWrite records that the server begins to wait for the client to read a part of a response.
+func (l *Limiter) BeginWrite(c *Client, now clock.Millis) Wait { return c.beginWait(now) }
+
+func (c *Client) beginWait(now clock.Millis) Wait {
+	c.wait++
+	c.pace.waiting, c.pace.waitingSince = true, now
+	return c.wait
 }
 
-// EndWait records that the server has moved bytes since BeginWait.
-func (l *Limiter) EndWait(c *Client, bytes int, now clock.Millis) {
-	if !c.pace.waiting {
+// EndWait records that the server has moved bytes in a wait. It has no effect if the wait has ended with
+// its phase.
+func (l *Limiter) EndWait(c *Client, wait Wait, bytes int, now clock.Millis) {
+	if wait == 0 || wait != c.wait {
 		return
 	}
 	if c.phase == Idle {
--- a/core/connlimit/connlimit_test.go
+++ b/core/connlimit/connlimit_test.go
@@ -28,8 +28,7 @@
 
 // transfer moves bytes in a wait from begin to end.
 func transfer(l *connlimit.Limiter, c *connlimit.Client, bytes int, begin, end clock.Millis) {
-	l.BeginWait(c, begin)
-	l.EndWait(c, bytes, end)
+	l.EndWait(c, l.BeginRead(c, begin), bytes, end)
 }
 
 // reasons returns the reasons of the overdue connections.
@@ -49,7 +48,7 @@
 	serving, idle, older, slow := open(t, l, 0), open(t, l, 10), open(t, l, 5), open(t, l, 20)
 	l.Enter(serving, connlimit.Serving, 20)
 	l.Enter(slow, connlimit.Body, 20)
-	l.BeginWait(slow, 20)
+	l.BeginRead(slow, 20)
 	first, closing := l.Open(20+second, nothingUnread)
 	is.Equal(closing.Client(), slow)
 	is.Equal(closing.Reason(), connlimit.ReasonSlowBody)
@@ -80,16 +79,16 @@
 		expected map[connlimit.Reason]int
 	}{
 		"upload of 60 kB in 3 s":   {func(l *connlimit.Limiter, c *connlimit.Client) { transfer(l, c, 60_000, 0, 3*second) }, nil},
-		"stall of less than 1 s":   {func(l *connlimit.Limiter, c *connlimit.Client) { l.BeginWait(c, 3*second+1) }, nil},
+		"stall of less than 1 s":   {func(l *connlimit.Limiter, c *connlimit.Client) { l.BeginRead(c, 3*second+1) }, nil},
 		"server that does a pause": {func(l *connlimit.Limiter, c *connlimit.Client) { transfer(l, c, 100, 0, 500) }, nil},
-		"stall":                    {func(l *connlimit.Limiter, c *connlimit.Client) { l.BeginWait(c, 0) }, map[connlimit.Reason]int{connlimit.ReasonSlowBody: 1}},
+		"stall":                    {func(l *connlimit.Limiter, c *connlimit.Client) { l.BeginRead(c, 0) }, map[connlimit.Reason]int{connlimit.ReasonSlowBody: 1}},
 		"stall after 1 MB": {func(l *connlimit.Limiter, c *connlimit.Client) {
 			transfer(l, c, 1<<20, 0, second)
-			l.BeginWait(c, second)
+			l.BeginRead(c, second)
 		}, map[connlimit.Reason]int{connlimit.ReasonSlowBody: 1}},
 		"stall after a burst": {func(l *connlimit.Limiter, c *connlimit.Client) {
 			transfer(l, c, 1<<20, 0, 0)
-			l.BeginWait(c, 2*second)
+			l.BeginRead(c, 2*second)
 		}, map[connlimit.Reason]int{connlimit.ReasonSlowBody: 1}},
 		"byte after byte": {func(l *connlimit.Limiter, c *connlimit.Client) {
 			for now := clock.Millis(0); now < 4*second; now += 100 {
@@ -121,10 +120,11 @@
 	l.SetHeadTimeout(3 * second)
 	head, response := open(t, l, 0), open(t, l, 0)
 	transfer(l, head, 10, 0, 5*second) // Idle until the first byte.
-	l.BeginWait(head, 5*second)
+	l.BeginRead(head, 5*second)
 	l.Enter(response, connlimit.Serving, 0)
 	l.Enter(response, connlimit.Response, 0)
-	l.BeginWait(response, 0)
+	l.BeginWrite(response, 0)
+	l.EndWait(response, l.BeginRead(response, 0), 1, 0) // the next request
 	is.Equal(len(reasons(l, 8*second-1, connlimit.Pressure{})), 0)
 	is.Equal(reasons(l, 8*second, connlimit.Pressure{}), map[connlimit.Reason]int{connlimit.ReasonHeadTimeout: 1})
 	l.Close(head)
@@ -141,9 +141,9 @@
 	l.SetHeadTimeout(3 * second)
 	head, body := open(t, l, 0), open(t, l, 0)
 	l.Enter(head, connlimit.Head, 0)
-	l.BeginWait(head, 0)
+	l.BeginRead(head, 0)
 	l.Enter(body, connlimit.Body, 0)
-	l.BeginWait(body, 0)
+	l.BeginRead(body, 0)
 	l.Restart(5 * second)
 	pressed := connlimit.Pressure{Bodies: true, Heads: true}
 	is.Equal(len(reasons(l, 6*second-1, pressed)), 0)
@@ -184,7 +184,7 @@
 		for i := 0; now == 0 && i < crowd; i++ {
 			if c, _ := l.Open(now, nothingUnread); c != nil {
 				transfer(l, c, 20, now, now) // a part of a head
-				l.BeginWait(c, now)
+				l.BeginRead(c, now)
 			}
 			held = min(held+1, limit)
 		}
--- a/core/httpserver/guard.go
+++ b/core/httpserver/guard.go
@@ -30,11 +30,15 @@
 	// maxSweepGap is the time in milliseconds between two sweeps from which this process did not
 	// run in between.
 	maxSweepGap clock.Millis = 3000
+	// KernelBufferBytes is what a buffer of the kernel holds if KernelBuffers is set. 64 kB in 16 ms,
+	// the round trip to the users' requesters, are 32 Mbit/s. Linux doubles the size that is set, and
+	// keeps half of a receive buffer for its own structures.
+	KernelBufferBytes = 64 << 10
 	// ConnectionHeapBytes is the memory of the process for a connection: its goroutine and the
 	// buffers of net/http.
 	ConnectionHeapBytes = 32 << 10
-	// ConnectionBytes is the memory for a connection with the kernel's two buffers of 64 kB.
-	ConnectionBytes = ConnectionHeapBytes + 2*(64<<10)
+	// ConnectionBytes is the memory for a connection with the kernel's two buffers.
+	ConnectionBytes = ConnectionHeapBytes + 2*KernelBufferBytes
 )
 
 // EvictedError reports that a connection was closed for a limit. The request that was read on it is
@@ -50,6 +54,9 @@
 type GuardSettings struct {
 	// MaxConnections is the largest number of connections, 0 for no limit.
 	MaxConnections int
+	// KernelBuffers is set if the kernel is to hold at most KernelBufferBytes that the client has sent
+	// and this process has not read, and as much in the other direction.
+	KernelBuffers bool
 	// Clock is that of the operating system if nil.
 	Clock clock.Clock
 	// Heads is the memory for the heads of requests, nil for no limit. Guards can share it.
@@ -150,6 +157,10 @@
 
 // admit adds a new connection, or refuses it and returns false.
 func (g *Guard) admit(conn *Conn) bool {
+	if g.settings.KernelBuffers { // They fail if the connection is closed.
+		_ = conn.SetReadBuffer(KernelBufferBytes)
+		_ = conn.SetWriteBuffer(KernelBufferBytes / 2)
+	}
 	g.mu.Lock()
 	client, closing := g.limiter.Open(g.settings.Clock.Now(), g.hasUnread)
 	var replaced evictedConn
@@ -212,23 +223,17 @@
 	delete(g.conns, c.client)
 }
 
-// beginWait records that the server waits for a client from now on.
-func (g *Guard) beginWait(c *Conn) {
-	now := g.settings.Clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.limiter.BeginWait(c.client, now)
-}
-
 // read reads from a connection for net/http.
 func (g *Guard) read(c *Conn, p []byte) (int, error) {
 	if evicted := c.evicted.Load(); evicted != nil {
 		return 0, g.endOfReads(c, evicted)
 	}
-	g.beginWait(c)
+	g.mu.Lock()
+	wait := g.limiter.BeginRead(c.client, g.settings.Clock.Now())
+	g.mu.Unlock()
 	n, err := c.TCPConn.Read(p)
 	g.mu.Lock()
-	g.limiter.EndWait(c.client, n, g.settings.Clock.Now())
+	g.limiter.EndWait(c.client, wait, n, g.settings.Clock.Now())
 	exhausted := g.takeHead(c, p[:n])
 	g.mu.Unlock()
 	if exhausted != nil && c.evicted.CompareAndSwap(nil, exhausted) {
@@ -278,10 +283,12 @@
 	written := 0
 	for written < len(p) {
 		part := p[written:min(written+writePartBytes, len(p))]
-		g.beginWait(c)
+		g.mu.Lock()
+		wait := g.limiter.BeginWrite(c.client, g.settings.Clock.Now())
+		g.mu.Unlock()
 		n, err := c.TCPConn.Write(part)
 		g.mu.Lock()
-		g.limiter.EndWait(c.client, n, g.settings.Clock.Now())
+		g.limiter.EndWait(c.client, wait, n, g.settings.Clock.Now())
 		g.mu.Unlock()
 		if written += n; err != nil {
 			return written, err
--- a/core/httpserver/guard_test.go
+++ b/core/httpserver/guard_test.go
@@ -193,7 +193,11 @@
 		is.True(err != nil)
 		ended <- n
 	})
-	g.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	conn := g.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	time.Sleep(50 * time.Millisecond) // The response is being written.
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // The server reads a byte of the next request.
 	is.Equal(g.await(g.sweeps(0, connlimit.Pressure{Bodies: true})), connlimit.ReasonSlowResponse)
 	is.True(<-ended < 8<<20) // The receiver's buffer takes up to 6 MB.
 }
--- a/demo/crowds/crowd_test.go
+++ b/demo/crowds/crowd_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -106,6 +107,8 @@
 	return chunked(r) + strings.Repeat(chunk, r.bodyLength()/minBodyBytes)
 }
 
+func pipelined(r request, n int) string { return r.head("GET", n) + "\r\n" }
+
 // crowds returns the kinds of clients that operators of similar systems have met.
 func crowds() []crowd {
 	longField := "X-Long-%d: " + strings.Repeat("v", longFieldBytes) + "\r\n"
@@ -146,6 +149,16 @@
 			name: "chunks over the limit", connections: 100, opening: chunked,
 			repeated: constant(fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat("c", 64<<10))),
 		},
+		{name: "pipelined requests", connections: 800, opening: nothing, repeated: pipelined, complete: true},
+		{name: "answers unread", connections: 300, opening: nothing, repeated: pipelined, pause: 10 * time.Millisecond, complete: true},
+		{
+			name: "answers read slowly", connections: 300, opening: nothing, repeated: pipelined, pause: 10 * time.Millisecond,
+			readPause: 50 * time.Millisecond, maxRead: math.MaxInt, complete: true,
+		},
+		{
+			name: "answers read half-way", connections: 300, opening: nothing, repeated: pipelined, pause: 10 * time.Millisecond,
+			readPause: time.Microsecond, maxRead: 1000, complete: true,
+		},
 	}
 }
 
--- a/sidecar/app/guards.go
+++ b/sidecar/app/guards.go
@@ -94,7 +94,7 @@
 		heads = nil
 	}
 	return httpserver.NewGuard(httpserver.GuardSettings{
-		MaxConnections: maxConnections, Heads: heads, Refusal: callerhttp.Refusal, HandlerRefuses: name == requestsListener,
+		MaxConnections: maxConnections, KernelBuffers: isOpenToClients(name), Heads: heads, Refusal: callerhttp.Refusal, HandlerRefuses: name == requestsListener,
 		OnClosing: func(remote net.Addr, reason connlimit.Reason, connections int) {
 			a.recordClosing(name, remote.String(), reason, connections, maxConnections)
 		},
