memory: a growing body takes the memory of both of its buffers

A body of unknown length is copied to a buffer of twice the size when its buffer is full. Both are in use meanwhile, but only the larger one was counted: half of the size too little for each body in chunks, at the moment at which many of them grow. By reading; no run showed a process above its memory for this alone.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -212,11 +212,14 @@
 			if grown > maxBytes {
 				grown = maxBytes + 1
 			}
-			if err := a.Reserve(grown - int64(cap(body))); err != nil {
+			// Both buffers are in use while the bytes are copied.
+			if err := a.Reserve(grown); err != nil {
 				a.release(int64(cap(body)))
 				return nil, err
 			}
+			former := int64(cap(body))
 			body = append(make([]byte, 0, grown), body...)
+			a.release(former)
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
