logs: bound the values in a line and the lines that wait

A client chooses the length of its request ID, host and malformed fields, up to the limit for heads, and 140 lines a second about requests may name them. 4,096 lines that wait for a slow output could take 64 MB.

Values are cut at 512 bytes, stacks at 16 kB, and the lines that wait take 4 MB at most; more are dropped and counted, as before. TestLongValues fails without it.

--- a/core/logs/logs.go
+++ b/core/logs/logs.go
@@ -16,6 +16,18 @@
 // and counted, so that a slow reader of the log does not delay requests.
 const maxBufferedLines = 4096
 
+// maxBufferedBytes bounds the memory for these lines.
+const maxBufferedBytes = 4 << 20
+
+// maxValueBytes bounds a value in a line, which may be a client's text of any length, and
+// maxStackBytes that of stackKey. What is cut off is replaced by cutMark.
+const (
+	maxValueBytes = 512
+	maxStackBytes = 16 << 10
+	stackKey      = "stack"
+	cutMark       = "..."
+)
+
 // initialLineBytes is the initial capacity of the buffer of a line.
 const initialLineBytes = 256
 
@@ -26,6 +38,8 @@
 	// done is closed when all buffered lines were written after Close.
 	done    chan struct{}
 	dropped atomic.Int64
+	// buffered is the number of bytes in lines.
+	buffered atomic.Int64
 	// mu is read-locked while a line is added, so that Close does not close lines
 	// meanwhile.
 	mu     sync.RWMutex
@@ -44,6 +58,7 @@
 func (w *Writer) writeLines(out io.Writer) {
 	defer close(w.done)
 	for line := range w.lines {
+		w.buffered.Add(-int64(len(line)))
 		if _, err := out.Write(line); err != nil {
 			// The log itself failed, so that the error can only be counted.
 			w.dropped.Add(1)
@@ -56,13 +71,16 @@
 func (w *Writer) Write(line []byte) (int, error) {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
-	if !w.closed {
+	if !w.closed && w.buffered.Add(int64(len(line))) <= maxBufferedBytes {
 		select {
 		case w.lines <- append([]byte(nil), line...):
 			return len(line), nil
 		default:
 		}
 	}
+	if !w.closed {
+		w.buffered.Add(-int64(len(line)))
+	}
 	w.dropped.Add(1)
 	return len(line), nil
 }
@@ -92,7 +110,7 @@
 	line = appendPair(line, "level", args.Level)
 	line = appendPair(line, "event", args.Message)
 	for _, pair := range args.KeyValues {
-		line = appendPair(line, pair.Key, valueText(pair.ValueType, pair.Value))
+		line = appendPair(line, pair.Key, boundedText(pair.Key, valueText(pair.ValueType, pair.Value)))
 	}
 	line = append(line, '\n')
 	return out.Write(line)
@@ -111,6 +129,18 @@
 	}
 }
 
+// boundedText returns the beginning of a long value.
+func boundedText(key, value string) string {
+	limit := maxValueBytes
+	if key == stackKey {
+		limit = maxStackBytes
+	}
+	if len(value) <= limit {
+		return value
+	}
+	return value[:limit] + cutMark
+}
+
 // appendPair appends " key=value", with the value quoted if it is empty or has
 // characters that separate pairs.
 func appendPair(line []byte, key, value string) []byte {
--- a/core/logs/logs_test.go
+++ b/core/logs/logs_test.go
@@ -25,6 +25,25 @@
 	is.Equal(strings.Count(line, "\n"), 1)
 }
 
+// TestLongValues guards against lines and a buffer whose size a client chooses.
+func TestLongValues(t *testing.T) {
+	is := is.New(t)
+	var text bytes.Buffer
+	logger, writer := logs.New(&text, "info")
+	logger.Info().Str("request", strings.Repeat("r", 100_000)).Int("status", 400).Msg("requestRejected")
+	is.NoErr(writer.Close())
+	is.True(text.Len() < 1000)
+	is.True(strings.HasSuffix(text.String(), "... status=400\n"))
+	out := blockedWriter{release: make(chan struct{})}
+	logger, writer = logs.New(out, "info")
+	for range 4000 {
+		logger.Info().Str("a", strings.Repeat("a", 1000)).Str("b", strings.Repeat("b", 1000)).Str("c", strings.Repeat("c", 1000)).Msg("line")
+	}
+	is.True(writer.Dropped() > 1000) // 4,000 lines of 1.5 kB
+	close(out.release)
+	is.NoErr(writer.Close())
+}
+
 // blockedWriter is an output that blocks until release is closed.
 type blockedWriter struct{ release chan struct{} }
 
