sidecar: a body over the limit asks which manifest is the newest

Callers saw: 503 "configuration-lags" in place of 413 in a calm cluster of one instance, for about a quarter of the time.

Cause: a poll of the store lasts up to 3 s, a manifest counts as the newest for 2.5 s after the last answer. A request without a route asks the store in between, a request over a limit did not.

Change: it asks too; one question serves all requests that wait, as before.

--- a/sidecar/app/manifest.go
+++ b/sidecar/app/manifest.go
@@ -113,7 +113,13 @@
 func (a *App) withLaggingLimits(request *dispatch.Request, applied *routes.Manifest, err error) error {
 	var rejected *callerhttp.Error
 	// A newer manifest may have come into force while the body was read.
-	if !errors.As(err, &rejected) || !rejected.ByLimits() || a.manifestIsCurrent() && a.manifest.Load() == applied {
+	if !errors.As(err, &rejected) || !rejected.ByLimits() {
+		return err
+	}
+	if !a.manifestIsCurrent() {
+		a.confirmManifest()
+	}
+	if a.manifestIsCurrent() && a.manifest.Load() == applied {
 		return err
 	}
 	return rejected.RefusedForLag(retryafter.Spread(request.Deadline-a.clock.Now(), request.ID))
--- a/sidecar/app/manifestage_test.go
+++ b/sidecar/app/manifestage_test.go
@@ -157,3 +157,18 @@
 		t.Fatalf("a request for a route of the manifest in force got %d", status)
 	}
 }
+
+// TestTooLargeBodyBetweenPolls guards against a body over the limit that is refused as if a newer
+// manifest might allow it, while the store answers: only the last poll is too old.
+func TestTooLargeBodyBetweenPolls(t *testing.T) {
+	c := newCluster(t, 146, "ledger")
+	in := c.instances[0]
+	c.eventually("serving", c.allServe("/book/first"))
+	for range 40 { // 4 s, longer than a poll
+		status := c.sendHead(in, "POST /book/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: large\r\nContent-Length: 1000001\r\n\r\n")
+		if status != http.StatusRequestEntityTooLarge {
+			t.Fatalf("status %d", status)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
