httpserver: no read deadline for a request without a body

A handler that reads the body of a request without one had its context cancelled when the deadline for the body had passed: net/http already waits for the next request then, and the deadline ends that wait.

--- a/core/httpserver/httpserver.go
+++ b/core/httpserver/httpserver.go
@@ -84,10 +84,12 @@
 
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
+	if b.body == http.NoBody {
+		// net/http already waits for the next request, of which a deadline would cancel the context.
+		return b.body.Read(p)
+	}
 	if !b.begun {
-		// Not before: net/http already waits for the next request after one without a body,
-		// and a deadline would cancel its context. A connection that takes no deadline is
-		// closed, which the read reports.
+		// A connection that takes no deadline is closed, which the read reports.
 		b.begun = true
 		_ = b.controller.SetReadDeadline(b.deadline)
 		b.stop = context.AfterFunc(b.ctx, func() { _ = b.controller.SetReadDeadline(time.Now()) })
