connlimit: admit new connections beside clients that keep reconnecting

All connections were in use by clients that send requests ahead without reading, and counted as slow only after a second; nearly all of those that became free were taken by the crowd. No process ended, and 102 MB of 128 MB were held at most.

Change: if no client is slow and no connection idle, a new connection replaces one whose head is not complete 30 ms after it began, or one whose client sends further requests while it does not read a response. An idle connection is left alone for the same 30 ms, in which the first request of a new client arrives; without that, the connection of an ordinary client was the one to be replaced.

--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -24,6 +24,9 @@
 	// ended, also if nothing is short. The longest time for which the users' requesters wait is
 	// 4 s.
 	StallTimeout clock.Millis = 30_000
+	// arrivalTime is the time in milliseconds after which a connection without a whole head is closed
+	// in favour of a new one. The round trip to the users' requesters takes 16 ms.
+	arrivalTime clock.Millis = 30
 	// headByteFactor and headFieldBytes give the memory in bytes for a head by its bytes and its
 	// fields: it is read by net/http, and a copy of the map of its fields is forwarded.
 	headByteFactor = 2
@@ -51,7 +54,7 @@
 // Reason says why a connection is closed or a request on it refused.
 type Reason string
 
-// Reasons. No request of the connection runs, but after ReasonSlowResponse and ReasonIdle.
+// Reasons. A request that is being read when its connection is closed is not run.
 const (
 	// ReasonTooMany is the reason to refuse a connection that exceeds the allowed number while
 	// none of the others can be closed.
@@ -62,7 +65,8 @@
 	// operator allows.
 	ReasonHeadTimeout Reason = "head-timeout"
 	// ReasonSlowHead, ReasonSlowBody and ReasonSlowResponse are the reasons to close the
-	// connection of a slow client while memory or connections are short.
+	// connection of a slow client while memory or connections are short. ReasonSlowResponse is
+	// also that of a client that sends requests ahead.
 	ReasonSlowHead     Reason = "slow-head"
 	ReasonSlowBody     Reason = "slow-body"
 	ReasonSlowResponse Reason = "slow-response"
@@ -194,23 +198,39 @@
 func (c Closing) Reason() Reason { return c.reason }
 
 // replaceable returns the connection to close in favour of a new one: that of a slow client, otherwise
-// the one that has been idle for longest. It returns nil if there is none.
+// the one that has been idle for longest, otherwise one with a part of a head, otherwise that of a client
+// that sends further requests while it does not read the response to one. It returns nil if there is none.
 func (l *Limiter) replaceable(now clock.Millis, hasUnread HasUnread) *Closing {
-	var slow, idle *Client
+	var slow, idle, partial, ahead *Client
+	awaited := func(c *Client) bool { return !c.hasSent(hasUnread) }
 	for c := range l.clients {
+		arrived := now-c.since >= arrivalTime
 		switch {
-		case c.isSlow(now) && (slow == nil || c.since < slow.since) && !c.hasSent(hasUnread):
-			slow = c
-		case c.phase == Idle && (idle == nil || c.since < idle.since) && !c.hasSent(hasUnread):
-			idle = c
+		case c.isSlow(now):
+			slow = older(slow, c, awaited)
+		case c.phase == Idle && arrived:
+			idle = older(idle, c, awaited)
+		case c.phase == Head && arrived:
+			partial = older(partial, c, awaited)
+		case c.phase == Response && c.pace.waiting:
+			ahead = older(ahead, c, hasUnread)
 		}
 	}
-	if found := cmp.Or(slow, idle); found != nil {
+	if found := cmp.Or(slow, idle, partial, ahead); found != nil {
 		return &Closing{client: found, phase: found.phase, reason: found.phase.slowReason()}
 	}
 	return nil
 }
 
+// older returns c if it meets the condition and has been in its phase for longer than found, otherwise
+// found. The condition is a system call for each client that is asked for.
+func older(found, c *Client, condition func(*Client) bool) *Client {
+	if (found == nil || c.since < found.since) && condition(c) {
+		return c
+	}
+	return found
+}
+
 // slowReason returns the reason to close a connection in a phase because of its client.
 func (p Phase) slowReason() Reason {
 	switch p {
--- a/core/connlimit/connlimit_test.go
+++ b/core/connlimit/connlimit_test.go
@@ -49,6 +49,8 @@
 	l.Enter(serving, connlimit.Serving, 20)
 	l.Enter(slow, connlimit.Body, 20)
 	l.BeginRead(slow, 20)
+	refused, _ := l.Open(34, nothingUnread)
+	is.True(refused == nil) // The clients may have sent their first requests.
 	first, closing := l.Open(20+second, nothingUnread)
 	is.Equal(closing.Client(), slow)
 	is.Equal(closing.Reason(), connlimit.ReasonSlowBody)
@@ -58,7 +60,7 @@
 	is.Equal(closing.Reason(), connlimit.ReasonIdle)
 	l.Enter(second, connlimit.Serving, 2000)
 	// A client whose request waits to be read is not idle.
-	refused, closing := l.Open(2000, func(c *connlimit.Client) bool { return c == idle })
+	refused, closing = l.Open(2000, func(c *connlimit.Client) bool { return c == idle })
 	is.True(refused == nil && closing == nil)
 	third, closing := l.Open(2000, nothingUnread)
 	is.Equal(closing.Client(), idle)
@@ -70,6 +72,38 @@
 	is.Equal(l.Connections(), 4)
 }
 
+// TestRequestsAhead guards against new connections that are refused because of clients that send
+// requests ahead, and against the end of one that only reads its response.
+func TestRequestsAhead(t *testing.T) {
+	is := is.New(t)
+	l := connlimit.New(2, nil)
+	reading, ahead := open(t, l, 0), open(t, l, 0)
+	for _, c := range []*connlimit.Client{reading, ahead} {
+		l.Enter(c, connlimit.Response, 0)
+		l.BeginWrite(c, 0)
+	}
+	admitted, closing := l.Open(100, func(c *connlimit.Client) bool { return c == ahead })
+	is.True(admitted != nil)
+	is.Equal(closing.Client(), ahead)
+	is.Equal(closing.Reason(), connlimit.ReasonSlowResponse)
+	l.Enter(admitted, connlimit.Serving, 100)
+	refused, _ := l.Open(100, nothingUnread)
+	is.True(refused == nil)
+}
+
+// TestPartsOfHeads guards against new connections that are refused because of clients that keep opening
+// connections and sending parts of heads, and against the end of a head that is on its way.
+func TestPartsOfHeads(t *testing.T) {
+	is := is.New(t)
+	l := connlimit.New(1, nil)
+	c := open(t, l, 0)
+	transfer(l, c, 20, 0, 10)
+	refused, _ := l.Open(39, nothingUnread)
+	is.True(refused == nil)
+	_, closing := l.Open(40, nothingUnread)
+	is.Equal(closing.Reason(), connlimit.ReasonSlowHead)
+}
+
 // TestSlowClients guards against a fast client that counts as slow, because it paused or the server did,
 // and a slow one that does not, because it began fast or sends a byte now and then.
 func TestSlowClients(t *testing.T) {
