sidecar: as many connections of callers as there are descriptors for

Cause: each connection counted as if both of the kernel's buffers held 64 kB, and their memory allowed fewer connections than the descriptors.

Change: the kernel's buffers are made as large as the allowed connections leave memory for, from 16 to 64 kB (184 MB: 975 connections, 20 kB; 284 MB: 975, 40 kB).

--- a/core/httpserver/guard.go
+++ b/core/httpserver/guard.go
@@ -30,15 +30,9 @@
 	// maxSweepGap is the time in milliseconds between two sweeps from which this process did not
 	// run in between.
 	maxSweepGap clock.Millis = 3000
-	// KernelBufferBytes is what a buffer of the kernel holds if KernelBuffers is set. 64 kB in 16 ms,
-	// the round trip to the users' requesters, are 32 Mbit/s. Linux doubles the size that is set, and
-	// keeps half of a receive buffer for its own structures.
-	KernelBufferBytes = 64 << 10
 	// ConnectionHeapBytes is the memory of the process for a connection: its goroutine and the
 	// buffers of net/http.
 	ConnectionHeapBytes = 32 << 10
-	// ConnectionBytes is the memory for a connection with the kernel's two buffers.
-	ConnectionBytes = ConnectionHeapBytes + 2*KernelBufferBytes
 )
 
 // EvictedError reports that a connection was closed for a limit. The request that was read on it is
@@ -54,9 +48,9 @@
 type GuardSettings struct {
 	// MaxConnections is the largest number of connections, 0 for no limit.
 	MaxConnections int
-	// KernelBuffers is set if the kernel is to hold at most KernelBufferBytes that the client has sent
-	// and this process has not read, and as much in the other direction.
-	KernelBuffers bool
+	// KernelBufferBytes is what the kernel holds at most of what the client has sent and this process has
+	// not read, and as much in the other direction; 0 for what the operating system chooses.
+	KernelBufferBytes int
 	// Clock is that of the operating system if nil.
 	Clock clock.Clock
 	// Heads is the memory for the heads of requests, nil for no limit. Guards can share it.
@@ -157,9 +151,11 @@
 
 // admit adds a new connection, or refuses it and returns false.
 func (g *Guard) admit(conn *Conn) bool {
-	if g.settings.KernelBuffers { // They fail if the connection is closed.
-		_ = conn.SetReadBuffer(KernelBufferBytes)
-		_ = conn.SetWriteBuffer(KernelBufferBytes / 2)
+	if bytes := g.settings.KernelBufferBytes; bytes > 0 {
+		// They fail if the connection is closed. Linux doubles the sizes, and keeps half of a receive
+		// buffer for its own structures.
+		_ = conn.SetReadBuffer(bytes)
+		_ = conn.SetWriteBuffer(bytes / 2)
 	}
 	g.mu.Lock()
 	client, closing := g.limiter.Open(g.settings.Clock.Now(), g.hasUnread)
--- a/sidecar/app/guards.go
+++ b/sidecar/app/guards.go
@@ -23,9 +23,13 @@
 	// manifests, that consists of fields of one letter, beside small ones.
 	minHeadMemoryBytes = 5 << 20
 	// connectionMemoryShare and connectionMemoryDivisor define the share of an instance's memory
-	// for the connections of callers.
+	// for the connections of callers, with the kernel's buffers.
 	connectionMemoryShare   = 3
 	connectionMemoryDivisor = 8
+	// minKernelBufferBytes and maxKernelBufferBytes bound the kernel's buffer in each direction of a
+	// client's connection. 64 kB in 16 ms, the round trip to the users' requesters, are 32 Mbit/s.
+	minKernelBufferBytes = 16 << 10
+	maxKernelBufferBytes = 64 << 10
 	// minCallerConnections is the least number of connections of callers.
 	minCallerConnections = 64
 	// reservedDescriptors are those of a process that are not available for connections, by the
@@ -51,13 +55,16 @@
 	return max(int64(s.MemoryMB()*bytesPerMB/headMemoryDivisor), minHeadMemoryBytes)
 }
 
+// connectionMemory returns the memory in bytes for the connections of callers, 0 for no limit.
+func connectionMemory(s settings.Sidecar) int {
+	return int(s.MemoryMB() * bytesPerMB * connectionMemoryShare / connectionMemoryDivisor)
+}
+
 // maxCallerConnections returns the largest number of connections of callers, for a process that may
-// open the given number of descriptors, 0 if unknown. It returns 0 for no limit.
+// open the given number of descriptors, 0 if unknown: as many as there are descriptors for, and memory
+// with the smallest buffers. It returns 0 for no limit.
 func maxCallerConnections(s settings.Sidecar, descriptors int) int {
-	limit := 0
-	if s.MemoryMB() > 0 {
-		limit = int(s.MemoryMB() * bytesPerMB * connectionMemoryShare / connectionMemoryDivisor / httpserver.ConnectionBytes)
-	}
+	limit := connectionMemory(s) / (httpserver.ConnectionHeapBytes + 2*minKernelBufferBytes)
 	if descriptors > 0 {
 		byDescriptors := (descriptors - reservedDescriptors) / callerDescriptorDivisor
 		if limit == 0 || byDescriptors < limit {
@@ -70,6 +77,15 @@
 	return max(limit, minCallerConnections)
 }
 
+// kernelBufferBytes returns the size of the kernel's buffers with which the given number of connections
+// fits into the memory.
+func kernelBufferBytes(s settings.Sidecar, connections int) int {
+	if s.MemoryMB() <= 0 || connections == 0 {
+		return maxKernelBufferBytes
+	}
+	return min(max((connectionMemory(s)/connections-httpserver.ConnectionHeapBytes)/2, minKernelBufferBytes), maxKernelBufferBytes)
+}
+
 // descriptorLimit returns the number of descriptors that this process may open: the setting, or less
 // if the operating system allows less. It returns 0 if neither is known.
 func descriptorLimit(s settings.Sidecar) int {
@@ -93,8 +109,12 @@
 	case peersListener, reportsListener:
 		heads = nil
 	}
+	buffer := 0
+	if isOpenToClients(name) {
+		buffer = kernelBufferBytes(a.settings, a.connectionLimit(callersListener))
+	}
 	return httpserver.NewGuard(httpserver.GuardSettings{
-		MaxConnections: maxConnections, KernelBuffers: isOpenToClients(name), Heads: heads, Refusal: callerhttp.Refusal, HandlerRefuses: name == requestsListener,
+		MaxConnections: maxConnections, KernelBufferBytes: buffer, Heads: heads, Refusal: callerhttp.Refusal, HandlerRefuses: name == requestsListener,
 		OnClosing: func(remote net.Addr, reason connlimit.Reason, connections int) {
 			a.recordClosing(name, remote.String(), reason, connections, maxConnections)
 		},
