edge: bound the log lines about requests that are no HTTP

briarwelld wrote a line for each of them, at the rate of the client. Now 20 lines a second at most, with the number of those left out; own_statuses counts all, as before. TestFloodOfMalformedRequests fails without it.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -12,6 +12,8 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
+	"briarwell.dev/core/clock/system"
+	"briarwell.dev/core/logs"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/router"
 	"briarwell.dev/core/upstream"
@@ -31,6 +33,9 @@
 // reasonProtocol is the reason in the metric of a status for bytes that are no HTTP request.
 const reasonProtocol = "http-protocol"
 
+// maxRejectionLinesPerSecond bounds the log lines per second about requests that are no HTTP.
+const maxRejectionLinesPerSecond = 20
+
 // Handler serves requests of callers. router.EntryHandler implements it.
 type Handler interface {
 	Serve(ctx context.Context, caller router.CallerRequest) *router.Response
@@ -46,13 +51,15 @@
 }
 
 type server struct {
-	settings Settings
-	latency  tally.Histogram
+	settings         Settings
+	latency          tally.Histogram
+	clock            system.Clock
+	rejectionLimiter *logs.Limiter
 }
 
 // New returns the HTTP application that serves callers.
 func New(settings Settings) *fiber.App {
-	s := &server{settings: settings}
+	s := &server{settings: settings, rejectionLimiter: logs.NewLimiter(maxRejectionLinesPerSecond)}
 	s.latency = settings.Scope.Histogram("request_latency", latencyBuckets())
 	app := fiber.New(fiber.Config{
 		AppName:                      "briarwelld",
@@ -145,7 +152,9 @@
 	c.Response().Header.Set(outcome.HeaderOutcome, outcome.NotRun{}.String())
 	c.Response().Header.Set(outcome.HeaderReason, string(outcome.ReasonMalformed))
 	s.countOwnStatus(status, reasonProtocol)
-	s.settings.Log.Warn().Err(cause).Int("status", status).Msg("requestRejected")
+	if ok, omitted := s.rejectionLimiter.Allow(s.clock.Now()); ok {
+		s.settings.Log.Warn().Err(cause).Int("status", status).Int64("omitted", omitted).Msg("requestRejected")
+	}
 	return c.Status(status).SendString(cause.Error() + "\n")
 }
 
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -57,11 +57,16 @@
 }
 
 func startMeasuredServer(t *testing.T, handler edge.Handler, scope tally.Scope) string {
+	t.Helper()
+	return startLoggedServer(t, handler, scope, io.Discard)
+}
+
+func startLoggedServer(t *testing.T, handler edge.Handler, scope tally.Scope, out io.Writer) string {
 	t.Helper()
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	logger, closer := logs.New(io.Discard, "error")
+	logger, closer := logs.New(out, "warn")
 	app := edge.New(edge.Settings{Handler: handler, Views: emptyView{}, Log: logger, Scope: scope, MaxHeaderBytes: 4096})
 	done := make(chan error, 1)
 	go func() { done <- app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) }()
@@ -73,6 +78,31 @@
 	return listener.Addr().String()
 }
 
+// TestFloodOfMalformedRequests guards against a log that grows with the number of requests.
+func TestFloodOfMalformedRequests(t *testing.T) {
+	is := is.New(t)
+	lines := make(countingWriter, 1000)
+	address := startLoggedServer(t, newOwnerlessHandler(), tally.NoopScope, lines)
+	for range 300 {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		_, err = io.WriteString(conn, "no request\r\n\r\n")
+		is.NoErr(err)
+		_, _ = io.ReadAll(conn)
+		_ = conn.Close()
+	}
+	is.True(len(lines) > 0)
+	is.True(len(lines) < 150)
+}
+
+// countingWriter receives an element for each line.
+type countingWriter chan struct{}
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	w <- struct{}{}
+	return len(p), nil
+}
+
 // newOwnerlessHandler returns a handler for which no key has an owner.
 func newOwnerlessHandler() edge.Handler {
 	return router.NewEntryHandler(router.EntrySettings{Views: emptyView{}, Clock: fixedClock{}, Random: router.NewRandom(1)})
