httpserver: a body that was asked for is awaited like any other

By reading: the "100 Continue" that net/http writes before it reads a body ended the phase in which the guard waits for the body, so that a client that never sends it was not slow. TestSlowBodyUnderPressure fails for it without the change.

A connection beyond the number is told so too when too many refused ones wait to be closed; it was only closed, but counted as answered.

--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -97,6 +97,9 @@
 	evicted bool
 }
 
+// Phase returns the phase of the connection.
+func (c *Client) Phase() Phase { return c.phase }
+
 // Wait is one wait of a server for a client. The zero value is none.
 type Wait uint64
 
--- a/core/httpserver/guard.go
+++ b/core/httpserver/guard.go
@@ -66,7 +66,7 @@
 	OnClosing func(remote net.Addr, reason connlimit.Reason, connections int)
 }
 
-// Guard applies a connlimit.Limiter to the connections of a Listener. The zero value limits nothing.
+// Guard applies a connlimit.Limiter to the connections of a Listener. Create it with NewGuard.
 type Guard struct {
 	settings  GuardSettings
 	lingering atomic.Int64
@@ -175,12 +175,12 @@
 		return true
 	}
 	g.report(conn, connlimit.ReasonTooMany)
-	if g.lingering.Load() >= maxLingering {
+	if !g.writeRefusal(conn, connlimit.ReasonTooMany) || g.lingering.Load() >= maxLingering {
 		_ = conn.TCPConn.Close()
 		return false
 	}
 	go func() {
-		g.refuse(conn, connlimit.ReasonTooMany)
+		g.linger(conn)
 		_ = conn.TCPConn.Close()
 	}()
 	return false
@@ -188,13 +188,24 @@
 
 // refuse answers in place of net/http on a connection that is closed afterwards.
 func (g *Guard) refuse(conn *Conn, reason connlimit.Reason) {
+	if g.writeRefusal(conn, reason) {
+		g.linger(conn)
+	}
+}
+
+// writeRefusal writes the refusal, and reports whether the client can read it.
+func (g *Guard) writeRefusal(conn *Conn, reason connlimit.Reason) bool {
 	if g.settings.Refusal == nil {
-		return
+		return false
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	if _, err := conn.TCPConn.Write(g.settings.Refusal(reason)); err != nil {
-		return // The client does not read.
-	}
+	_, err := conn.TCPConn.Write(g.settings.Refusal(reason))
+	return err == nil
+}
+
+// linger waits until the client has closed the connection, for at most lingerTime, unless too many
+// connections wait.
+func (g *Guard) linger(conn *Conn) {
 	if g.lingering.Add(1) <= maxLingering {
 		_ = conn.CloseWrite()
 		_ = conn.SetReadDeadline(time.Now().Add(lingerTime))
@@ -203,12 +214,14 @@
 	g.lingering.Add(-1)
 }
 
-// enter sets the phase of a connection.
-func (g *Guard) enter(c *Conn, phase connlimit.Phase) {
+// enter sets the phase of a connection, and returns the one before.
+func (g *Guard) enter(c *Conn, phase connlimit.Phase) connlimit.Phase {
 	now := g.settings.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	before := c.client.Phase()
 	g.limiter.Enter(c.client, phase, now)
+	return before
 }
 
 // closed removes a closed connection.
@@ -274,8 +287,11 @@
 
 // write writes p in parts, so that the progress of a slow client is seen.
 func (g *Guard) write(c *Conn, p []byte) (int, error) {
-	g.enter(c, connlimit.Response)
-	defer g.enter(c, connlimit.Serving)
+	before := g.enter(c, connlimit.Response)
+	if before != connlimit.Body { // While a body is read, net/http only asks for it.
+		before = connlimit.Serving
+	}
+	defer g.enter(c, before)
 	written := 0
 	for written < len(p) {
 		part := p[written:min(written+writePartBytes, len(p))]
--- a/core/httpserver/guard_test.go
+++ b/core/httpserver/guard_test.go
@@ -172,14 +172,16 @@
 		errs <- err
 		w.WriteHeader(http.StatusTeapot)
 	})
-	const head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n"
-	conn := g.send(head + "123456789")
-	is.Equal(g.await(g.sweeps(0, connlimit.Pressure{Bodies: true})), connlimit.ReasonSlowBody)
-	var evicted *httpserver.EvictedError
-	is.True(errors.As(<-errs, &evicted))
-	is.Equal(evicted.Reason(), connlimit.ReasonSlowBody)
-	is.True(strings.HasPrefix(readAll(conn), "HTTP/1.1 418"))
-	g.send(head + "1234567890")
+	const head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n"
+	for _, part := range []string{"\r\n123456789", "Expect: 100-continue\r\n\r\n"} {
+		conn := g.send(head + part)
+		is.Equal(g.await(g.sweeps(0, connlimit.Pressure{Bodies: true})), connlimit.ReasonSlowBody)
+		var evicted *httpserver.EvictedError
+		is.True(errors.As(<-errs, &evicted))
+		is.Equal(evicted.Reason(), connlimit.ReasonSlowBody)
+		is.True(strings.Contains(readAll(conn), "HTTP/1.1 418"))
+	}
+	g.send(head + "\r\n1234567890")
 	is.NoErr(<-errs)
 }
 
