sidecar: the kernel's buffers of clients hold 64 kB again

./run-tests on failed in TestRequestsWithoutEnd (a head of 1 MB took 6.9 s in place of 0.04 s) and in TestSmallRequestsBesideUploads (a request met "too many connections" beside uploads). Cause: made the buffers as small as 16 kB, less than a segment on a loopback address, so that each waits for a delayed acknowledgement; uploads then lasted long enough to take all 64 connections.

The buffers hold 64 kB as before. While more connections are open than their memory holds with full buffers (441 with 184 MB), slow clients are closed as if memory were short; the number that may be open stays at a quarter of the descriptors (975).

--- a/sidecar/app/guards.go
+++ b/sidecar/app/guards.go
@@ -26,10 +26,10 @@
 	// for the connections of callers, with the kernel's buffers.
 	connectionMemoryShare   = 3
 	connectionMemoryDivisor = 8
-	// minKernelBufferBytes and maxKernelBufferBytes bound the kernel's buffer in each direction of a
-	// client's connection. 64 kB in 16 ms, the round trip to the users' requesters, are 32 Mbit/s.
-	minKernelBufferBytes = 16 << 10
-	maxKernelBufferBytes = 64 << 10
+	// kernelBufferBytes is the size of the kernel's buffer in each direction of a client's connection.
+	// 64 kB in 16 ms, the round trip to the users' requesters, are 32 Mbit/s. Below the largest
+	// segment, 64 kB on a loopback address, each waits for a delayed acknowledgement.
+	kernelBufferBytes = 64 << 10
 	// minCallerConnections is the least number of connections of callers.
 	minCallerConnections = 64
 	// reservedDescriptors are those of a process that are not available for connections, by the
@@ -62,9 +62,9 @@
 
 // maxCallerConnections returns the largest number of connections of callers, for a process that may
 // open the given number of descriptors, 0 if unknown: as many as there are descriptors for, and memory
-// with the smallest buffers. It returns 0 for no limit.
+// with a part of the kernel's buffers. It returns 0 for no limit.
 func maxCallerConnections(s settings.Sidecar, descriptors int) int {
-	limit := connectionMemory(s) / (httpserver.ConnectionHeapBytes + 2*minKernelBufferBytes)
+	limit := connectionMemory(s) / (2 * httpserver.ConnectionHeapBytes)
 	if descriptors > 0 {
 		byDescriptors := (descriptors - reservedDescriptors) / callerDescriptorDivisor
 		if limit == 0 || byDescriptors < limit {
@@ -77,13 +77,11 @@
 	return max(limit, minCallerConnections)
 }
 
-// kernelBufferBytes returns the size of the kernel's buffers with which the given number of connections
-// fits into the memory.
-func kernelBufferBytes(s settings.Sidecar, connections int) int {
-	if s.MemoryMB() <= 0 || connections == 0 {
-		return maxKernelBufferBytes
-	}
-	return min(max((connectionMemory(s)/connections-httpserver.ConnectionHeapBytes)/2, minKernelBufferBytes), maxKernelBufferBytes)
+// isCrowded reports whether the given number of connections would exceed their memory if the kernel's
+// buffers of all were full.
+func isCrowded(s settings.Sidecar, connections int) bool {
+	memory := connectionMemory(s)
+	return memory > 0 && connections*(httpserver.ConnectionHeapBytes+2*kernelBufferBytes) > memory
 }
 
 // descriptorLimit returns the number of descriptors that this process may open: the setting, or less
@@ -111,7 +109,7 @@
 	}
 	buffer := 0
 	if isOpenToClients(name) {
-		buffer = kernelBufferBytes(a.settings, a.connectionLimit(callersListener))
+		buffer = kernelBufferBytes
 	}
 	return httpserver.NewGuard(httpserver.GuardSettings{
 		MaxConnections: maxConnections, KernelBufferBytes: buffer, Heads: heads, Refusal: callerhttp.Refusal, HandlerRefuses: name == requestsListener,
@@ -154,7 +152,8 @@
 		pressure := connlimit.Pressure{Heads: a.heads.Pressed(), Bodies: a.memory.Pressed()}
 		for _, l := range a.listeners {
 			if isOpenToClients(l.name) {
-				l.guard.Sweep(headTimeout, pressure)
+				crowded := isCrowded(a.settings, l.guard.Connections())
+				l.guard.Sweep(headTimeout, connlimit.Pressure{Heads: pressure.Heads || crowded, Bodies: pressure.Bodies || crowded})
 			} else {
 				l.guard.Sweep(0, connlimit.Pressure{})
 			}
