connlimit: a connection that was used before can be replaced at once

TestCrowds/answers_unread/ready failed twice: 300 clients that send a request every 10 ms kept all 32 connections for readiness probes, as none was idle for 30 ms, and the probe got 503 for 30 s. Those 30 ms are now for the first request of a new connection only.

--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -93,6 +93,8 @@
 	pace     pace
 	// wait is the number of the last wait. A phase ends the wait that began before it.
 	wait Wait
+	// kept is set once a request on the connection has ended.
+	kept bool
 	// evicted is set once the connection no longer counts.
 	evicted bool
 }
@@ -211,7 +213,7 @@
 		switch {
 		case c.isSlow(now):
 			slow = older(slow, c, awaited)
-		case c.phase == Idle && arrived:
+		case c.phase == Idle && (arrived || c.kept):
 			idle = older(idle, c, awaited)
 		case c.phase == Head && arrived:
 			partial = older(partial, c, awaited)
@@ -265,6 +267,7 @@
 		c.transfer, c.pace = phase, pace{}
 	}
 	if phase == Idle {
+		c.kept = true
 		c.releaseHead()
 		c.transfer, c.pace = Idle, pace{}
 	}
--- a/core/connlimit/connlimit_test.go
+++ b/core/connlimit/connlimit_test.go
@@ -91,6 +91,18 @@
 	is.True(refused == nil)
 }
 
+// TestBusyConnections guards against new connections that are refused because of clients that send one
+// request after the other.
+func TestBusyConnections(t *testing.T) {
+	is := is.New(t)
+	l := connlimit.New(1, nil)
+	c := open(t, l, 0)
+	l.Enter(c, connlimit.Serving, 0)
+	l.Enter(c, connlimit.Idle, 99)
+	_, closing := l.Open(100, nothingUnread)
+	is.Equal(closing.Client(), c)
+}
+
 // TestPartsOfHeads guards against new connections that are refused because of clients that keep opening
 // connections and sending parts of heads, and against the end of a head that is on its way.
 func TestPartsOfHeads(t *testing.T) {
