httpclient: a reset while the request is written ends no response

Cause: a response without a length ends with the connection. The kernel reports a reset once. If the goroutine that writes the body got it, the one that reads the response saw a regular end of the stream, and the error of the writer was ignored once there was a response.

Such a response now counts as complete only if writing has not failed. If the request is still being written when the response ends, writing goes on for up to 100 ms: a server that has closed the connection resets it, one that has only ended its own direction does not, and its response is passed on as before. This holds also after "100 Continue". An incomplete response is counted and logged as not passed on ("incomplete"); the caller gets 502, connection-lost, as before for other cut responses.

--- a/core/httpclient/client.go
+++ b/core/httpclient/client.go
@@ -67,6 +67,8 @@
 	// all of them are sent.
 	bytesSent       int
 	requestComplete bool
+	// endedByClose is true if the body of the response has no length and ended with the connection.
+	endedByClose bool
 	// reused is true if the connection has carried a request before.
 	reused bool
 	// sentIDs are hashes of the response IDs of all requests that the connection has carried, if
--- a/core/httpclient/request.go
+++ b/core/httpclient/request.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -94,9 +95,14 @@
 // ResponseDropped reports whether the client gave up reading the response, as it was too large
 // or there was no memory for it. That says nothing about the server's reachability.
 func (e *Error) ResponseDropped() bool {
+	return e.sent && isDropped(e.cause)
+}
+
+// isDropped reports whether a response was given up for its size or for lack of memory.
+func isDropped(err error) bool {
 	var tooLarge *memory.TooLargeError
 	var exhausted *memory.ExhaustedError
-	return e.sent && (errors.As(e.cause, &tooLarge) || errors.As(e.cause, &exhausted))
+	return errors.As(err, &tooLarge) || errors.As(err, &exhausted)
 }
 
 func (e *Error) Error() string {
@@ -124,6 +130,21 @@
 	return fmt.Sprintf("response with status %d has no request ID", e.status)
 }
 
+// IncompleteError reports a response of which a part may be missing.
+type IncompleteError struct {
+	status int
+	cause  error
+}
+
+// Status returns the status of the response.
+func (e *IncompleteError) Status() int { return e.status }
+
+func (e *IncompleteError) Error() string {
+	return fmt.Sprintf("response with status %d is incomplete: %v", e.status, e.cause)
+}
+
+func (e *IncompleteError) Unwrap() error { return e.cause }
+
 // Do sends the request and returns the response. When ctx ends, it closes the connection,
 // which signals the server to stop. The error is an *Error.
 func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
@@ -152,7 +173,7 @@
 // roundTrip writes the request while it reads the response, as a server may respond before
 // it has read a long body. It also reports whether the connection can be reused.
 func (c *connection) roundTrip(r Request) (Response, bool, error) {
-	c.bytesSent, c.requestComplete = 0, false
+	c.bytesSent, c.requestComplete, c.endedByClose = 0, false, false
 	defer func() { c.reused = true }()
 	c.heads.allow(maxHeadBytes)
 	c.heads.begin(r.BeginTimeout, r.StallTimeout)
@@ -175,17 +196,37 @@
 	} else {
 		go func() { written <- c.writeRest(r) }()
 	}
-	response, reusable, err := c.readResponse(r)
-	var writeErr error
+	response, reusable, readErr := c.readResponse(r)
 	select {
-	case writeErr = <-written:
+	case err := <-written:
+		return c.finishRoundTrip(response, reusable, err, readErr)
 	default:
-		// The server would read the rest of the body as the next request.
-		reusable = false
-		c.interrupt()
-		writeErr = <-written
 	}
-	return response, reusable && writeErr == nil, err
+	if readErr == nil && c.endedByClose {
+		select {
+		case err := <-written:
+			return c.finishRoundTrip(response, reusable, err, readErr)
+		case <-time.After(resetWait):
+		}
+	}
+	// The server would read the rest of the body as the next request.
+	c.interrupt()
+	return c.finishRoundTrip(response, false, <-written, readErr)
+}
+
+// resetWait is the time for which the rest of a request is written after its response has ended with
+// the connection. A server that has closed the connection resets it within a round trip; one that
+// has only ended its own direction does not.
+const resetWait = 100 * time.Millisecond
+
+// finishRoundTrip returns the result of a round trip whose request was written and whose response was
+// read with the given errors. A reset is reported once only, to the writer or to the reader, which
+// otherwise sees the regular end of the stream.
+func (c *connection) finishRoundTrip(response Response, reusable bool, writeErr, readErr error) (Response, bool, error) {
+	if readErr == nil && c.endedByClose && writeErr != nil && !errors.Is(writeErr, net.ErrClosed) {
+		return Response{}, false, &IncompleteError{status: response.Status, cause: writeErr}
+	}
+	return response, reusable && writeErr == nil, readErr
 }
 
 // writeRest writes the body if the head was written before, otherwise the whole request.
@@ -296,9 +337,14 @@
 		size = 0 // A response to HEAD has the length of a body that it does not have.
 	}
 	body, err := r.Memory.ReadAll(head.Body, size, cmp.Or(r.MaxResponseBytes, maxResponseBytes))
-	if err != nil {
+	switch {
+	case err == nil:
+	case isDropped(err):
 		return Response{}, false, false, fmt.Errorf("read response body: %w", err)
+	default:
+		return Response{}, false, false, &IncompleteError{status: head.StatusCode, cause: err}
 	}
+	c.endedByClose = head.Body != http.NoBody && head.ContentLength < 0 && len(head.TransferEncoding) == 0
 	c.setIdleTimeout(head.Header.Get("Keep-Alive"))
 	return Response{Status: head.StatusCode, Header: head.Header, Body: body}, !head.Close, true, nil
 }
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -265,8 +265,8 @@
 		Int64("returnMillis", int64(reply.RetryAfter)).Bool("promised", reply.Promised).Int64("leftMillis", int64(r.Deadline-a.clock.Now())).Int64("omitted", omitted).Msg("requestNotServed")
 }
 
-// recordInvalidResponse counts and logs a response that came in place of that of the upstream's
-// process.
+// recordInvalidResponse counts and logs a response that is incomplete, or not certainly that of the
+// upstream's process.
 func (a *App) recordInvalidResponse(r *dispatch.Request, process keyspace.Process, invalid *upstreamhttp.ResponseError) {
 	reason := string(invalid.Flaw())
 	a.telemetry.scope.Tagged(map[string]string{"reason": reason}).Counter("responses_not_passed_on").Inc(1)
--- a/sidecar/app/upstream.go
+++ b/sidecar/app/upstream.go
@@ -86,6 +86,9 @@
 	}
 	if invalid, ok := upstreamhttp.AsResponseError(err); ok {
 		u.app.recordInvalidResponse(r, process, invalid)
+		if invalid.Flaw() == upstreamhttp.FlawIncomplete {
+			return dispatch.Unknown(outcome.ReasonConnectionLost)
+		}
 		return dispatch.Unknown(outcome.ReasonInvalidResponse)
 	}
 	var clientErr *httpclient.Error
