httpupstream: a reset while the request is written ends no response

A connection now remembers that a write to it has failed. When a body without a length ends, the rest of the request is written for up to 100 ms, and the body is truncated if a write failed. The write in progress is waited for, so that a failure can't come too late. The caller's connection is then broken off, as for other bodies that end early.

--- a/core/upstream/httpupstream/conn.go
+++ b/core/upstream/httpupstream/conn.go
@@ -1,8 +1,10 @@
 package httpupstream
 
 import (
+	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +23,11 @@
 	inactivityTimeout time.Duration
 	bytesSent         atomic.Int64
 	requestCount      int
+
+	// writing is held during a write to tcp and guards writeErr, the first failure of a write that
+	// is not due to a close by this process.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // startRequest resets the byte count and the deadline for the next request.
@@ -62,7 +69,12 @@
 // Write writes to the connection, and counts the bytes that the kernel accepted and
 // extends the deadline if there were any.
 func (c *trackedConn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.tcp.Write(p)
+	if err != nil && c.writeErr == nil && !errors.Is(err, net.ErrClosed) {
+		c.writeErr = err
+	}
 	if n > 0 {
 		c.bytesSent.Add(int64(n))
 		c.extendDeadline()
@@ -70,6 +82,13 @@
 	return n, err
 }
 
+// writeFailure returns why a write failed, nil if none has. It waits for a write in progress.
+func (c *trackedConn) writeFailure() error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr
+}
+
 // isReusable reports whether an idle connection is still open and has no unexpected
 // data to read.
 func (c *trackedConn) isReusable() bool { return idleconn.IsReusable(c.tcp) }
--- a/core/upstream/httpupstream/exchange.go
+++ b/core/upstream/httpupstream/exchange.go
@@ -183,6 +183,30 @@
 	}
 }
 
+// untilClose is the content length that fasthttp reports for a body that ends with the connection.
+const untilClose = -2
+
+// resetWait is the time for which the rest of a request is written after its response has ended with
+// the connection. An upstream that has closed the connection resets it within a round trip; one that
+// has only ended its own direction does not.
+const resetWait = 100 * time.Millisecond
+
+// resetCause returns why a body that has ended is incomplete all the same, nil if it is complete. If
+// its end is that of the connection, a reset may have been reported to the writer of the request only.
+func (e *exchange) resetCause(ctx context.Context) error {
+	if e.response.Header.ContentLength() != untilClose {
+		return nil
+	}
+	select {
+	case <-e.writeDone:
+	case <-ctx.Done():
+		e.closeConnection()
+	case <-time.After(resetWait):
+		e.closeConnection()
+	}
+	return e.conn.writeFailure()
+}
+
 // sendError returns the error of a request that got no response head. The outcome is
 // NotRun only if no byte of the request was written.
 func (e *exchange) sendError(ctx context.Context, err error) *upstream.SendError {
@@ -249,9 +273,13 @@
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-		b.complete = true
-		b.exchange.finishAfterResponse(true)
-		return n, io.EOF
+		cause := b.exchange.resetCause(b.ctx)
+		if cause == nil {
+			b.complete = true
+			b.exchange.finishAfterResponse(true)
+			return n, io.EOF
+		}
+		err = cause
 	case b.ctx.Err() != nil:
 		err = b.ctx.Err()
 	case isTimeout(err):
