httpclient: responses that HTTP does not allow are not passed on

- status 000 (and 001 to 099, 101, +20) counted as interim: it was skipped, and its body was read as the next response;
- "Content-Length : 4" or "Transfer-Encoding : chunked" was no field of the framing, so that the body went on to the end of the connection, or held the chunks;
- a line feed before a name ended the head, and the rest of it became the body;
- a name with a blank was taken as a field, a line that began with one as the end of the field before;
- also: length and chunks together, chunks in HTTP/1.0, a version other than 1.x, an interim response with a body, trailers with such lines.

Cause: net/http repairs malformed heads, and any status below 200 was interim. The same client reads the responses of the upstream, to probes, of other sidecars and of the store: a 000 of the store could be read as a 503, "nothing was written".

Package httpresponse reads heads, bodies and trailers of responses and accepts only what RFC 9112 allows; what is then parsed by net/http leaves it nothing to repair. Replies of other sidecars are counted and logged apart (replies_not_passed_on).

--- a/core/httpclient/client.go
+++ b/core/httpclient/client.go
@@ -62,7 +62,10 @@
 	net.Conn
 
 	reader *bufio.Reader
-	heads  *headReader
+	bounds *boundedReader
+	// headBytesLeft is the number of bytes that the further heads of responses to the current
+	// request may have.
+	headBytesLeft int
 	// bytesSent counts the bytes sent for the current request, requestComplete is true once
 	// all of them are sent.
 	bytesSent       int
@@ -88,52 +91,38 @@
 	return n, err
 }
 
-// headReader reads from a connection. While limited is set, it reads no more than the
-// allowed bytes.
-type headReader struct {
-	conn    net.Conn
-	limited bool
-	allowed int
+// boundedReader reads from a connection within the times for one response.
+type boundedReader struct {
+	conn net.Conn
 	// timeout bounds the next read, stallTimeout those after it; 0 for no bound.
 	timeout      time.Duration
 	stallTimeout time.Duration
 }
 
-func (h *headReader) allow(bytes int) { h.allowed = bytes }
-
 // begin sets the bounds for the reads of one response.
-func (h *headReader) begin(timeout, stallTimeout time.Duration) {
-	h.timeout, h.stallTimeout = timeout, stallTimeout
+func (b *boundedReader) begin(timeout, stallTimeout time.Duration) {
+	b.timeout, b.stallTimeout = timeout, stallTimeout
 }
 
 // end removes the bounds.
-func (h *headReader) end() {
-	if h.timeout > 0 || h.stallTimeout > 0 {
-		h.timeout, h.stallTimeout = 0, 0
-		_ = h.conn.SetReadDeadline(time.Time{}) // Fails if the connection is closed.
+func (b *boundedReader) end() {
+	if b.timeout > 0 || b.stallTimeout > 0 {
+		b.timeout, b.stallTimeout = 0, 0
+		_ = b.conn.SetReadDeadline(time.Time{}) // Fails if the connection is closed.
 	}
 }
 
-func (h *headReader) Read(p []byte) (int, error) {
-	if h.limited {
-		if h.allowed <= 0 {
-			return 0, errHeadTooLarge
-		}
-		p = p[:min(len(p), h.allowed)]
-	}
-	if h.timeout > 0 {
-		if err := h.conn.SetReadDeadline(time.Now().Add(h.timeout)); err != nil {
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.timeout > 0 {
+		if err := b.conn.SetReadDeadline(time.Now().Add(b.timeout)); err != nil {
 			return 0, err
 		}
 	}
-	n, err := h.conn.Read(p)
-	if h.limited {
-		h.allowed -= n
-	}
-	if n > 0 && h.timeout != h.stallTimeout {
-		h.timeout = h.stallTimeout
-		if h.timeout == 0 {
-			err = errors.Join(err, h.conn.SetReadDeadline(time.Time{}))
+	n, err := b.conn.Read(p)
+	if n > 0 && b.timeout != b.stallTimeout {
+		b.timeout = b.stallTimeout
+		if b.timeout == 0 {
+			err = errors.Join(err, b.conn.SetReadDeadline(time.Time{}))
 		}
 	}
 	return n, err
@@ -217,8 +206,8 @@
 	if err != nil {
 		return nil, err
 	}
-	heads := &headReader{conn: tcp}
-	conn := &connection{Conn: tcp, reader: bufio.NewReader(heads), heads: heads, idleTimeout: c.idleTimeout}
+	bounds := &boundedReader{conn: tcp}
+	conn := &connection{Conn: tcp, reader: bufio.NewReader(bounds), bounds: bounds, idleTimeout: c.idleTimeout}
 	conn.recordSend(idHash)
 	return conn, nil
 }
--- a/core/httpclient/request.go
+++ b/core/httpclient/request.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"briarwell.dev/core/httpresponse"
 	"briarwell.dev/core/memory"
 )
 
@@ -116,7 +117,6 @@
 
 var (
 	errUnmatchedResponses = errors.New("server sent only interim responses or responses to other requests")
-	errHeadTooLarge       = fmt.Errorf("response heads exceed %d bytes", maxHeadBytes)
 	errInvalidHead        = errors.New("method, URI or a header name of the request is empty, or the request head has an invalid character")
 )
 
@@ -130,23 +130,9 @@
 	return fmt.Sprintf("response with status %d has no request ID", e.status)
 }
 
-// IncompleteError reports a response of which a part may be missing.
-type IncompleteError struct {
-	status int
-	cause  error
-}
-
-// Status returns the status of the response.
-func (e *IncompleteError) Status() int { return e.status }
-
-func (e *IncompleteError) Error() string {
-	return fmt.Sprintf("response with status %d is incomplete: %v", e.status, e.cause)
-}
-
-func (e *IncompleteError) Unwrap() error { return e.cause }
-
 // Do sends the request and returns the response. When ctx ends, it closes the connection,
-// which signals the server to stop. The error is an *Error.
+// which signals the server to stop. The error is an *Error, which wraps an *httpresponse.Error if
+// a response came that is not valid or not complete.
 func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
 	if !validHead(r) {
 		return Response{}, &Error{cause: errInvalidHead}
@@ -175,9 +161,9 @@
 func (c *connection) roundTrip(r Request) (Response, bool, error) {
 	c.bytesSent, c.requestComplete, c.endedByClose = 0, false, false
 	defer func() { c.reused = true }()
-	c.heads.allow(maxHeadBytes)
-	c.heads.begin(r.BeginTimeout, r.StallTimeout)
-	defer c.heads.end()
+	c.headBytesLeft = maxHeadBytes
+	c.bounds.begin(r.BeginTimeout, r.StallTimeout)
+	defer c.bounds.end()
 	if r.AwaitContinue && len(r.Body) > 0 {
 		if err := c.writeRequest(r, false); err != nil {
 			return Response{}, false, err
@@ -224,7 +210,7 @@
 // otherwise sees the regular end of the stream.
 func (c *connection) finishRoundTrip(response Response, reusable bool, writeErr, readErr error) (Response, bool, error) {
 	if readErr == nil && c.endedByClose && writeErr != nil && !errors.Is(writeErr, net.ErrClosed) {
-		return Response{}, false, &IncompleteError{status: response.Status, cause: writeErr}
+		return Response{}, false, httpresponse.NewIncompleteError(response.Status, writeErr)
 	}
 	return response, reusable && writeErr == nil, readErr
 }
@@ -285,7 +271,7 @@
 		if err != nil {
 			return Response{}, false, err
 		}
-		if head.StatusCode == http.StatusContinue {
+		if head.Status() == http.StatusContinue {
 			return Response{}, false, nil
 		}
 		response, _, matched, err := c.finishResponse(r, head)
@@ -313,48 +299,53 @@
 }
 
 // readHead reads the head of a response within the limit for the heads of a request.
-func (c *connection) readHead(r Request) (*http.Response, error) {
-	c.heads.limited = true
-	defer func() { c.heads.limited = false }()
-	return http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+func (c *connection) readHead(r Request) (*httpresponse.Head, error) {
+	head, err := httpresponse.ReadHead(c.reader, r.Method, c.headBytesLeft)
+	if err == nil {
+		c.headBytesLeft -= head.Size()
+	}
+	return head, err
 }
 
 // finishResponse reads the body that follows a head. It reports whether the server keeps
 // the connection open, and whether the response belongs to the request; if not, its body
 // was skipped.
-func (c *connection) finishResponse(r Request, head *http.Response) (Response, bool, bool, error) {
-	if head.StatusCode < http.StatusOK {
+func (c *connection) finishResponse(r Request, head *httpresponse.Head) (Response, bool, bool, error) {
+	if head.IsInterim() {
 		return Response{}, false, false, nil
 	}
+	source := httpresponse.NewBody(c.reader, head.Framing())
 	if matched, err := c.matches(r, head); !matched || err != nil {
 		if err == nil {
-			err = skipBody(head.Body)
+			err = skipBody(source)
 		}
 		return Response{}, false, false, err
 	}
-	size := head.ContentLength
-	if head.Body == http.NoBody {
+	size := head.ContentLength()
+	switch head.Framing().(type) {
+	case httpresponse.NoBody:
 		size = 0 // A response to HEAD has the length of a body that it does not have.
+	case httpresponse.UntilClose:
+		c.endedByClose = true
 	}
-	body, err := r.Memory.ReadAll(head.Body, size, cmp.Or(r.MaxResponseBytes, maxResponseBytes))
+	body, err := r.Memory.ReadAll(source, size, cmp.Or(r.MaxResponseBytes, maxResponseBytes))
 	switch {
 	case err == nil:
 	case isDropped(err):
 		return Response{}, false, false, fmt.Errorf("read response body: %w", err)
 	default:
-		return Response{}, false, false, &IncompleteError{status: head.StatusCode, cause: err}
+		return Response{}, false, false, httpresponse.NewIncompleteError(head.Status(), err)
 	}
-	c.endedByClose = head.Body != http.NoBody && head.ContentLength < 0 && len(head.TransferEncoding) == 0
-	c.setIdleTimeout(head.Header.Get("Keep-Alive"))
-	return Response{Status: head.StatusCode, Header: head.Header, Body: body}, !head.Close, true, nil
+	c.setIdleTimeout(head.Header().Get("Keep-Alive"))
+	return Response{Status: head.Status(), Header: head.Header(), Body: body}, !head.Closes(), true, nil
 }
 
 // matches reports whether a response with the head belongs to the request.
-func (c *connection) matches(r Request, head *http.Response) (bool, error) {
+func (c *connection) matches(r Request, head *httpresponse.Head) (bool, error) {
 	if r.ResponseIDHeader == "" {
 		return true, nil
 	}
-	id := head.Header.Get(r.ResponseIDHeader)
+	id := head.Header().Get(r.ResponseIDHeader)
 	if r.ResponseIDEnd != "" {
 		id, _, _ = strings.Cut(id, r.ResponseIDEnd)
 	}
@@ -364,7 +355,7 @@
 	case id != "":
 		return false, nil
 	case c.reused || r.ResponseIDRequired:
-		return false, &MissingIDError{status: head.StatusCode}
+		return false, &MissingIDError{status: head.Status()}
 	default:
 		return true, nil
 	}
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -294,6 +294,7 @@
 	if err == nil {
 		return peerhttp.DecodeReply(response)
 	}
+	a.recordInvalidReply(r, to, err)
 	var clientErr *httpclient.Error
 	switch {
 	case errors.As(err, &clientErr) && !clientErr.Complete():
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -17,6 +18,7 @@
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/connlimit"
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/httpresponse"
 	"briarwell.dev/core/httpserver"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/logs"
@@ -276,6 +278,21 @@
 	}
 }
 
+// recordInvalidReply counts and logs a reply of another sidecar that is incomplete or not valid. It does
+// nothing for errors of other kinds.
+func (a *App) recordInvalidReply(r *dispatch.Request, from dispatch.Target, err error) {
+	var invalid *httpresponse.Error
+	if !errors.As(err, &invalid) {
+		return
+	}
+	reason := string(invalid.Flaw())
+	a.telemetry.scope.Tagged(map[string]string{"reason": reason}).Counter("replies_not_passed_on").Inc(1)
+	if ok, omitted := a.telemetry.responseLogLimiter.Allow(a.clock.Now()); ok {
+		a.log.Warn().Str("request", r.ID).Str("instance", from.Name).Int("status", invalid.Status()).Str("reason", reason).
+			Int64("omitted", omitted).Msg("replyNotPassedOn")
+	}
+}
+
 // logAbandoned logs a request that is not run because its sender has disconnected.
 func (a *App) logAbandoned(r *dispatch.Request) {
 	if ok, omitted := a.telemetry.executorLogLimiter.Allow(a.clock.Now()); ok {
