httpupstream: responses that HTTP does not allow are not passed on

The upstream client reads heads, interim responses, bodies and trailers with package httpresponse. A response without a valid head has an unknown outcome, invalid-response, which the daemon counts and logs as such; one with an invalid body or trailers ends early.

TestClassificationAfterSend expected connection-lost for bytes that are no HTTP; it now expects the more precise invalid-response. That the outcome is unknown, and that the request is sent once, is checked as before.

--- a/core/upstream/httpupstream/exchange.go
+++ b/core/upstream/httpupstream/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"briarwell.dev/core/httpresponse"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/upstream"
 )
@@ -23,13 +24,15 @@
 
 // exchange is one request and its response on one connection.
 type exchange struct {
-	conn     *trackedConn
-	release  func() // returns conn to the pool
-	discard  func() // closes conn
-	client   *fasthttp.HostClient
-	request  *fasthttp.Request
-	response *fasthttp.Response
-	reader   *bufio.Reader
+	conn    *trackedConn
+	release func() // returns conn to the pool
+	discard func() // closes conn
+	client  *fasthttp.HostClient
+	request *fasthttp.Request
+	reader  *bufio.Reader
+	// head and body are those of the response, nil until its head is read.
+	head *httpresponse.Head
+	body io.Reader
 	// stopContextWatch stops the function that closes the connection when the
 	// request's context ends. It returns false if that function has already started.
 	stopContextWatch func() bool
@@ -80,10 +83,6 @@
 // body, both run concurrently, as an upstream may respond before it has read the body.
 func (e *exchange) roundTrip(ctx context.Context, request *fasthttp.Request) error {
 	e.request = request
-	e.response = fasthttp.AcquireResponse()
-	e.response.StreamBody = true
-	e.response.Header.SetNoDefaultContentType(true)
-	e.response.SkipBody = request.Header.IsHead()
 	e.stopContextWatch = context.AfterFunc(ctx, e.closeConnection)
 	if request.IsBodyStream() {
 		go e.writeRequest()
@@ -94,12 +93,25 @@
 		}
 	}
 	e.reader = e.client.AcquireReader(e.conn)
-	if err := e.response.ReadLimitBody(e.reader, 0); err != nil {
+	head, err := e.readHead(string(request.Header.Method()))
+	if err != nil {
 		return e.preferWriteError(err)
 	}
+	e.head, e.body = head, httpresponse.NewBody(e.reader, head.Framing())
 	return nil
 }
 
+// readHead reads the head of the response after those of interim ones.
+func (e *exchange) readHead(method string) (*httpresponse.Head, error) {
+	for bytesLeft := maxHeadBytes; ; {
+		head, err := httpresponse.ReadHead(e.reader, method, bytesLeft)
+		if err != nil || !head.IsInterim() {
+			return head, err
+		}
+		bytesLeft -= head.Size()
+	}
+}
+
 func (e *exchange) writeRequest() {
 	defer close(e.writeDone)
 	writer := e.client.AcquireWriter(e.conn)
@@ -155,11 +167,7 @@
 		<-e.writeDone
 		fasthttp.ReleaseRequest(e.request)
 	}
-	if e.response != nil {
-		reusable = reusable && !e.response.ConnectionClose()
-		_ = e.response.CloseBodyStream()
-		fasthttp.ReleaseResponse(e.response)
-	}
+	reusable = reusable && e.head != nil && !e.head.Closes()
 	if e.reader != nil {
 		reusable = reusable && e.reader.Buffered() == 0
 		e.client.ReleaseReader(e.reader)
@@ -183,9 +191,6 @@
 	}
 }
 
-// untilClose is the content length that fasthttp reports for a body that ends with the connection.
-const untilClose = -2
-
 // resetWait is the time for which the rest of a request is written after its response has ended with
 // the connection. An upstream that has closed the connection resets it within a round trip; one that
 // has only ended its own direction does not.
@@ -194,7 +199,7 @@
 // resetCause returns why a body that has ended is incomplete all the same, nil if it is complete. If
 // its end is that of the connection, a reset may have been reported to the writer of the request only.
 func (e *exchange) resetCause(ctx context.Context) error {
-	if e.response.Header.ContentLength() != untilClose {
+	if _, ok := e.head.Framing().(httpresponse.UntilClose); !ok {
 		return nil
 	}
 	select {
@@ -213,7 +218,10 @@
 	if e.conn.bytesSent.Load() == 0 {
 		return upstream.NewSendError(outcome.NewNotRun(notRunReason(ctx, outcome.ReasonUnreachable)), err)
 	}
+	var invalid *httpresponse.Error
 	switch {
+	case errors.As(err, &invalid):
+		return upstream.NewSendError(outcome.NewUnknown(outcome.ReasonInvalidResponse), err)
 	case ctx.Err() != nil:
 		return upstream.NewSendError(outcome.NewUnknown(outcome.ReasonTimeout), ctx.Err())
 	case isTimeout(err):
@@ -268,11 +276,11 @@
 	// The time since the last read was spent by the caller and does not count as
 	// inactivity of the upstream.
 	b.exchange.conn.extendDeadline()
-	n, err := b.exchange.response.BodyStream().Read(p)
+	n, err := b.exchange.body.Read(p)
 	switch {
 	case err == nil:
 		return n, nil
-	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+	case errors.Is(err, io.EOF):
 		cause := b.exchange.resetCause(b.ctx)
 		if cause == nil {
 			b.complete = true
--- a/core/upstream/httpupstream/httpupstream.go
+++ b/core/upstream/httpupstream/httpupstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"briarwell.dev/core/httpresponse"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/upstream"
 	"briarwell.dev/core/upstream/wire"
@@ -33,17 +35,14 @@
 		e.finish(false)
 		return upstream.Response{}, e.sendError(ctx, err)
 	}
-	if reason := e.response.Header.Peek(outcome.HeaderRefused); len(reason) > 0 {
-		refused := &RefusedError{reason: string(reason), status: e.response.StatusCode()}
+	header := e.head.Header()
+	if reason := header.Get(outcome.HeaderRefused); reason != "" {
+		refused := &RefusedError{reason: reason, status: e.head.Status()}
 		e.finish(e.readRefusalBody())
 		return upstream.Response{}, upstream.NewSendError(outcome.NewNotRun(outcome.ReasonUpstreamRefused), refused)
 	}
-	response := upstream.Response{
-		Status:        e.response.StatusCode(),
-		Headers:       endToEndHeaders(&e.response.Header),
-		ContentLength: max(int64(e.response.Header.ContentLength()), -1),
-	}
-	if e.response.BodyStream() == nil {
+	response := upstream.Response{Status: e.head.Status(), Headers: endToEndHeaders(header), ContentLength: e.head.ContentLength()}
+	if _, ok := e.head.Framing().(httpresponse.NoBody); ok {
 		if request.Method != fasthttp.MethodHead {
 			response.ContentLength = 0
 		}
@@ -63,23 +62,14 @@
 // connection can't be reused, if the length is unknown or above maxRefusalBytes or the
 // read fails.
 func (e *exchange) readRefusalBody() bool {
-	stream := e.response.BodyStream()
-	if stream == nil {
-		return true
-	}
-	length := e.response.Header.ContentLength()
-	if length < 0 || length > maxRefusalBytes {
+	if fixed, ok := e.head.Framing().(httpresponse.FixedLength); ok && fixed.Bytes() > maxRefusalBytes {
 		return false
 	}
-	buffer := make([]byte, length)
-	for read := 0; read < length; {
-		n, err := stream.Read(buffer[read:])
-		read += n
-		if err != nil && read < length {
-			return false
-		}
+	if e.head.ContentLength() < 0 {
+		return false
 	}
-	return true
+	_, err := io.Copy(io.Discard, e.body)
+	return err == nil
 }
 
 // RefusedError reports that the upstream refused a request before it ran any part of it.
@@ -202,11 +192,14 @@
 	}
 }
 
-func endToEndHeaders(header *fasthttp.ResponseHeader) []upstream.Header {
-	var fields []upstream.Header
-	for name, value := range header.All() {
-		if isEndToEnd(string(name)) {
-			fields = append(fields, upstream.NewHeader(string(name), string(value)))
+func endToEndHeaders(header http.Header) []upstream.Header {
+	fields := make([]upstream.Header, 0, len(header))
+	for name, values := range header {
+		if !isEndToEnd(name) {
+			continue
+		}
+		for _, value := range values {
+			fields = append(fields, upstream.NewHeader(name, value))
 		}
 	}
 	return fields
--- a/core/upstream/httpupstream/httpupstream_test.go
+++ b/core/upstream/httpupstream/httpupstream_test.go
@@ -110,7 +110,7 @@
 	}{
 		"closed without response": {replyWith(false, ""), "unknown", outcome.ReasonConnectionLost},
 		"truncated head":          {replyWith(false, "HTTP/1.1 200 OK\r\nContent-Le"), "unknown", outcome.ReasonConnectionLost},
-		"not HTTP":                {replyWith(false, "SSH-2.0\r\n\r\n"), "unknown", outcome.ReasonConnectionLost},
+		"not HTTP":                {replyWith(false, "SSH-2.0\r\n\r\n"), "unknown", outcome.ReasonInvalidResponse},
 		"no response":             {waitForClose, "unknown", outcome.ReasonTimeout},
 		"refused": {
 			replyWith(true, "HTTP/1.1 503 x\r\nBriarwell-Refused: epoch\r\nContent-Length: 2\r\n\r\nno"),
