fasttransport: strict reading for the other clients of fasthttp

The same fault where briarwelld reads the responses of the table service, the object store and the upstream's control paths, and where the callers' client reads those of daemons: a commit, a stored object or a grant counted as acknowledged by a response with status 000 or with a malformed head, and callers of the client got such responses as those of a daemon.

fasttransport.Transport is a fasthttp.RoundTripper that reads with package httpresponse. The client reports invalid-response for such a response, and drops the daemon from its cache as for a lost connection.

--- a/core/client/client.go
+++ b/core/client/client.go
@@ -230,7 +230,7 @@
 	k.failedAddress = ""
 	reason := outcome.ReasonOf(response.Outcome)
 	switch reason {
-	case outcome.ReasonUnreachable, outcome.ReasonConnectionLost, outcome.ReasonTimeout, outcome.ReasonNoLease, outcome.ReasonDraining:
+	case outcome.ReasonUnreachable, outcome.ReasonConnectionLost, outcome.ReasonInvalidResponse, outcome.ReasonTimeout, outcome.ReasonNoLease, outcome.ReasonDraining:
 		k.failedAddress = address
 		k.client.owners.removeAddress(address)
 	default:
--- a/core/client/send.go
+++ b/core/client/send.go
@@ -11,6 +11,8 @@
 	"github.com/valyala/fasthttp"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/httpresponse"
+	"briarwell.dev/core/httpresponse/fasttransport"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/router"
 	"briarwell.dev/core/upstream"
@@ -36,6 +38,7 @@
 		NoDefaultUserAgentHeader:  true,
 		StreamResponseBody:        true,
 		MaxConnsPerHost:           maxConnectionsPerDaemon,
+		Transport:                 fasttransport.Transport{},
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		Dial:                      func(address string) (net.Conn, error) { return dial(settings, address) },
@@ -89,11 +92,14 @@
 // head.
 func sendOutcome(err error) outcome.Outcome {
 	var dialFailure *dialError
+	var invalid *httpresponse.Error
 	switch {
 	case errors.As(err, &dialFailure), errors.Is(err, fasthttp.ErrNoFreeConns), errors.Is(err, fasthttp.ErrDialTimeout):
 		return outcome.NewNotRun(outcome.ReasonUnreachable)
 	case errors.Is(err, fasthttp.ErrTimeout):
 		return outcome.NewUnknown(outcome.ReasonTimeout)
+	case errors.As(err, &invalid):
+		return outcome.NewUnknown(outcome.ReasonInvalidResponse)
 	default:
 		return outcome.NewUnknown(outcome.ReasonConnectionLost)
 	}
--- a/core/object/httpobject/httpobject.go
+++ b/core/object/httpobject/httpobject.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"briarwell.dev/core/httpresponse/fasttransport"
 	"briarwell.dev/core/object"
 )
 
@@ -78,6 +79,7 @@
 		MaxConns:                  maxConnections,
 		MaxConnWaitTimeout:        defaultCallTimeout,
 		MaxIdleConnDuration:       idleTimeout,
+		Transport:                 fasttransport.Transport{},
 		MaxIdemponentCallAttempts: 1, // The caller decides on retries.
 		MaxResponseBodySize:       maxObjectBytes,
 	}
--- a/core/table/httptable/httptable.go
+++ b/core/table/httptable/httptable.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"briarwell.dev/core/httpresponse/fasttransport"
 	"briarwell.dev/core/table"
 	"briarwell.dev/core/table/wire"
 )
@@ -101,6 +102,7 @@
 		MaxConns:                  settings.maxConnections,
 		MaxConnWaitTimeout:        settings.callTimeout,
 		MaxIdleConnDuration:       idleTimeout,
+		Transport:                 fasttransport.Transport{},
 		MaxIdemponentCallAttempts: 1, // A commit that is sent again could be applied twice.
 		MaxResponseBodySize:       maxResponseBytes,
 	}
--- a/core/upstream/httpupstream/broken_test.go
+++ b/core/upstream/httpupstream/broken_test.go
@@ -40,3 +40,15 @@
 		is.NoErr(response.Body.Close())
 	}
 }
+
+// TestBrokenControlResponses guards against a response to a grant or a load report whose head is not
+// valid, and that counts as a success.
+func TestBrokenControlResponses(t *testing.T) {
+	for name, text := range brokenresponse.All() {
+		u := newUpstream(t, brokenresponse.StartServer(t, text))
+		var failed *httpupstream.ControlError
+		if err := u.Grant(t.Context(), upstream.Grant{}); !errors.As(err, &failed) || failed.Status() != 0 {
+			t.Errorf("%s: the grant counts as answered, error %v", name, err)
+		}
+	}
+}
--- a/core/upstream/httpupstream/options.go
+++ b/core/upstream/httpupstream/options.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"briarwell.dev/core/httpresponse/fasttransport"
 )
 
 const (
@@ -126,6 +128,7 @@
 		MaxIdleConnDuration:       idleTimeout,
 		ReadBufferSize:            maxHeadBytes,
 		WriteBufferSize:           writeBufferBytes,
+		Transport:                 fasttransport.Transport{},
 		MaxIdemponentCallAttempts: 1, // A request that is sent again could run twice.
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
 			return false, false
