edge: responses whose body ends early are logged and counted

briarwelld streams bodies, so that a response that turns out to be incomplete is broken off after its status has been counted as done: nothing told of it but the caller. It now has a log line, at most 20 a second, and the counter responses_not_passed_on with the reason incomplete, in the daemon of the caller.

Measured: TestTruncatedBodyIsReported counted 0 of 2 before and passes.

--- a/daemon/edge/body.go
+++ b/daemon/edge/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"time"
@@ -33,10 +34,22 @@
 }
 
 // responseBody cancels the context of the request when the response has been
-// written or abandoned.
+// written or abandoned, and reports a body that ends early.
 type responseBody struct {
 	io.ReadCloser
-	cancel context.CancelFunc
+	cancel   context.CancelFunc
+	report   func(cause error)
+	reported bool
+}
+
+// Read reads the next bytes of the body.
+func (b *responseBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if err != nil && !errors.Is(err, io.EOF) && !b.reported {
+		b.reported = true
+		b.report(err)
+	}
+	return n, err
 }
 
 // Close closes the response body and cancels the context of the request.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"briarwell.dev/core/clock/system"
+	"briarwell.dev/core/httpresponse"
 	"briarwell.dev/core/logs"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/router"
@@ -33,7 +34,8 @@
 // reasonProtocol is the reason in the metric of a status for bytes that are no HTTP request.
 const reasonProtocol = "http-protocol"
 
-// maxRejectionLinesPerSecond bounds the log lines per second about requests that are no HTTP.
+// maxRejectionLinesPerSecond bounds the log lines per second about requests that are no HTTP, and apart
+// from them those about responses that end early.
 const maxRejectionLinesPerSecond = 20
 
 // Handler serves requests of callers. router.EntryHandler implements it.
@@ -55,11 +57,13 @@
 	latency          tally.Histogram
 	clock            system.Clock
 	rejectionLimiter *logs.Limiter
+	// incompleteLimiter applies to responses whose body ended early.
+	incompleteLimiter *logs.Limiter
 }
 
 // New returns the HTTP application that serves callers.
 func New(settings Settings) *fiber.App {
-	s := &server{settings: settings, rejectionLimiter: logs.NewLimiter(maxRejectionLinesPerSecond)}
+	s := &server{settings: settings, rejectionLimiter: logs.NewLimiter(maxRejectionLinesPerSecond), incompleteLimiter: logs.NewLimiter(maxRejectionLinesPerSecond)}
 	s.latency = settings.Scope.Histogram("request_latency", latencyBuckets())
 	app := fiber.New(fiber.Config{
 		AppName:                      "briarwelld",
@@ -123,7 +127,17 @@
 		cancel()
 		return
 	}
-	c.Response().SetBodyStream(&responseBody{ReadCloser: response.Body, cancel: cancel}, int(response.ContentLength))
+	c.Response().SetBodyStream(&responseBody{ReadCloser: response.Body, cancel: cancel, report: s.recordIncomplete}, int(response.ContentLength))
+}
+
+// recordIncomplete counts and logs a response whose body ended early, so that the caller's connection is
+// broken off.
+func (s *server) recordIncomplete(cause error) {
+	reason := string(httpresponse.FlawIncomplete)
+	s.settings.Scope.Tagged(map[string]string{"reason": reason}).Counter("responses_not_passed_on").Inc(1)
+	if ok, omitted := s.incompleteLimiter.Allow(s.clock.Now()); ok {
+		s.settings.Log.Warn().Err(cause).Str("reason", reason).Int64("omitted", omitted).Msg("responseNotPassedOn")
+	}
 }
 
 // recordMetrics records the latency and counts the outcome. The routing decisions
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/matryer/is"
@@ -215,6 +216,47 @@
 	}
 }
 
+// Guards against a response body that ended early and is neither logged nor counted.
+func TestTruncatedBodyIsReported(t *testing.T) {
+	is := is.New(t)
+	lines, scope := make(lineWriter, 10), tally.NewTestScope("", nil)
+	address := startLoggedServer(t, handlerFunc(func(router.CallerRequest) *router.Response {
+		return &router.Response{
+			Outcome: outcome.Done{}, Status: 200, ContentLength: -1, Body: truncatedBody{text: strings.NewReader("part")},
+		}
+	}), scope, lines)
+	for range 2 {
+		response, err := http.Get("http://" + address + "/lagos/bookings/k")
+		if err != nil {
+			continue // The connection may be closed before the head has been sent.
+		}
+		_, err = io.ReadAll(response.Body)
+		is.True(err != nil)
+		is.NoErr(response.Body.Close())
+	}
+	count := func() int64 {
+		for _, c := range scope.Snapshot().Counters() {
+			if c.Name() == "responses_not_passed_on" && c.Tags()["reason"] == "incomplete" {
+				return c.Value()
+			}
+		}
+		return 0
+	}
+	for deadline := time.Now().Add(5 * time.Second); count() < 2 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(count(), int64(2))
+	is.True(strings.Contains(<-lines, "event=responseNotPassedOn"))
+}
+
+// lineWriter receives the lines of a log.
+type lineWriter chan string
+
+func (w lineWriter) Write(p []byte) (int, error) {
+	w <- string(p)
+	return len(p), nil
+}
+
 // Guards against request bodies that are changed or lost on the way to the handler, and
 // against dropped headers.
 func TestStreamedUpload(t *testing.T) {
