--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -65,6 +65,7 @@
 func (w *world) startKeyed() ([]*node, error) {
 	keyed := map[string]bool{wardrobe: true}
 	w.writeManifest(1, keyed, manifestRoute{"r-browse", browsePrefix, "idempotent", wardrobe})
+	go w.owners.watch(w.done)
 	nodes, err := w.startAll(wardrobe, true, 30*time.Millisecond, "a", "b", "c", "d")
 	if err != nil {
 		return nil, err
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,6 +25,7 @@
 	"rewind-config": rewindConfig,
 	"foreign-owner": foreignOwner,
 	"foreign-drain": foreignDrain,
+	"row-bound":     rowBound,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -36,14 +36,20 @@
 	mu      sync.Mutex
 	content storeCopy
 	era     int
-	away    bool
-	changed chan struct{}
+	// largest is the size in bytes of the largest value that was written, refused the number of calls with
+	// a value above rowBytes.
+	largest, refused int
+	away             bool
+	changed          chan struct{}
 }
 
 func newStore() *store {
 	return &store{began: time.Now(), era: 1, content: storeCopy{rows: make(map[string]row)}, changed: make(chan struct{})}
 }
 
+// rowBytes is row_bytes in the settings: the largest value of a row.
+const rowBytes = 65536
+
 // transactionTime is how long a transaction takes, transaction in the settings.
 const transactionTime = 4 * time.Millisecond
 
@@ -250,6 +256,13 @@
 			return
 		}
 	}
+	for _, changed := range t.Put {
+		if len(changed.Value) > rowBytes {
+			s.refused++
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
 	current, conflict := []row{}, false
 	for _, e := range t.Expected {
 		r, ok := s.content.rows[e.name()]
@@ -262,6 +275,9 @@
 		s.respond(w, http.StatusPreconditionFailed, current, false)
 		return
 	}
+	for _, changed := range t.Put {
+		s.largest = max(s.largest, len(changed.Value))
+	}
 	s.write(t.Put, t.Deleted)
 	s.respond(w, http.StatusOK, nil, false)
 }
--- a/review/standin-3/upstream.go
+++ b/review/standin-3/upstream.go
@@ -62,7 +62,7 @@
 		client: &http.Client{Timeout: ackTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		held:   make([]uint64, keyCount), leaving: make([]uint64, keyCount), seen: make([]uint64, keyCount), busy: make([]int, keyCount),
 	}
-	listener, err := net.Listen("tcp", n.address(upstreamPort))
+	listener, err := listen(n.address(upstreamPort))
 	if err != nil {
 		return nil, err
 	}
@@ -71,6 +71,20 @@
 	return u, nil
 }
 
+// listen binds an address. A process that is being started may hold a copy of a socket that was closed
+// just before, until it runs its program.
+func listen(address string) (net.Listener, error) {
+	var err error
+	for range 20 {
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return listener, nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil, err
+}
+
 // end makes the upstream's process end.
 func (u *upstream) end() {
 	u.mu.Lock()
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -29,6 +29,9 @@
 	storePort    = 8627
 )
 
+// firstAddress is the last part of the address of the first instance.
+const firstAddress = 10
+
 const (
 	host       = "shop.example"
 	healthPath = "/healthz"
@@ -82,6 +85,7 @@
 	mu        sync.Mutex
 	record    *os.File
 	nodes     []*node
+	addresses int
 	exchanges map[string]*exchange
 	order     []*exchange
 	servers   []*http.Server
@@ -102,7 +106,6 @@
 		trouble: trouble, began: time.Now(), folder: folder, store: newStore(), record: file, done: make(chan struct{}), exchanges: make(map[string]*exchange),
 	}
 	w.owners = newOwners(w)
-	go w.owners.watch(w.done)
 	for range 50 {
 		w.network = fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(256))
 		w.storeIP = w.network + "7"
@@ -169,7 +172,7 @@
 // freeAddresses reports whether all ports of an instance are free at its address.
 func (n *node) freeAddresses() bool {
 	for _, port := range []int{upstreamPort, callerPort, requestPort, readyPort, reportPort, peerPort, metricsPort} {
-		listener, err := net.Listen("tcp", n.address(port))
+		listener, err := listen(n.address(port))
 		if err != nil {
 			return false
 		}
@@ -178,10 +181,34 @@
 	return true
 }
 
+// launch starts the sidecar of an instance with the settings file that start has written.
+func (w *world) launch(n *node) error {
+	log, err := os.OpenFile(filepath.Join(w.folder, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	process := exec.Command("target/sidecar")
+	process.Env = append(os.Environ(), "BRIARWELL_BOOT="+filepath.Join(w.folder, n.name+".json"))
+	process.Stdout, process.Stderr = log, log
+	// The sidecar ends with this process, also if that is killed.
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := process.Start(); err != nil {
+		return err
+	}
+	n.process, n.exited = process, make(chan struct{})
+	go func() {
+		_ = process.Wait()
+		_ = log.Close()
+		close(n.exited)
+	}()
+	return nil
+}
+
 // start starts an instance with an upstream of a service.
 func (w *world) start(name, zone, service string, keyed bool, work time.Duration) (*node, error) {
 	w.mu.Lock()
-	n := &node{name: name, zone: zone, region: "lagos", service: service, ip: w.network + strconv.Itoa(10+len(w.nodes)), exited: make(chan struct{})}
+	n := &node{name: name, zone: zone, region: "lagos", service: service, ip: w.network + strconv.Itoa(firstAddress+w.addresses)}
+	w.addresses++
 	w.mu.Unlock()
 	if !n.freeAddresses() {
 		return nil, fmt.Errorf("ports at %s are in use", n.ip)
@@ -201,25 +228,12 @@
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(w.folder, name+".log"))
-	if err != nil {
-		return nil, err
-	}
-	n.process = exec.Command("target/sidecar")
-	n.process.Env = append(os.Environ(), "BRIARWELL_BOOT="+path)
-	n.process.Stdout, n.process.Stderr = log, log
-	// The sidecar ends with this process, also if that is killed.
-	n.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if n.upstream, err = newUpstream(w, n, keyed, work); err != nil {
 		return nil, err
 	}
-	if err := n.process.Start(); err != nil {
+	if err := w.launch(n); err != nil {
 		return nil, err
 	}
-	go func() {
-		_ = n.process.Wait()
-		close(n.exited)
-	}()
 	w.owners.add(n.upstream)
 	go n.upstream.report()
 	w.mu.Lock()
