--- a/core/fleet/changelog.go
+++ b/core/fleet/changelog.go
@@ -1,6 +1,6 @@
 package fleet
 
-import "briarwell.dev/core/table"
+import "briarwell.dev/core/era"
 
 const (
 	// maxLoggedDeltas and maxLoggedBytes bound the deltas that a ChangeLog keeps. A daemon
@@ -9,23 +9,23 @@
 	maxLoggedBytes  = 32 << 10
 )
 
-// Delta is a change of a row from one revision to the next known one.
+// Delta is a change of a row's content from one revision to the next known one.
 type Delta struct {
-	base     table.Revision
-	revision table.Revision
-	data     []byte
+	base  era.Revision
+	stamp era.Stamp
+	data  []byte
 }
 
-// NewDelta returns a delta from the revision base to the given revision.
-func NewDelta(base, revision table.Revision, data []byte) Delta {
-	return Delta{base: base, revision: revision, data: data}
+// NewDelta returns a delta from the content written at base to that of the stamp's origin.
+func NewDelta(base era.Revision, stamp era.Stamp, data []byte) Delta {
+	return Delta{base: base, stamp: stamp, data: data}
 }
 
-// Base returns the revision that the delta changes.
-func (d Delta) Base() table.Revision { return d.base }
+// Base returns the revision at which the content that the delta changes was written.
+func (d Delta) Base() era.Revision { return d.base }
 
-// Revision returns the revision after the change.
-func (d Delta) Revision() table.Revision { return d.revision }
+// Stamp returns the stamp of the row after the change.
+func (d Delta) Stamp() era.Stamp { return d.stamp }
 
 // Data returns the encoded change. Callers must not modify it.
 func (d Delta) Data() []byte { return d.data }
@@ -40,7 +40,7 @@
 
 // Append adds a delta. One that does not follow the last delta replaces all others.
 func (l *ChangeLog) Append(d Delta) {
-	if n := len(l.deltas); n > 0 && l.deltas[n-1].revision != d.base {
+	if n := len(l.deltas); n > 0 && l.deltas[n-1].stamp.Origin() != d.base {
 		l.deltas, l.bytes = nil, 0
 	}
 	l.deltas = append(l.deltas, d)
@@ -53,7 +53,7 @@
 
 // Since returns the deltas that lead from a revision to the newest one, or false if the log
 // does not reach back to it.
-func (l *ChangeLog) Since(revision table.Revision) ([]Delta, bool) {
+func (l *ChangeLog) Since(revision era.Revision) ([]Delta, bool) {
 	for i, d := range l.deltas {
 		if d.base == revision {
 			return l.deltas[i:], true
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -14,11 +14,11 @@
 
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/membership"
-	"briarwell.dev/core/table"
 )
 
 // Prefixes of row keys.
@@ -29,6 +29,9 @@
 	OutOfUsePrefix = "outOfUse/"
 )
 
+// RouterPrefixes returns the prefixes of the keys of all rows that daemons write.
+func RouterPrefixes() []string { return []string{memberPrefix, assignmentPrefix} }
+
 // MemberKey returns the key of the member row of an instance.
 func MemberKey(instance string) string { return memberPrefix + instance }
 
@@ -84,14 +87,16 @@
 	LeftStart      int64                `json:"leftLifeBorn,omitempty"`
 	// LeftStartBound replaces LeftStart if only an upper bound is known.
 	LeftStartBound int64 `json:"leftLifeBornBy,omitempty"`
+	// Era is the era of the store for which the row was written.
+	Era era.Era `json:"era,omitempty"`
 }
 
-// Encode returns the value of the member's row, as JSON.
-func (m Member) Encode() ([]byte, error) {
+// Encode returns the value of the member's row, as JSON, to be written in an era of the store.
+func (m Member) Encode(e era.Era) ([]byte, error) {
 	encoded := memberJSON{
 		RequestAddress: m.Instance.HTTPAddress(), PeerAddress: m.Instance.PeerAddress(),
 		Region: m.Instance.Location().Region(), FailureDomain: m.Instance.Location().FailureDomain(),
-		Incarnation: m.Incarnation, Service: m.Service, Slots: m.Slots, Serving: m.Serving, Strength: m.Strength,
+		Incarnation: m.Incarnation, Service: m.Service, Slots: m.Slots, Serving: m.Serving, Strength: m.Strength, Era: e,
 	}
 	process, startKnown := m.Departure.Process()
 	encoded.LeftID = process.ID()
@@ -186,61 +191,92 @@
 	outOfUse map[string]bool
 }
 
-// VersionedAssignment is a key assignment and the table revision at which it was written.
+// VersionedAssignment is a key assignment and the stamp of its row.
 type VersionedAssignment struct {
 	Assignment keyspace.Assignment
-	Revision   table.Revision
+	Stamp      era.Stamp
+}
+
+// ContentRevision returns the revision at which the content of a row was written that the store has
+// at a version. It differs from the version if the store has come back from an older copy since.
+func ContentRevision(key string, version era.Revision, value []byte) era.Revision {
+	var written era.Era
+	if _, ok := AssignmentService(key); ok {
+		written = keyspace.EraOf(value)
+	} else if _, ok := MemberInstance(key); ok {
+		var e struct {
+			Era era.Era `json:"era"`
+		}
+		if json.Unmarshal(value, &e) == nil {
+			written = e.Era
+		}
+	}
+	if written == 0 || written > version.Era() {
+		return version
+	}
+	return era.NewRevision(written, version.Number())
 }
 
-// WithRow returns the view with an added or changed row. Rows of other kinds and assignments
-// that are not newer than the known one have no effect. The error is a *RowError, with which the view is returned unchanged.
-func (v View) WithRow(row table.Row) (View, error) {
+// WithRow returns the view with an added or changed row. Rows of other kinds and assignments whose
+// content is not newer than the known one have no effect. The error is a *RowError, with which the view is returned unchanged.
+func (v View) WithRow(row era.Row) (View, error) {
 	if instance, ok := MemberInstance(row.Key()); ok {
 		return v.withMember(instance, row)
 	}
 	if domain, ok := OutOfUseDomain(row.Key()); ok {
 		return v.withOutOfUse(domain, len(row.Value()) > 0)
 	}
-	if service, ok := AssignmentService(row.Key()); ok && row.Version() > v.assignments[service].Revision {
+	if service, ok := AssignmentService(row.Key()); ok && row.Origin().After(v.assignments[service].Stamp.Origin()) {
 		assignment, err := keyspace.Decode(row.Value())
 		if err != nil {
 			return v, &RowError{key: row.Key(), cause: err}
 		}
-		v = v.withAssignment(service, VersionedAssignment{Assignment: assignment, Revision: row.Version()})
+		v = v.withAssignment(service, VersionedAssignment{Assignment: assignment, Stamp: v.assignments[service].Stamp.Join(row.Stamp)})
 	}
 	return v, nil
 }
 
+// WithVersion returns the view with the later one of two versions of the row under key. Its content
+// stays.
+func (v View) WithVersion(key string, version era.Revision) View {
+	service, ok := AssignmentService(key)
+	known := v.assignments[service]
+	if !ok || !version.After(known.Stamp.Version()) {
+		return v
+	}
+	known.Stamp = era.NewStamp(version, known.Stamp.Origin())
+	return v.withAssignment(service, known)
+}
+
 // BaseError reports a delta whose base is not the known assignment.
 type BaseError struct {
 	key   string
-	known table.Revision
+	known era.Revision
 }
 
-// Known returns the revision of the known assignment.
-func (e *BaseError) Known() table.Revision { return e.known }
+// Known returns the revision at which the known assignment was written.
+func (e *BaseError) Known() era.Revision { return e.known }
 
 func (e *BaseError) Error() string {
-	return fmt.Sprintf("delta of row %q has another base than the known revision %d", e.key, e.known)
+	return fmt.Sprintf("delta of row %q has another base than the known revision %s", e.key, e.known)
 }
 
-// WithDelta returns the view with the assignment under key changed by a delta from the
-// revision base. The error is a *BaseError if another revision is known, or a *RowError if
+// WithDelta returns the view with the assignment under key changed by a delta. The error is a *BaseError if another revision is known, or a *RowError if
 // the delta can't be decoded; the view is then returned unchanged.
-func (v View) WithDelta(key string, base, revision table.Revision, delta []byte) (View, error) {
+func (v View) WithDelta(key string, delta Delta) (View, error) {
 	service, ok := AssignmentService(key)
 	if !ok {
 		return v, &RowError{key: key, cause: errNoAssignment}
 	}
 	known := v.assignments[service]
-	if known.Revision != base {
-		return v, &BaseError{key: key, known: known.Revision}
+	if origin := known.Stamp.Origin(); origin != delta.base {
+		return v, &BaseError{key: key, known: origin}
 	}
-	assignment, err := known.Assignment.Patch(delta)
+	assignment, err := known.Assignment.Patch(delta.data)
 	if err != nil {
 		return v, &RowError{key: key, cause: err}
 	}
-	return v.withAssignment(service, VersionedAssignment{Assignment: assignment, Revision: revision}), nil
+	return v.withAssignment(service, VersionedAssignment{Assignment: assignment, Stamp: known.Stamp.Join(delta.stamp)}), nil
 }
 
 var errNoAssignment = errors.New("row holds no assignment")
@@ -253,7 +289,7 @@
 	return v
 }
 
-func (v View) withMember(instance string, row table.Row) (View, error) {
+func (v View) withMember(instance string, row era.Row) (View, error) {
 	var e memberJSON
 	err := json.Unmarshal(row.Value(), &e)
 	if err == nil {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -9,12 +9,12 @@
 	"github.com/matryer/is"
 
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/membership"
-	"briarwell.dev/core/table"
 )
 
 func member(name, service string, serving bool) fleet.Member {
@@ -22,13 +22,19 @@
 	return fleet.Member{Instance: membership.NewInstance(name, name+":80", name+":81", location), Incarnation: 7, Service: service, Slots: 3, Serving: serving}
 }
 
-func row(t *testing.T, m fleet.Member, version table.Revision) table.Row {
+// revision returns the revision with a number of a store that reports no era.
+func revision(number uint64) era.Revision { return era.NewRevision(0, number) }
+
+// stamp returns the stamp of a row of such a store.
+func stamp(number uint64) era.Stamp { return era.NewStamp(revision(number), revision(number)) }
+
+func row(t *testing.T, m fleet.Member, version uint64) era.Row {
 	t.Helper()
-	value, err := m.Encode()
+	value, err := m.Encode(0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return table.NewRow(fleet.MemberKey(m.Instance.Name()), version, value)
+	return era.NewRow(fleet.MemberKey(m.Instance.Name()), revision(version), value)
 }
 
 // TestView guards against members that don't survive encoding, and against requests to
@@ -37,7 +43,7 @@
 	is := is.New(t)
 	var v fleet.View
 	for i, m := range []fleet.Member{member("a", "s", true), member("b", "s", false), member("c", "t", true)} {
-		next, err := v.WithRow(row(t, m, table.Revision(i+1)))
+		next, err := v.WithRow(row(t, m, uint64(i+1)))
 		is.NoErr(err)
 		v = next
 	}
@@ -53,12 +59,12 @@
 	a = a.AddHolder(keyspace.NewHolder(membership.RestoreMember(7, got.Instance, 1, nil), keyspace.NewProcess("u", 1), 3)).AssignUnowned()
 	value, err := a.Encode()
 	is.NoErr(err)
-	v, err = v.WithRow(table.NewRow(fleet.AssignmentKey("s"), 9, value))
+	v, err = v.WithRow(era.NewRow(fleet.AssignmentKey("s"), revision(9), value))
 	is.NoErr(err)
 	owner, ok := v.Owner("s", &dispatch.Request{Key: 40000})
 	is.True(ok)
 	is.Equal(owner.Name, "a")
-	is.Equal(v.Assignment("s").Revision, table.Revision(9))
+	is.Equal(v.Assignment("s").Stamp, stamp(9))
 	_, ok = v.Owner("t", &dispatch.Request{Key: 1})
 	is.True(!ok)
 }
@@ -92,18 +98,18 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			v, err := fleet.View{}.WithRow(table.NewRow(fleet.MemberKey("a"), 1, []byte(valid)))
+			v, err := fleet.View{}.WithRow(era.NewRow(fleet.MemberKey("a"), revision(1), []byte(valid)))
 			is.NoErr(err)
 			invalid := strings.Replace(valid, edit[0], edit[1], 1)
 			is.True(invalid != valid)
-			v, err = v.WithRow(table.NewRow(fleet.MemberKey("b"), 2, []byte(invalid)))
+			v, err = v.WithRow(era.NewRow(fleet.MemberKey("b"), revision(2), []byte(invalid)))
 			var rejected *fleet.RowError
 			is.True(errors.As(err, &rejected))
 			is.Equal(len(v.Instances("s")), 1)
 		})
 	}
 	is := is.New(t)
-	_, err := fleet.View{}.WithRow(table.NewRow(fleet.MemberKey(""), 1, []byte(valid)))
+	_, err := fleet.View{}.WithRow(era.NewRow(fleet.MemberKey(""), revision(1), []byte(valid)))
 	is.True(err != nil)
 }
 
@@ -113,7 +119,7 @@
 	v, err := fleet.View{}.WithRow(row(t, member("a", "s", true), 1))
 	is.NoErr(err)
 	for _, key := range []string{fleet.MemberKey("a"), fleet.AssignmentKey("s")} {
-		after, err := v.WithRow(table.NewRow(key, 2, []byte("\x00")))
+		after, err := v.WithRow(era.NewRow(key, revision(2), []byte("\x00")))
 		var rejected *fleet.RowError
 		is.True(errors.As(err, &rejected))
 		is.Equal(rejected.Key(), key)
@@ -128,7 +134,7 @@
 	var v fleet.View
 	for i := range 200 {
 		m := member(fmt.Sprintf("i%03d", (i*77)%200), "s", true)
-		next, err := v.WithRow(row(t, m, table.Revision(i+1)))
+		next, err := v.WithRow(row(t, m, uint64(i+1)))
 		is.NoErr(err)
 		v = next
 	}
@@ -159,29 +165,29 @@
 // and against domains that stay out of use.
 func TestViewOutOfUse(t *testing.T) {
 	is := is.New(t)
-	v, err := fleet.View{}.WithRow(table.NewRow(fleet.OutOfUseKey("d"), 1, []byte("{}")))
+	v, err := fleet.View{}.WithRow(era.NewRow(fleet.OutOfUseKey("d"), revision(1), []byte("{}")))
 	is.NoErr(err)
 	for i, name := range []string{"a", "b"} {
 		m := member(name, "s", true)
 		if name == "b" {
 			m.Instance = membership.NewInstance(name, name+":80", name+":81", identity.NewLocation("r", "e"))
 		}
-		v, err = v.WithRow(row(t, m, table.Revision(i+2)))
+		v, err = v.WithRow(row(t, m, uint64(i+2)))
 		is.NoErr(err)
 	}
 	is.True(v.OutOfUse("d") && !v.OutOfUse("e"))
 	is.Equal(len(v.Instances("s")), 1)
 	is.Equal(v.Instances("s")[0].Name, "b")
-	both, err := v.WithRow(table.NewRow(fleet.OutOfUseKey("e"), 4, []byte("{}")))
+	both, err := v.WithRow(era.NewRow(fleet.OutOfUseKey("e"), revision(4), []byte("{}")))
 	is.NoErr(err)
 	is.Equal(both.OutOfUseCount(), 2)
 	is.Equal(len(both.Instances("s")), 0)
 	is.Equal(len(v.Instances("s")), 1) // a view doesn't change
-	back, err := both.WithRow(table.NewRow(fleet.OutOfUseKey("d"), 5, nil))
+	back, err := both.WithRow(era.NewRow(fleet.OutOfUseKey("d"), revision(5), nil))
 	is.NoErr(err)
 	is.True(!back.OutOfUse("d"))
 	is.Equal(back.Instances("s")[0].Name, "a")
-	_, err = back.WithRow(table.NewRow(fleet.OutOfUseKey(""), 6, []byte("{}")))
+	_, err = back.WithRow(era.NewRow(fleet.OutOfUseKey(""), revision(6), []byte("{}")))
 	var rejected *fleet.RowError
 	is.True(errors.As(err, &rejected))
 }
--- a/core/keyowner/change.go
+++ b/core/keyowner/change.go
@@ -4,11 +4,11 @@
 	"slices"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/lease"
 	"briarwell.dev/core/membership"
-	"briarwell.dev/core/table"
 )
 
 // Reasons of changes that may be proposed to another daemon.
@@ -31,7 +31,7 @@
 // Change is a new assignment to write to the table in place of a known revision.
 type Change struct {
 	assignment keyspace.Assignment
-	base       table.Revision
+	base       era.Revision
 	reason     string
 }
 
@@ -39,17 +39,22 @@
 func (c Change) Assignment() keyspace.Assignment { return c.assignment }
 
 // Base returns the revision of the assignment to replace, 0 if the table has none.
-func (c Change) Base() table.Revision { return c.base }
+func (c Change) Base() era.Revision { return c.base }
 
 // Reason returns the name of the change in logs, "" for the zero Change.
 func (c Change) Reason() string { return c.reason }
 
 // DropLapsed returns the change that removes the holder of a member whose lease has
 // certainly lapsed. It returns false if the holder's incarnation or witness generation is
-// another one: the lapse was confirmed by the witnesses of the member's generation only.
-func DropLapsed(a keyspace.Assignment, base table.Revision, member membership.Member) (Change, bool) {
+// another one: the lapse was confirmed by the witnesses of the member's generation only. It also
+// returns false for an assignment that is not settled at now; the era of base was seen at eraSeenAt.
+func DropLapsed(now, eraSeenAt clock.Millis, a keyspace.Assignment, base era.Revision, member membership.Member) (Change, bool) {
+	a = a.ForEra(base.Era())
+	if now-eraSeenAt >= settleDelay {
+		a = a.Settle()
+	}
 	h, ok := a.Holder(member.Instance().Name())
-	if !ok || h.Member().Incarnation() != member.Incarnation() || h.Member().WitnessGeneration() != member.WitnessGeneration() {
+	if !ok || !a.Settled() || h.Member().Incarnation() != member.Incarnation() || h.Member().WitnessGeneration() != member.WitnessGeneration() {
 		return Change{}, false
 	}
 	return Change{assignment: a.RemoveHolder(h.InstanceName()), base: base, reason: "lost"}, true
@@ -70,21 +75,22 @@
 // must pass the result to HandleCommit or HandleAssignment before the next call.
 func (c *Controller) NextChange(now clock.Millis) (Change, bool) {
 	c.now = now
-	if !c.assignmentKnown {
+	if !c.assignmentKnown || !c.MayChange(now) {
 		return Change{}, false
 	}
+	c.updateRecovery()
 	// Each step returns the changed assignment and the reason, or "" for no change.
-	for _, step := range []func() (keyspace.Assignment, string){c.join, c.leaveOrDrop, c.resumeAfterDrop, c.handOver, c.replaceWitnesses, c.applyMoves, c.assignUnowned, c.balanceRangeCounts} {
+	for _, step := range []func() (keyspace.Assignment, string){c.join, c.leaveOrDrop, c.resumeAfterDrop, c.reclaim, c.handOver, c.replaceWitnesses, c.applyMoves, c.assignUnowned, c.balanceRangeCounts, c.restore} {
 		if a, reason := step(); reason != "" {
-			return Change{assignment: a, base: c.revision, reason: reason}, true
+			return Change{assignment: a, base: c.stamp.Version(), reason: reason}, true
 		}
 	}
 	return Change{}, false
 }
 
-// HandleCommit records that the table accepted a change from this daemon at a revision.
-func (c *Controller) HandleCommit(now clock.Millis, revision table.Revision, change Change) {
-	c.HandleAssignment(now, revision, change.assignment)
+// HandleCommit records that the table accepted a change from this daemon, and the stamp of the row.
+func (c *Controller) HandleCommit(now clock.Millis, stamp era.Stamp, change Change) {
+	c.HandleAssignment(now, stamp, change.assignment)
 	if change.reason == ReasonMove {
 		c.moves = nil
 	}
@@ -107,6 +113,8 @@
 	case !ok:
 	case h.Member().WitnessGeneration() > c.witnessGeneration:
 		c.installWitnesses(h.Member())
+	case c.recovery.contentEra != c.stamp.Version().Era():
+		// The store may have come back with the revision that the proposal replaces.
 	case c.proposedWitnesses != nil && c.proposalInDoubt:
 		// Another change was written first, so the write of the proposal can't
 		// take effect.
@@ -148,6 +156,10 @@
 		return c.assignment, ""
 	}
 	last, _ := c.tracker.Last()
+	if h, _ := c.assignment.Holder(c.settings.Instance.Name()); known && h.Process() != last.Process && !c.assignment.Settled() {
+		// The keys that pass to the new process may have another owner.
+		return c.assignment, ""
+	}
 	c.lease.AbandonProposal()
 	c.proposedWitnesses, c.proposalInDoubt = nil, false
 	member := membership.RestoreMember(c.settings.Incarnation, c.settings.Instance, c.nextGeneration(), witnesses)
@@ -193,6 +205,8 @@
 	switch {
 	case !known:
 		return c.assignment, ""
+	case !c.assignment.Settled():
+		return c.leaveUnsettled(h, own)
 	case reported && c.tracker.Ended() || c.upstreamSilent():
 		c.suspendGrants()
 		return c.assignment.RemoveHolder(h.InstanceName()), "upstreamEnded"
@@ -208,10 +222,18 @@
 	}
 }
 
+// leaveUnsettled is leaveOrDrop while no keys may be assigned that their owner has not released.
+func (c *Controller) leaveUnsettled(h keyspace.Holder, own bool) (keyspace.Assignment, string) {
+	if own && c.isLeaving() && !h.Leaving() {
+		return c.assignment.MarkLeaving(h.InstanceName()), ReasonLeave
+	}
+	return c.assignment, ""
+}
+
 // suspendGrants stops all grants to the upstream. The write that removes the holder gives
 // its keys to others, and may take effect at any time until the table has a newer revision
 // of the assignment.
-func (c *Controller) suspendGrants() { c.dropPending, c.dropBase = true, c.revision }
+func (c *Controller) suspendGrants() { c.dropPending, c.dropBase = true, c.stamp.Version() }
 
 // resumeAfterDrop writes the assignment unchanged if the upstream is back while the write
 // that removes its holder has an unknown outcome. The next revision shows whether that
@@ -233,7 +255,7 @@
 	if !moving {
 		return c.assignment, ""
 	}
-	c.pendingHandover, c.pendingHandoverBase = slices.Clone(c.released), c.revision
+	c.pendingHandover, c.pendingHandoverBase = slices.Clone(c.released), c.stamp.Version()
 	return c.assignment.CompleteMoves(name, c.released), ReasonHandover
 }
 
@@ -245,7 +267,7 @@
 	if slices.ContainsFunc(c.proposedHandovers, func(p proposedHandover) bool { return p.epoch == owned.Epoch() && overlaps(p.span, span) }) {
 		return true
 	}
-	return c.revision == c.pendingHandoverBase && slices.ContainsFunc(c.pendingHandover, func(r keyspace.ReleasedSpan) bool { return overlaps(r.Span, span) })
+	return c.mayTakeEffect(c.pendingHandoverBase) && slices.ContainsFunc(c.pendingHandover, func(r keyspace.ReleasedSpan) bool { return overlaps(r.Span, span) })
 }
 
 // pruneProposedHandovers removes the proposed handovers that no longer apply to the
@@ -278,11 +300,13 @@
 	}
 	unavailable := append(c.lease.SilentWitnesses(c.now, witnessTimeout), c.endedWitnesses...)
 	tooFew := len(h.Member().Witnesses()) < lease.WitnessCount
-	if !c.lease.Fenced() && !c.anyWitnessIn(h, unavailable) && !tooFew {
+	// The store has lost the change that named the present witnesses.
+	lost := h.Member().WitnessGeneration() != c.witnessGeneration
+	if !c.lease.Fenced() && !c.anyWitnessIn(h, unavailable) && !tooFew && !lost {
 		return c.assignment, ""
 	}
 	chosen := c.chooseWitnesses(unavailable)
-	if len(chosen) == 0 || len(chosen) <= len(h.Member().Witnesses()) && !c.anyWitnessIn(h, unavailable) && !c.lease.Fenced() {
+	if len(chosen) == 0 || len(chosen) <= len(h.Member().Witnesses()) && !c.anyWitnessIn(h, unavailable) && !c.lease.Fenced() && !lost {
 		return c.assignment, ""
 	}
 	c.proposedWitnesses, c.witnessesProposedAt = chosen, c.now
@@ -342,7 +366,7 @@
 // assignUnowned assigns the keys without an owner. The first holder by rank does so at
 // once, each further one rankDelay later if the ones before it have not.
 func (c *Controller) assignUnowned() (keyspace.Assignment, string) {
-	if _, ok := c.ownHolder(); !ok || !c.currentDistribution().assignable {
+	if _, ok := c.ownHolder(); !ok || !c.currentDistribution().assignable || !c.assignment.Settled() {
 		c.unownedSince = 0
 		return c.assignment, ""
 	}
@@ -385,7 +409,7 @@
 
 // currentDistribution returns the distribution of the keys of the known assignment.
 func (c *Controller) currentDistribution() *distribution {
-	if c.distributionOf != c.revision || c.revision == 0 {
+	if !c.distributionKnown {
 		owned := c.assignment.OwnedBy(c.settings.Instance.Name())
 		c.distribution = distribution{
 			assignable: c.assignment.CanAssignUnowned(),
@@ -393,7 +417,7 @@
 
 			lacksNextOwners: c.assignment.LacksNextOwners(c.settings.Instance.Name()),
 		}
-		c.distributionOf = c.revision
+		c.distributionKnown = true
 	}
 	return &c.distribution
 }
--- a/core/keyowner/controller.go
+++ b/core/keyowner/controller.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyspace"
@@ -15,7 +16,6 @@
 	"briarwell.dev/core/lease/holder"
 	"briarwell.dev/core/membership"
 	"briarwell.dev/core/peer"
-	"briarwell.dev/core/table"
 )
 
 const (
@@ -85,9 +85,11 @@
 	tracker *heartbeat.Tracker
 	members []membership.Member
 
+	// assignment is the newest known one, as the base of changes in the present era of the store.
 	assignment      keyspace.Assignment
-	revision        table.Revision
+	stamp           era.Stamp
 	assignmentKnown bool
+	recovery        recovery
 	// holdersChangedAt is when the number of holders was last seen to change.
 	holdersChangedAt clock.Millis
 	balancedAt       clock.Millis
@@ -98,9 +100,9 @@
 	// unbalancedSince is when range counts to balance were first seen, 0 if there are
 	// none.
 	unbalancedSince clock.Millis
-	// distribution is what is known of the assignment at the revision distributionOf.
-	distribution   distribution
-	distributionOf table.Revision
+	// distribution is what is known of the assignment if distributionKnown is set.
+	distribution      distribution
+	distributionKnown bool
 
 	// cold is true while the upstream is cold.
 	cold bool
@@ -130,7 +132,7 @@
 	// pendingHandover are the spans that a write on top of pendingHandoverBase gives to
 	// other holders. The outcome of the write may be unknown.
 	pendingHandover     []keyspace.ReleasedSpan
-	pendingHandoverBase table.Revision
+	pendingHandoverBase era.Revision
 	// proposedHandovers are the ranges that another daemon may still hand over.
 	proposedHandovers []proposedHandover
 	// storeAnsweredAt is the time of the last answer of the store.
@@ -138,7 +140,7 @@
 	// dropPending is set while the outcome of a write is unknown that removes this
 	// holder from the assignment at revision dropBase.
 	dropPending bool
-	dropBase    table.Revision
+	dropBase    era.Revision
 	moves       []Move
 	movesUntil  clock.Millis
 	// unplaceable is set while the upstream may not get keys and gives up those it has.
@@ -244,21 +246,29 @@
 	c.avoidedUntil[i] = now + witnessAvoidTime
 }
 
-// HandleAssignment records the assignment that the table had at a revision. It ignores a
-// revision that is not newer than the known one.
-func (c *Controller) HandleAssignment(now clock.Millis, revision table.Revision, a keyspace.Assignment) {
+// HandleAssignment records an assignment of the table. The stamp is that of its row: an assignment
+// whose content is older than the known one has a stamp whose origin is. It ignores a stamp that the
+// known one covers.
+func (c *Controller) HandleAssignment(now clock.Millis, stamp era.Stamp, a keyspace.Assignment) {
 	c.now = now
-	if c.assignmentKnown && revision <= c.revision {
+	if c.assignmentKnown && c.stamp.Covers(stamp) {
 		return
 	}
+	c.observeEra(stamp.Version().Era())
+	if c.assignmentKnown && !stamp.Origin().After(c.stamp.Origin()) {
+		a = c.assignment // Only the version at the store is new.
+	} else {
+		c.recovery.contentEra, c.recovery.contentSettled = a.Era(), a.Settled()
+	}
 	if len(a.Holders()) != len(c.assignment.Holders()) {
 		c.holdersChangedAt = now
 	}
 	if len(c.assignment.Holders()) == 0 {
 		c.firstHolderAt = now
 	}
-	c.assignment, c.revision, c.assignmentKnown = a, revision, true
-	c.dropPending = c.dropPending && revision <= c.dropBase
+	c.stamp, c.assignmentKnown, c.distributionKnown = c.stamp.Join(stamp), true, false
+	c.assignment = a.ForEra(c.stamp.Version().Era())
+	c.dropPending = c.dropPending && c.mayTakeEffect(c.dropBase)
 	c.resolveWitnessProposal()
 	c.pruneReleased()
 	c.pruneProposedHandovers()
@@ -274,10 +284,8 @@
 	c.now, c.granted, c.grantedUntil, c.released = now, nil, 0, nil
 }
 
-// Assignment returns the newest known assignment and its revision.
-func (c *Controller) Assignment() (keyspace.Assignment, table.Revision) {
-	return c.assignment, c.revision
-}
+// Assignment returns the newest known assignment, as the base of changes, and its stamp.
+func (c *Controller) Assignment() (keyspace.Assignment, era.Stamp) { return c.assignment, c.stamp }
 
 // pruneReleased removes the released spans that have passed to their next owners.
 func (c *Controller) pruneReleased() {
@@ -325,6 +333,9 @@
 // HandleRenewReply records the reply of the witness from to a renewal request.
 func (c *Controller) HandleRenewReply(now clock.Millis, from identity.Incarnation, reply peer.RenewReply) {
 	c.now = now
+	if c.lease.End() <= now {
+		c.recovery.inherited = nil // The lease has lapsed meanwhile.
+	}
 	c.lease.HandleReply(now, from, reply)
 }
 
--- a/core/keyowner/controller_test.go
+++ b/core/keyowner/controller_test.go
@@ -8,15 +8,21 @@
 	"github.com/matryer/is"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyowner"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/membership"
 	"briarwell.dev/core/peer"
-	"briarwell.dev/core/table"
 )
 
+// revision returns the revision with a number of a store that reports no era.
+func revision(number uint64) era.Revision { return era.NewRevision(0, number) }
+
+// stamp returns the stamp of a row of such a store.
+func stamp(number uint64) era.Stamp { return era.NewStamp(revision(number), revision(number)) }
+
 // seedCount returns the number of seeds of a run: 25, or BRIARWELL_SCHEDULES.
 func seedCount() uint64 {
 	if n, err := strconv.ParseUint(os.Getenv("BRIARWELL_SCHEDULES"), 10, 64); err == nil {
@@ -262,12 +268,12 @@
 	first, ok := c.NextChange(110)
 	is.True(ok)
 	is.Equal(first.Reason(), "move")
-	c.HandleAssignment(150, 6, a) // another change was written first
+	c.HandleAssignment(150, stamp(6), a) // another change was written first
 	second, ok := c.NextChange(200)
 	is.True(ok)
 	is.Equal(second.Reason(), "move")
-	is.Equal(second.Base(), table.Revision(6))
-	c.HandleCommit(250, 7, second)
+	is.Equal(second.Base(), revision(6))
+	c.HandleCommit(250, stamp(7), second)
 	moved, _ := second.Assignment().RangeOf(50)
 	is.Equal(moved.NextOwner(), "i1")
 	if third, ok := c.NextChange(300); ok {
@@ -306,7 +312,7 @@
 func TestStoreAnswersOfOtherDaemons(t *testing.T) {
 	is := is.New(t)
 	c, a := newController(t)
-	c.HandleAssignment(100, 6, a.StartMove("i0", a.OwnedBy("i0")[0].Span, "i1"))
+	c.HandleAssignment(100, stamp(6), a.StartMove("i0", a.OwnedBy("i0")[0].Span, "i1"))
 	c.HandleStoreAnswer(1000)
 	c.HandleStoreAnswer(300)
 	is.True(!c.NeedsStoreAnswer(1500))
@@ -326,7 +332,7 @@
 	joins := func(change func(keyspace.Assignment) keyspace.Assignment, cold bool) bool {
 		c, a := newController(t)
 		c.SetMembers(members)
-		c.HandleAssignment(100, 6, change(a))
+		c.HandleAssignment(100, stamp(6), change(a))
 		c.SetCold(cold)
 		due, ok := c.NextChange(200)
 		return ok && due.Reason() == keyowner.ReasonJoin
@@ -362,7 +368,7 @@
 	instance := membership.NewInstance("i0", "", "pi0", identity.NewLocation("r", "d"))
 	c := keyowner.New(0, keyowner.Settings{Instance: instance, Incarnation: 1, HoldMax: 10_000}, tracker)
 	is.Equal(tracker.Observe(50, heartbeat.Report{Process: keyspace.NewProcess("i0", 1), Service: "s", Address: "a0", Slots: 2, Sequence: 1}), heartbeat.Started)
-	c.HandleAssignment(60, 5, a)
+	c.HandleAssignment(60, stamp(5), a)
 	return c, a
 }
 
@@ -378,7 +384,7 @@
 	}
 	owned := a.OwnedBy("i0")[0].Span
 	process := keyspace.NewProcess("i0", 1)
-	c.HandleAssignment(120, 6, a.StartMove("i0", owned, "i1"))
+	c.HandleAssignment(120, stamp(6), a.StartMove("i0", owned, "i1"))
 	c.HandleStoreAnswer(120)
 	c.HandleReport(130, heartbeat.Report{Process: process, Sequence: 2}) // no longer holds the moved span
 	change, ok := c.NextChange(140)
@@ -390,7 +396,7 @@
 	for _, r := range grant.Ranges() {
 		is.True(!r.Covers(owned))
 	}
-	c.HandleAssignment(outageAt, 7, a.StartMove("i0", owned, "i1")) // another change was written first
+	c.HandleAssignment(outageAt, stamp(7), a.StartMove("i0", owned, "i1")) // another change was written first
 	granted := false
 	for _, r := range c.HandleReport(outageAt, heartbeat.Report{Process: process, Sequence: 4}).Ranges() {
 		granted = granted || r.Covers(owned)
--- a/core/keyowner/grant.go
+++ b/core/keyowner/grant.go
@@ -90,7 +90,7 @@
 		return slices.ContainsFunc(r.Held, func(h heartbeat.HeldSpan) bool { return overlaps(h.Span, released.Span) })
 	})
 	for _, owned := range c.assignment.OwnedBy(c.settings.Instance.Name()) {
-		if owned.NextOwner() == "" || c.isGranted(owned.Span) || c.isReleased(owned.Span) {
+		if owned.NextOwner() == "" || c.isGranted(owned.Span) || c.isReleased(owned.Span) || !c.isOwnedForCertain(owned) {
 			continue
 		}
 		if slices.ContainsFunc(r.Held, func(h heartbeat.HeldSpan) bool { return overlaps(h.Span, owned.Span) }) {
@@ -116,7 +116,7 @@
 
 // rangesToGrant returns the owned ranges to grant in the answer to a report. Ranges that the
 // upstream already holds go first. Those that don't fit into the answer are granted with a
-// later one. It leaves out ranges that other holders may get or that are to be released
+// later one. It leaves out ranges that other holders may get or may have, or that are to be released
 // for a move.
 func (c *Controller) rangesToGrant(r heartbeat.Report) []keyspace.Range {
 	var granted, unheld []keyspace.Range
@@ -124,7 +124,9 @@
 		switch {
 		case owned.NextOwner() != "" && c.storeAnsweredRecently(), c.isHandoverPending(owned):
 		case c.reportedAsHeld(r, owned):
+			c.recovery.inherit(owned)
 			granted = append(granted, owned.WithoutHandoverToken())
+		case !c.isOwnedForCertain(owned):
 		default:
 			unheld = append(unheld, owned)
 		}
--- a/core/keyowner/placeable_test.go
+++ b/core/keyowner/placeable_test.go
@@ -11,7 +11,6 @@
 	"briarwell.dev/core/keyowner"
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/membership"
-	"briarwell.dev/core/table"
 )
 
 // handoverWithin is the time in milliseconds after which the upstreams of an evacuated failure
@@ -37,11 +36,11 @@
 		s.run(s.now + handoverWithin + 600)
 		for _, h := range s.hosts {
 			is.Equal(len(h.upstream.held) > 0, h.index%2 > 0)
-			_, ok := s.assignment.Holder(h.instance.Name())
+			_, ok := s.store.assignment.Holder(h.instance.Name())
 			is.Equal(ok, h.index%2 > 0)
 		}
 		withToken := 0
-		for _, r := range s.assignment.Ranges() {
+		for _, r := range s.store.assignment.Ranges() {
 			if r.HandoverToken() != "" {
 				withToken++
 			}
@@ -75,12 +74,12 @@
 	s.run(s.now + 10_000)
 	owned := 0
 	for _, h := range s.hosts {
-		owned += len(s.assignment.OwnedBy(h.instance.Name()))
+		owned += len(s.store.assignment.OwnedBy(h.instance.Name()))
 	}
-	is.Equal(owned, len(s.assignment.Ranges()))
-	before := s.revision
+	is.Equal(owned, len(s.store.assignment.Ranges()))
+	before := s.store.number
 	s.run(s.now + 5000)
-	is.True(s.revision-before <= 2)
+	is.True(s.store.number-before <= 2)
 	s.served, s.checks = 0, 0
 	s.run(s.now + 1000)
 	is.Equal(s.served, s.checks)
@@ -109,7 +108,7 @@
 		}
 		s.run(s.now + 12_000)
 		for _, h := range s.hosts {
-			is.Equal(len(s.assignment.OwnedBy(h.instance.Name())) > 0, h.index >= 4)
+			is.Equal(len(s.store.assignment.OwnedBy(h.instance.Name())) > 0, h.index >= 4)
 			is.Equal(len(h.upstream.held) > 0, h.index >= 4)
 			is.True(len(h.upstream.held) <= keyspace.MaxRangesPerHolder)
 		}
@@ -138,27 +137,27 @@
 	is.Equal(leave.Reason(), "leave")
 	proposal, ok := c.ProposalFor(leave)
 	is.True(ok)
-	c.HandleCommit(110, 6, leave)
+	c.HandleCommit(110, stamp(6), leave)
 	c.SetPlaceable(true)
 	stay, ok := c.NextChange(120)
 	is.True(ok)
 	is.Equal(stay.Reason(), "stay")
-	c.HandleCommit(130, 7, stay)
-	late, applied := keyowner.ApplyProposals(stay.Assignment(), 7, []keyowner.Proposal{proposal})
+	c.HandleCommit(130, stamp(7), stay)
+	late, applied := keyowner.ApplyProposals(stay.Assignment(), revision(7), []keyowner.Proposal{proposal})
 	is.Equal(applied, []bool{true})
-	c.HandleAssignment(140, 8, late.Assignment())
+	c.HandleAssignment(140, stamp(8), late.Assignment())
 	again, ok := c.NextChange(150)
 	is.True(ok)
 	is.Equal(again.Reason(), "stay")
 	// The holder owns no keys any more and is removed.
 	moved := late.Assignment().CompleteMoves("i0", releasedSpans(late.Assignment()))
-	removal, applied := keyowner.ApplyProposals(moved, 9, []keyowner.Proposal{proposal})
+	removal, applied := keyowner.ApplyProposals(moved, revision(9), []keyowner.Proposal{proposal})
 	is.Equal(applied, []bool{true})
 	_, known := removal.Assignment().Holder("i0")
 	is.True(!known)
-	_, applied = keyowner.ApplyProposals(removal.Assignment(), 10, []keyowner.Proposal{proposal})
+	_, applied = keyowner.ApplyProposals(removal.Assignment(), revision(10), []keyowner.Proposal{proposal})
 	is.Equal(applied, []bool{false})
-	c.HandleAssignment(160, table.Revision(10), removal.Assignment())
+	c.HandleAssignment(160, stamp(10), removal.Assignment())
 	c.SetMembers(witnessMembers())
 	join, ok := c.NextChange(200 + 1500)
 	is.True(!ok || join.Reason() == "join")
@@ -178,7 +177,7 @@
 	c.SetPlaceable(false)
 	c.SetMembers(witnessMembers())
 	tracker.Observe(50, heartbeat.Report{Process: keyspace.NewProcess("i0", 1), Service: "s", Address: "a0", Slots: 2, Sequence: 1})
-	c.HandleAssignment(60, 0, keyspace.Assignment{})
+	c.HandleAssignment(60, stamp(0), keyspace.Assignment{})
 	for now := clock.Millis(100); now < 4000; now += 50 {
 		_, due := c.NextChange(now)
 		is.True(!due)
--- a/core/keyowner/proposal.go
+++ b/core/keyowner/proposal.go
@@ -1,9 +1,9 @@
 package keyowner
 
 import (
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyspace"
-	"briarwell.dev/core/table"
 )
 
 // ReasonProposals is the reason of a change that writes proposals of other daemons.
@@ -246,7 +246,7 @@
 // the lease that its daemon saw: with the condition on the base, the write takes effect only
 // where the daemon's own write would have. The change must not be retried on a newer
 // assignment, for which the proposals may be out of date.
-func ApplyProposals(a keyspace.Assignment, base table.Revision, proposals []Proposal) (Change, []bool) {
+func ApplyProposals(a keyspace.Assignment, base era.Revision, proposals []Proposal) (Change, []bool) {
 	applied := make([]bool, len(proposals))
 	proposed, changed := a, false
 	for i, p := range proposals {
--- a/core/keyowner/proposal_test.go
+++ b/core/keyowner/proposal_test.go
@@ -30,7 +30,7 @@
 	for i := range 50 {
 		joins = append(joins, keyowner.NewJoinProposal(newHolder(fmt.Sprintf("i%d", i), identity.Incarnation(i+1), 1), 0, 0))
 	}
-	change, applied := keyowner.ApplyProposals(keyspace.Assignment{}, 0, joins)
+	change, applied := keyowner.ApplyProposals(keyspace.Assignment{}, revision(0), joins)
 	is.Equal(len(change.Assignment().Holders()), 50)
 	for _, ok := range applied {
 		is.True(ok)
@@ -47,10 +47,10 @@
 		keyowner.NewJoinProposal(newHolder("i0", 6, 1), 5, 1), // the previous process
 		keyowner.NewJoinProposal(newHolder("i0", 7, 3), 7, 1), // saw an older witness set
 	} {
-		_, applied := keyowner.ApplyProposals(a, 4, []keyowner.Proposal{join})
+		_, applied := keyowner.ApplyProposals(a, revision(4), []keyowner.Proposal{join})
 		is.True(!applied[0])
 	}
-	change, applied := keyowner.ApplyProposals(a, 4, []keyowner.Proposal{keyowner.NewJoinProposal(newHolder("i0", 8, 1), 7, 2)})
+	change, applied := keyowner.ApplyProposals(a, revision(4), []keyowner.Proposal{keyowner.NewJoinProposal(newHolder("i0", 8, 1), 7, 2)})
 	is.True(applied[0])
 	h, _ := change.Assignment().Holder("i0")
 	is.Equal(h.Member().Incarnation(), identity.Incarnation(8))
@@ -64,7 +64,7 @@
 	moves := func(from, to string) []keyowner.Move {
 		return []keyowner.Move{keyowner.NewMove(a.OwnedBy(from)[0].Span, to)}
 	}
-	change, applied := keyowner.ApplyProposals(a, 4, []keyowner.Proposal{
+	change, applied := keyowner.ApplyProposals(a, revision(4), []keyowner.Proposal{
 		keyowner.NewMoveProposal("i0", 1, moves("i0", "i2")),
 		keyowner.NewMoveProposal("i1", 2, moves("i1", "i2")),
 		keyowner.NewMoveProposal("i2", 9, moves("i2", "i0")),
@@ -88,7 +88,7 @@
 		keyowner.NewReleasedRange(keyspace.NewReleasedSpan(moving.Span, "token"), moving.Epoch()),
 	})
 	ownerAfter := func(a keyspace.Assignment) string {
-		change, applied := keyowner.ApplyProposals(a, 4, []keyowner.Proposal{proposal})
+		change, applied := keyowner.ApplyProposals(a, revision(4), []keyowner.Proposal{proposal})
 		if !applied[0] {
 			return "refused"
 		}
@@ -98,7 +98,7 @@
 	is.Equal(ownerAfter(a), "refused") // no move
 	started := a.StartMove("i0", moving.Span, "i1")
 	is.Equal(ownerAfter(started), "i1")
-	change, _ := keyowner.ApplyProposals(started, 4, []keyowner.Proposal{proposal})
+	change, _ := keyowner.ApplyProposals(started, revision(4), []keyowner.Proposal{proposal})
 	moved, _ := change.Assignment().RangeOf(moving.First())
 	is.Equal(moved.HandoverToken(), "token")
 	is.True(moved.Epoch() > moving.Epoch())
@@ -126,7 +126,7 @@
 	moving := a.OwnedBy("i0")[0]
 	process := keyspace.NewProcess("i0", 1)
 	started := a.StartMove("i0", moving.Span, "i1")
-	c.HandleAssignment(120, 6, started)
+	c.HandleAssignment(120, stamp(6), started)
 	c.HandleStoreAnswer(120)
 	c.HandleReport(130, heartbeat.Report{Process: process, Sequence: 2}) // no longer holds the moved span
 	change, ok := c.NextChange(140)
@@ -139,8 +139,8 @@
 		return slices.ContainsFunc(grant.Ranges(), func(r keyspace.Range) bool { return r.Covers(moving.Span) })
 	}
 	is.True(!granted(1500, 3)) // the store has not answered since 120
-	c.HandleAssignment(1500, 7, started)
+	c.HandleAssignment(1500, stamp(7), started)
 	is.True(!granted(1500, 4)) // another change was written, but the proposal still applies
-	c.HandleAssignment(1500, 8, started.RemoveHolder("i1"))
+	c.HandleAssignment(1500, stamp(8), started.RemoveHolder("i1"))
 	is.True(granted(1500, 5)) // the move was withdrawn, the proposal no longer applies
 }
--- /dev/null
+++ b/core/keyowner/recovery_test.go
@@ -0,0 +1,49 @@
+package keyowner_test
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	"briarwell.dev/core/keyspace"
+)
+
+// drillShare is the share of faults that are drills, in which the store comes back from an older
+// copy: one in drillShare.
+const drillShare = 3
+
+// TestSoleOwnerOfRestoredStore runs seeded sequences of faults, many of them drills. It guards against
+// a key that two live upstreams hold at once, an epoch that is given out twice or decreases at an
+// upstream, and keys that stay unserved, after the store has lost what it had acknowledged.
+func TestSoleOwnerOfRestoredStore(t *testing.T) {
+	first := uint64(1)
+	if n, err := strconv.ParseUint(os.Getenv("BRIARWELL_SEED"), 10, 64); err == nil {
+		first = n
+	}
+	for seed := first; seed < first+seedCount(); seed++ {
+		s := newSim(seed, 3+int(seed%4))
+		s.store.era, s.lateProposals = 1, true
+		if key, err := strconv.Atoi(os.Getenv("BRIARWELL_TRACE")); err == nil {
+			s.trace, s.tracedKey = func(line string) { t.Log(line) }, keyspace.Key(key)
+		}
+		s.run(warmupMillis)
+		for s.now < warmupMillis+faultMillis && s.failure == "" {
+			if s.rng.IntN(drillShare) == 0 {
+				s.drill(300 + s.rng.Int64N(1500))
+			} else {
+				s.injectFault()
+			}
+			s.run(s.now + 200 + s.rng.Int64N(4000))
+		}
+		s.lateProposals = false
+		s.run(s.now + lateMillis + recoveryMillis)
+		s.served, s.checks = 0, 0
+		s.run(s.now + 500)
+		if s.failure != "" {
+			t.Fatalf("seed %d: %s", seed, s.failure)
+		}
+		if s.served < s.checks {
+			t.Errorf("seed %d: %d of %d checks found no holder after the faults", seed, s.checks-s.served, s.checks)
+		}
+	}
+}
--- a/core/keyowner/simulation_test.go
+++ b/core/keyowner/simulation_test.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/heartbeat"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyowner"
@@ -13,7 +14,6 @@
 	"briarwell.dev/core/lease/holder"
 	"briarwell.dev/core/membership"
 	"briarwell.dev/core/peer"
-	"briarwell.dev/core/table"
 )
 
 const (
@@ -28,13 +28,17 @@
 // sim simulates instances with controllers, lease witnesses and upstreams, which share one
 // store. Its time is virtual, in milliseconds.
 type sim struct {
-	rng        *rand.Rand
-	now        int64
-	events     map[int64][]func()
-	hosts      []*host
-	assignment keyspace.Assignment
-	revision   table.Revision
-	storeDown  bool
+	rng *rand.Rand
+	// syncRNG draws when daemons exchange what they know.
+	syncRNG   *rand.Rand
+	now       int64
+	events    map[int64][]func()
+	hosts     []*host
+	store     simStore
+	storeDown bool
+	// epochs has, for each key that is compared, the highest epoch that an upstream was granted, and
+	// that upstream.
+	epochs map[int]grantedEpoch
 	// lostAnswerShare is the share of commits whose answer is lost, lateWriteShare that
 	// of commits that take effect seconds later.
 	lostAnswerShare float64
@@ -69,6 +73,12 @@
 	unplaceable bool
 }
 
+// grantedEpoch is an epoch that an upstream's process was granted.
+type grantedEpoch struct {
+	epoch   identity.Epoch
+	process keyspace.Process
+}
+
 type daemon struct {
 	host        *host
 	alive       bool
@@ -77,8 +87,14 @@
 	controller  *keyowner.Controller
 	witness     *keyowner.LeaseWitness
 	// writing is set while a commit or proposal is in progress.
-	writing      bool
-	seenRevision table.Revision
+	writing bool
+	// stamp and content are the newest that the daemon knows of the assignment; known is set once it
+	// has read it. They are what a replica of the store's rows keeps.
+	stamp   era.Stamp
+	content keyspace.Assignment
+	known   bool
+	// eraSeen is when the daemon saw the era of stamp.
+	eraSeen clock.Millis
 }
 
 type heldSpan struct {
@@ -101,7 +117,7 @@
 }
 
 func newSim(seed uint64, hosts int) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), events: map[int64][]func(){}, lastServed: map[int]int64{}}
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), syncRNG: rand.New(rand.NewPCG(seed, 8)), events: map[int64][]func(){}, lastServed: map[int]int64{}, epochs: map[int]grantedEpoch{}}
 	for i := range hosts {
 		s.addHost(i)
 	}
@@ -144,10 +160,10 @@
 }
 
 // messageDelay returns a random delay in milliseconds; one in 40 is up to 1,200 ms longer.
-func (s *sim) messageDelay() int64 {
-	d := 1 + s.rng.Int64N(25)
-	if s.rng.IntN(40) == 0 {
-		d += s.rng.Int64N(1200)
+func messageDelay(rng *rand.Rand) int64 {
+	d := 1 + rng.Int64N(25)
+	if rng.IntN(40) == 0 {
+		d += rng.Int64N(1200)
 	}
 	return d
 }
@@ -174,6 +190,7 @@
 		}
 	}
 	s.schedule(30, d.step)
+	s.schedule(s.syncRNG.Int64N(syncInterval), d.syncRows)
 }
 
 // setPlaceable sets whether the upstream may own keys. The daemon learns of it 600 ms later at
@@ -267,9 +284,9 @@
 // write.
 func (d *daemon) handleProposal(proposal keyowner.Proposal) {
 	s := d.host.s
-	assignment, base := d.controller.Assignment()
-	change, applied := keyowner.ApplyProposals(assignment, base, []keyowner.Proposal{proposal})
-	if !applied[0] || !d.alive {
+	assignment, stamp := d.controller.Assignment()
+	change, applied := keyowner.ApplyProposals(assignment, stamp.Version(), []keyowner.Proposal{proposal})
+	if !applied[0] || !d.alive || !d.controller.MayChange(d.now()) {
 		return
 	}
 	s.schedule(s.rng.Int64N(100)+s.freezeDelay(), func() {
@@ -285,19 +302,55 @@
 	if s.storeDown || d.host.partitioned {
 		return
 	}
-	assignment, revision := s.assignment, s.revision
+	assignment, stamp := s.store.assignment, s.store.stamp()
 	s.schedule(s.rng.Int64N(30), func() {
 		d.controller.HandleStoreAnswer(d.now())
-		if d.alive && (revision > d.seenRevision || revision == 0) {
-			d.handleAssignment(revision, assignment)
+		if d.alive {
+			d.handleAssignment(stamp, assignment)
 		}
 	})
 }
 
-func (d *daemon) handleAssignment(revision table.Revision, assignment keyspace.Assignment) {
-	d.seenRevision = max(d.seenRevision, revision)
-	d.controller.HandleAssignment(d.now(), revision, assignment)
-	d.witness.WatchHolders(d.now(), holderMembers(assignment))
+// handleAssignment merges what the store or another daemon has into what is known.
+func (d *daemon) handleAssignment(stamp era.Stamp, content keyspace.Assignment) {
+	if d.known && d.stamp.Covers(stamp) {
+		return
+	}
+	if !d.known || stamp.Origin().After(d.stamp.Origin()) {
+		d.content = content
+	}
+	if !d.known || stamp.Version().Era() > d.stamp.Version().Era() {
+		d.eraSeen = d.now()
+	}
+	d.stamp, d.known = d.stamp.Join(stamp), true
+	d.controller.HandleAssignment(d.now(), d.stamp, d.content)
+	d.witness.WatchHolders(d.now(), holderMembers(d.content))
+}
+
+// syncInterval is the mean time between two exchanges of a daemon with another one, in milliseconds.
+const syncInterval = 600
+
+// syncRows exchanges what two daemons know, and schedules the next exchange.
+func (d *daemon) syncRows() {
+	s := d.host.s
+	if !d.alive || s.failure != "" {
+		return
+	}
+	defer s.schedule(syncInterval/2+s.syncRNG.Int64N(syncInterval), d.syncRows)
+	to := s.hosts[s.syncRNG.IntN(len(s.hosts))]
+	stamp, content, known := d.stamp, d.content, d.known
+	var otherStamp era.Stamp
+	var otherContent keyspace.Assignment
+	d.callWith(s.syncRNG, to.instance.PeerAddress(), func(to *daemon) {
+		otherStamp, otherContent = to.stamp, to.content
+		if known {
+			to.handleAssignment(stamp, content)
+		}
+	}, func(to *daemon) {
+		if to.known {
+			d.handleAssignment(otherStamp, otherContent)
+		}
+	}, func() {})
 }
 
 // holderMembers returns the members that hold the leases of the assignment.
@@ -322,17 +375,22 @@
 // call delivers a request to the daemon at an address, and then its response. An address
 // at which no daemon answers is marked as unresponsive.
 func (d *daemon) call(address string, handle func(*daemon), answered func(*daemon)) {
+	d.callWith(d.host.s.rng, address, handle, answered, func() { d.markUnresponsive(address) })
+}
+
+// callWith is call with delays that are drawn from rng, and with what follows if no daemon answers.
+func (d *daemon) callWith(rng *rand.Rand, address string, handle, answered func(*daemon), unanswered func()) {
 	s := d.host.s
-	s.schedule(s.messageDelay(), func() {
+	s.schedule(messageDelay(rng), func() {
 		to := d.daemonAt(address)
 		if to == nil {
 			if d.alive {
-				d.markUnresponsive(address)
+				unanswered()
 			}
 			return
 		}
 		handle(to)
-		s.schedule(s.messageDelay(), func() {
+		s.schedule(messageDelay(rng), func() {
 			if d.alive && !d.host.partitioned {
 				answered(to)
 			}
@@ -352,7 +410,12 @@
 func (d *daemon) renew(r holder.RenewRequest) {
 	w := r.Witness()
 	var result peer.RenewResult
+	known := d.stamp.Version().Era()
 	d.call(w.PeerAddress(), func(to *daemon) {
+		if isEarlierEra(known, to.stamp.Version().Era()) {
+			result = peer.RenewRefused
+			return
+		}
 		result = to.witness.HandleRenew(to.now(), w.Incarnation(), d.incarnation, r.Generation())
 		d.host.s.tracef("i%d (%d) renews generation %d at %d: %v", d.host.index, d.incarnation, r.Generation(), to.incarnation, result)
 	}, func(to *daemon) {
@@ -369,7 +432,7 @@
 // dropLapsedHolders sends lapse queries to other witnesses, and drops the holders whose
 // leases have lapsed.
 func (d *daemon) dropLapsedHolders() {
-	assignment, revision := d.controller.Assignment()
+	assignment, stamp := d.controller.Assignment()
 	queries, lapsed := d.witness.CheckLeases(d.now(), holderMembers(assignment))
 	for _, q := range queries {
 		var expired bool
@@ -385,7 +448,7 @@
 	}
 	for _, member := range lapsed {
 		d.host.s.tracef("i%d finds the lease of %s lapsed: generation %d witnesses %v", d.host.index, member.Instance().Name(), member.WitnessGeneration(), member.Witnesses())
-		if change, ok := keyowner.DropLapsed(assignment, revision, member); ok && !d.writing && !d.host.s.storeDown && !d.host.partitioned {
+		if change, ok := keyowner.DropLapsed(d.now(), d.eraSeen, assignment, stamp.Version(), member); ok && !d.writing && !d.host.s.storeDown && !d.host.partitioned {
 			d.commit(change, false)
 		}
 	}
@@ -398,13 +461,11 @@
 	s := d.host.s
 	d.writing = true
 	apply := func() bool {
-		if s.revision != change.Base() {
+		if !s.store.write(s.now, change) {
 			return false
 		}
-		s.revision++
-		s.assignment = change.Assignment()
-		if r, ok := s.assignment.RangeOf(s.tracedKey); ok {
-			s.tracef("i%d wrote revision %d %s: owner %s epoch %d next %s", d.host.index, s.revision, change.Reason(), r.Owner(), r.Epoch(), r.NextOwner())
+		if r, ok := s.store.assignment.RangeOf(s.tracedKey); ok {
+			s.tracef("i%d wrote revision %s %s: owner %s epoch %d next %s", d.host.index, s.store.stamp().Version(), change.Reason(), r.Owner(), r.Epoch(), r.NextOwner())
 		}
 		return true
 	}
@@ -414,21 +475,21 @@
 		s.schedule(1000+s.rng.Int64N(5000), func() { apply() })
 		retry()
 	case draw < s.lateWriteShare+s.lostAnswerShare:
-		s.schedule(s.messageDelay(), func() { apply() })
+		s.schedule(messageDelay(s.rng), func() { apply() })
 		retry()
 	default:
-		s.schedule(s.messageDelay(), func() {
+		s.schedule(messageDelay(s.rng), func() {
 			written := apply()
-			revision := s.revision
-			s.schedule(s.messageDelay(), func() {
+			stamp := s.store.stamp()
+			s.schedule(messageDelay(s.rng), func() {
 				d.writing = false
 				if !d.alive || !written {
 					return
 				}
 				if fromController {
-					d.controller.HandleCommit(d.now(), revision, change)
+					d.controller.HandleCommit(d.now(), stamp, change)
 				}
-				d.handleAssignment(revision, change.Assignment())
+				d.handleAssignment(stamp, change.Assignment())
 			})
 		})
 	}
@@ -506,6 +567,11 @@
 				u.host.s.fail("epoch %d of key %d is below the earlier epoch %d", r.Epoch(), k, u.highestEpochs[keyspace.Key(k)])
 			}
 			u.highestEpochs[keyspace.Key(k)] = r.Epoch()
+			granted := u.host.s.epochs[k]
+			if r.Epoch() <= granted.epoch && granted.process != u.process {
+				u.host.s.fail("%s is granted key %d with epoch %d, and %s had it with epoch %d", u.process, k, r.Epoch(), granted.process, granted.epoch)
+			}
+			u.host.s.epochs[k] = grantedEpoch{epoch: r.Epoch(), process: u.process}
 		}
 		kept = append(kept, heldSpan{span: r.Span, epoch: r.Epoch()})
 	}
--- a/core/keyspace/change.go
+++ b/core/keyspace/change.go
@@ -193,7 +193,7 @@
 		if k < 0 || k >= len(a.ranges) {
 			continue
 		}
-		if neighbour := a.ranges[k]; neighbour.owner == holder && neighbour.nextOwner == "" && neighbour.epoch > a.ranges[j].epoch {
+		if neighbour := a.ranges[k]; neighbour.owner == holder && neighbour.nextOwner == "" && neighbour.epoch > max(a.ranges[j].epoch, a.epochFloor) {
 			return neighbour.epoch
 		}
 	}
--- a/core/keyspace/codec.go
+++ b/core/keyspace/codec.go
@@ -95,7 +95,11 @@
 			data = appendBytes(data, []byte(r.handoverToken))
 		}
 	}
-	return compress(data)
+	compressed, err := compress(data)
+	if err != nil || a.era == 0 {
+		return compressed, err
+	}
+	return append(a.appendEra([]byte{eraMarker}), compressed...), nil
 }
 
 // appendColumns appends the attributes of a holder.
@@ -207,6 +211,20 @@
 // Decode decodes an assignment that Encode encoded, or that an earlier build encoded as
 // JSON. The error is a *DecodeError.
 func Decode(data []byte) (Assignment, error) {
+	if len(data) > 0 && data[0] == eraMarker {
+		c := &columnReader{rest: data[1:]}
+		var written Assignment
+		if c.readEra(&written); c.err != nil {
+			return Assignment{}, &DecodeError{cause: c.err}
+		}
+		a, err := decodeCompressed(c.rest)
+		a.era, a.epochFloor, a.unsettled = written.era, written.epochFloor, written.unsettled
+		return a, err
+	}
+	return decodeCompressed(data)
+}
+
+func decodeCompressed(data []byte) (Assignment, error) {
 	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxDecodedBytes))
 	if err != nil {
 		return Assignment{}, &DecodeError{cause: err}
--- a/core/keyspace/delta.go
+++ b/core/keyspace/delta.go
@@ -8,14 +8,21 @@
 	"briarwell.dev/core/identity"
 )
 
-// deltaFormat is the first byte of a delta.
-const deltaFormat = 1
+// deltaFormat is the first byte of a delta, eraDeltaFormat that of one that names the era.
+const (
+	deltaFormat    = 1
+	eraDeltaFormat = 2
+)
 
 // Diff returns the delta that Patch applies to the assignment before to get the assignment
 // after. Its size follows the number of changed holders and ranges: an assignment of 100
 // holders has 10 kB, and a move of one range changes 20 bytes of it.
 func Diff(before, after Assignment) []byte {
-	data := binary.AppendUvarint([]byte{deltaFormat}, uint64(after.epoch))
+	data := []byte{deltaFormat}
+	if after.era > 0 {
+		data = after.appendEra([]byte{eraDeltaFormat})
+	}
+	data = binary.AppendUvarint(data, uint64(after.epoch))
 	data = appendHolderChanges(data, before, after)
 	positions := make(map[string]uint64, len(after.holders))
 	for i, h := range after.holders {
@@ -102,11 +109,15 @@
 // Patch returns the assignment with a delta from Diff applied. The error is a *DecodeError;
 // a delta of another assignment is not always recognised.
 func (a Assignment) Patch(delta []byte) (Assignment, error) {
-	if len(delta) == 0 || delta[0] != deltaFormat {
+	if len(delta) == 0 || delta[0] != deltaFormat && delta[0] != eraDeltaFormat {
 		return Assignment{}, &DecodeError{cause: errInvalidDelta}
 	}
 	c := &columnReader{rest: delta[1:]}
-	patched := Assignment{epoch: identity.Epoch(c.uvarint())}
+	var patched Assignment
+	if delta[0] == eraDeltaFormat {
+		c.readEra(&patched)
+	}
+	patched.epoch = identity.Epoch(c.uvarint())
 	patched.holders = c.holderChanges(a.holders)
 	if len(a.ranges) > 0 || len(c.rest) > 0 {
 		patched.ranges = c.rangeChanges(a.ranges, patched)
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/membership"
 )
@@ -129,6 +130,10 @@
 	epoch   identity.Epoch
 	holders []Holder
 	ranges  []Range
+	// era, epochFloor and unsettled are as Era, EpochFloor and Settled return them.
+	era        era.Era
+	epochFloor identity.Epoch
+	unsettled  bool
 }
 
 // Holders returns the holders sorted by instance name; callers must not change them.
--- a/core/rowfetch/rowfetch.go
+++ b/core/rowfetch/rowfetch.go
@@ -9,7 +9,7 @@
 	"slices"
 
 	"briarwell.dev/core/clock"
-	"briarwell.dev/core/table"
+	"briarwell.dev/core/era"
 )
 
 const (
@@ -24,10 +24,10 @@
 	maxOffers = 8
 )
 
-// Offer is the statement of a peer that it has a version of a row.
+// Offer is the statement of a peer that it has a row.
 type Offer struct {
-	Key     string
-	Version table.Revision
+	Key   string
+	Stamp era.Stamp
 	// From is the address of the peer.
 	From string
 	// NotBefore is the time in milliseconds before which the row is not fetched, as it may come
@@ -60,14 +60,14 @@
 	q.offers[offer.Key] = append(offers, offer)
 }
 
-// Next returns the fetch to start at now, if any: the newest version that is offered of a row. It
-// drops the offers that are not newer than the version which held returns. Done must be called
+// Next returns the fetch to start at now, if any: the newest content that is offered of a row. It
+// drops the offers that the stamp which held returns covers. Done must be called
 // when the fetch ends; there is one at a time.
-func (q *Queue) Next(now clock.Millis, held func(key string) table.Revision) (Offer, bool) {
+func (q *Queue) Next(now clock.Millis, held func(key string) era.Stamp) (Offer, bool) {
 	var best Offer
 	for key, offers := range q.offers {
-		version := held(key)
-		offers = slices.DeleteFunc(offers, func(o Offer) bool { return o.Version <= version })
+		stamp := held(key)
+		offers = slices.DeleteFunc(offers, func(o Offer) bool { return stamp.Covers(o.Stamp) })
 		if len(offers) == 0 {
 			delete(q.offers, key)
 			continue
@@ -75,12 +75,12 @@
 		q.offers[key] = offers
 		for _, o := range offers {
 			failedAt, failed := q.failedAt[o.From]
-			if o.Version > best.Version && now >= o.NotBefore && (!failed || now-failedAt >= failurePause) {
+			if (o.Stamp.Origin().After(best.Stamp.Origin()) || best.Key == "") && now >= o.NotBefore && (!failed || now-failedAt >= failurePause) {
 				best = o
 			}
 		}
 	}
-	if q.fetching || best.Version == 0 {
+	if q.fetching || best.Key == "" {
 		return Offer{}, false
 	}
 	q.fetching = true
--- a/core/rowfetch/rowfetch_test.go
+++ b/core/rowfetch/rowfetch_test.go
@@ -9,26 +9,32 @@
 	"github.com/matryer/is"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/rowfetch"
-	"briarwell.dev/core/table"
 )
 
+// stamp returns the stamp of a row of a store that reports no era.
+func stamp(number uint64) era.Stamp {
+	revision := era.NewRevision(0, number)
+	return era.NewStamp(revision, revision)
+}
+
 // TestQueue guards against a row that is fetched twice at once, in an older version than is offered,
 // or again and again from a peer that fails.
 func TestQueue(t *testing.T) {
 	is := is.New(t)
 	var q rowfetch.Queue
-	held := table.Revision(3)
+	held := stamp(3)
 	next := func(now int) (rowfetch.Offer, bool) {
-		return q.Next(clock.Millis(now), func(string) table.Revision { return held })
+		return q.Next(clock.Millis(now), func(string) era.Stamp { return held })
 	}
 	_, ok := next(0)
 	is.True(!ok)
-	q.Add(rowfetch.Offer{Key: "m", Version: 3, From: "a"}) // known already
-	q.Add(rowfetch.Offer{Key: "m", Version: 5, From: "b", NotBefore: 100})
+	q.Add(rowfetch.Offer{Key: "m", Stamp: stamp(3), From: "a"}) // known already
+	q.Add(rowfetch.Offer{Key: "m", Stamp: stamp(5), From: "b", NotBefore: 100})
 	_, ok = next(50)
 	is.True(!ok)
-	q.Add(rowfetch.Offer{Key: "m", Version: 7, From: "c", NotBefore: 100})
+	q.Add(rowfetch.Offer{Key: "m", Stamp: stamp(7), From: "c", NotBefore: 100})
 	offer, ok := next(100)
 	is.True(ok)
 	is.Equal(offer.From, "c")
@@ -39,14 +45,14 @@
 	offer, ok = next(200) // another peer first
 	is.True(ok)
 	is.Equal(offer.From, "b")
-	held = 5
+	held = stamp(5)
 	q.Done(300, offer, true)
 	_, ok = next(300)
 	is.True(!ok)
-	q.Add(rowfetch.Offer{Key: "m", Version: 7, From: "c", NotBefore: 9000})
+	q.Add(rowfetch.Offer{Key: "m", Stamp: stamp(7), From: "c", NotBefore: 9000})
 	offer, ok = next(2200) // the offer keeps its earlier time
 	is.True(ok)
-	is.Equal(offer.Version, table.Revision(7))
+	is.Equal(offer.Stamp, stamp(7))
 }
 
 // TestUnpackRejects guards against a small message that unpacks to more than memory allows, and
--- a/sidecar/app/app.go
+++ b/sidecar/app/app.go
@@ -23,6 +23,7 @@
 	"briarwell.dev/core/clock/system"
 	"briarwell.dev/core/coldstart"
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/httpclient"
 	"briarwell.dev/core/httpserver"
 	"briarwell.dev/core/identity"
@@ -32,7 +33,6 @@
 	"briarwell.dev/core/replica"
 	"briarwell.dev/core/routes"
 	"briarwell.dev/core/shutdown"
-	"briarwell.dev/core/table"
 	"briarwell.dev/platform/manifest"
 	"briarwell.dev/platform/store"
 	"briarwell.dev/sidecar/settings"
@@ -70,14 +70,14 @@
 	applyMu sync.Mutex
 	// operatorRevision is a revision up to which all changes of the operator's rows are known.
 	// applyMu protects it.
-	operatorRevision table.Revision
+	operatorRevision era.Revision
 	// manifestDecoder decodes the manifest row. applyMu protects it.
 	manifestDecoder manifest.Decoder
 
 	// confirmation is the search for the newest manifest that is in progress, if any.
 	confirmation confirmation
 	// newestRevision is the newest revision of the store that an answer for a feed had.
-	newestRevision atomic.Uint64
+	newestRevision atomic.Pointer[era.Revision]
 
 	manifest   atomic.Pointer[routes.Manifest]
 	state      *state
@@ -123,6 +123,8 @@
 	// writeOutage bounds the calls that write, probe the store, or read what became of a
 	// write.
 	writeOutage storeOutage
+	// rowMerge is the search for the own member row at other sidecars.
+	rowMerge rowMerge
 	// fetches holds the large rows that other sidecars have.
 	fetches fetches
 	// proposals holds the changes that other sidecars proposed to this one.
--- a/sidecar/app/app_test.go
+++ b/sidecar/app/app_test.go
@@ -63,6 +63,17 @@
 
 // newClusterWithGrace is newCluster with the time that a sidecar has to stop.
 func newClusterWithGrace(t *testing.T, subnet int, grace string, services ...string) *cluster {
+	t.Helper()
+	c := newIdleCluster(t, subnet, grace, services...)
+	for _, in := range c.instances {
+		c.startInstance(in)
+	}
+	go c.sendHeartbeats()
+	return c
+}
+
+// newIdleCluster is newClusterWithGrace without any running sidecars and heartbeats.
+func newIdleCluster(t *testing.T, subnet int, grace string, services ...string) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: &platformtest.Store{}}
 	c.store.WriteManifest(4)
@@ -87,9 +98,7 @@
 			"metricsPort":9006,"storeAddress":%q,"holdMax":"10000ms","drain":"2500ms","grace":%q,"retryShare":0.2,"retrySlack":56,
 			"retryWindow":"10s","linkMbps":0,"memoryMB":2}`, in.name, i%2, ip, service, ip, ip, ip, ip, ip, c.address, grace)
 		c.instances = append(c.instances, in)
-		c.startInstance(in)
 	}
-	go c.sendHeartbeats()
 	return c
 }
 
--- a/sidecar/app/confirm.go
+++ b/sidecar/app/confirm.go
@@ -66,7 +66,7 @@
 	a.applyMu.Lock()
 	after := a.operatorRevision
 	a.applyMu.Unlock()
-	newest := a.newestRevision.Load()
+	newest := a.newest()
 	changes, asOf, err := a.watchRows(ctx, store.OperatorRows, after, confirmWait)
 	if err != nil {
 		a.log.Debug().Err(err).Msg("manifestNotConfirmed")
@@ -75,7 +75,7 @@
 	if changed := a.applyFeed(store.OperatorRows, changes.Rows(), changes.Revision(), false); len(changed) > 0 {
 		a.relayRows(context.Background(), changed, true)
 	}
-	if uint64(changes.Revision()) >= newest {
+	if !newest.After(changes.Revision()) {
 		a.state.observeManifest(asOf, a.rows.Get(store.ManifestKey).Version())
 	}
 	a.recordRevision(changes.Revision())
--- a/sidecar/app/control.go
+++ b/sidecar/app/control.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/keyowner"
 	"briarwell.dev/core/lease/failover"
 	"briarwell.dev/core/lease/holder"
 	"briarwell.dev/core/membership"
 	"briarwell.dev/core/peer"
-	"briarwell.dev/core/table"
 	"briarwell.dev/platform/store"
 )
 
@@ -77,13 +77,18 @@
 
 func (a *App) renewLease(ctx context.Context, renewal holder.RenewRequest) {
 	s, witness := a.state, renewal.Witness()
-	request := renewRequest{To: witness.Incarnation(), Holder: s.incarnation, Generation: renewal.Generation(), Sequence: renewal.Sequence()}
+	request := renewRequest{To: witness.Incarnation(), Holder: s.incarnation, Generation: renewal.Generation(), Sequence: renewal.Sequence(), Era: s.knownEra()}
 	var response renewResponse
 	if err := a.peers.call(ctx, witness.PeerAddress(), pathRenew, request, &response); err != nil {
 		a.log.Debug().Err(err).Str("witness", witness.Incarnation().String()).Msg("renewalFailed")
 		s.avoidWitness(a.clock.Now(), witness.Incarnation())
 		return
 	}
+	if a.observeEra(response.Era) {
+		if m, ok := s.memberAt(witness.PeerAddress()); ok {
+			a.goOnce("syncVersions", func() { a.syncVersions(ctx, m, nil) })
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if response.From != witness.Incarnation() {
@@ -132,7 +137,7 @@
 func (a *App) dropHolder(ctx context.Context, member membership.Member) {
 	s := a.state
 	s.mu.Lock()
-	change, service, ok := s.dropChange(member)
+	change, service, ok := s.dropChange(a.clock.Now(), member)
 	s.mu.Unlock()
 	if ok {
 		a.log.Warn().Str("holder", member.Instance().Name()).Str("service", service).Msg("leaseLapsed")
@@ -224,63 +229,63 @@
 		return false
 	}
 	key := fleet.AssignmentKey(service)
-	revision, committed := a.commitRow(ctx, key, change.Base(), value, change.Reason())
+	row, committed := a.commitRow(ctx, key, change.Base(), value, change.Reason())
 	if !committed {
 		return false
 	}
 	if ownChange {
 		s := a.state
 		s.mu.Lock()
-		s.keyController.HandleCommit(a.clock.Now(), revision, change)
+		s.keyController.HandleCommit(a.clock.Now(), row.Stamp, change)
 		s.mu.Unlock()
 	}
-	a.applyRows([]table.Row{table.NewRow(key, revision, value)})
+	a.applyRows([]era.Row{row})
 	return true
 }
 
-// commitRow replaces the version base of a row and reports whether the store accepted
+// commitRow replaces the version base of a row. It returns the new row, and whether the store accepted
 // the write. If the row has changed or the outcome is unknown, it updates the local
 // copy of the rows before it returns.
-func (a *App) commitRow(ctx context.Context, key string, base table.Revision, value []byte, reason string) (table.Revision, bool) {
-	transaction := table.NewTransaction([]table.Condition{table.NewCondition(key, base)}, []table.Mutation{table.NewPut(key, value)})
-	revision, err := a.store.Commit(ctx, transaction)
+func (a *App) commitRow(ctx context.Context, key string, base era.Revision, value []byte, reason string) (era.Row, bool) {
+	revision, err := a.store.Put(ctx, key, base, value)
 	if err == nil {
+		a.observeEra(revision.Era())
 		a.state.recordStoreAnswer(a.clock.Now())
 		a.writeOutage.recordSuccess()
 		a.consecutiveConflicts.Store(0)
-		a.log.Info().Str("row", key).Str("reason", reason).Uint64("base", uint64(base)).Uint64("revision", uint64(revision)).Msg("rowWritten")
-		return revision, true
+		a.log.Info().Str("row", key).Str("reason", reason).Stringer("base", base).Stringer("revision", revision).Msg("rowWritten")
+		return era.NewRowAt(key, era.NewStamp(revision, fleet.ContentRevision(key, revision, value)), value), true
 	}
-	a.log.Warn().Err(err).Str("row", key).Str("reason", reason).Uint64("base", uint64(base)).Msg("rowNotWritten")
+	a.log.Warn().Err(err).Str("row", key).Str("reason", reason).Stringer("base", base).Msg("rowNotWritten")
 	var statusErr *store.StatusError
 	if errors.As(err, &statusErr) {
 		a.writeOutage.recordFailure(a, false)
 		sleepJittered(ctx, minStoreBackoff)
-		return 0, false
+		return era.Row{}, false
 	}
-	var conflict *table.ConflictError
+	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		a.state.recordStoreAnswer(a.clock.Now())
 		a.writeOutage.recordSuccess()
 	}
-	if errors.As(err, &conflict) && len(conflict.CurrentRows()) > 0 && conflict.CurrentRows()[0].Version() > 0 {
+	if errors.As(err, &conflict) && len(conflict.CurrentRows()) > 0 {
 		a.applyRows(conflict.CurrentRows())
 		if reason != keyowner.ReasonProposals { // The senders of proposals wait themselves.
 			sleepJittered(ctx, a.conflictBackoff(reason))
 		}
-		return 0, false
+		return era.Row{}, false
 	}
 	for ctx.Err() == nil {
-		rows, _, err := a.store.ReadRows(ctx, store.RouterRows)
+		rows, revision, err := a.store.ReadRows(ctx, store.RouterRows)
 		if err == nil {
 			a.writeOutage.recordSuccess()
-			a.applyRows(rows)
-			return 0, false
+			a.applyFeed(store.RouterRows, rows, revision, true)
+			return era.Row{}, false
 		}
 		a.writeOutage.recordFailure(a, false)
 		a.writeOutage.await(ctx, a)
 	}
-	return 0, false
+	return era.Row{}, false
 }
 
 // conflictBackoff counts a write conflict and returns the shortest time before the
@@ -300,14 +305,24 @@
 	if !known && a.clock.Now()-a.startedAt < firstReportWait && !s.departureUnwritten() {
 		return
 	}
-	value, err := s.encodeOwnMember(member)
-	if err != nil {
-		a.log.Error().Err(err).Msg("memberNotEncoded")
+	if !a.ownRowMerged() {
 		return
 	}
 	key := fleet.MemberKey(s.instance.Name())
 	row := a.rows.Get(key)
-	if bytes.Equal(row.Value(), value) || !a.writeOutage.callDue(a) {
+	base := row.Version()
+	if base.IsZero() {
+		base = s.absentRow()
+	}
+	value, err := s.encodeOwnMember(member, row.Origin().Era())
+	if err == nil && row.Stored() && bytes.Equal(row.Value(), value) || !a.writeOutage.callDue(a) {
+		return
+	}
+	if err == nil && row.Origin().Era() != base.Era() {
+		value, err = s.encodeOwnMember(member, base.Era())
+	}
+	if err != nil {
+		a.log.Error().Err(err).Msg("memberNotEncoded")
 		return
 	}
 	select {
@@ -317,8 +332,8 @@
 	}
 	a.goOnce("publishMember", func() {
 		defer func() { <-a.memberSemaphore }()
-		if revision, ok := a.commitRow(ctx, key, row.Version(), value, "member"); ok {
-			a.applyRows([]table.Row{table.NewRow(key, revision, value)})
+		if row, ok := a.commitRow(ctx, key, base, value, "member"); ok {
+			a.applyRows([]era.Row{row})
 		}
 	})
 }
@@ -337,15 +352,15 @@
 	}, seen
 }
 
-// encodeOwnMember returns the value of this sidecar's member row. The control loop needs it
+// encodeOwnMember returns the value of this sidecar's member row in an era. The control loop needs it
 // in each round, but it changes rarely.
-func (s *state) encodeOwnMember(member fleet.Member) ([]byte, error) {
-	if s.encodedMember.value != nil && s.encodedMember.member == member {
+func (s *state) encodeOwnMember(member fleet.Member, e era.Era) ([]byte, error) {
+	if s.encodedMember.value != nil && s.encodedMember.member == member && s.encodedMember.era == e {
 		return s.encodedMember.value, nil
 	}
-	value, err := member.Encode()
+	value, err := member.Encode(e)
 	if err == nil {
-		s.encodedMember.member, s.encodedMember.value = member, value
+		s.encodedMember.member, s.encodedMember.era, s.encodedMember.value = member, e, value
 	}
 	return value, err
 }
--- a/sidecar/app/evacuation.go
+++ b/sidecar/app/evacuation.go
@@ -4,9 +4,9 @@
 	"slices"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/replica"
-	"briarwell.dev/core/table"
 	"briarwell.dev/platform/store"
 )
 
@@ -32,11 +32,11 @@
 
 // withEvacuations returns rows that are sent to another sidecar, with all evacuation rows if the
 // manifest is among them: that sidecar may have none of them.
-func (a *App) withEvacuations(rows []table.Row) []table.Row {
-	if !slices.ContainsFunc(rows, func(r table.Row) bool { return r.Key() == store.ManifestKey }) {
+func (a *App) withEvacuations(rows []era.Row) []era.Row {
+	if !slices.ContainsFunc(rows, func(r era.Row) bool { return r.Key() == store.ManifestKey }) {
 		return rows
 	}
-	others := slices.DeleteFunc(slices.Clone(rows), func(r table.Row) bool {
+	others := slices.DeleteFunc(slices.Clone(rows), func(r era.Row) bool {
 		_, ok := fleet.OutOfUseDomain(r.Key())
 		return ok
 	})
@@ -45,34 +45,40 @@
 
 // applyFeed updates the local copy with rows of a feed, which are complete up to a revision, and
 // returns the rows that were newer than the local ones. With allRead, they are all rows of the
-// feed: known evacuation rows that are absent were deleted.
-func (a *App) applyFeed(feed store.Feed, rows []table.Row, revision table.Revision, allRead bool) []table.Row {
-	if feed != store.OperatorRows {
-		return a.applyRows(rows)
-	}
+// feed: known evacuation rows that are absent were deleted, and rows of the router were lost by the store.
+func (a *App) applyFeed(feed store.Feed, rows []era.Row, revision era.Revision, allRead bool) []era.Row {
+	a.observeEra(revision.Era())
 	a.applyMu.Lock()
 	defer a.applyMu.Unlock()
+	if feed != store.OperatorRows {
+		if allRead {
+			for _, prefix := range fleet.RouterPrefixes() {
+				rows = append(a.rows.LostRows(prefix, rows, revision), rows...)
+			}
+		}
+		return a.applyRowsLocked(rows, false)
+	}
 	if allRead {
 		rows = append(a.rows.DeletedRows(fleet.OutOfUsePrefix, rows, revision), rows...)
 	}
 	changed := a.applyRowsLocked(rows, allRead)
-	a.operatorRevision = max(a.operatorRevision, revision)
+	a.operatorRevision = era.Later(a.operatorRevision, revision)
 	return changed
 }
 
 // withKnownDeletion returns a row of another sidecar, which is newer than the local one, or its
 // tombstone if it is an evacuation row that was deleted: the operator's rows are known up to a
 // later revision. The other sidecar has missed the deletion. The caller holds a.applyMu.
-func (a *App) withKnownDeletion(row table.Row) table.Row {
-	if _, ok := fleet.OutOfUseDomain(row.Key()); ok && len(row.Value()) > 0 && row.Version() <= a.operatorRevision {
-		return replica.Tombstone(row)
+func (a *App) withKnownDeletion(row era.Row) era.Row {
+	if _, ok := fleet.OutOfUseDomain(row.Key()); ok && len(row.Value()) > 0 && !row.Version().After(a.operatorRevision) {
+		return replica.Tombstone(row, a.operatorRevision)
 	}
 	return row
 }
 
 // applyEvacuation passes a changed evacuation row to the state machines. With allRead, the row
 // was not read as a change. Before the first manifest, everything that is learned may be old.
-func (a *App) applyEvacuation(domain string, row table.Row, allRead bool) error {
+func (a *App) applyEvacuation(domain string, row era.Row, allRead bool) error {
 	s, now := a.state, a.clock.Now()
 	if own := domain == s.instance.Location().FailureDomain(); own && len(row.Value()) == 0 && s.returnsToUse(a.manifest.Load().Version() > 0) {
 		// Before the upstream may get requests: it may be cold.
@@ -87,7 +93,7 @@
 		s.mu.Lock()
 		closed := s.domain.Closed(now)
 		s.mu.Unlock()
-		a.log.Warn().Str("domain", domain).Bool("outOfUse", len(row.Value()) > 0).Uint64("revision", uint64(row.Version())).
+		a.log.Warn().Str("domain", domain).Bool("outOfUse", len(row.Value()) > 0).Stringer("revision", row.Version()).
 			Bool("own", domain == s.instance.Location().FailureDomain()).Bool("closed", closed).Msg("domainUse")
 	}
 	return nil
@@ -96,7 +102,7 @@
 // applyEvacuation updates the state with an evacuation row. It reports whether the domain was
 // taken out of use or returned. The error is a *fleet.RowError; the state is then unchanged.
 // Running is set once a manifest is in force, allRead if the row was not read as a change.
-func (s *state) applyEvacuation(now clock.Millis, row table.Row, running, allRead bool) (bool, error) {
+func (s *state) applyEvacuation(now clock.Millis, row era.Row, running, allRead bool) (bool, error) {
 	domain, _ := fleet.OutOfUseDomain(row.Key())
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/sidecar/app/manifest.go
+++ b/sidecar/app/manifest.go
@@ -6,10 +6,10 @@
 
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/outcome"
 	"briarwell.dev/core/retryafter"
 	"briarwell.dev/core/routes"
-	"briarwell.dev/core/table"
 	"briarwell.dev/platform/callerhttp"
 	"briarwell.dev/platform/manifest"
 )
@@ -50,14 +50,14 @@
 }
 
 // recordManifestHeld records the revision of the manifest row in use.
-func (s *state) recordManifestHeld(revision table.Revision) {
+func (s *state) recordManifestHeld(revision era.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.manifest.RecordHeld(revision)
 }
 
 // observeManifest records the newest revision of the manifest row that existed at a time.
-func (s *state) observeManifest(at clock.Millis, revision table.Revision) {
+func (s *state) observeManifest(at clock.Millis, revision era.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.manifest.RecordObservation(at, revision)
@@ -65,12 +65,12 @@
 
 // manifestObservation returns the newest revision of the manifest row that is known to exist, and
 // the age of that knowledge in milliseconds, nil if there is none.
-func (s *state) manifestObservation(now clock.Millis) (table.Revision, *clock.Millis) {
+func (s *state) manifestObservation(now clock.Millis) (era.Revision, *clock.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	revision, age, ok := s.manifest.Observation(now)
 	if !ok {
-		return 0, nil
+		return era.Revision{}, nil
 	}
 	return revision, &age
 }
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -12,6 +12,7 @@
 
 	"briarwell.dev/core/balance"
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/httpclient"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/memory"
@@ -53,11 +54,15 @@
 	Holder     identity.Incarnation `json:"holder"`
 	Generation uint64               `json:"generation"`
 	Sequence   uint64               `json:"sequence"`
+	// Era is the newest era of the store that the holder knows.
+	Era era.Era `json:"era,omitempty"`
 }
 
 type renewResponse struct {
 	From   identity.Incarnation `json:"from"`
 	Result peer.RenewResult     `json:"result"`
+	// Era is the newest era of the store that the witness knows.
+	Era era.Era `json:"era,omitempty"`
 }
 
 type lapseRequest struct {
@@ -214,12 +219,17 @@
 }
 
 // handleRenew handles a holder's request that this sidecar, as a witness, renews its
-// promise.
+// promise. A holder that does not know the era of the store gets none: the store may have lost the
+// change that made it a holder, and it must tell so to those who know the era.
 func (a *App) handleRenew(request renewRequest) renewResponse {
+	a.observeEra(request.Era)
 	s := a.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return renewResponse{From: s.incarnation, Result: s.leaseWitness.HandleRenew(a.clock.Now(), request.To, request.Holder, request.Generation)}
+	if request.Era < s.era {
+		return renewResponse{From: s.incarnation, Result: peer.RenewRefused, Era: s.era}
+	}
+	return renewResponse{Era: s.era, From: s.incarnation, Result: s.leaseWitness.HandleRenew(a.clock.Now(), request.To, request.Holder, request.Generation)}
 }
 
 // handleLapse handles another witness's query whether this sidecar's promise to a holder
--- a/sidecar/app/propose.go
+++ b/sidecar/app/propose.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/identity"
 	"briarwell.dev/core/keyowner"
 	"briarwell.dev/core/keyspace"
-	"briarwell.dev/core/table"
 )
 
 const (
@@ -41,8 +41,8 @@
 	// Released has the keys to hand over, MoveGeneration the owner's move generation.
 	Released       []encodedRelease `json:"released,omitempty"`
 	MoveGeneration uint64           `json:"moveGeneration,omitempty"`
-	// Known is the revision of the assignment that the sender knows.
-	Known table.Revision `json:"known,omitempty"`
+	// Known is the stamp of the assignment that the sender knows.
+	Known era.Stamp `json:"known,omitzero"`
 }
 
 type encodedMove struct {
@@ -256,8 +256,8 @@
 	case <-time.After(proposalTimeout):
 	}
 	key := fleet.AssignmentKey(request.Service)
-	if row := a.rows.Get(key); row.Version() > request.Known {
-		response.Rows = a.encodeRowsSince([]table.Row{row}, map[string]table.Revision{key: request.Known})
+	if row := a.rows.Get(key); !request.Known.Covers(row.Stamp) {
+		response.Rows = a.encodeRowsSince([]era.Row{row}, map[string]era.Revision{key: request.Known.Origin()})
 	}
 	return response
 }
@@ -278,11 +278,12 @@
 		proposals = append(proposals, p.proposal)
 	}
 	a.state.mu.Lock()
-	assignment, base := a.state.keyController.Assignment()
+	assignment, stamp := a.state.keyController.Assignment()
+	mayChange := a.state.keyController.MayChange(a.clock.Now())
 	a.state.mu.Unlock()
-	change, applied := keyowner.ApplyProposals(assignment, base, proposals)
+	change, applied := keyowner.ApplyProposals(assignment, stamp.Version(), proposals)
 	committed := false
-	if change.Reason() != "" {
+	if change.Reason() != "" && mayChange {
 		committed = a.commitAssignmentLocked(ctx, a.settings.Service(), change, false)
 	}
 	for i, p := range pending {
--- a/sidecar/app/rowfetch.go
+++ b/sidecar/app/rowfetch.go
@@ -7,9 +7,10 @@
 	"time"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/era"
+	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/httpserver"
 	"briarwell.dev/core/rowfetch"
-	"briarwell.dev/core/table"
 	"briarwell.dev/platform/store"
 )
 
@@ -42,56 +43,68 @@
 	queue  rowfetch.Queue
 	budget rowfetch.Budget
 
-	packMu  sync.Mutex
-	key     string
-	version table.Revision
-	packed  []byte
+	packMu sync.Mutex
+	key    string
+	origin era.Revision
+	packed []byte
 }
 
-// separateLarge returns the small rows, and the versions of the large ones, which are offered
+// separateLarge returns the small rows, and the stamps of the large ones, which are offered
 // instead of sent. All rows count as small if the receiver does not fetch.
-func separateLarge(rows []table.Row, receiverFetches bool) ([]table.Row, map[string]table.Revision) {
+func separateLarge(rows []era.Row, receiverFetches bool) ([]era.Row, map[string]era.Stamp) {
 	if !receiverFetches {
 		return rows, nil
 	}
-	small := make([]table.Row, 0, len(rows))
-	var offers map[string]table.Revision
+	small := make([]era.Row, 0, len(rows))
+	var offers map[string]era.Stamp
 	for _, row := range rows {
 		if len(row.Value()) < rowfetch.MinBytes {
 			small = append(small, row)
 			continue
 		}
 		if offers == nil {
-			offers = make(map[string]table.Revision)
+			offers = make(map[string]era.Stamp)
 		}
-		offers[row.Key()] = row.Version()
+		offers[row.Key()] = row.Stamp
 	}
 	return small, offers
 }
 
 // addOffers records the large rows that another sidecar has, and fetches those that are newer.
-func (a *App) addOffers(from string, offers map[string]table.Revision) {
+func (a *App) addOffers(from string, offers map[string]era.Stamp) {
 	if len(offers) == 0 {
 		return
 	}
+	a.applyOfferedVersions(offers)
 	notBefore := a.clock.Now()
 	if a.watching[store.OperatorRows].Load() && a.feedReachable[store.OperatorRows].Load() {
 		notBefore += ownReadWait
 	}
 	a.fetches.mu.Lock()
-	for key, version := range offers {
-		if version > a.rows.Get(key).Version() {
-			a.fetches.queue.Add(rowfetch.Offer{Key: key, Version: version, From: from, NotBefore: notBefore})
+	for key, stamp := range offers {
+		if !a.rows.Get(key).Covers(stamp) {
+			a.fetches.queue.Add(rowfetch.Offer{Key: key, Stamp: stamp, From: from, NotBefore: notBefore})
 		}
 	}
 	a.fetches.mu.Unlock()
 	a.fetchNext()
 }
 
+// applyOfferedVersions applies the versions of offered rows whose content is known.
+func (a *App) applyOfferedVersions(offers map[string]era.Stamp) {
+	var rows []era.Row
+	for key, stamp := range offers {
+		if known := a.rows.Get(key); !stamp.Origin().After(known.Origin()) && stamp.Version().After(known.Version()) {
+			rows = append(rows, era.NewRowAt(key, stamp, nil))
+		}
+	}
+	a.applyRows(rows)
+}
+
 // fetchNext starts the fetch that is due, if any.
 func (a *App) fetchNext() {
 	a.fetches.mu.Lock()
-	offer, ok := a.fetches.queue.Next(a.clock.Now(), func(key string) table.Revision { return a.rows.Get(key).Version() })
+	offer, ok := a.fetches.queue.Next(a.clock.Now(), func(key string) era.Stamp { return a.rows.Get(key).Stamp })
 	a.fetches.mu.Unlock()
 	if !ok {
 		return
@@ -109,7 +122,7 @@
 }
 
 // fetchRow fetches a large row from the sidecar that offered it, applies it and relays it. It
-// reports whether it got the offered version.
+// reports whether it got the offered row.
 func (a *App) fetchRow(offer rowfetch.Offer) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
@@ -127,9 +140,9 @@
 	}
 	changed, _ := a.applyEncodedRows(response.Rows)
 	a.relayRows(context.Background(), changed, false)
-	version := a.rows.Get(offer.Key).Version()
-	a.log.Info().Str("row", offer.Key).Str("peer", offer.From).Uint64("revision", uint64(version)).Int64("tookMillis", int64(a.clock.Now()-began)).Msg("rowFetched")
-	return version >= offer.Version
+	stamp := a.rows.Get(offer.Key).Stamp
+	a.log.Info().Str("row", offer.Key).Str("peer", offer.From).Stringer("revision", stamp).Int64("tookMillis", int64(a.clock.Now()-began)).Msg("rowFetched")
+	return stamp.Covers(offer.Stamp)
 }
 
 // serveFetch sends a large row to another sidecar, unless too many are being sent.
@@ -168,7 +181,7 @@
 // handleFetch answers another sidecar's request for a large row.
 func (a *App) handleFetch(request fetchRequest) fetchResponse {
 	row := a.rows.Get(request.Key)
-	if row.Version() == 0 {
+	if row.Origin().IsZero() {
 		return fetchResponse{}
 	}
 	packed, err := a.pack(row)
@@ -177,8 +190,8 @@
 		return fetchResponse{}
 	}
 	response := fetchResponse{}
-	for _, r := range a.withEvacuations([]table.Row{row}) {
-		encoded := encodedRow{Key: r.Key(), Version: r.Version(), Value: r.Value()}
+	for _, r := range a.withEvacuations([]era.Row{row}) {
+		encoded := encodedRow{Key: r.Key(), Stamp: r.Stamp, Value: r.Value()}
 		if r.Key() == row.Key() {
 			encoded.Value, encoded.Packed = nil, packed
 		}
@@ -188,28 +201,34 @@
 }
 
 // pack returns the compressed value of a row.
-func (a *App) pack(row table.Row) ([]byte, error) {
+func (a *App) pack(row era.Row) ([]byte, error) {
 	f := &a.fetches
 	f.packMu.Lock()
 	defer f.packMu.Unlock()
-	if f.key == row.Key() && f.version == row.Version() {
+	if f.key == row.Key() && f.origin == row.Origin() {
 		return f.packed, nil
 	}
 	packed, err := rowfetch.Pack(row.Value())
 	if err == nil {
-		f.key, f.version, f.packed = row.Key(), row.Version(), packed
+		f.key, f.origin, f.packed = row.Key(), row.Origin(), packed
 	}
 	return packed, err
 }
 
 // knowsPeer reports whether a member has the address for control messages.
 func (s *state) knowsPeer(address string) bool {
+	_, known := s.memberAt(address)
+	return known
+}
+
+// memberAt returns the member with the address for control messages, or false if there is none.
+func (s *state) memberAt(address string) (fleet.Member, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range s.view.Members() {
 		if m.Instance.PeerAddress() == address {
-			return true
+			return m, true
 		}
 	}
-	return false
+	return fleet.Member{}, false
 }
--- a/sidecar/app/rowsync.go
+++ b/sidecar/app/rowsync.go
@@ -10,8 +10,8 @@
 	"github.com/sourcegraph/conc"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/fleet"
-	"briarwell.dev/core/table"
 	"briarwell.dev/platform/store"
 )
 
@@ -89,7 +89,8 @@
 	address := member.Instance.PeerAddress()
 	request := syncRequest{
 		Checksum: a.rows.Checksum(), Newest: a.rows.Newest(), Assignments: a.assignmentVersions(), Fetches: true,
-		Confirm: confirm,
+		Unstored: a.rows.Unstored(),
+		Confirm:  confirm,
 	}
 	var response syncResponse
 	sentAt := a.clock.Now()
@@ -108,33 +109,63 @@
 	if response.Same {
 		return response.Watching
 	}
-	if response.Newest < request.Newest {
+	if request.Newest.After(response.Newest) {
 		a.sendRows(ctx, member, a.rows.ChangedAfter(response.Newest))
 	}
-	if len(missing) > 0 || a.rows.Newest() == response.Newest && a.rows.Checksum() != response.Checksum {
+	a.exchangeUnstored(ctx, member, response)
+	if len(missing) > 0 || request.Newest.Era() != response.Newest.Era() || a.rows.Newest() == response.Newest && a.rows.Checksum() != response.Checksum {
 		a.syncVersions(ctx, member, missing)
 	}
 	return response.Watching
 }
 
-// syncVersions compares the version of each row with another sidecar, for the case that the
+// exchangeUnstored sends and gets the rows whose content the store has lost, as far as one of both
+// sidecars lacks them: a newer version of a row does not show that its content is known.
+func (a *App) exchangeUnstored(ctx context.Context, member fleet.Member, response syncResponse) {
+	wanted := make([]era.Row, 0, len(response.Wanted))
+	for _, key := range response.Wanted {
+		wanted = append(wanted, a.rows.Get(key))
+	}
+	if len(wanted) > 0 {
+		a.sendEncodedRows(ctx, member, rowsRequest{Rows: a.encodeRowsSince(wanted, nil), From: a.settings.PeerAddress()})
+	}
+	lacking := a.rows.Lacking(response.Unstored)
+	if len(lacking) == 0 {
+		return
+	}
+	request := syncRequest{Stamps: make(map[string]era.Stamp, len(lacking)), Only: true, Fetches: true}
+	for _, key := range lacking {
+		request.Stamps[key] = a.rows.Get(key).Stamp
+	}
+	var rows syncResponse
+	address := member.Instance.PeerAddress()
+	if err := a.peers.call(ctx, address, pathSync, request, &rows); err != nil {
+		a.log.Debug().Err(err).Str("peer", address).Msg("syncFailed")
+		return
+	}
+	changed, _ := a.applyEncodedRows(rows.Rows)
+	a.addOffers(address, rows.Offers)
+	a.relayRows(ctx, changed, false)
+}
+
+// syncVersions compares the stamp of each row with another sidecar, for the case that the
 // rows differ although the newest ones are the same: a change that was relayed may have
 // overtaken an earlier one. The keys of missing rows get whole rows.
-func (a *App) syncVersions(ctx context.Context, member fleet.Member, missing map[string]table.Revision) {
+func (a *App) syncVersions(ctx context.Context, member fleet.Member, missing map[string]era.Revision) {
 	address := member.Instance.PeerAddress()
-	versions := a.rows.Versions()
+	stamps := a.rows.Stamps()
 	for key := range missing {
-		delete(versions, key)
+		delete(stamps, key)
 	}
 	var response syncResponse
-	if err := a.peers.call(ctx, address, pathSync, syncRequest{Versions: versions, Fetches: true}, &response); err != nil {
+	if err := a.peers.call(ctx, address, pathSync, syncRequest{Stamps: stamps, Fetches: true}, &response); err != nil {
 		a.log.Debug().Err(err).Str("peer", address).Msg("syncFailed")
 		return
 	}
 	a.applyEncodedRows(response.Rows)
 	a.addOffers(address, response.Offers)
 	if response.Behind {
-		// The versions of the other sidecar are not known here, so it gets all rows and
+		// The stamps of the other sidecar are not known here, so it gets all rows and
 		// applies the newer ones.
 		a.sendRows(ctx, member, a.rows.NewerThan(nil))
 	}
@@ -151,17 +182,24 @@
 	for i := range a.feedReachable {
 		watching = watching && (a.feedReachable[i].Load() || !a.watching[i].Load())
 	}
-	if request.Versions != nil {
-		rows, offers := separateLarge(a.rows.NewerThan(request.Versions), request.Fetches)
+	if request.Stamps != nil {
+		newer := a.rows.NewerThan(request.Stamps)
+		if request.Only {
+			newer = slices.DeleteFunc(newer, func(r era.Row) bool { _, ok := request.Stamps[r.Key()]; return !ok })
+		}
+		rows, offers := separateLarge(newer, request.Fetches)
 		return syncResponse{
-			Watching: watching, Rows: a.encodeRowsSince(rows, request.Versions), Offers: offers, Behind: a.rows.IsBehind(request.Versions),
+			Watching: watching, Rows: a.encodeRowsSince(rows, origins(request.Stamps)), Offers: offers, Behind: a.rows.IsBehind(request.Stamps),
 		}
 	}
 	response := syncResponse{Watching: watching, Checksum: a.rows.Checksum(), Newest: a.rows.Newest(), StoreAge: a.state.storeAnswerAge(a.clock.Now())}
 	response.ManifestRevision, response.ManifestAge = a.state.manifestObservation(a.clock.Now())
 	response.Same = request.Checksum == response.Checksum
-	if !response.Same && request.Newest > 0 {
-		var rows []table.Row
+	if !response.Same {
+		response.Unstored, response.Wanted = a.rows.Unstored(), a.rows.Lacking(request.Unstored)
+	}
+	if !response.Same && !request.Newest.IsZero() {
+		var rows []era.Row
 		rows, response.Offers = separateLarge(a.rows.ChangedAfter(request.Newest), request.Fetches)
 		response.Rows = a.encodeRowsSince(rows, request.Assignments)
 	}
@@ -170,12 +208,12 @@
 
 // sendRows sends rows to another sidecar, assignments as their last change, and offers it the large
 // ones. If that sidecar has another revision, it gets what it lacks.
-func (a *App) sendRows(ctx context.Context, to fleet.Member, rows []table.Row) {
+func (a *App) sendRows(ctx context.Context, to fleet.Member, rows []era.Row) {
 	a.sendEncodedRows(ctx, to, a.newRowsRequest(rows))
 }
 
 // newRowsRequest returns the message with which rows are relayed.
-func (a *App) newRowsRequest(rows []table.Row) rowsRequest {
+func (a *App) newRowsRequest(rows []era.Row) rowsRequest {
 	rows, offers := separateLarge(rows, true)
 	return rowsRequest{Rows: a.encodeLastChanges(rows), Offers: offers, From: a.settings.PeerAddress()}
 }
@@ -190,7 +228,7 @@
 	if len(response.Missing) == 0 {
 		return
 	}
-	lacking := make([]table.Row, 0, len(response.Missing))
+	lacking := make([]era.Row, 0, len(response.Missing))
 	for key := range response.Missing {
 		lacking = append(lacking, a.rows.Get(key))
 	}
@@ -214,7 +252,7 @@
 
 // relayRows sends changed rows to the sidecars of the region that get their rows from
 // this one. Rows from the store are also sent to the other watchers.
-func (a *App) relayRows(ctx context.Context, rows []table.Row, fromStore bool) {
+func (a *App) relayRows(ctx context.Context, rows []era.Row, fromStore bool) {
 	if len(rows) == 0 {
 		return
 	}
--- a/sidecar/app/server.go
+++ b/sidecar/app/server.go
@@ -377,6 +377,7 @@
 	receivedAt := a.clock.Now()
 	body := []byte("{}")
 	departs := false
+	a.awaitOwnRowMerged()
 	switch call := call.(type) {
 	case upstreamrpc.Heartbeat:
 		report := call.Report()
--- a/sidecar/app/state.go
+++ b/sidecar/app/state.go
@@ -6,6 +6,7 @@
 
 	"briarwell.dev/core/clock"
 	"briarwell.dev/core/dispatch"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/evacuation"
 	"briarwell.dev/core/fleet"
 	"briarwell.dev/core/freshness"
@@ -15,7 +16,6 @@
 	"briarwell.dev/core/keyspace"
 	"briarwell.dev/core/lease"
 	"briarwell.dev/core/membership"
-	"briarwell.dev/core/table"
 	"briarwell.dev/sidecar/settings"
 )
 
@@ -61,10 +61,14 @@
 	// control loop uses it.
 	encodedMember struct {
 		member fleet.Member
+		era    era.Era
 		value  []byte
 	}
 	// manifest compares the revision of the manifest in use with the newest one.
 	manifest freshness.Tracker
+	// era is the newest known era of the store, eraSeenAt the time at which it was first known.
+	era       era.Era
+	eraSeenAt clock.Millis
 	// changeLogs holds the newest changes of the assignments, by row key.
 	changeLogs map[string]*fleet.ChangeLog
 }
@@ -84,6 +88,7 @@
 		outOfUseWithin:   s.OutOfUseWithin(),
 		unreachableUntil: make(map[string]clock.Millis),
 		startedAt:        now,
+		eraSeenAt:        now,
 		updatedSinceLoad: make(map[string]bool),
 		changeLogs:       make(map[string]*fleet.ChangeLog),
 	}
@@ -114,7 +119,7 @@
 
 // applyRow updates the state with a changed row. The error is a *fleet.RowError if the
 // row can't be read; the state is then unchanged.
-func (s *state) applyRow(now clock.Millis, row table.Row) error {
+func (s *state) applyRow(now clock.Millis, row era.Row) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	oldView := s.view
@@ -125,8 +130,8 @@
 	s.view = view
 	if service, ok := fleet.AssignmentService(row.Key()); ok {
 		before, after := oldView.Assignment(service), view.Assignment(service)
-		if after.Revision > before.Revision {
-			s.logChange(row.Key(), fleet.NewDelta(before.Revision, after.Revision, keyspace.Diff(before.Assignment, after.Assignment)))
+		if origin := before.Stamp.Origin(); after.Stamp.Origin().After(origin) {
+			s.logChange(row.Key(), fleet.NewDelta(origin, after.Stamp, keyspace.Diff(before.Assignment, after.Assignment)))
 			s.assignmentChanged(now, service)
 		}
 		return nil
@@ -140,6 +145,42 @@
 	return nil
 }
 
+// applyVersion updates the state with the version of a row whose content is not newer than the known
+// one.
+func (s *state) applyVersion(now clock.Millis, row era.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = s.view.WithVersion(row.Key(), row.Version())
+	if service, ok := fleet.AssignmentService(row.Key()); ok {
+		s.assignmentChanged(now, service)
+	}
+}
+
+// observeEra records an era of the store and reports whether it is newer than the known one.
+func (s *state) observeEra(now clock.Millis, e era.Era) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e <= s.era {
+		return false
+	}
+	s.era, s.eraSeenAt = e, now
+	return true
+}
+
+// knownEra returns the newest known era of the store.
+func (s *state) knownEra() era.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// absentRow returns the version of a row that the store does not have in the newest known era.
+func (s *state) absentRow() era.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return era.NewRevision(s.era, 0)
+}
+
 // memberChanged passes the newest member on an instance to the state machines. The caller
 // holds s.mu.
 func (s *state) memberChanged(now clock.Millis, oldView fleet.View, instance string) {
@@ -160,7 +201,7 @@
 func (s *state) applyDelta(now clock.Millis, key string, delta fleet.Delta) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	view, err := s.view.WithDelta(key, delta.Base(), delta.Revision(), delta.Data())
+	view, err := s.view.WithDelta(key, delta)
 	if err != nil {
 		return err
 	}
@@ -176,7 +217,7 @@
 func (s *state) assignmentChanged(now clock.Millis, service string) {
 	versioned := s.view.Assignment(service)
 	if service == s.service {
-		s.keyController.HandleAssignment(now, versioned.Revision, versioned.Assignment)
+		s.keyController.HandleAssignment(now, versioned.Stamp, versioned.Assignment)
 		s.peerHolders = s.holderMembers(service)
 	}
 	s.leaseWitness.WatchHolders(now, s.holderMembers(""))
@@ -192,9 +233,9 @@
 	log.Append(delta)
 }
 
-// changesSince returns the changes of an assignment that lead from a revision to the newest
-// one, or false if they are not known.
-func (s *state) changesSince(key string, revision table.Revision) ([]fleet.Delta, bool) {
+// changesSince returns the changes of an assignment that lead from the content of a revision to the
+// newest one, or false if they are not known.
+func (s *state) changesSince(key string, revision era.Revision) ([]fleet.Delta, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	log, ok := s.changeLogs[key]
@@ -205,9 +246,9 @@
 	return slices.Clone(deltas), ok
 }
 
-// lastChange returns the change that led to a revision of an assignment, or false if it is
-// not known.
-func (s *state) lastChange(key string, revision table.Revision) (fleet.Delta, bool) {
+// lastChange returns the change that led to the content of a revision of an assignment, or false if
+// it is not known.
+func (s *state) lastChange(key string, origin era.Revision) (fleet.Delta, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	log, ok := s.changeLogs[key]
@@ -215,17 +256,17 @@
 		return fleet.Delta{}, false
 	}
 	last, ok := log.Last()
-	return last, ok && last.Revision() == revision
+	return last, ok && last.Stamp().Origin() == origin
 }
 
 // encodeAssignment returns the row of the known assignment under key.
-func (s *state) encodeAssignment(key string) (table.Row, error) {
+func (s *state) encodeAssignment(key string) (era.Row, error) {
 	service, _ := fleet.AssignmentService(key)
 	s.mu.Lock()
 	versioned := s.view.Assignment(service)
 	s.mu.Unlock()
 	value, err := versioned.Assignment.Encode()
-	return table.NewRow(key, versioned.Revision, value), err
+	return era.NewRowAt(key, versioned.Stamp, value), err
 }
 
 // recordDeparture records that a process of the upstream announces its shutdown. It reports
@@ -313,7 +354,10 @@
 	defer s.mu.Unlock()
 	s.allRowsLoaded = true
 	versioned := s.view.Assignment(s.service)
-	s.keyController.HandleAssignment(now, versioned.Revision, versioned.Assignment)
+	if versioned.Stamp == (era.Stamp{}) {
+		versioned.Stamp = era.NewStamp(era.NewRevision(s.era, 0), era.Revision{})
+	}
+	s.keyController.HandleAssignment(now, versioned.Stamp, versioned.Assignment)
 }
 
 // witnessCandidates returns the members that may be witnesses. During startupWitnessPeriod
@@ -351,9 +395,9 @@
 // dropChange returns the change that removes a holder whose lease has lapsed, and the
 // service whose assignment it changes. It returns false if no assignment names the lease.
 // The caller holds s.mu.
-func (s *state) dropChange(member membership.Member) (keyowner.Change, string, bool) {
+func (s *state) dropChange(now clock.Millis, member membership.Member) (keyowner.Change, string, bool) {
 	for service, versioned := range s.view.Assignments() {
-		if change, ok := keyowner.DropLapsed(versioned.Assignment, versioned.Revision, member); ok {
+		if change, ok := keyowner.DropLapsed(now, s.eraSeenAt, versioned.Assignment, versioned.Stamp.Version(), member); ok {
 			return change, service, true
 		}
 	}
--- a/sidecar/app/telemetry.go
+++ b/sidecar/app/telemetry.go
@@ -259,7 +259,7 @@
 	s.mu.Unlock()
 	a.log.Info().Str("request", r.ID).Str("service", service).Str("life", last.Process.String()).
 		Bool("keyed", r.Keyed).Int("key", int(r.Key)).Bool("held", held).Uint64("epoch", uint64(epoch)).
-		Uint64("revision", uint64(revision)).Int64("leaseMillis", int64(lease)).
+		Stringer("revision", revision).Int64("leaseMillis", int64(lease)).
 		Str("outcome", reply.Outcome.String()).Str("reason", string(outcome.ReasonOf(reply.Outcome))).Bool("arrived", reply.ReachedUpstream).
 		Int("running", reply.Load.Running).Int("waiting", reply.Load.Waiting).Int("slots", reply.Load.Slots).
 		Int64("serviceMillis", int64(reply.Load.ServiceTime)).Int("demandPercent", reply.Load.DemandPercent).
@@ -362,13 +362,13 @@
 	}
 	scope, load, retries, s, learned := a.telemetry.scope, a.executor.Load(), a.executor.RetryCounts(), a.state, a.gate.Capacity()
 	s.mu.Lock()
-	assignment, revision := s.keyController.Assignment()
+	assignment, stamp := s.keyController.Assignment()
 	lease := s.keyController.LeaseEnd() - a.clock.Now()
 	ranges, holders, members := len(assignment.OwnedBy(a.settings.Instance())), len(assignment.Holders()), s.view.MemberCount()
-	outOfUse, domainsOutOfUse := s.domain.OutOfUse(), s.view.OutOfUseCount()
+	outOfUse, domainsOutOfUse, storeEra := s.domain.OutOfUse(), s.view.OutOfUseCount(), s.era
 	s.mu.Unlock()
 	for name, value := range map[string]float64{
-		"manifest_version": float64(a.manifest.Load().Version()), "division_revision": float64(revision),
+		"manifest_version": float64(a.manifest.Load().Version()), "division_revision": float64(stamp.Version().Number()), "store_era": float64(storeEra.Reported()),
 		"lease_milliseconds": float64(max(lease, 0)), "owned_ranges": float64(ranges), "holders": float64(holders), "members": float64(members),
 		"running": float64(load.Running), "waiting": float64(load.Waiting), "slots": float64(load.Slots),
 		"service_milliseconds": float64(load.ServiceTime), "demand_percent": float64(load.DemandPercent), "failure_percent": float64(load.FailurePercent),
--- a/sidecar/app/watch.go
+++ b/sidecar/app/watch.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"briarwell.dev/core/clock"
+	"briarwell.dev/core/era"
 	"briarwell.dev/core/fleet"
-	"briarwell.dev/core/table"
 	"briarwell.dev/platform/store"
 )
 
@@ -43,7 +43,7 @@
 // watchLoop reads the rows of a feed and then, while this sidecar watches the feed,
 // keeps them up to date until ctx ends.
 func (a *App) watchLoop(ctx context.Context, feed store.Feed) {
-	var after table.Revision
+	var after era.Revision
 	loaded, reachable := false, true
 	var outage storeOutage
 	for ctx.Err() == nil {
@@ -51,7 +51,7 @@
 			sleepJittered(ctx, watchingPollInterval)
 			continue
 		}
-		newest := a.newestRevision.Load()
+		newest := a.newest()
 		rows, revision, asOf, err := a.readFeed(ctx, feed, after, loaded, reachable)
 		if ctx.Err() != nil {
 			return
@@ -78,7 +78,7 @@
 		}
 		// Only now, since the answer before tells how old an evacuation row may be.
 		a.state.recordStoreAnswer(a.clock.Now())
-		if feed == store.OperatorRows && uint64(revision) >= newest { // An answer that is behind an earlier one shows nothing of the present.
+		if feed == store.OperatorRows && !newest.After(revision) { // An answer that is behind an earlier one shows nothing of the present.
 			a.state.observeManifest(asOf, a.rows.Get(store.ManifestKey).Version())
 		}
 		a.recordRevision(revision)
@@ -96,7 +96,7 @@
 
 // readFeed reads all rows of a feed, or waits for changes after a revision if the rows are loaded. It
 // also returns a time as of which the rows are complete.
-func (a *App) readFeed(ctx context.Context, feed store.Feed, after table.Revision, loaded, reachable bool) ([]table.Row, table.Revision, clock.Millis, error) {
+func (a *App) readFeed(ctx context.Context, feed store.Feed, after era.Revision, loaded, reachable bool) ([]era.Row, era.Revision, clock.Millis, error) {
 	if !loaded {
 		asOf := a.clock.Now()
 		rows, revision, err := a.store.ReadRows(ctx, feed)
@@ -111,7 +111,7 @@
 }
 
 // watchRows waits for changes of a feed. It also returns a time as of which they are complete.
-func (a *App) watchRows(ctx context.Context, feed store.Feed, after table.Revision, wait clock.Millis) (store.Changes, clock.Millis, error) {
+func (a *App) watchRows(ctx context.Context, feed store.Feed, after era.Revision, wait clock.Millis) (store.Changes, clock.Millis, error) {
 	asOf := a.clock.Now()
 	changes, err := a.store.WatchRows(ctx, feed, after, wait)
 	if changes.None() && a.clock.Now()-asOf >= wait {
@@ -121,15 +121,32 @@
 }
 
 // recordRevision records the revision of an answer of the store.
-func (a *App) recordRevision(revision table.Revision) {
+func (a *App) recordRevision(revision era.Revision) {
 	for {
-		newest := a.newestRevision.Load()
-		if uint64(revision) <= newest || a.newestRevision.CompareAndSwap(newest, uint64(revision)) {
+		known := a.newestRevision.Load()
+		if known != nil && !revision.After(*known) || a.newestRevision.CompareAndSwap(known, &revision) {
 			return
 		}
 	}
 }
 
+// newest returns the newest revision that was recorded.
+func (a *App) newest() era.Revision {
+	if known := a.newestRevision.Load(); known != nil {
+		return *known
+	}
+	return era.Revision{}
+}
+
+// observeEra records an era of the store and reports whether it is newer than the known one.
+func (a *App) observeEra(e era.Era) bool {
+	newer := a.state.observeEra(a.clock.Now(), e)
+	if newer {
+		a.log.Warn().Uint64("era", e.Reported()).Msg("storeEra")
+	}
+	return newer
+}
+
 // awaitWatcherRole waits until it is known whether this sidecar has to watch the store, for
 // at most watcherRoleWait. It returns at once if the sidecar is one of the region's watchers.
 func (a *App) awaitWatcherRole(ctx context.Context) {
@@ -157,23 +174,23 @@
 	}
 }
 
-// applyRows updates the local copy with rows from the store, and returns the rows that were
-// newer than the local ones.
-func (a *App) applyRows(rows []table.Row) []table.Row {
+// applyRows updates the local copy with rows from the store.
+func (a *App) applyRows(rows []era.Row) {
 	a.applyMu.Lock()
 	defer a.applyMu.Unlock()
-	return a.applyRowsLocked(rows, false)
+	a.applyRowsLocked(rows, false)
 }
 
-// applyRowsLocked is applyRows while a.applyMu is held. With allRead, the rows were not read as
+// applyRowsLocked is applyRows while a.applyMu is held. It returns the rows of which the local copy did
+// not have the version or the content. With allRead, the rows were not read as
 // changes: they may have been written long ago.
-func (a *App) applyRowsLocked(rows []table.Row, allRead bool) []table.Row {
-	var changed []table.Row
-	for _, row := range evacuationsFirst(rows, table.Row.Key) {
-		if row.Version() > a.rows.Get(row.Key()).Version() {
+func (a *App) applyRowsLocked(rows []era.Row, allRead bool) []era.Row {
+	var changed []era.Row
+	for _, row := range evacuationsFirst(rows, era.Row.Key) {
+		if known := a.rows.Get(row.Key()); !known.Covers(row.Stamp) {
 			// Also an invalid row is kept: its version is the store's.
-			_ = a.applyToState(row, allRead) // It logs the error.
-			changed = append(changed, a.rows.Apply([]table.Row{row})...)
+			_ = a.applyToState(known, row, allRead) // It logs the error.
+			changed = append(changed, a.rows.Apply([]era.Row{row})...)
 		}
 	}
 	if len(changed) > 0 {
@@ -182,9 +199,21 @@
 	return changed
 }
 
-// applyToState passes a changed row to the manifest or the state machines. It logs the error.
+// applyToState passes a changed row to the manifest or the state machines: its content, and its version
+// alone if the content is not newer than that of the known row. It logs the error.
 // With allRead, the row was not read as a change.
-func (a *App) applyToState(row table.Row, allRead bool) error {
+func (a *App) applyToState(known, row era.Row, allRead bool) error {
+	a.observeEra(row.Version().Era())
+	joined := known.Join(row)
+	if !row.Origin().After(known.Origin()) {
+		if !joined.Stored() {
+			a.telemetry.scope.Counter("rows_lost_by_store").Inc(1)
+			a.log.Warn().Str("row", row.Key()).Stringer("version", joined.Version()).Stringer("content", joined.Origin()).Msg("rowLostByStore")
+		}
+		a.state.applyVersion(a.clock.Now(), joined)
+		return nil
+	}
+	row = joined
 	if row.Key() == store.ManifestKey {
 		err := a.applyManifest(row.Value())
 		if err == nil {
