sidecar: test that a manifest is applied after the store has lost one

The row of the new manifest has a lower version than the one that was lost, so each copy of the rows dropped it; a feed went on after a version that was given out again; freshness waited for the lost version.

Large rows are offered by their whole stamp; versions of offered rows need no path of their own.

--- a/sidecar/app/rowfetch.go
+++ b/sidecar/app/rowfetch.go
@@ -75,7 +75,6 @@
 	if len(offers) == 0 {
 		return
 	}
-	a.applyOfferedVersions(offers)
 	notBefore := a.clock.Now()
 	if a.watching[store.OperatorRows].Load() && a.feedReachable[store.OperatorRows].Load() {
 		notBefore += ownReadWait
@@ -90,17 +89,6 @@
 	a.fetchNext()
 }
 
-// applyOfferedVersions applies the versions of offered rows whose content is known.
-func (a *App) applyOfferedVersions(offers map[string]era.Stamp) {
-	var rows []era.Row
-	for key, stamp := range offers {
-		if known := a.rows.Get(key); !stamp.Origin().After(known.Origin()) && stamp.Version().After(known.Version()) {
-			rows = append(rows, era.NewRowAt(key, stamp, nil))
-		}
-	}
-	a.applyRows(rows)
-}
-
 // fetchNext starts the fetch that is due, if any.
 func (a *App) fetchNext() {
 	a.fetches.mu.Lock()
--- a/sidecar/app/storeera_test.go
+++ b/sidecar/app/storeera_test.go
@@ -115,6 +115,75 @@
 	is.True(joined.upstream.HeldKeyCount() > held/2) // It has not lost its keys to their former owners.
 }
 
+// TestManifestAfterOlderCopy guards against a manifest that is never applied (review/15): the store
+// comes back from an older copy and gives out the version of the manifest that is in use again.
+func TestManifestAfterOlderCopy(t *testing.T) {
+	c := newIdleCluster(t, 79, "1s", "ledger", "ledger", "ledger")
+	c.store.SetEra(1)
+	for _, in := range c.instances {
+		c.startInstance(in)
+	}
+	go c.sendHeartbeats()
+	inForce := func(path string) func() bool {
+		return func() bool {
+			for _, in := range c.instances {
+				if status, _ := c.sendRequest(in, http.MethodGet, path, 1); status != http.StatusOK {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	c.eventually("serving by every sidecar", inForce("/book/first"))
+	older := c.store.Copy()
+	for range 10 {
+		c.store.Put("other", "row", nil)
+	}
+	c.store.WriteManifest(5, "/lost/")
+	c.eventually("use of the manifest that is lost", inForce("/lost/"))
+	c.drill(older)
+	c.store.WriteManifest(5, "/lost/") // The operator writes it again.
+	time.Sleep(3 * time.Second)
+	c.store.WriteManifest(6, "/new/")
+	c.within(2500*time.Millisecond, "use of the new manifest by every sidecar", inForce("/new/"))
+	c.within(2500*time.Millisecond, "404 for the removed route", func() bool {
+		for _, in := range c.instances {
+			if status, _ := c.sendRequest(in, http.MethodGet, "/lost/", 2); status != http.StatusNotFound {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestManifestLostByStore guards against requests that are refused because the only manifest is lost:
+// the store comes back from a copy that is older than it. The manifest in use stays, and is the newest.
+func TestManifestLostByStore(t *testing.T) {
+	c := newIdleCluster(t, 81, "1s", "ledger", "ledger")
+	c.store.SetEra(1)
+	for _, in := range c.instances {
+		c.startInstance(in)
+	}
+	go c.sendHeartbeats()
+	responds := func(path string, expected int) func() bool {
+		return func() bool {
+			for _, in := range c.instances {
+				if status, _ := c.sendRequest(in, http.MethodPost, path, 1); status != expected {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	c.eventually("serving by every sidecar", responds("/book/first", http.StatusOK))
+	c.drill(platformtest.StoreCopy{})
+	time.Sleep(3 * time.Second)
+	c.within(2500*time.Millisecond, "404 without a route", responds("/nowhere/", http.StatusNotFound))
+	c.within(2500*time.Millisecond, "serving by the manifest in use", responds("/book/lost", http.StatusOK))
+	c.store.WriteManifest(5, "/new/")
+	c.within(2500*time.Millisecond, "use of the next manifest", responds("/new/", http.StatusOK))
+}
+
 // TestDepartureAfterOlderCopy guards against an upstream that gets requests again although its
 // departure was acknowledged: the store comes back without it, and the upstream's sidecar ends.
 func TestDepartureAfterOlderCopy(t *testing.T) {
