keyowner: ranges in doubt since an earlier era stay so in the next one

An upstream could be granted keys with the epoch that it had before another one, if the store came back from an older copy twice within six seconds.

Cause: in a new era a holder with a valid lease inherited all ranges that its assignment shows, also those that it had not granted because the store might have lost the change that gave them away.

Change: only ranges that were owned for certain are inherited.

--- a/core/keyowner/recovery.go
+++ b/core/keyowner/recovery.go
@@ -45,16 +45,21 @@
 	return slices.ContainsFunc(r.inherited, func(i keyspace.Range) bool { return i.Epoch() == owned.Epoch() && i.Covers(owned.Span) })
 }
 
-// observeEra records the era of an assignment. In a new one, the ranges of a valid lease are
-// inherited.
+// observeEra records the era of an assignment. In a new one, the ranges that are owned for certain
+// under a valid lease are inherited.
 func (c *Controller) observeEra(e era.Era) {
 	if c.assignmentKnown && e <= c.recovery.era {
 		return
 	}
-	c.recovery.era, c.recovery.eraSeenAt, c.recovery.inherited = e, c.now, nil
+	var inherited []keyspace.Range
 	if _, ok := c.ownHolder(); ok && c.LeaseEnd() > c.now {
-		c.recovery.inherited = c.assignment.OwnedBy(c.settings.Instance.Name())
+		for _, owned := range c.assignment.OwnedBy(c.settings.Instance.Name()) {
+			if c.isOwnedForCertain(owned) { // It may still be in doubt since an earlier era.
+				inherited = append(inherited, owned)
+			}
+		}
 	}
+	c.recovery.era, c.recovery.eraSeenAt, c.recovery.inherited = e, c.now, inherited
 }
 
 // updateRecovery advances the recovery to the present time.
--- a/core/keyowner/recovery_test.go
+++ b/core/keyowner/recovery_test.go
@@ -28,9 +28,15 @@
 		}
 		s.run(warmupMillis)
 		for s.now < warmupMillis+faultMillis && s.failure == "" {
-			if s.rng.IntN(drillShare) == 0 {
+			switch draw := s.rng.IntN(2 * drillShare); {
+			case draw == 0:
 				s.drill(300 + s.rng.Int64N(1500))
-			} else {
+			case draw == 1:
+				busy, length := 2000+s.rng.Int64N(3000), 300+s.rng.Int64N(1500)
+				s.loseKnowledge(busy, length)
+				s.schedule(busy, func() { s.drill(length) })
+				s.run(s.now + busy)
+			default:
 				s.injectFault()
 			}
 			s.run(s.now + 200 + s.rng.Int64N(4000))
--- a/core/keyowner/store_simulation_test.go
+++ b/core/keyowner/store_simulation_test.go
@@ -68,6 +68,33 @@
 	s.era++
 }
 
+// loseKnowledge lets keys move for a while, so that a drill loses such changes, and then ends most of
+// the daemons, which know of them, and cuts off an instance.
+func (s *sim) loseKnowledge(busy, length int64) {
+	for at := int64(0); at < busy; at += 400 {
+		s.schedule(at, func() {
+			from, to := s.hosts[s.rng.IntN(len(s.hosts))], s.hosts[s.rng.IntN(len(s.hosts))]
+			first := keyspace.Key(s.rng.IntN(50000))
+			if from.daemon.alive {
+				from.daemon.controller.RequestMoves(from.daemon.now(), []keyowner.Move{keyowner.NewMove(keyspace.NewSpan(first, first+9000), to.instance.Name())})
+			}
+		})
+	}
+	s.schedule(busy, func() {
+		cut := s.hosts[s.rng.IntN(len(s.hosts))]
+		if s.rng.IntN(2) == 0 {
+			cut.partitioned = true
+			s.schedule(length+s.rng.Int64N(5000), func() { cut.partitioned = false })
+		}
+		for _, h := range s.hosts {
+			if h != cut && s.rng.IntN(4) > 0 {
+				h.daemon.alive = false
+				s.schedule(s.rng.Int64N(length+500), h.startDaemon)
+			}
+		}
+	})
+}
+
 // drill lets the store be away and come back from a copy that is 1 to 10 s old.
 func (s *sim) drill(length int64) {
 	if s.storeDown {
