keyowner: keys of a lost move are granted again, epochs never start over

Callers would have got 503 for some keys for ever: a handover was proposed, the store came back without the move, and the owner went on keeping the range back, as the proposal might still be written; without a next owner it never is. The range is now reclaimed with a new epoch, under which the proposal no longer applies.

An epoch went back at an upstream if the store had lost the first assignment of a service and all daemons had ended: a store that counts its eras from 0 then looked like a new one. An assignment that was never written now begins with epochs by the number of the era.

--- a/core/keyowner/recovery.go
+++ b/core/keyowner/recovery.go
@@ -75,7 +75,8 @@
 // needsRestore reports whether the store lacks the known assignment, or has it as one of an earlier
 // era.
 func (c *Controller) needsRestore() bool {
-	return c.assignment.EpochFloor() > 0 && (!c.stamp.Stored() || c.recovery.contentEra != c.stamp.Version().Era())
+	neverWritten := c.stamp.Origin().IsZero() && c.assignment.Settled()
+	return !neverWritten && (!c.stamp.Stored() || c.recovery.contentEra != c.stamp.Version().Era())
 }
 
 // MayChange reports whether changes of the assignment may be made at now. After the store has come
@@ -98,12 +99,15 @@
 	return owned.Epoch() > c.assignment.EpochFloor() || c.assignment.EpochFloor() == 0 || c.recovery.isInherited(owned)
 }
 
-// reclaim gives the owned ranges that may have had another owner a new epoch.
+// reclaim gives the owned ranges that may have had another owner a new epoch, and those of a handover
+// that may still be written although the store has lost their move: it no longer applies then.
 func (c *Controller) reclaim() (keyspace.Assignment, string) {
 	if _, ok := c.ownHolder(); !ok || !c.assignment.Settled() || c.LeaseEnd() <= c.now {
 		return c.assignment, ""
 	}
-	reclaimed, changed := c.assignment.Reclaim(c.settings.Instance.Name(), c.recovery.isInherited)
+	reclaimed, changed := c.assignment.Reclaim(c.settings.Instance.Name(), func(owned keyspace.Range) bool {
+		return c.recovery.isInherited(owned) && (owned.NextOwner() != "" || !c.isHandoverPending(owned))
+	})
 	if !changed {
 		return c.assignment, ""
 	}
--- a/core/keyspace/era.go
+++ b/core/keyspace/era.go
@@ -39,14 +39,14 @@
 	if e <= a.era {
 		return a
 	}
-	gap := e - a.era
+	gap, first := e-a.era, false
 	if a.era == 0 {
-		// It was never written, or by a build that did not record the era.
-		gap = min(era.Era(max(e.Reported(), 1)-1), maxEraGap)
+		// It was never written, or by a build that did not record the era, or the store has lost it. The
+		// first era that a store reports is 0 or 1.
+		gap, first = era.Era(min(e.Reported(), maxEraGap)), e.Reported() <= 1
 	}
-	gap = min(gap, maxEraGap)
-	floor := a.epoch + identity.Epoch(gap)*epochsPerEra
-	a.unsettled = a.unsettled || floor > a.epoch
+	floor := a.epoch + identity.Epoch(min(gap, maxEraGap))*epochsPerEra
+	a.unsettled = a.unsettled || !first
 	a.era, a.epoch, a.epochFloor = e, floor, floor
 	return a
 }
