--- a/core/keyowner/recovery_test.go
+++ b/core/keyowner/recovery_test.go
@@ -28,10 +28,10 @@
 		}
 		s.run(warmupMillis)
 		for s.now < warmupMillis+faultMillis && s.failure == "" {
-			switch draw := s.rng.IntN(2 * drillShare); {
-			case draw == 0:
+			switch s.rng.IntN(2 * drillShare) {
+			case 0:
 				s.drill(300 + s.rng.Int64N(1500))
-			case draw == 1:
+			case 1:
 				busy, length := 2000+s.rng.Int64N(3000), 300+s.rng.Int64N(1500)
 				s.loseKnowledge(busy, length)
 				s.schedule(busy, func() { s.drill(length) })
