keyowner: adjacent inherited ranges count as one

An owner could give up keys for six seconds after a drill: if the assignment later merges two ranges that it held before, neither covers the merged one, so that it counted as one that may have another owner. Inherited ranges are merged as the assignment does.

A witness no longer takes the era of the store from a renewal request: rows and answers of the store tell it, and one odd request must not make it refuse all holders.

--- a/core/keyowner/recovery.go
+++ b/core/keyowner/recovery.go
@@ -27,8 +27,9 @@
 	// contentEra and contentSettled describe the known assignment as it was written.
 	contentEra     era.Era
 	contentSettled bool
-	// inherited are ranges of an earlier era that the upstream has held without a gap since the
-	// present era was seen: no other upstream can have them under a later epoch.
+	// inherited are spans of an earlier era, with their epochs, that the upstream has held without a gap
+	// since the present era was seen: no other upstream can have them under a later epoch. Adjacent
+	// ones are merged, as those of an assignment may be later.
 	inherited []keyspace.Range
 	// restoreSince is the time since which the assignment is to be written again, 0 if it is not.
 	restoreSince clock.Millis
@@ -36,9 +37,12 @@
 
 // inherit adds a range that the upstream holds.
 func (r *recovery) inherit(owned keyspace.Range) {
-	if !r.isInherited(owned) {
-		r.inherited = append(r.inherited, owned)
+	if r.isInherited(owned) {
+		return
 	}
+	r.inherited = append(r.inherited, keyspace.NewRange(owned.Span, owned.Epoch()))
+	slices.SortFunc(r.inherited, func(x, y keyspace.Range) int { return int(x.First()) - int(y.First()) })
+	r.inherited = keyspace.MergeAdjacent(r.inherited)
 }
 
 func (r *recovery) isInherited(owned keyspace.Range) bool {
@@ -51,15 +55,15 @@
 	if c.assignmentKnown && e <= c.recovery.era {
 		return
 	}
-	var inherited []keyspace.Range
+	var next recovery
 	if _, ok := c.ownHolder(); ok && c.LeaseEnd() > c.now {
 		for _, owned := range c.assignment.OwnedBy(c.settings.Instance.Name()) {
 			if c.isOwnedForCertain(owned) { // It may still be in doubt since an earlier era.
-				inherited = append(inherited, owned)
+				next.inherit(owned)
 			}
 		}
 	}
-	c.recovery.era, c.recovery.eraSeenAt, c.recovery.inherited = e, c.now, inherited
+	c.recovery.era, c.recovery.eraSeenAt, c.recovery.inherited = e, c.now, next.inherited
 }
 
 // updateRecovery advances the recovery to the present time.
--- a/sidecar/app/peers.go
+++ b/sidecar/app/peers.go
@@ -222,7 +222,6 @@
 // promise. A holder that does not know the era of the store gets none: the store may have lost the
 // change that made it a holder, and it must tell so to those who know the era.
 func (a *App) handleRenew(request renewRequest) renewResponse {
-	a.observeEra(request.Era)
 	s := a.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
