--- a/demo/soak/plan.go
+++ b/demo/soak/plan.go
@@ -133,8 +133,9 @@
 )
 
 // NewPlan returns the faults of a seed for a number of instances, ordered by start.
-// All start before the end of the fault phase.
-func NewPlan(seed uint64, instances int, faultPhase time.Duration) []Fault {
+// All start before the end of the fault phase. With drills, the store comes back from older copies; the
+// other faults are the same.
+func NewPlan(seed uint64, instances int, faultPhase time.Duration, drills bool) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 11)) //nolint:gosec // Equal seeds must give equal faults.
 	var plan []Fault
 	for start := time.Duration(0); ; {
@@ -149,7 +150,9 @@
 		plan = append(plan, f)
 	}
 	plan = append(plan, newSeries(seed, instances, faultPhase)...)
-	plan = append(plan, newDrills(seed, faultPhase)...)
+	if drills {
+		plan = append(plan, newDrills(seed, faultPhase)...)
+	}
 	slices.SortFunc(plan, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return plan
 }
--- a/demo/soak/runner.go
+++ b/demo/soak/runner.go
@@ -51,6 +51,8 @@
 	Instances int
 	// FaultPhase is the duration of the phase in which faults start.
 	FaultPhase time.Duration
+	// WithoutDrills leaves out the drills of the store.
+	WithoutDrills bool
 	// Out receives the faults and the summary of the run.
 	Out io.Writer
 }
@@ -180,7 +182,7 @@
 func (r *Runner) injectFaults(ctx context.Context) {
 	start := time.Now()
 	var faults sync.WaitGroup
-	for _, f := range NewPlan(r.options.Seed, len(r.instances), r.options.FaultPhase) {
+	for _, f := range NewPlan(r.options.Seed, len(r.instances), r.options.FaultPhase, !r.options.WithoutDrills) {
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Until(start.Add(f.Start))):
