--- a/sidecar/app/storeera_test.go
+++ b/sidecar/app/storeera_test.go
@@ -84,6 +84,7 @@
 // upstream has had (review/12): the store comes back without the change that gave them away, and gives
 // out the versions that were lost again.
 func TestEpochsRiseAfterOlderCopy(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newIdleCluster(t, 78, "1s", "wardrobe", "wardrobe", "wardrobe", "wardrobe", "wardrobe")
 	c.store.SetEra(1)
@@ -118,6 +119,7 @@
 // TestManifestAfterOlderCopy guards against a manifest that is never applied (review/15): the store
 // comes back from an older copy and gives out the version of the manifest that is in use again.
 func TestManifestAfterOlderCopy(t *testing.T) {
+	t.Parallel()
 	c := newIdleCluster(t, 79, "1s", "ledger", "ledger", "ledger")
 	c.store.SetEra(1)
 	for _, in := range c.instances {
@@ -159,6 +161,7 @@
 // TestManifestLostByStore guards against requests that are refused because the only manifest is lost:
 // the store comes back from a copy that is older than it. The manifest in use stays, and is the newest.
 func TestManifestLostByStore(t *testing.T) {
+	t.Parallel()
 	c := newIdleCluster(t, 81, "1s", "ledger", "ledger")
 	c.store.SetEra(1)
 	for _, in := range c.instances {
@@ -187,6 +190,7 @@
 // TestDepartureAfterOlderCopy guards against an upstream that gets requests again although its
 // departure was acknowledged: the store comes back without it, and the upstream's sidecar ends.
 func TestDepartureAfterOlderCopy(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newIdleCluster(t, 80, "1s", "ledger", "ledger")
 	c.store.SetEra(1)
