--- a/core/httpclient/resetupload_test.go
+++ b/core/httpclient/resetupload_test.go
@@ -8,11 +8,11 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
 	"briarwell.dev/core/httpclient"
+	"briarwell.dev/core/internal/brokenresponse"
 )
 
 // uploadRequest returns a request with a body that is still being written when the response arrives.
@@ -45,18 +45,7 @@
 // its connection was reset: while the request is being written, the reset may be reported to the
 // writer only, and the reader sees the end of the stream.
 func TestResetDuringUpload(t *testing.T) {
-	for name, end := range map[string]func(*net.TCPConn){
-		"reset": func(conn *net.TCPConn) {
-			time.Sleep(5 * time.Millisecond)
-			_ = conn.SetLinger(0)
-		},
-		"closed":         func(*net.TCPConn) { time.Sleep(5 * time.Millisecond) },
-		"closed halfway": func(conn *net.TCPConn) { _, _ = io.CopyN(io.Discard, conn, 1<<20) },
-		"ended, then reset": func(conn *net.TCPConn) {
-			_ = conn.CloseWrite()
-			_ = conn.SetLinger(0)
-		},
-	} {
+	for name, end := range brokenresponse.Resets() {
 		for _, awaitContinue := range []bool{false, true} {
 			address := startUploadServer(t, end)
 			for range 20 {
@@ -74,16 +63,7 @@
 // TestEndOfResponseDuringUpload guards against refusing a response without a length that the server
 // ends regularly before it has read the request.
 func TestEndOfResponseDuringUpload(t *testing.T) {
-	for name, end := range map[string]func(*net.TCPConn){
-		"reads on": func(conn *net.TCPConn) {
-			_ = conn.CloseWrite()
-			_, _ = io.Copy(io.Discard, conn)
-		},
-		"reads no more": func(conn *net.TCPConn) {
-			_ = conn.CloseWrite()
-			time.Sleep(time.Second)
-		},
-	} {
+	for name, end := range brokenresponse.RegularEnds() {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			for _, awaitContinue := range []bool{false, true} {
--- a/core/internal/brokenresponse/brokenresponse.go
+++ b/core/internal/brokenresponse/brokenresponse.go
@@ -126,3 +126,45 @@
 	}()
 	return listener.Addr().String()
 }
+
+// Resets returns ways in which a server resets a connection on which it has responded to a part of a
+// request, by name.
+func Resets() map[string]func(*net.TCPConn) {
+	return map[string]func(*net.TCPConn){
+		"reset": func(conn *net.TCPConn) {
+			time.Sleep(writeTime)
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		},
+		"closed": func(conn *net.TCPConn) {
+			time.Sleep(writeTime)
+			_ = conn.Close()
+		},
+		"closed halfway": func(conn *net.TCPConn) {
+			_, _ = io.CopyN(io.Discard, conn, 1<<20)
+			_ = conn.Close()
+		},
+		"ended, then reset": func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		},
+	}
+}
+
+// RegularEnds returns ways in which a server ends its direction of such a connection, by name.
+func RegularEnds() map[string]func(*net.TCPConn) {
+	return map[string]func(*net.TCPConn){
+		"reads on": func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			_, _ = io.Copy(io.Discard, conn)
+		},
+		"reads no more": func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			time.Sleep(time.Second)
+		},
+	}
+}
+
+// writeTime is the time for which the client writes before a reset.
+const writeTime = 5 * time.Millisecond
--- a/core/upstream/httpupstream/resetupload_test.go
+++ b/core/upstream/httpupstream/resetupload_test.go
@@ -6,10 +6,10 @@
 	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
+	"briarwell.dev/core/internal/brokenresponse"
 	"briarwell.dev/core/upstream/httpupstream"
 )
 
@@ -43,18 +43,7 @@
 // its connection was reset: while the request is being written, the reset may be reported to the
 // writer only, and the reader sees the end of the stream.
 func TestResetDuringUpload(t *testing.T) {
-	for name, end := range map[string]func(*net.TCPConn){
-		"reset": func(conn *net.TCPConn) {
-			time.Sleep(5 * time.Millisecond)
-			_ = conn.SetLinger(0)
-		},
-		"closed":         func(*net.TCPConn) { time.Sleep(5 * time.Millisecond) },
-		"closed halfway": func(conn *net.TCPConn) { _, _ = io.CopyN(io.Discard, conn, 1<<20) },
-		"ended, then reset": func(conn *net.TCPConn) {
-			_ = conn.CloseWrite()
-			_ = conn.SetLinger(0)
-		},
-	} {
+	for name, end := range brokenresponse.Resets() {
 		for _, length := range []int64{16 << 20, -1} {
 			s := startServer(t, respondToUpload(end))
 			for range 20 {
@@ -72,16 +61,7 @@
 // ends regularly before it has read the request.
 func TestEndOfResponseDuringUpload(t *testing.T) {
 	is := is.New(t)
-	for _, end := range []func(*net.TCPConn){
-		func(conn *net.TCPConn) {
-			_ = conn.CloseWrite()
-			_, _ = io.Copy(io.Discard, conn)
-		},
-		func(conn *net.TCPConn) {
-			_ = conn.CloseWrite()
-			time.Sleep(time.Second)
-		},
-	} {
+	for _, end := range brokenresponse.RegularEnds() {
 		for _, length := range []int64{16 << 20, -1} {
 			body, err := readUpload(t, startServer(t, respondToUpload(end)).address, length)
 			is.NoErr(err)
@@ -95,10 +75,7 @@
 	is := is.New(t)
 	blocked := make(blockedBody)
 	defer close(blocked)
-	s := startServer(t, respondToUpload(func(conn *net.TCPConn) {
-		time.Sleep(5 * time.Millisecond)
-		_ = conn.SetLinger(0)
-	}))
+	s := startServer(t, respondToUpload(brokenresponse.Resets()["reset"]))
 	put := newRequest("PUT")
 	put.Body, put.ContentLength = io.MultiReader(io.LimitReader(&zeroBody{}, 100_000), blocked), -1
 	response, err := newUpstream(t, s.address).Do(t.Context(), put)
